--- /dev/null
+++ b/crates/adapter/src/host.rs
@@ -0,0 +1,343 @@
+//! Many wholly separate instances behind one wire.
+use crate::fields::*;
+use applepond::control::Control;
+use applepond::interface::*;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+
+/// All instances of this process, by the number that the wire gives them.
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u64, Instance>,
+}
+
+/// One instance: its decisions and the names behind the ids.
+struct Instance {
+    control: Control,
+    names: Names,
+}
+
+#[derive(Default)]
+struct Names {
+    servers: BTreeMap<ServerId, String>,
+    functions: BTreeMap<FunctionId, String>,
+    workloads: Vec<String>,
+    customers: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+}
+
+/// Writes what the decisions order as actions of the wire, in their order.
+struct Reply<'a> {
+    names: &'a Names,
+    actions: Vec<Value>,
+}
+
+fn ms(time: Micros) -> f64 {
+    time as f64 / 1000.0
+}
+
+fn id_text(job: &JobId) -> &str {
+    std::str::from_utf8(&job.0).expect("ids came in as text")
+}
+
+impl Orders for Reply<'_> {
+    fn send(&mut self, job: JobId, server: ServerId, patience: Micros) {
+        let server = &self.names.servers[&server];
+        self.actions
+            .push(json!({"op": "try", "msg-id": id_text(&job), "server": server, "patience": ms(patience)}));
+    }
+
+    fn cancel(&mut self, job: JobId, execution: usize) {
+        self.actions.push(json!({"op": "call-off", "msg-id": id_text(&job), "send-no": execution}));
+    }
+
+    fn push_back(&mut self, job: JobId, come_back: Option<Micros>) {
+        self.actions.push(json!({"op": "decline", "msg-id": id_text(&job), "wait": come_back.map(ms)}));
+    }
+
+    fn kill(&mut self, job: JobId) {
+        self.actions.push(json!({"op": "report-failure", "msg-id": id_text(&job)}));
+    }
+
+    fn wake_after(&mut self, delay: Micros, token: Token) {
+        self.actions.push(json!({"op": "after", "offset": ms(delay), "token": token.0}));
+    }
+
+    fn load(&mut self, server: ServerId, function: FunctionId, copies: u32) {
+        let (server, function) = (&self.names.servers[&server], &self.names.functions[&function]);
+        self.actions.push(json!({"op": "bring-up", "server": server, "copies": copies, "model": function}));
+    }
+
+    fn note(&mut self, text: &str) {
+        self.actions.push(json!({"op": "journal-line", "message": text}));
+    }
+
+    fn watch(&mut self) {
+        self.actions.push(json!({"op": "watch", "active": true}));
+    }
+}
+
+impl Host {
+    /// Answers one batch; a fault names the instance and the field.
+    pub fn batch(&mut self, line: &str) -> Result<String, String> {
+        let batch: Value = serde_json::from_str(line).map_err(|e| format!("batch: not JSON: {e}"))?;
+        let now = time(&batch, "ts").map_err(|why| format!("batch: {why}"))?;
+        let mut parts = Vec::new();
+        for part in array(&batch, "parts").map_err(|why| format!("batch: {why}"))? {
+            let number = whole(part, "router").map_err(|why| format!("batch: {why}"))?;
+            let told = |why| format!("instance {number}: {why}");
+            let mut actions = Vec::new();
+            for event in array(part, "arrivals").map_err(told)? {
+                actions.extend(self.event(number, now, event).map_err(told)?);
+            }
+            if !actions.is_empty() {
+                parts.push(json!({"router": number, "orders": actions}));
+            }
+        }
+        Ok(json!({ "parts": parts }).to_string())
+    }
+
+    fn event(&mut self, number: u64, now: Micros, event: &Value) -> Read<Vec<Value>> {
+        let op = text(event, "op")?;
+        if op == "boot" {
+            let setup = object(event, "setup")?;
+            let names = Names::read(setup)?;
+            let rows = startup(setup, &names, whole(event, "salt")?)?;
+            let mut reply = Reply { names: &names, actions: Vec::new() };
+            let control = Control::new(now, rows, &mut reply);
+            let actions = reply.actions;
+            self.instances.insert(number, Instance { control, names });
+            return Ok(actions);
+        }
+        if op == "kill" {
+            self.instances.remove(&number);
+            return Ok(Vec::new());
+        }
+        let instance = self.instances.get_mut(&number).ok_or(format!("'{op}' before any 'boot'"))?;
+        instance.event(now, op, event).map_err(|why| format!("'{op}': {why}"))
+    }
+}
+
+impl Instance {
+    fn event(&mut self, now: Micros, op: &str, event: &Value) -> Read<Vec<Value>> {
+        // Names come first, so that an id is known before anything is ordered for it.
+        if op == "endpoints" {
+            for entry in maybe(event, "members").and_then(Value::as_array).into_iter().flatten() {
+                let name = text(entry, "server")?;
+                self.names.servers.entry(ServerId::named(name)).or_insert_with(|| name.to_owned());
+            }
+        }
+        if op == "knock" {
+            let name = text(event, "model")?;
+            self.names.functions.entry(FunctionId::named(name)).or_insert_with(|| name.to_owned());
+        }
+        let names = &self.names;
+        let reply = &mut Reply { names, actions: Vec::new() };
+        let control = &mut self.control;
+        match op {
+            "endpoints" => {
+                let kind = match text(event, "kind")? {
+                    "INCREMENTAL" => ListKind::Changes,
+                    "FULL" => ListKind::Full,
+                    "SAVED" => ListKind::Saved,
+                    "FAILED" => ListKind::Failed,
+                    other => return Err(format!("field 'kind': '{other}' is not known")),
+                };
+                let entries =
+                    maybe(event, "members").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+                let entries = entries.iter().map(|e| listed(e, names)).collect::<Read<Vec<_>>>()?;
+                control.list(now, reply, kind, &entries);
+            }
+            "knock" => {
+                let customer = match maybe(event, "customer") {
+                    None => None,
+                    Some(v) if v.as_u64() == Some(0) => None,
+                    Some(_) => Some(CustomerId(position(&names.customers, event, "customer")?)),
+                };
+                let arrival = Arrival {
+                    job: job(event)?,
+                    function: FunctionId::named(text(event, "model")?),
+                    workload: WorkloadId(position(&names.workloads, event, "type")?),
+                    customer,
+                    left: time(event, "left")?,
+                    lanes: number_or(event, "at-once", 1.0)? as u32,
+                    load_time: maybe(event, "start-ms").map(|_| time(event, "start-ms")).transpose()?,
+                };
+                control.job(now, reply, &arrival);
+            }
+            "closed-attempt" => {
+                let detail = number_or(event, "detail", 0.0)? as u32;
+                let usage = maybe(event, "usage").unwrap_or(&Value::Null);
+                let answer = Answer {
+                    outcome: outcome(event)?,
+                    closed: mark(event, "terminal")?,
+                    elapsed: time_or_none(event, "elapsed")?,
+                    copy: copy_note(detail & 7),
+                    company: detail >> 3,
+                    loads: maybe(usage, "x1").and_then(Value::as_f64),
+                    busy: maybe(usage, "load_share").and_then(Value::as_f64),
+                    queued: maybe(usage, "depth").and_then(Value::as_f64),
+                };
+                control.answered(
+                    now,
+                    reply,
+                    job(event)?,
+                    number_or(event, "send-no", 0.0)? as usize,
+                    &answer,
+                );
+            }
+            "stands" => {
+                let server = ServerId::named(text(event, "server")?);
+                let function = FunctionId::named(text(event, "model")?);
+                control.stands(
+                    now,
+                    reply,
+                    server,
+                    function,
+                    outcome(event)?,
+                    number_or(event, "copies", 0.0)? as u32,
+                );
+            }
+            "streaming" => control.streaming(now, job(event)?),
+            "expired" => control.left(now, job(event)?),
+            "wakeup" => control.wake(now, reply, Token(whole(event, "token")?)),
+            // Nothing is decided on these yet: no probe and no message is ever sent.
+            "probed" | "whisper" => {}
+            other => return Err(format!("event '{other}' is not known")),
+        }
+        Ok(std::mem::take(&mut reply.actions))
+    }
+}
+
+fn outcome(event: &Value) -> Read<Outcome> {
+    Ok(match number_or(event, "code", 0.0)? as i64 {
+        0 => Outcome::Finished,
+        1 => Outcome::Missing,
+        255 => Outcome::Error,
+        254 => Outcome::Full,
+        253 => Outcome::TimedOut,
+        252 => Outcome::NoConnection,
+        251 => Outcome::Broken,
+        250 => Outcome::Cancelled,
+        249 => Outcome::Moot,
+        other => return Err(format!("field 'code': {other} is not known")),
+    })
+}
+
+fn copy_note(note: u32) -> Copy {
+    match note {
+        1 => Copy::Stood,
+        2 => Copy::Begun,
+        3 => Copy::Awaited,
+        4 => Copy::LoadFailed,
+        _ => Copy::Unsaid,
+    }
+}
+
+fn listed(entry: &Value, names: &Names) -> Read<Listed> {
+    let place = |list: &[String], name| maybe(entry, name).map(|_| position(list, entry, name)).transpose();
+    Ok(Listed {
+        server: ServerId::named(text(entry, "server")?),
+        standing: match text(entry, "condition")? {
+            "Ready" => Standing::Ready,
+            "Terminating" => Standing::Draining,
+            "Gone" => Standing::Gone,
+            other => return Err(format!("field 'condition': '{other}' is not known")),
+        },
+        up_since: time_or_none(entry, "up-since")?,
+        zone: place(&names.zones, "rack-zone")?.map(ZoneId),
+        kind: place(&names.kinds, "generation-hw")?.map(KindId),
+        rack: RackId(number_or(entry, "group", 0.0)? as i64),
+        weight: number_or(entry, "nominal", 1.0)?,
+    })
+}
+
+impl Names {
+    fn read(setup: &Value) -> Read<Self> {
+        let plain = |name| -> Read<Vec<String>> {
+            let list = maybe(setup, name).and_then(Value::as_array).into_iter().flatten();
+            list.map(|v| v.as_str().map(str::to_owned).ok_or(format!("field '{name}': texts are wanted")))
+                .collect()
+        };
+        let rows = |name| -> Read<Vec<String>> {
+            let list = maybe(setup, name).and_then(Value::as_array).into_iter().flatten();
+            list.map(|row| text(row, "name").map(str::to_owned)).collect()
+        };
+        Ok(Names {
+            workloads: rows("lanes")?,
+            customers: rows("projects")?,
+            zones: plain("zones")?,
+            kinds: plain("kinds")?,
+            ..Names::default()
+        })
+    }
+}
+
+fn startup(setup: &Value, names: &Names, seed: u64) -> Read<Startup> {
+    let allowed = object(setup, "allowed")?;
+    let rules = object(setup, "rules")?;
+    let prices = object(setup, "penalties")?;
+    let own = maybe(setup, "specifics").unwrap_or(&Value::Null);
+    Ok(Startup {
+        seed,
+        me: number_or(setup, "self-index", 0.0)? as u64,
+        routers: (number_or(setup, "group-size", 1.0)? as u64).max(1),
+        zone: maybe(setup, "my-zone")
+            .map(|_| position(&names.zones, setup, "my-zone"))
+            .transpose()?
+            .map(ZoneId),
+        workloads: array(setup, "lanes")?.iter().map(workload).collect::<Read<_>>()?,
+        customers: maybe(setup, "projects")
+            .and_then(Value::as_array)
+            .into_iter()
+            .flatten()
+            .map(|row| number_or(row, "quota-per-s", 0.0).map(|jobs_per_s| CustomerRow { jobs_per_s }))
+            .collect::<Read<_>>()?,
+        permits: Permits {
+            executions: number_or(allowed, "attempts-cap", 1.0)? as usize,
+            cancel: mark(allowed, "cancel")?,
+            second_copies: mark(allowed, "second-copies")?,
+            come_back: mark(allowed, "retry-after")?,
+            come_back_max: time_or_none(allowed, "max-retry-after")?,
+            load_orders: mark(own, "orders")?,
+        },
+        rules: RuleFigures {
+            cold_share: number_or(rules, "cold-from", 1.0)?,
+            warm_within: time_or_none(rules, "warm-within")?,
+            fall_multiple: number_or(rules, "fall-multiple", 1.0)?,
+            fall_span: time_or_none(rules, "fall")?,
+            load_window: time_or_none(own, "loads-within")?,
+            load_free: number_or(own, "load-free", 0.0)?,
+            load_share: number_or(own, "load-part", 0.0)?,
+        },
+        prices: Prices {
+            crossing: number_or(prices, "cross-zone", 0.0)?,
+            fetch: number_or(prices, "origin", 0.0)?,
+            waste: number_or(prices, "waste", 0.0)?,
+            probe: number_or(prices, "probe", 0.0)?,
+            memory: number_or(own, "memory-price", 0.0)?,
+        },
+        over_share: number_or(setup, "over-share-worth", 1.0)?,
+        keep: time_or_none(own, "keep")?,
+        weights_shared: maybe(setup, "weights").and_then(Value::as_str) != Some("live"),
+    })
+}
+
+fn workload(row: &Value) -> Read<WorkloadRow> {
+    let effect = match text(row, "idempotency")? {
+        "idempotent" => Effect::Restartable,
+        "at_most_once" => Effect::RunOnce,
+        "deduplicated" => Effect::Fingerprinted {
+            within: match text(row, "group")? {
+                "all" => Within::Everywhere,
+                "zone" => Within::Zone,
+                "cell" => Within::Rack,
+                other => return Err(format!("field 'group': '{other}' is not known")),
+            },
+            window: time(row, "window")?,
+        },
+        other => return Err(format!("field 'idempotency': '{other}' is not known")),
+    };
+    Ok(WorkloadRow { effect, start_target: time(row, "on-time")?, importance: number_or(row, "worth", 1.0)? })
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,926 @@
+//! All decisions of one router.
+//!
+//! How it is called: the owner of an instance makes one `Control` from the start-up rows and calls it once for
+//! each event (`list`, `job`, `answered`, `stands`, `streaming`, `left`, `wake`), with the clock and an `Orders`.
+//! Interface: `src/interface.rs` (ids, time, rows, `Answer`, `Orders`). No wire, no input or output here.
+//!
+//! The design (docs/design.md): a function's jobs go to its home, the first worker in a hash order that all routers
+//! share; lanes filled by this router's own jobs move on to the next worker; one copy after the hedge delay; what
+//! would begin a second load waits while this router's job at a worker not yet serving is unanswered.
+//!
+//! Mechanisms beside the design, six at most:
+//! 1. Set aside: a worker that errs, breaks or falls silent gets nothing, then a trickle that doubles.
+//! 2. Fresh workers: turns by this router's number and a budget of work while a worker is cold.
+//! 3. Room: a bound on own jobs at a worker, moved by how late its answers are.
+//! 4. Further executions, within one budget shared with copies.
+//! 5. Pushback: what waits here goes out by value and is pushed back once its start target is lost.
+//! 6. Loads: a bound on own loads under way, and orders to load and to keep where they are allowed.
+
+use crate::interface::*;
+use oorandom::Rand64;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+// ---- Constants: unit, and why this size --------------------------------------------------------------------
+
+/// µs between two looks at what waits: far below any start target, far above a batch.
+const BEAT: Micros = 20_000;
+/// µs assumed for a load where none was told or seen: the design's two seconds stand for twice this.
+const LOAD_UNTOLD: Micros = 1_000_000;
+/// Part of the start target after which a copy follows at a worker that serves: leaves the rest to the copy.
+const HEDGE_PART: f64 = 0.6;
+/// Copies and further executions earned by one job: doubling of the load by them is out of the question.
+const BUDGET_PER_JOB: f64 = 0.1;
+/// Copies and further executions saved up at most: a short trouble's worth.
+const BUDGET_MOST: f64 = 20.0;
+/// µs until a copy that found no place is tried again.
+const HEDGE_AGAIN: Micros = 50_000;
+/// µs for which a job avoids a worker that has just turned it away.
+const REST: Micros = 200_000;
+/// Own jobs at a worker to begin with: a few cores' worth.
+const ROOM_START: f64 = 8.0;
+/// Own jobs at a worker at least: one, or it would never be heard of again.
+const ROOM_LEAST: f64 = 1.0;
+/// Own jobs at a worker at most: no bound that would not be reached anyway.
+const ROOM_MOST: f64 = 64.0;
+/// Part of the start target that answers may take before room shrinks: half is left for chance.
+const LAG_HIGH: f64 = 0.5;
+/// Weight of a new answer in the running figures: the last ten or so count.
+const FRESH: f64 = 0.15;
+/// Factor on room at each shrinking: two steps halve it.
+const ROOM_CUT: f64 = 0.75;
+/// Share of errors at which a worker is set aside: two errors close together, never one.
+const ERRORS_HIGH: f64 = 0.3;
+/// Weight of one answer in the share of errors.
+const ERRORS_FRESH: f64 = 0.2;
+/// µs set aside the first time; doubles with each relapse.
+const ASIDE: Micros = 500_000;
+/// µs set aside at most: a worker that comes back is found within this.
+const ASIDE_MOST: Micros = 8_000_000;
+/// Jobs at once at which the doubling trickle ends: more than a worker usually has from one router.
+const TRICKLE_END: u32 = 16;
+/// Part of the allowed work that a cold worker is sent: figures for its capacity are guesses.
+const COLD_CARE: f64 = 0.5;
+/// µs over which a worker's pace of finished work is averaged.
+const PACE_SPAN: f64 = 5_000_000.0;
+/// Own loads under way at once to begin with.
+const LOADS_START: f64 = 12.0;
+/// Own loads under way at least.
+const LOADS_LEAST: f64 = 3.0;
+/// Own loads under way at most.
+const LOADS_MOST: f64 = 64.0;
+/// Times the usual load time at which a load counts as slow.
+const LOAD_SLOW: f64 = 2.5;
+/// Part of the start target that overflow waits before it begins a load at the next worker.
+const SPREAD_PART: f64 = 0.15;
+/// µs over which a customer's rate is taken.
+const RATE_SPAN: f64 = 2_000_000.0;
+/// µs before the client's time is up at which a held job is ended: more than one beat.
+const LAST_CALL: Micros = 30_000;
+/// Keep times after which a function nobody asks for is let go.
+const KEEP_FOR: u64 = 6;
+/// µs before the keep time ends at which an order renews it.
+const KEEP_AHEAD: Micros = 1_500_000;
+/// µs named at least as a time to come back.
+const COME_BACK: Micros = 200_000;
+
+// ---- What is kept ------------------------------------------------------------------------------------------
+
+/// What to do with the result of a step: an execution's answer, or nothing but the time.
+type Step = Box<dyn FnOnce(&mut Control, &mut dyn Orders, Option<&Answer>)>;
+
+/// What is known of one execution with regard to a repeat.
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    Out,
+    MayHaveRun,
+    NeverRan,
+}
+
+struct Tried {
+    server: ServerId,
+    rack: RackId,
+    zone: Option<ZoneId>,
+    sent: Micros,
+    closed: Micros,
+    fate: Fate,
+}
+
+struct Job {
+    function: FunctionId,
+    workload: WorkloadId,
+    came: Micros,
+    limit: Micros,
+    value: u64,
+    tried: Vec<Tried>,
+    streaming: bool,
+}
+
+/// One execution that is out, also when its job has ended.
+struct Out {
+    server: ServerId,
+    function: FunctionId,
+    workload: WorkloadId,
+    sent: Micros,
+    serving: bool,
+    then: Step,
+}
+
+struct Function {
+    lanes: u32,
+    load_time: Option<Micros>,
+    last: Micros,
+    gap: f64,
+    order: Vec<ServerId>,
+    order_of: u64,
+}
+
+/// What this router knows of one function at one worker.
+#[derive(Default, Clone)]
+struct Holding {
+    out: u32,
+    serving_until: Micros,
+    loading: Option<Micros>,
+}
+
+struct Server {
+    open: bool,
+    up_since: Micros,
+    zone: Option<ZoneId>,
+    rack: RackId,
+    weight: f64,
+    out: u32,
+    room: f64,
+    lag: f64,
+    cut_at: Micros,
+    heard: Micros,
+    errors: f64,
+    aside: Option<Micros>,
+    backoff: Micros,
+    trickle: Option<u32>,
+    cold_sent: VecDeque<(Micros, f64)>,
+    done: f64,
+    pace: f64,
+    holds: BTreeMap<FunctionId, Holding>,
+}
+
+impl Server {
+    fn new(now: Micros, entry: &Listed) -> Self {
+        Server {
+            open: entry.standing == Standing::Ready,
+            up_since: entry.up_since,
+            zone: entry.zone,
+            rack: entry.rack,
+            weight: if entry.weight > 0.0 { entry.weight } else { 1.0 },
+            out: 0,
+            room: ROOM_START,
+            lag: 0.0,
+            cut_at: now,
+            heard: now,
+            errors: 0.0,
+            aside: None,
+            backoff: ASIDE,
+            trickle: None,
+            cold_sent: VecDeque::new(),
+            done: 0.0,
+            pace: 0.0,
+            holds: BTreeMap::new(),
+        }
+    }
+
+    fn serving(&self, now: Micros, function: FunctionId) -> bool {
+        self.holds.get(&function).is_some_and(|h| h.serving_until > now)
+    }
+}
+
+/// The table of workloads: a row each, only what is read.
+struct Workload {
+    effect: Effect,
+    start_target: Micros,
+    importance: f64,
+    service: f64,
+}
+
+struct Customer {
+    jobs_per_s: f64,
+    rate: f64,
+    at: Micros,
+}
+
+pub struct Control {
+    now: Micros,
+    rng: Rand64,
+    rows: Startup,
+    workloads: Vec<Workload>,
+    customers: Vec<Customer>,
+    servers: BTreeMap<ServerId, Server>,
+    functions: BTreeMap<FunctionId, Function>,
+    jobs: BTreeMap<JobId, Job>,
+    /// Jobs that wait here: most valuable first, then oldest.
+    held: BTreeSet<(Reverse<u64>, Micros, JobId)>,
+    out: BTreeMap<(JobId, usize), Out>,
+    steps: BTreeMap<Token, Step>,
+    next_token: u64,
+    list_of: u64,
+    budget: f64,
+    loads: f64,
+    loads_cut: Micros,
+    pace_per_weight: f64,
+}
+
+/// Mixes two ids into a place in a function's order; the same at every router.
+fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a ^ b.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    for _ in 0..2 {
+        x = (x ^ (x >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 29)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    }
+    x ^ (x >> 32)
+}
+
+impl Control {
+    pub fn new(now: Micros, rows: Startup, orders: &mut dyn Orders) -> Self {
+        let workloads = rows.workloads.iter().map(|row| Workload {
+            effect: row.effect,
+            start_target: row.start_target.max(1),
+            importance: row.importance,
+            service: row.start_target as f64 * 0.2,
+        });
+        let customers =
+            rows.customers.iter().map(|row| Customer { jobs_per_s: row.jobs_per_s, rate: 0.0, at: now });
+        let mut control = Control {
+            now,
+            rng: Rand64::new(u128::from(rows.seed)),
+            workloads: workloads.collect(),
+            customers: customers.collect(),
+            rows,
+            servers: BTreeMap::new(),
+            functions: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            held: BTreeSet::new(),
+            out: BTreeMap::new(),
+            steps: BTreeMap::new(),
+            next_token: 0,
+            list_of: 0,
+            budget: BUDGET_MOST / 2.0,
+            loads: LOADS_START,
+            loads_cut: now,
+            pace_per_weight: 0.0,
+        };
+        control.wake_then(orders, BEAT, Box::new(|c, o, _| c.beat(o)));
+        control
+    }
+
+    // ---- Events --------------------------------------------------------------------------------------------
+
+    pub fn list(&mut self, now: Micros, orders: &mut dyn Orders, kind: ListKind, entries: &[Listed]) {
+        self.now = now;
+        if kind == ListKind::Failed {
+            orders.watch();
+            return;
+        }
+        if kind != ListKind::Changes {
+            let named: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
+            self.servers.iter_mut().filter(|(id, _)| !named.contains(id)).for_each(|(_, s)| s.open = false);
+        }
+        for entry in entries {
+            let known = self.servers.get_mut(&entry.server);
+            match known {
+                Some(s) if s.up_since == entry.up_since || entry.standing != Standing::Ready => {
+                    s.open = entry.standing == Standing::Ready;
+                }
+                Some(s) => {
+                    // Restarted: empty, cold, and nothing that was learned of it holds.
+                    let out = s.out;
+                    let held: Vec<(FunctionId, u32)> = s.holds.iter().map(|(f, h)| (*f, h.out)).collect();
+                    *s = Server::new(now, entry);
+                    s.out = out;
+                    for (f, out) in held.into_iter().filter(|(_, out)| *out > 0) {
+                        s.holds.insert(f, Holding { out, ..Holding::default() });
+                    }
+                }
+                None if entry.standing == Standing::Ready => {
+                    self.servers.insert(entry.server, Server::new(now, entry));
+                }
+                None => {}
+            }
+        }
+        self.servers.retain(|_, s| s.open || s.out > 0);
+        self.list_of += 1;
+        self.dispatch(orders);
+    }
+
+    pub fn job(&mut self, now: Micros, orders: &mut dyn Orders, arrival: &Arrival) {
+        self.now = now;
+        self.budget = (self.budget + BUDGET_PER_JOB).min(BUDGET_MOST);
+        let function = self.functions.entry(arrival.function).or_insert(Function {
+            lanes: 1,
+            load_time: None,
+            last: now,
+            gap: self.rows.keep as f64,
+            order: Vec::new(),
+            order_of: 0,
+        });
+        function.lanes = arrival.lanes.max(1);
+        function.load_time = arrival.load_time.or(function.load_time);
+        function.gap += 0.2 * ((now - function.last) as f64 - function.gap);
+        function.last = now;
+        let over = arrival.customer.is_some_and(|customer| self.over_share(customer));
+        let share = if over { self.rows.over_share } else { 1.0 };
+        let job = Job {
+            function: arrival.function,
+            workload: arrival.workload,
+            came: now,
+            limit: now + arrival.left,
+            value: (self.workloads[arrival.workload.0].importance * share * 1000.0) as u64,
+            tried: Vec::new(),
+            streaming: false,
+        };
+        self.held.insert((Reverse(job.value), now, arrival.job));
+        self.jobs.insert(arrival.job, job);
+        self.dispatch(orders);
+    }
+
+    pub fn answered(
+        &mut self,
+        now: Micros,
+        orders: &mut dyn Orders,
+        job: JobId,
+        execution: usize,
+        answer: &Answer,
+    ) {
+        self.now = now;
+        let Some(out) = self.out.remove(&(job, execution)) else { return };
+        self.learn(orders, &out, answer);
+        (out.then)(self, orders, Some(answer));
+        self.dispatch(orders);
+    }
+
+    pub fn stands(
+        &mut self,
+        now: Micros,
+        orders: &mut dyn Orders,
+        server: ServerId,
+        function: FunctionId,
+        outcome: Outcome,
+        copies: u32,
+    ) {
+        self.now = now;
+        let keep = self.rows.keep;
+        if let Some(s) = self.servers.get_mut(&server) {
+            let hold = s.holds.entry(function).or_default();
+            hold.loading = None;
+            if copies > 0 {
+                hold.serving_until = now + keep;
+            } else {
+                hold.serving_until = 0;
+                if outcome == Outcome::Error {
+                    self.loads_slow();
+                } else if matches!(outcome, Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut) {
+                    self.set_aside(orders, server);
+                }
+            }
+        }
+        self.dispatch(orders);
+    }
+
+    pub fn streaming(&mut self, now: Micros, job: JobId) {
+        self.now = now;
+        if let Some(job) = self.jobs.get_mut(&job) {
+            job.streaming = true;
+        }
+    }
+
+    /// The client has left: nothing more is owed.
+    pub fn left(&mut self, now: Micros, job: JobId) {
+        self.now = now;
+        self.forget(job);
+    }
+
+    pub fn wake(&mut self, now: Micros, orders: &mut dyn Orders, token: Token) {
+        self.now = now;
+        if let Some(step) = self.steps.remove(&token) {
+            step(self, orders, None);
+            self.dispatch(orders);
+        }
+    }
+
+    // ---- The ordinary path: home, next, hold, copy ---------------------------------------------------------
+
+    /// Sends what waits here, most valuable and oldest first, as far as there is room.
+    fn dispatch(&mut self, orders: &mut dyn Orders) {
+        let mut stuck = BTreeSet::new();
+        for key in self.held.iter().copied().collect::<Vec<_>>() {
+            let Some(job) = self.jobs.get(&key.2) else { continue };
+            let bare = job.tried.is_empty();
+            let function = job.function;
+            if bare && stuck.contains(&function) {
+                continue;
+            }
+            match self.place(orders, key.2, false) {
+                Some(server) => {
+                    self.held.remove(&key);
+                    self.send(orders, key.2, server, false);
+                }
+                None if bare => {
+                    stuck.insert(function);
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// The worker for a job's next execution, or None where it has to wait here.
+    fn place(&mut self, orders: &mut dyn Orders, id: JobId, early_copy: bool) -> Option<ServerId> {
+        let now = self.now;
+        let function = self.jobs[&id].function;
+        self.order(function);
+        let job = &self.jobs[&id];
+        let row = &self.workloads[job.workload.0];
+        let lanes = self.functions[&function].lanes;
+        let usable: Vec<(ServerId, bool, bool)> = self.functions[&function]
+            .order
+            .iter()
+            .filter(|s| self.may_send(job, **s) && self.usable(&self.servers[s], row))
+            .map(|s| {
+                let server = &self.servers[s];
+                let own = server.holds.get(&function).map_or(0, |h| h.out);
+                let room = own < lanes && f64::from(server.out) < server.room.max(ROOM_LEAST);
+                (*s, server.serving(now, function), room)
+            })
+            .collect();
+        let warm = usable.iter().find(|(_, serving, room)| *serving && *room).map(|u| u.0);
+        if early_copy {
+            return warm;
+        }
+        let (home, home_serves, home_room) = *usable.first()?;
+        let loading =
+            |s: &ServerId| self.servers[s].holds.get(&function).is_some_and(|h| h.loading.is_some());
+        let pending = self.functions[&function].order.iter().any(loading);
+        let gate = self.loads_under_way() < self.loads as usize;
+        if !home_serves && home_room && !pending && gate {
+            if warm.is_some() && self.order_load(orders, home, function) {
+                return warm;
+            }
+            return Some(home);
+        }
+        if warm.is_some() {
+            return warm;
+        }
+        if !home_serves && home_room && loading(&home) {
+            return Some(home);
+        }
+        // Overflow: it begins a load at the next worker only when no answer is awaited from one not yet serving,
+        // and not for a crowd that is gone in a moment.
+        let patient = now < job.came + (row.start_target as f64 * SPREAD_PART) as Micros;
+        if pending || !gate || (patient && home_serves) {
+            return None;
+        }
+        let next = usable.iter().find(|(_, serving, room)| !*serving && *room)?.0;
+        if home_serves && self.order_load(orders, next, function) {
+            return None;
+        }
+        Some(next)
+    }
+
+    /// The function's hash order over the workers that the list holds ready: weighted rendezvous.
+    fn order(&mut self, function: FunctionId) {
+        let entry = self.functions.get_mut(&function).expect("a job names its function before it is placed");
+        if entry.order_of == self.list_of {
+            return;
+        }
+        let shared = self.rows.weights_shared;
+        let mut scored: Vec<(f64, ServerId)> = self
+            .servers
+            .iter()
+            .filter(|(_, s)| s.open)
+            .map(|(id, s)| {
+                let draw = ((mix(function.0, id.0) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+                (-draw.ln() / if shared { s.weight } else { 1.0 }, *id)
+            })
+            .collect();
+        scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        entry.order = scored.into_iter().map(|(_, id)| id).collect();
+        entry.order_of = self.list_of;
+    }
+
+    fn send(&mut self, orders: &mut dyn Orders, id: JobId, server: ServerId, copy: bool) {
+        let now = self.now;
+        let job = self.jobs.get_mut(&id).expect("only jobs that are held here are sent");
+        let (function, workload, n) = (job.function, job.workload, job.tried.len());
+        let row = &self.workloads[workload.0];
+        let s = self.servers.get_mut(&server).expect("place names known workers");
+        job.tried.push(Tried { server, rack: s.rack, zone: s.zone, sent: now, closed: now, fate: Fate::Out });
+        let serving = s.serving(now, function);
+        let hold = s.holds.entry(function).or_default();
+        hold.out += 1;
+        if !serving && hold.loading.is_none() {
+            hold.loading = Some(now);
+        }
+        s.out += 1;
+        if now < s.up_since + self.rows.rules.warm_within && s.up_since > 0 {
+            s.cold_sent.push_back((now, row.service));
+        }
+        orders.send(id, server, job.limit - now);
+        let then: Step = Box::new(move |c, o, answer| {
+            if let Some(answer) = answer {
+                c.closed(o, id, n, answer);
+            }
+        });
+        self.out.insert((id, n), Out { server, function, workload, sent: now, serving, then });
+        if !copy && self.rows.permits.second_copies && row.effect != Effect::RunOnce {
+            let full_delay = 2 * self.load_time(function) + row.start_target;
+            let early = (row.start_target as f64 * HEDGE_PART) as Micros;
+            let delay = if serving { early } else { full_delay };
+            self.wake_then(orders, delay, Box::new(move |c, o, _| c.hedge(o, id, n, serving)));
+        }
+    }
+
+    /// The one copy that follows an execution that has not finished within the hedge delay.
+    fn hedge(&mut self, orders: &mut dyn Orders, id: JobId, n: usize, early: bool) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let alone = job.tried.len() == n + 1 && job.tried[n].fate == Fate::Out;
+        if !alone || job.streaming || !self.repeat_allowed(job) || job.limit <= self.now + LAST_CALL {
+            return;
+        }
+        if self.budget >= 1.0
+            && let Some(server) = self.place(orders, id, early)
+        {
+            self.budget -= 1.0;
+            self.send(orders, id, server, true);
+            return;
+        }
+        self.wake_then(orders, HEDGE_AGAIN, Box::new(move |c, o, _| c.hedge(o, id, n, early)));
+    }
+
+    /// An execution has closed: what its job does next.
+    fn closed(&mut self, orders: &mut dyn Orders, id: JobId, n: usize, answer: &Answer) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.tried[n].closed = self.now;
+        job.tried[n].fate = match answer.outcome {
+            Outcome::Missing | Outcome::Full | Outcome::NoConnection | Outcome::Moot => Fate::NeverRan,
+            _ => Fate::MayHaveRun,
+        };
+        if answer.closed {
+            self.cancel_rest(orders, id);
+            self.forget(id);
+            return;
+        }
+        if job.streaming || job.tried.iter().any(|t| t.fate == Fate::Out) {
+            return;
+        }
+        let costs = job.tried[n].fate == Fate::MayHaveRun;
+        let job = &self.jobs[&id];
+        if job.limit <= self.now + LAST_CALL || !self.repeat_allowed(job) || (costs && self.budget < 1.0) {
+            self.give_up(orders, id);
+            return;
+        }
+        if costs {
+            self.budget -= 1.0;
+        }
+        self.held.insert((Reverse(job.value), job.came, id));
+    }
+
+    // ---- Rules 1 and 2: one final answer, no effect twice --------------------------------------------------
+
+    /// Whether the job may have another execution at all; `may_send` tells where.
+    fn repeat_allowed(&self, job: &Job) -> bool {
+        let risky = job.tried.iter().filter(|t| t.fate != Fate::NeverRan).map(|t| t.sent).min();
+        let allowed = match (risky, self.workloads[job.workload.0].effect) {
+            (None, _) | (_, Effect::Restartable) => true,
+            (Some(first), Effect::Fingerprinted { window, .. }) => self.now + BEAT < first + window,
+            (Some(_), Effect::RunOnce) => false,
+        };
+        allowed && job.tried.len() < self.rows.permits.executions
+    }
+
+    /// Every send passes here: the list, repeats and their group, and workers this job has just left.
+    fn may_send(&self, job: &Job, id: ServerId) -> bool {
+        let Some(s) = self.servers.get(&id).filter(|s| s.open) else { return false };
+        let rested = |t: &Tried| t.server != id || (t.fate != Fate::Out && t.closed + REST <= self.now);
+        if !job.tried.iter().all(rested) || !self.repeat_allowed(job) {
+            return false;
+        }
+        match self.workloads[job.workload.0].effect {
+            Effect::Fingerprinted { within, .. } => {
+                job.tried.iter().filter(|t| t.fate != Fate::NeverRan).all(|t| match within {
+                    Within::Everywhere => true,
+                    Within::Zone => t.zone == s.zone,
+                    Within::Rack => t.rack == s.rack,
+                })
+            }
+            _ => true,
+        }
+    }
+
+    /// The one end of a job that this router decides: pushed back where that is true to the rules, else killed.
+    fn give_up(&mut self, orders: &mut dyn Orders, id: JobId) {
+        let Some(job) = self.jobs.get(&id).filter(|j| !j.streaming) else { return };
+        let may_have_run = job.tried.iter().any(|t| t.fate != Fate::NeverRan);
+        let harmless = match self.workloads[job.workload.0].effect {
+            Effect::Restartable => true,
+            Effect::Fingerprinted { within: Within::Everywhere, .. } => {
+                self.repeat_allowed(job) || !may_have_run
+            }
+            _ => !may_have_run,
+        };
+        if harmless {
+            let most = self.rows.permits.come_back_max.max(COME_BACK);
+            let wait = COME_BACK + self.rng.rand_range(0..(most - COME_BACK).max(1));
+            orders.push_back(id, self.rows.permits.come_back.then_some(wait));
+        } else {
+            orders.kill(id);
+        }
+        self.cancel_rest(orders, id);
+        self.forget(id);
+    }
+
+    fn cancel_rest(&self, orders: &mut dyn Orders, id: JobId) {
+        if self.rows.permits.cancel {
+            let tried = &self.jobs[&id].tried;
+            let live = tried.iter().enumerate().filter(|(_, t)| t.fate == Fate::Out);
+            live.for_each(|(n, _)| orders.cancel(id, n));
+        }
+    }
+
+    fn forget(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.remove(&id) {
+            self.held.remove(&(Reverse(job.value), job.came, id));
+        }
+    }
+
+    // ---- What answers teach --------------------------------------------------------------------------------
+
+    fn learn(&mut self, orders: &mut dyn Orders, out: &Out, answer: &Answer) {
+        let now = self.now;
+        let keep = self.rows.keep;
+        let usual = self.load_time(out.function) as f64;
+        let Some(s) = self.servers.get_mut(&out.server) else { return };
+        let row = &mut self.workloads[out.workload.0];
+        let hold = s.holds.entry(out.function).or_default();
+        s.out = s.out.saturating_sub(1);
+        hold.out = hold.out.saturating_sub(1);
+        if !out.serving {
+            hold.loading = None;
+        }
+        let stood = answer.copy == Copy::Stood || (answer.copy == Copy::Unsaid && out.serving);
+        match answer.outcome {
+            Outcome::Finished => {
+                s.heard = now;
+                hold.serving_until = now + keep;
+                hold.loading = None;
+                s.errors *= 1.0 - ERRORS_FRESH;
+                s.done += row.service;
+                if stood {
+                    let part = answer.elapsed as f64 / row.start_target as f64;
+                    row.service += 0.05 * (answer.elapsed as f64 - row.service);
+                    s.lag += FRESH * (part - s.lag);
+                    if s.lag > LAG_HIGH {
+                        Self::cut_room(s, now, row.start_target);
+                    } else if f64::from(s.out) + 2.0 >= s.room {
+                        s.room = (s.room + 1.0 / s.room).min(ROOM_MOST);
+                    }
+                }
+                if s.aside.is_some_and(|until| until > now) {
+                    s.aside = Some(now);
+                }
+                if let Some(n) = s.trickle {
+                    s.trickle = (n * 2 < TRICKLE_END).then_some(n * 2);
+                    if s.trickle.is_none() {
+                        s.backoff = ASIDE;
+                    }
+                }
+                if answer.copy == Copy::Begun {
+                    if answer.elapsed as f64 > usual * LOAD_SLOW {
+                        self.loads_slow();
+                    } else {
+                        self.loads = (self.loads + 0.5).min(LOADS_MOST);
+                        let load_time = &mut self.functions.get_mut(&out.function).expect("kept").load_time;
+                        *load_time = load_time.or(Some(answer.elapsed.saturating_sub(row.service as Micros)));
+                    }
+                }
+            }
+            Outcome::Missing | Outcome::Error if answer.copy == Copy::LoadFailed => {
+                s.heard = now;
+                hold.serving_until = 0;
+                self.loads_slow();
+            }
+            Outcome::Missing => hold.serving_until = 0,
+            Outcome::Full => {
+                s.heard = now;
+                Self::cut_room(s, now, row.start_target / 4);
+            }
+            Outcome::Error => {
+                s.heard = now;
+                s.errors += ERRORS_FRESH * (1.0 - s.errors);
+                if s.errors > ERRORS_HIGH || s.trickle.is_some() {
+                    self.set_aside(orders, out.server);
+                }
+            }
+            Outcome::NoConnection | Outcome::Broken => {
+                hold.serving_until = 0;
+                self.set_aside(orders, out.server);
+            }
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
+        }
+    }
+
+    fn cut_room(s: &mut Server, now: Micros, rest: Micros) {
+        if now >= s.cut_at {
+            s.room = (s.room.min(f64::from(s.out) + 1.0) * ROOM_CUT).max(ROOM_LEAST);
+            s.cut_at = now + rest;
+        }
+    }
+
+    // ---- Mechanism 1: set aside ----------------------------------------------------------------------------
+
+    /// Guards against a worker that errs, breaks, cannot be reached or is silent, whatever the cause: nothing new
+    /// goes there for a while and what waits there and may be repeated gets its copy now.
+    fn set_aside(&mut self, orders: &mut dyn Orders, id: ServerId) {
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        if s.aside.is_some_and(|until| until > now) {
+            return;
+        }
+        s.aside = Some(now + s.backoff);
+        s.backoff = (s.backoff * 2).min(ASIDE_MOST);
+        s.trickle = Some(1);
+        s.errors = 0.0;
+        s.holds.values_mut().for_each(|h| h.loading = None);
+        let stuck: Vec<(JobId, usize)> =
+            self.out.iter().filter(|(_, o)| o.server == id).map(|(k, _)| *k).collect();
+        for (job, n) in stuck {
+            self.hedge(orders, job, n, true);
+        }
+    }
+
+    fn usable(&self, s: &Server, row: &Workload) -> bool {
+        if s.aside.is_some_and(|until| until > self.now) {
+            return false;
+        }
+        if let Some(n) = s.trickle
+            && (s.out >= n || (row.effect == Effect::RunOnce && self.repeatable_exists()))
+        {
+            return false;
+        }
+        self.cold_budget(s, row.service)
+    }
+
+    fn repeatable_exists(&self) -> bool {
+        self.workloads.iter().any(|w| w.effect != Effect::RunOnce)
+    }
+
+    // ---- Mechanism 2: fresh workers (rule 4) ---------------------------------------------------------------
+
+    /// Whether a cold worker may be sent this much work now. Every router keeps to its own part: its turn by
+    /// number, and within a span no more than its own pace at like warm workers allows, which errs low because
+    /// finished work never exceeds capacity.
+    fn cold_budget(&self, s: &Server, work: f64) -> bool {
+        let rules = &self.rows.rules;
+        if s.up_since == 0 || self.now >= s.up_since + rules.warm_within {
+            return true;
+        }
+        let age = self.now.saturating_sub(s.up_since);
+        let turn = (rules.fall_span / self.rows.routers.max(1)).max(1);
+        if (age / turn) % self.rows.routers.max(1) != self.rows.me {
+            return false;
+        }
+        let warm = age as f64 / rules.warm_within.max(1) as f64;
+        let share = rules.cold_share + (1.0 - rules.cold_share) * warm;
+        let pace = self.pace_per_weight * s.weight;
+        let allowed = rules.fall_multiple * share * pace * rules.fall_span as f64 * COLD_CARE;
+        let recent = s.cold_sent.iter().filter(|(at, _)| at + rules.fall_span > self.now);
+        let spent: f64 = recent.map(|(_, work)| work).sum();
+        spent == 0.0 || spent + work <= allowed
+    }
+
+    // ---- Mechanism 6: loads --------------------------------------------------------------------------------
+
+    fn load_time(&self, function: FunctionId) -> Micros {
+        self.functions.get(&function).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD)
+    }
+
+    fn loads_under_way(&self) -> usize {
+        self.servers.values().flat_map(|s| s.holds.values()).filter(|h| h.loading.is_some()).count()
+    }
+
+    fn loads_slow(&mut self) {
+        if self.now >= self.loads_cut {
+            self.loads = (self.loads * 0.7).max(LOADS_LEAST);
+            self.loads_cut = self.now + LOAD_UNTOLD / 2;
+        }
+    }
+
+    /// Orders the function to a worker where that is allowed, instead of letting a job wait for the load.
+    fn order_load(&mut self, orders: &mut dyn Orders, id: ServerId, function: FunctionId) -> bool {
+        if !self.rows.permits.load_orders || self.rows.rules.load_window > 0 {
+            return false;
+        }
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(&id).filter(|s| s.open) else { return false };
+        s.holds.entry(function).or_default().loading = Some(now);
+        orders.load(id, function, 1);
+        true
+    }
+
+    /// Keeps a function that is still asked for where it stands, by an order just before its keep time ends, when
+    /// the order costs less than the load it likely spares.
+    fn keep_loaded(&mut self, orders: &mut dyn Orders) {
+        if !self.rows.permits.load_orders || self.rows.rules.load_window > 0 {
+            return;
+        }
+        let (now, keep) = (self.now, self.rows.keep);
+        let wanted: Vec<FunctionId> = self
+            .functions
+            .iter()
+            .filter(|(_, f)| now < f.last + keep * KEEP_FOR)
+            .map(|(id, _)| *id)
+            .collect();
+        for function in wanted {
+            self.order(function);
+            let order = &self.functions[&function].order;
+            let Some(home) = order.first().copied() else { continue };
+            let s = self.servers.get_mut(&home).expect("the order holds known workers");
+            let Some(hold) = s.holds.get_mut(&function) else { continue };
+            if hold.out == 0
+                && hold.loading.is_none()
+                && hold.serving_until > now
+                && hold.serving_until < now + KEEP_AHEAD
+                && s.aside.is_none_or(|until| until <= now)
+            {
+                hold.serving_until = now + KEEP_AHEAD;
+                orders.load(home, function, 1);
+            }
+        }
+    }
+
+    // ---- Mechanism 5: shares, and the regular look at what waits -------------------------------------------
+
+    /// Whether a customer now sends this router more than its part of the customer's share.
+    fn over_share(&mut self, customer: CustomerId) -> bool {
+        let row = &mut self.customers[customer.0];
+        row.rate = row.rate * (-((self.now - row.at) as f64) / RATE_SPAN).exp() + 1.0;
+        row.at = self.now;
+        let per_s = row.rate * 1e6 / RATE_SPAN;
+        per_s * self.rows.routers as f64 > row.jobs_per_s * 1.2
+    }
+
+    fn beat(&mut self, orders: &mut dyn Orders) {
+        let now = self.now;
+        self.wake_then(orders, BEAT, Box::new(|c, o, _| c.beat(o)));
+        let span = self.rows.rules.fall_span;
+        let warm_within = self.rows.rules.warm_within;
+        let (mut pace, mut weight) = (0.0, 0.0);
+        for s in self.servers.values_mut() {
+            let part = BEAT as f64 / PACE_SPAN;
+            s.pace += part * (s.done / BEAT as f64 - s.pace);
+            s.done = 0.0;
+            while s.cold_sent.front().is_some_and(|(at, _)| at + span <= now) {
+                s.cold_sent.pop_front();
+            }
+            s.holds.retain(|_, h| h.out > 0 || h.loading.is_some() || h.serving_until > now);
+            if s.open && (s.up_since == 0 || now >= s.up_since + warm_within) {
+                pace += s.pace;
+                weight += s.weight;
+            }
+        }
+        self.pace_per_weight = if weight > 0.0 { pace / weight } else { 0.0 };
+        self.silent_workers(orders);
+        self.keep_loaded(orders);
+        for (_, came, id) in self.held.iter().copied().collect::<Vec<_>>() {
+            let job = &self.jobs[&id];
+            let row = &self.workloads[job.workload.0];
+            let loading = self
+                .servers
+                .values()
+                .any(|s| s.holds.get(&job.function).is_some_and(|h| h.loading.is_some()));
+            let late = now >= came + row.start_target && !loading;
+            if late || now + LAST_CALL >= job.limit {
+                self.give_up(orders, id);
+            }
+        }
+    }
+
+    /// A worker that owes an answer for longer than its jobs should take, and has said nothing since, is silent.
+    fn silent_workers(&mut self, orders: &mut dyn Orders) {
+        let mut silent = BTreeSet::new();
+        for out in self.out.values() {
+            let row = &self.workloads[out.workload.0];
+            let load = if out.serving { 0 } else { 3 * self.load_time(out.function) };
+            let Some(s) = self.servers.get(&out.server) else { continue };
+            if self.now > out.sent + row.start_target + load && s.heard <= out.sent {
+                silent.insert(out.server);
+            }
+        }
+        for server in silent {
+            self.set_aside(orders, server);
+        }
+    }
+
+    fn wake_then(&mut self, orders: &mut dyn Orders, delay: Micros, step: Step) {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        self.steps.insert(token, step);
+        orders.wake_after(delay, token);
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,232 @@
+//! What the decisions are told and what they may order: ids, time, the rows handed over at start-up,
+//! and the `Orders` trait. No wire, no input or output, no decision.
+
+/// Whole microseconds; a point on the instance's clock or a length of time.
+pub type Micros = u64;
+
+/// Identity of a name: a fixed 64-bit digest, the same in every instance.
+fn digest(name: &str) -> u64 {
+    let fnv = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, fnv)
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ServerId(pub u64);
+
+impl ServerId {
+    pub fn named(name: &str) -> Self {
+        ServerId(digest(name))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct FunctionId(pub u64);
+
+impl FunctionId {
+    pub fn named(name: &str) -> Self {
+        FunctionId(digest(name))
+    }
+}
+
+/// A job's id as the client side gave it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct JobId(pub [u8; 36]);
+
+/// A timer's number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Token(pub u64);
+
+/// Position of a workload among the start-up rows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WorkloadId(pub usize);
+
+/// Position of a customer among the start-up rows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CustomerId(pub usize);
+
+/// A place where machines stand, by its position in the start-up list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ZoneId(pub usize);
+
+/// A machine kind, by its position in the start-up list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KindId(pub usize);
+
+/// A small set of model servers that know each other's fingerprints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RackId(pub i64);
+
+/// Where a repeat of a fingerprinted job is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Within {
+    Everywhere,
+    Zone,
+    Rack,
+}
+
+/// What a second execution of a job would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Restartable,
+    Fingerprinted { within: Within, window: Micros },
+    RunOnce,
+}
+
+/// One row a workload.
+#[derive(Clone, Debug)]
+pub struct WorkloadRow {
+    pub effect: Effect,
+    pub start_target: Micros,
+    pub importance: f64,
+}
+
+/// One row a customer.
+#[derive(Clone, Debug)]
+pub struct CustomerRow {
+    pub jobs_per_s: f64,
+}
+
+/// What a deployment allows.
+#[derive(Clone, Debug)]
+pub struct Permits {
+    pub executions: usize,
+    pub cancel: bool,
+    pub second_copies: bool,
+    pub come_back: bool,
+    pub come_back_max: Micros,
+    pub load_orders: bool,
+}
+
+/// Figures of the rules on drains, cold model servers and orders to load.
+#[derive(Clone, Debug)]
+pub struct RuleFigures {
+    pub cold_share: f64,
+    pub warm_within: Micros,
+    pub fall_multiple: f64,
+    pub fall_span: Micros,
+    pub load_window: Micros,
+    pub load_free: f64,
+    pub load_share: f64,
+}
+
+/// What things cost, in parts of the result.
+#[derive(Clone, Debug)]
+pub struct Prices {
+    pub crossing: f64,
+    pub fetch: f64,
+    pub waste: f64,
+    pub probe: f64,
+    pub memory: f64,
+}
+
+/// All that an instance is told when it starts.
+#[derive(Clone, Debug)]
+pub struct Startup {
+    pub seed: u64,
+    pub me: u64,
+    pub routers: u64,
+    pub zone: Option<ZoneId>,
+    pub workloads: Vec<WorkloadRow>,
+    pub customers: Vec<CustomerRow>,
+    pub permits: Permits,
+    pub rules: RuleFigures,
+    pub prices: Prices,
+    pub over_share: f64,
+    pub keep: Micros,
+    pub weights_shared: bool,
+}
+
+/// How complete a list of model servers is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    Changes,
+    Full,
+    Saved,
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One model server as the list names it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub server: ServerId,
+    pub standing: Standing,
+    pub up_since: Micros,
+    pub zone: Option<ZoneId>,
+    pub kind: Option<KindId>,
+    pub rack: RackId,
+    pub weight: f64,
+}
+
+/// A job as it comes in.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub job: JobId,
+    pub function: FunctionId,
+    pub workload: WorkloadId,
+    pub customer: Option<CustomerId>,
+    pub left: Micros,
+    pub lanes: u32,
+    pub load_time: Option<Micros>,
+}
+
+/// How one execution closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Finished,
+    Missing,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Broken,
+    Cancelled,
+    Moot,
+}
+
+/// What an answer says of the function's copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Copy {
+    Unsaid,
+    Stood,
+    Begun,
+    Awaited,
+    LoadFailed,
+}
+
+/// The result of one execution, whole.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub outcome: Outcome,
+    /// The job is over, by this answer or earlier.
+    pub closed: bool,
+    pub elapsed: Micros,
+    pub copy: Copy,
+    /// Jobs of the function that the model server held when this one came, where told.
+    pub company: u32,
+    /// Loads under way or waiting there, where reported.
+    pub loads: Option<f64>,
+    /// Share of the cores that is busy, where reported.
+    pub busy: Option<f64>,
+    /// Jobs waiting there, where reported.
+    pub queued: Option<f64>,
+}
+
+/// What the decisions may order. All take effect at the time of the call.
+pub trait Orders {
+    fn send(&mut self, job: JobId, server: ServerId, patience: Micros);
+    fn cancel(&mut self, job: JobId, execution: usize);
+    fn push_back(&mut self, job: JobId, come_back: Option<Micros>);
+    fn kill(&mut self, job: JobId);
+    fn wake_after(&mut self, delay: Micros, token: Token);
+    fn load(&mut self, server: ServerId, function: FunctionId, copies: u32);
+    fn note(&mut self, text: &str);
+    /// Ask for the list of model servers and its changes.
+    fn watch(&mut self);
+}
