--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -339,5 +339,10 @@
         },
         other => return Err(format!("field 'idempotency': '{other}' is not known")),
     };
-    Ok(WorkloadRow { effect, start_target: time(row, "on-time")?, importance: number_or(row, "worth", 1.0)? })
+    Ok(WorkloadRow {
+        effect,
+        start_target: time(row, "on-time")?,
+        importance: number_or(row, "worth", 1.0)?,
+        late_part: number_or(row, "late-worth", 0.0)?,
+    })
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -39,8 +39,8 @@
 const REST: Micros = 200_000;
 /// Own jobs at a worker to begin with: a few cores' worth.
 const ROOM_START: f64 = 8.0;
-/// Own jobs at a worker at least: one, or it would never be heard of again.
-const ROOM_LEAST: f64 = 1.0;
+/// Own jobs at a worker at least: a core or two kept at work, and it is heard of again.
+const ROOM_LEAST: f64 = 2.0;
 /// Own jobs at a worker at most: no bound that would not be reached anyway.
 const ROOM_MOST: f64 = 64.0;
 /// Part of the start target that answers may take before room shrinks: half is left for chance.
@@ -114,6 +114,7 @@
     value: u64,
     tried: Vec<Tried>,
     streaming: bool,
+    late: bool,
 }
 
 /// One execution that is out, also when its job has ended.
@@ -198,6 +199,7 @@
     effect: Effect,
     start_target: Micros,
     importance: f64,
+    late_part: f64,
     service: f64,
 }
 
@@ -244,6 +246,7 @@
             effect: row.effect,
             start_target: row.start_target.max(1),
             importance: row.importance,
+            late_part: row.late_part,
             service: row.start_target as f64 * 0.2,
         });
         let customers =
@@ -335,10 +338,22 @@
             value: (self.workloads[arrival.workload.0].importance * share * 1000.0) as u64,
             tried: Vec::new(),
             streaming: false,
+            late: false,
         };
+        let waits = self.held.iter().any(|(_, _, id)| {
+            let other = &self.jobs[id];
+            other.function == job.function && other.tried.is_empty() && other.value >= job.value
+        });
         self.held.insert((Reverse(job.value), now, arrival.job));
         self.jobs.insert(arrival.job, job);
-        self.dispatch(orders);
+        let place = if waits { None } else { self.place(orders, arrival.job, false) };
+        if let Some(server) = place {
+            self.held.remove(&(Reverse(self.jobs[&arrival.job].value), now, arrival.job));
+            self.send(orders, arrival.job, server, false);
+        } else if arrival.left <= LAST_CALL + BEAT {
+            // A client about to leave: no beat would come in time to end the job.
+            self.give_up(orders, arrival.job);
+        }
     }
 
     pub fn answered(
@@ -401,7 +416,6 @@
         self.now = now;
         if let Some(step) = self.steps.remove(&token) {
             step(self, orders, None);
-            self.dispatch(orders);
         }
     }
 
@@ -409,6 +423,10 @@
 
     /// Sends what waits here, most valuable and oldest first, as far as there is room.
     fn dispatch(&mut self, orders: &mut dyn Orders) {
+        let room = |s: &Server| s.open && f64::from(s.out) < s.room && s.aside.is_none_or(|t| t <= self.now);
+        if !self.servers.values().any(room) {
+            return;
+        }
         let mut stuck = BTreeSet::new();
         for key in self.held.iter().copied().collect::<Vec<_>>() {
             let Some(job) = self.jobs.get(&key.2) else { continue };
@@ -729,6 +747,7 @@
         if now >= s.cut_at {
             s.room = (s.room.min(f64::from(s.out) + 1.0) * ROOM_CUT).max(ROOM_LEAST);
             s.cut_at = now + rest;
+            s.lag = s.lag.min(LAG_HIGH * 0.7);
         }
     }
 
@@ -887,20 +906,41 @@
         self.pace_per_weight = if weight > 0.0 { pace / weight } else { 0.0 };
         self.silent_workers(orders);
         self.keep_loaded(orders);
+        self.age_held();
+        self.dispatch(orders);
+        let loading: BTreeSet<FunctionId> = self
+            .servers
+            .values()
+            .flat_map(|s| s.holds.iter().filter(|(_, h)| h.loading.is_some()).map(|(f, _)| *f))
+            .collect();
         for (_, came, id) in self.held.iter().copied().collect::<Vec<_>>() {
             let job = &self.jobs[&id];
             let row = &self.workloads[job.workload.0];
-            let loading = self
-                .servers
-                .values()
-                .any(|s| s.holds.get(&job.function).is_some_and(|h| h.loading.is_some()));
-            let late = now >= came + row.start_target && !loading;
+            let late = now >= came + row.start_target && !loading.contains(&job.function);
             if late || now + LAST_CALL >= job.limit {
                 self.give_up(orders, id);
             }
         }
     }
 
+    /// Jobs that can no longer finish within their start target wait behind those that can: without this the
+    /// oldest go first when there is too much to do, and all are late.
+    fn age_held(&mut self) {
+        let due = |c: &Control, came: Micros, id: &JobId| {
+            let job = &c.jobs[id];
+            let row = &c.workloads[job.workload.0];
+            !job.late && c.now as f64 + row.service > (came + row.start_target) as f64
+        };
+        let late: Vec<_> = self.held.iter().copied().filter(|(_, came, id)| due(self, *came, id)).collect();
+        for key in late {
+            let job = self.jobs.get_mut(&key.2).expect("held jobs are kept");
+            job.value = (job.value as f64 * self.workloads[job.workload.0].late_part) as u64;
+            job.late = true;
+            self.held.remove(&key);
+            self.held.insert((Reverse(job.value), key.1, key.2));
+        }
+    }
+
     /// A worker that owes an answer for longer than its jobs should take, and has said nothing since, is silent.
     fn silent_workers(&mut self, orders: &mut dyn Orders) {
         let mut silent = BTreeSet::new();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -78,6 +78,8 @@
     pub effect: Effect,
     pub start_target: Micros,
     pub importance: f64,
+    /// What is left of the importance once the start target has passed.
+    pub late_part: f64,
 }
 
 /// One row a customer.
