--- a/src/control.rs
+++ b/src/control.rs
@@ -43,6 +43,12 @@
 const ROOM_LEAST: f64 = 2.0;
 /// Own jobs at a worker at most: no bound that would not be reached anyway.
 const ROOM_MOST: f64 = 64.0;
+/// Own jobs at a worker that are never a crowd: below this chance decides, not load.
+const CROWD_FREE: f64 = 2.0;
+/// Times the mean of own jobs a worker, by size, that make a crowd there: the usual bound of bounded-load hashing.
+const CROWD: f64 = 1.5;
+/// Part of the start target under which answers let room grow.
+const LAG_LOW: f64 = 0.3;
 /// Part of the start target that answers may take before room shrinks: half is left for chance.
 const LAG_HIGH: f64 = 0.5;
 /// Weight of a new answer in the running figures: the last ten or so count.
@@ -456,6 +462,9 @@
         let job = &self.jobs[&id];
         let row = &self.workloads[job.workload.0];
         let lanes = self.functions[&function].lanes;
+        let open = || self.servers.values().filter(|s| s.open);
+        let out_per_weight =
+            f64::from(open().map(|s| s.out).sum::<u32>()) / open().map(|s| s.weight).sum::<f64>().max(1e-9);
         let usable: Vec<(ServerId, bool, bool)> = self.functions[&function]
             .order
             .iter()
@@ -463,7 +472,8 @@
             .map(|s| {
                 let server = &self.servers[s];
                 let own = server.holds.get(&function).map_or(0, |h| h.out);
-                let room = own < lanes && f64::from(server.out) < server.room.max(ROOM_LEAST);
+                let crowd = CROWD_FREE + CROWD * out_per_weight * server.weight;
+                let room = own < lanes && f64::from(server.out) < server.room.min(crowd);
                 (*s, server.serving(now, function), room)
             })
             .collect();
@@ -695,7 +705,7 @@
                     s.lag += FRESH * (part - s.lag);
                     if s.lag > LAG_HIGH {
                         Self::cut_room(s, now, row.start_target);
-                    } else if f64::from(s.out) + 2.0 >= s.room {
+                    } else if s.lag < LAG_LOW && f64::from(s.out) + 2.0 >= s.room {
                         s.room = (s.room + 1.0 / s.room).min(ROOM_MOST);
                     }
                 }
