Call a worker silent only after two answers outlast the full hedge delay

Also covers hung processes and cut links; it could harm where every load outlasts twice the told time.

--- a/src/control.rs
+++ b/src/control.rs
@@ -63,6 +63,8 @@
 const ASIDE: Micros = 500_000;
 /// µs set aside at most: a worker that comes back is found within this.
 const ASIDE_MOST: Micros = 8_000_000;
+/// Overdue answers that make a worker silent: one can be a single slow job.
+const SILENT_JOBS: u32 = 2;
 /// Jobs at once at which the doubling trickle ends: more than a worker usually has from one router.
 const TRICKLE_END: u32 = 16;
 /// Part of the allowed work that a cold worker is sent: figures for its capacity are guesses.
@@ -951,17 +953,21 @@
         }
     }
 
-    /// A worker that owes an answer for longer than its jobs should take, and has said nothing since, is silent.
+    /// A worker that owes two answers for longer than the full hedge delay, and has said nothing since they were
+    /// sent, is silent: cut off, hung or dead without a word. One slow job or a load does not count, nor does a
+    /// long queue, which still answers now and then. It could harm where every load takes that long.
     fn silent_workers(&mut self, orders: &mut dyn Orders) {
-        let mut silent = BTreeSet::new();
+        let mut owed: BTreeMap<ServerId, u32> = BTreeMap::new();
         for out in self.out.values() {
             let row = &self.workloads[out.workload.0];
-            let load = if out.serving { 0 } else { 3 * self.load_time(out.function) };
-            let Some(s) = self.servers.get(&out.server) else { continue };
-            if self.now > out.sent + row.start_target + load && s.heard <= out.sent {
-                silent.insert(out.server);
+            let loads = if out.serving { 2 } else { 4 };
+            let due = out.sent + row.start_target + loads * self.load_time(out.function);
+            if self.now > due && self.servers.get(&out.server).is_some_and(|s| s.heard <= out.sent) {
+                *owed.entry(out.server).or_default() += 1;
             }
         }
+        let silent: Vec<ServerId> =
+            owed.into_iter().filter(|(_, n)| *n >= SILENT_JOBS).map(|(s, _)| s).collect();
         for server in silent {
             self.set_aside(orders, server);
         }
