Let small functions stay home in a crowd; only functions with many own jobs spread

A function without a job at a crowded worker may still enter; spreading needs own jobs at each serving worker; jobs that wait for a load do not count as load of the cores.

--- a/src/control.rs
+++ b/src/control.rs
@@ -79,6 +79,10 @@
 const LOADS_MOST: f64 = 64.0;
 /// Times the usual load time at which a load counts as slow.
 const LOAD_SLOW: f64 = 2.5;
+/// Own jobs of a function at each worker that serves it before it spreads: fewer do not fill a core.
+const SPREAD_JOBS: u32 = 2;
+/// Times the room of a worker that a function without a job there may use.
+const SMALL_EXTRA: f64 = 1.5;
 /// Part of the start target that overflow waits before it begins a load at the next worker.
 const SPREAD_PART: f64 = 0.15;
 /// µs over which a customer's rate is taken.
@@ -86,7 +90,7 @@
 /// µs before the client's time is up at which a held job is ended: more than one beat.
 const LAST_CALL: Micros = 30_000;
 /// Keep times after which a function nobody asks for is let go.
-const KEEP_FOR: u64 = 6;
+const KEEP_FOR: u64 = 3;
 /// µs before the keep time ends at which an order renews it.
 const KEEP_AHEAD: Micros = 1_500_000;
 /// µs named at least as a time to come back.
@@ -159,6 +163,7 @@
     rack: RackId,
     weight: f64,
     out: u32,
+    waiting: u32,
     room: f64,
     lag: f64,
     cut_at: Micros,
@@ -182,6 +187,7 @@
             rack: entry.rack,
             weight: if entry.weight > 0.0 { entry.weight } else { 1.0 },
             out: 0,
+            waiting: 0,
             room: ROOM_START,
             lag: 0.0,
             cut_at: now,
@@ -197,6 +203,11 @@
         }
     }
 
+    /// Own jobs there that run or are about to: those that wait for a load take no core.
+    fn busy(&self) -> u32 {
+        self.out.saturating_sub(self.waiting)
+    }
+
     fn serving(&self, now: Micros, function: FunctionId) -> bool {
         self.holds.get(&function).is_some_and(|h| h.serving_until > now)
     }
@@ -302,10 +313,10 @@
                 }
                 Some(s) => {
                     // Restarted: empty, cold, and nothing that was learned of it holds.
-                    let out = s.out;
+                    let (out, waiting) = (s.out, s.waiting);
                     let held: Vec<(FunctionId, u32)> = s.holds.iter().map(|(f, h)| (*f, h.out)).collect();
                     *s = Server::new(now, entry);
-                    s.out = out;
+                    (s.out, s.waiting) = (out, waiting);
                     for (f, out) in held.into_iter().filter(|(_, out)| *out > 0) {
                         s.holds.insert(f, Holding { out, ..Holding::default() });
                     }
@@ -431,7 +442,9 @@
 
     /// Sends what waits here, most valuable and oldest first, as far as there is room.
     fn dispatch(&mut self, orders: &mut dyn Orders) {
-        let room = |s: &Server| s.open && f64::from(s.out) < s.room && s.aside.is_none_or(|t| t <= self.now);
+        let room = |s: &Server| {
+            s.open && f64::from(s.busy()) < s.room * SMALL_EXTRA && s.aside.is_none_or(|t| t <= self.now)
+        };
         if !self.servers.values().any(room) {
             return;
         }
@@ -465,8 +478,9 @@
         let row = &self.workloads[job.workload.0];
         let lanes = self.functions[&function].lanes;
         let open = || self.servers.values().filter(|s| s.open);
-        let out_per_weight =
-            f64::from(open().map(|s| s.out).sum::<u32>()) / open().map(|s| s.weight).sum::<f64>().max(1e-9);
+        let out_per_weight = f64::from(open().map(Server::busy).sum::<u32>())
+            / open().map(|s| s.weight).sum::<f64>().max(1e-9);
+        let mut here = 0;
         let usable: Vec<(ServerId, bool, bool)> = self.functions[&function]
             .order
             .iter()
@@ -475,7 +489,10 @@
                 let server = &self.servers[s];
                 let own = server.holds.get(&function).map_or(0, |h| h.out);
                 let crowd = CROWD_FREE + CROWD * out_per_weight * server.weight;
-                let room = own < lanes && f64::from(server.out) < server.room.min(crowd);
+                // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
+                let bound = server.room.min(crowd) * if own == 0 { SMALL_EXTRA } else { 1.0 };
+                let room = own < lanes && f64::from(server.busy()) < bound;
+                here += if server.serving(now, function) { own } else { 0 };
                 (*s, server.serving(now, function), room)
             })
             .collect();
@@ -503,7 +520,8 @@
         // Overflow: it begins a load at the next worker only when no answer is awaited from one not yet serving,
         // and not for a crowd that is gone in a moment.
         let patient = now < job.came + (row.start_target as f64 * SPREAD_PART) as Micros;
-        if pending || !gate || (patient && home_serves) {
+        let serving = usable.iter().filter(|u| u.1).count() as u32;
+        if pending || !gate || (home_serves && (patient || here < serving * SPREAD_JOBS)) {
             return None;
         }
         let next = usable.iter().find(|(_, serving, room)| !*serving && *room)?.0;
@@ -548,6 +566,7 @@
             hold.loading = Some(now);
         }
         s.out += 1;
+        s.waiting += u32::from(!serving);
         if now < s.up_since + self.rows.rules.warm_within && s.up_since > 0 {
             s.cold_sent.push_back((now, row.service));
         }
@@ -691,6 +710,7 @@
         s.out = s.out.saturating_sub(1);
         hold.out = hold.out.saturating_sub(1);
         if !out.serving {
+            s.waiting = s.waiting.saturating_sub(1);
             hold.loading = None;
         }
         let stood = answer.copy == Copy::Stood || (answer.copy == Copy::Unsaid && out.serving);
@@ -707,7 +727,7 @@
                     s.lag += FRESH * (part - s.lag);
                     if s.lag > LAG_HIGH {
                         Self::cut_room(s, now, row.start_target);
-                    } else if s.lag < LAG_LOW && f64::from(s.out) + 2.0 >= s.room {
+                    } else if s.lag < LAG_LOW && f64::from(s.busy()) + 2.0 >= s.room {
                         s.room = (s.room + 1.0 / s.room).min(ROOM_MOST);
                     }
                 }
@@ -757,7 +777,7 @@
 
     fn cut_room(s: &mut Server, now: Micros, rest: Micros) {
         if now >= s.cut_at {
-            s.room = (s.room.min(f64::from(s.out) + 1.0) * ROOM_CUT).max(ROOM_LEAST);
+            s.room = (s.room.min(f64::from(s.busy()) + 1.0) * ROOM_CUT).max(ROOM_LEAST);
             s.cut_at = now + rest;
             s.lag = s.lag.min(LAG_HIGH * 0.7);
         }
