--- a/src/control.rs
+++ b/src/control.rs
@@ -949,7 +949,7 @@
             let job = &self.jobs[&id];
             let row = &self.workloads[job.workload.0];
             let late = now >= came + row.start_target && !loading.contains(&job.function);
-            if late || now + LAST_CALL >= job.limit {
+            if late || now + LAST_CALL >= job.limit || (now as f64) + row.service > job.limit as f64 {
                 self.give_up(orders, id);
             }
         }
