--- a/src/control.rs
+++ b/src/control.rs
@@ -37,22 +37,22 @@
 const HEDGE_AGAIN: Micros = 50_000;
 /// µs for which a job avoids a worker that has just turned it away.
 const REST: Micros = 200_000;
-/// Own jobs at a worker to begin with: a few cores' worth.
-const ROOM_START: f64 = 8.0;
-/// Own jobs at a worker at least: a core or two kept at work, and it is heard of again.
-const ROOM_LEAST: f64 = 2.0;
+/// Jobs of all routers at a worker to begin with: a few cores' worth.
+const ROOM_START: f64 = 16.0;
+/// Own jobs at a worker at least: it is heard of again, and many routers' ones are not a crowd.
+const ROOM_LEAST: f64 = 1.0;
 /// Own jobs at a worker at most: no bound that would not be reached anyway.
 const ROOM_MOST: f64 = 64.0;
-/// Own jobs at a worker that are never a crowd: below this chance decides, not load.
-const CROWD_FREE: f64 = 2.0;
+/// Jobs of all routers at a worker that are never a crowd: below this chance decides, not load.
+const CROWD_FREE: f64 = 5.0;
 /// Times the mean of own jobs a worker, by size, that make a crowd there: the usual bound of bounded-load hashing.
 const CROWD: f64 = 1.5;
 /// Part of the start target under which answers let room grow.
-const LAG_LOW: f64 = 0.5;
+const LAG_LOW: f64 = 0.25;
 /// Part of the start target that answers may take before room shrinks: half is left for chance.
-const LAG_HIGH: f64 = 0.7;
+const LAG_HIGH: f64 = 0.4;
 /// Weight of a new answer in the running figures: the last ten or so count.
-const FRESH: f64 = 0.1;
+const FRESH: f64 = 0.15;
 /// Factor on room at each shrinking: two steps halve it.
 const ROOM_CUT: f64 = 0.75;
 /// Share of errors at which a worker is set aside: two errors close together, never one.
@@ -156,6 +156,7 @@
     loading: Option<Micros>,
 }
 
+#[derive(Default)]
 struct Server {
     open: bool,
     up_since: Micros,
@@ -179,27 +180,18 @@
 }
 
 impl Server {
-    fn new(now: Micros, entry: &Listed) -> Self {
+    fn new(now: Micros, entry: &Listed, routers: u64) -> Self {
         Server {
             open: entry.standing == Standing::Ready,
             up_since: entry.up_since,
             zone: entry.zone,
             rack: entry.rack,
             weight: if entry.weight > 0.0 { entry.weight } else { 1.0 },
-            out: 0,
-            waiting: 0,
-            room: ROOM_START,
-            lag: 0.0,
+            room: (ROOM_START / routers.max(1) as f64).max(2.0),
             cut_at: now,
             heard: now,
-            errors: 0.0,
-            aside: None,
             backoff: ASIDE,
-            trickle: None,
-            cold_sent: VecDeque::new(),
-            done: 0.0,
-            pace: 0.0,
-            holds: BTreeMap::new(),
+            ..Server::default()
         }
     }
 
@@ -315,14 +307,14 @@
                     // Restarted: empty, cold, and nothing that was learned of it holds.
                     let (out, waiting) = (s.out, s.waiting);
                     let held: Vec<(FunctionId, u32)> = s.holds.iter().map(|(f, h)| (*f, h.out)).collect();
-                    *s = Server::new(now, entry);
+                    *s = Server::new(now, entry, self.rows.routers);
                     (s.out, s.waiting) = (out, waiting);
                     for (f, out) in held.into_iter().filter(|(_, out)| *out > 0) {
                         s.holds.insert(f, Holding { out, ..Holding::default() });
                     }
                 }
                 None if entry.standing == Standing::Ready => {
-                    self.servers.insert(entry.server, Server::new(now, entry));
+                    self.servers.insert(entry.server, Server::new(now, entry, self.rows.routers));
                 }
                 None => {}
             }
@@ -480,6 +472,7 @@
         let open = || self.servers.values().filter(|s| s.open);
         let out_per_weight = f64::from(open().map(Server::busy).sum::<u32>())
             / open().map(|s| s.weight).sum::<f64>().max(1e-9);
+        let routers = self.rows.routers.max(1) as f64;
         let mut here = 0;
         let usable: Vec<(ServerId, bool, bool)> = self.functions[&function]
             .order
@@ -488,7 +481,7 @@
             .map(|s| {
                 let server = &self.servers[s];
                 let own = server.holds.get(&function).map_or(0, |h| h.out);
-                let crowd = CROWD_FREE + CROWD * out_per_weight * server.weight;
+                let crowd = (CROWD_FREE / routers).max(1.0) + CROWD * out_per_weight * server.weight;
                 // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
                 let bound = server.room.min(crowd) * if own == 0 { SMALL_EXTRA } else { 1.0 };
                 let room = own < lanes && f64::from(server.busy()) < bound;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -53,7 +53,7 @@
 pub struct KindId(pub usize);
 
 /// A small set of model servers that know each other's fingerprints.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RackId(pub i64);
 
 /// Where a repeat of a fingerprinted job is dropped.
