--- /dev/null
+++ b/crates/adapter/tests/wire.rs
@@ -0,0 +1,47 @@
+//! The wire page's messages, and input that is not as it should be.
+use applepond_adapter::Host;
+use test_case::test_case;
+
+const BOOT: &str = r#"{"op":"boot","salt":5,"setup":{"allowed":{"attempts-cap":4,"cancel":true,"retry-after":true,
+ "second-copies":true,"unheard-of":1},"lanes":[{"name":"quote","idempotency":"idempotent","on-time":500.0}],
+ "penalties":{},"rules":{},"projects":[{"name":"huts","quota-per-s":75.0}],"zones":["hall-a"],"my-zone":"hall-a"}}"#;
+const LIST: &str = r#"{"op":"endpoints","serial":1,"kind":"SAVED","members":[{"condition":"Ready","nominal":1,
+ "rack-zone":"hall-a","server":"server.a","group":0}]}"#;
+const KNOCK: &str = r#"{"op":"knock","msg-id":"5d3a91c4-e2f3-4656-a336-20af9f7c719b","model":"m-a","start-ms":900,
+ "type":"quote","size-mb":384,"at-once":2,"left":240.0,"customer":"huts"}"#;
+
+fn batch(host: &mut Host, events: &[&str]) -> Result<String, String> {
+    let line = format!(r#"{{"ts":8412.25,"parts":[{{"router":3,"arrivals":[{}]}}]}}"#, events.join(","));
+    host.batch(&line)
+}
+
+#[test]
+fn a_job_goes_out_under_its_own_names() {
+    let reply = batch(&mut Host::default(), &[BOOT, LIST, KNOCK]).expect("a legal batch");
+    let reply: serde_json::Value = serde_json::from_str(&reply).expect("one JSON value");
+    assert_eq!(reply["parts"][0]["router"], 3);
+    let orders = reply["parts"][0]["orders"].as_array().expect("orders");
+    let sent = orders.iter().find(|o| o["op"] == "try").expect("the job is sent");
+    assert_eq!((sent["server"].as_str(), sent["patience"].as_f64()), (Some("server.a"), Some(240.0)));
+    assert_eq!(sent["msg-id"], "5d3a91c4-e2f3-4656-a336-20af9f7c719b");
+}
+
+#[test]
+fn an_empty_batch_and_a_restart_in_one_batch() {
+    let mut host = Host::default();
+    assert_eq!(host.batch(r#"{"ts":1.0,"parts":[]}"#), Ok(r#"{"parts":[]}"#.to_owned()));
+    batch(&mut host, &[BOOT, LIST, KNOCK]).expect("a legal batch");
+    let again = batch(&mut host, &[r#"{"op":"kill"}"#, BOOT, KNOCK]).expect("a legal batch");
+    assert!(!again.contains(r#""try""#), "what the earlier life knew is gone");
+}
+
+#[test_case(&[r#"{"op":"wakeup","token":1}"#], "instance 3: 'wakeup' before any 'boot'"; "never booted")]
+#[test_case(&[BOOT, r#"{"op":"wakeup"}"#], "instance 3: 'wakeup': field 'token': a whole number is wanted"; "missing")]
+#[test_case(&[BOOT, r#"{"op":"wakeup","token":"x"}"#], "field 'token': a whole number is wanted"; "wrongly typed")]
+#[test_case(&[BOOT, r#"{"op":"expired","msg-id":"x"}"#], "field 'msg-id': 36 characters are wanted"; "short id")]
+#[test_case(&[BOOT, r#"{"op":"tea"}"#], "event 'tea' is not known"; "unknown event")]
+#[test_case(&["{"], "not JSON"; "not JSON")]
+fn bad_input(events: &[&str], told: &str) {
+    let fault = batch(&mut Host::default(), events).expect_err("a fault");
+    assert!(fault.contains(told), "{fault}");
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -85,9 +85,7 @@
 const SMALL_EXTRA: f64 = 1.5;
 /// Part of the start target that overflow waits before it begins a load at the next worker.
 const SPREAD_PART: f64 = 0.15;
-/// Times this router's even part of a customer's share that counts as within it: routers are not alike.
-const SHARE_CARE: f64 = 1.3;
-/// µs of a customer's share saved up at most.
+/// µs over which a customer's rate is taken.
 const RATE_SPAN: f64 = 2_000_000.0;
 /// µs before the client's time is up at which a held job is ended: more than one beat.
 const LAST_CALL: Micros = 30_000;
@@ -126,8 +124,6 @@
     came: Micros,
     limit: Micros,
     value: u64,
-    customer: Option<CustomerId>,
-    over: bool,
     tried: Vec<Tried>,
     streaming: bool,
     late: bool,
@@ -220,7 +216,7 @@
 
 struct Customer {
     jobs_per_s: f64,
-    tokens: f64,
+    rate: f64,
     at: Micros,
 }
 
@@ -265,7 +261,7 @@
             service: row.start_target as f64 * 0.2,
         });
         let customers =
-            rows.customers.iter().map(|row| Customer { jobs_per_s: row.jobs_per_s, tokens: 1.0, at: now });
+            rows.customers.iter().map(|row| Customer { jobs_per_s: row.jobs_per_s, rate: 0.0, at: now });
         let mut control = Control {
             now,
             rng: Rand64::new(u128::from(rows.seed)),
@@ -351,8 +347,6 @@
             came: now,
             limit: now + arrival.left,
             value: (self.workloads[arrival.workload.0].importance * share * 1000.0) as u64,
-            customer: arrival.customer,
-            over,
             tried: Vec::new(),
             streaming: false,
             late: false,
@@ -672,9 +666,6 @@
             }
             _ => !may_have_run,
         };
-        if let (true, false, Some(customer)) = (job.tried.is_empty(), job.over, job.customer) {
-            self.customers[customer.0].tokens += 1.0;
-        }
         if harmless {
             let most = self.rows.permits.come_back_max.max(COME_BACK);
             let wait = COME_BACK + self.rng.rand_range(0..(most - COME_BACK).max(1));
@@ -912,12 +903,10 @@
     /// Whether a customer now sends this router more than its part of the customer's share.
     fn over_share(&mut self, customer: CustomerId) -> bool {
         let row = &mut self.customers[customer.0];
-        let per_us = row.jobs_per_s * SHARE_CARE / 1e6 / self.rows.routers.max(1) as f64;
-        row.tokens = (row.tokens + (self.now - row.at) as f64 * per_us).min(per_us * RATE_SPAN);
+        row.rate = row.rate * (-((self.now - row.at) as f64) / RATE_SPAN).exp() + 1.0;
         row.at = self.now;
-        let over = row.tokens < 1.0;
-        row.tokens -= if over { 0.0 } else { 1.0 };
-        over
+        let per_s = row.rate * 1e6 / RATE_SPAN;
+        per_s * self.rows.routers as f64 > row.jobs_per_s * 1.2
     }
 
     fn beat(&mut self, orders: &mut dyn Orders) {
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,173 @@
+//! A recording `Orders`, start-up rows and short ways to make events.
+#![allow(dead_code)] // each table of cases uses its own part
+use applepond::control::Control;
+use applepond::interface::*;
+
+/// What the module ordered, in its order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Did {
+    Send(JobId, ServerId),
+    Cancel(JobId, usize),
+    PushBack(JobId),
+    Kill(JobId),
+    Load(ServerId, FunctionId, u32),
+}
+
+#[derive(Default)]
+pub struct Record {
+    pub did: Vec<Did>,
+    pub timers: Vec<(Micros, Token)>,
+    pub now: Micros,
+}
+
+impl Orders for Record {
+    fn send(&mut self, job: JobId, server: ServerId, _patience: Micros) {
+        self.did.push(Did::Send(job, server));
+    }
+    fn cancel(&mut self, job: JobId, execution: usize) {
+        self.did.push(Did::Cancel(job, execution));
+    }
+    fn push_back(&mut self, job: JobId, _come_back: Option<Micros>) {
+        self.did.push(Did::PushBack(job));
+    }
+    fn kill(&mut self, job: JobId) {
+        self.did.push(Did::Kill(job));
+    }
+    fn wake_after(&mut self, delay: Micros, token: Token) {
+        self.timers.push((self.now + delay, token));
+    }
+    fn load(&mut self, server: ServerId, function: FunctionId, copies: u32) {
+        self.did.push(Did::Load(server, function, copies));
+    }
+    fn note(&mut self, _text: &str) {}
+    fn watch(&mut self) {}
+}
+
+pub const MS: Micros = 1000;
+
+/// One restartable workload, no orders to load, one router.
+pub fn rows(effect: Effect) -> Startup {
+    Startup {
+        seed: 7,
+        me: 0,
+        routers: 1,
+        zone: None,
+        workloads: vec![WorkloadRow { effect, start_target: 500 * MS, importance: 1.0, late_part: 0.2 }],
+        customers: vec![CustomerRow { jobs_per_s: 1000.0 }],
+        permits: Permits {
+            executions: 4,
+            cancel: true,
+            second_copies: true,
+            come_back: true,
+            come_back_max: 1000 * MS,
+            load_orders: false,
+        },
+        rules: RuleFigures {
+            cold_share: 0.2,
+            warm_within: 10_000 * MS,
+            fall_multiple: 2.0,
+            fall_span: 1000 * MS,
+            load_window: 0,
+            load_free: 0.0,
+            load_share: 0.0,
+        },
+        prices: Prices { crossing: 0.0, fetch: 0.1, waste: 0.0, probe: 0.0, memory: 0.0 },
+        over_share: 0.1,
+        keep: 10_000 * MS,
+        weights_shared: true,
+    }
+}
+
+pub fn server(n: u64) -> ServerId {
+    ServerId::named(&format!("server.{n}"))
+}
+
+pub fn listed(n: u64, standing: Standing, up_since: Micros) -> Listed {
+    let rack = RackId(n as i64 / 2);
+    Listed { server: server(n), standing, up_since, zone: Some(ZoneId(0)), kind: None, rack, weight: 1.0 }
+}
+
+pub fn job(n: u8) -> JobId {
+    JobId([n; 36])
+}
+
+pub fn answer(outcome: Outcome) -> Answer {
+    let closed = outcome == Outcome::Finished;
+    let copy = if closed { Copy::Stood } else { Copy::Unsaid };
+    Answer { outcome, closed, elapsed: 50 * MS, copy, company: 0, loads: None, busy: None, queued: None }
+}
+
+/// One instance with its record and its clock.
+pub struct Bench {
+    pub control: Control,
+    pub record: Record,
+}
+
+impl Bench {
+    /// An instance that knows this many warm workers.
+    pub fn new(rows: Startup, servers: u64) -> Self {
+        let mut record = Record { now: 100_000 * MS, ..Record::default() };
+        let mut control = Control::new(record.now, rows, &mut record);
+        let list: Vec<Listed> = (0..servers).map(|n| listed(n, Standing::Ready, 0)).collect();
+        control.list(record.now, &mut record, ListKind::Saved, &list);
+        Bench { control, record }
+    }
+
+    pub fn list(&mut self, entries: &[Listed]) {
+        self.control.list(self.record.now, &mut self.record, ListKind::Changes, entries);
+    }
+
+    pub fn arrive(&mut self, n: u8, function: &str, left: Micros) {
+        let arrival = Arrival {
+            job: job(n),
+            function: FunctionId::named(function),
+            workload: WorkloadId(0),
+            customer: Some(CustomerId(0)),
+            left,
+            lanes: 2,
+            load_time: Some(1000 * MS),
+        };
+        self.control.job(self.record.now, &mut self.record, &arrival);
+    }
+
+    pub fn close(&mut self, n: u8, execution: usize, answer: &Answer) {
+        self.control.answered(self.record.now, &mut self.record, job(n), execution, answer);
+    }
+
+    /// Lets time pass, with every timer that falls due.
+    pub fn pass(&mut self, time: Micros) {
+        let end = self.record.now + time;
+        while let Some(at) = (0..self.record.timers.len())
+            .filter(|i| self.record.timers[*i].0 <= end)
+            .min_by_key(|i| self.record.timers[*i])
+        {
+            let (due, token) = self.record.timers.swap_remove(at);
+            self.record.now = due;
+            self.control.wake(due, &mut self.record, token);
+        }
+        self.record.now = end;
+    }
+
+    pub fn sends(&self, n: u8) -> Vec<ServerId> {
+        let sent = |d: &Did| if let Did::Send(j, s) = d { (*j == job(n)).then_some(*s) } else { None };
+        self.record.did.iter().filter_map(sent).collect()
+    }
+
+    pub fn ends(&self, n: u8) -> Vec<Did> {
+        self.record
+            .did
+            .iter()
+            .filter(|d| **d == Did::Kill(job(n)) || **d == Did::PushBack(job(n)))
+            .cloned()
+            .collect()
+    }
+
+    /// Sends a job of the function to its home and has it finish there, so that the home serves it.
+    pub fn warm(&mut self, function: &str) -> ServerId {
+        self.arrive(250, function, 5000 * MS);
+        let home = self.sends(250)[0];
+        self.close(250, 0, &answer(Outcome::Finished));
+        self.record.did.clear();
+        home
+    }
+}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,114 @@
+//! The design's path, and the guards beside it.
+mod common;
+use applepond::interface::*;
+use common::*;
+use test_case::test_case;
+
+#[test]
+fn home_is_shared_and_stable() {
+    let homes = |servers: u64, seed: u64| -> Vec<ServerId> {
+        let mut bench = Bench::new(Startup { seed, me: seed, ..rows(Effect::Restartable) }, servers);
+        for n in 0..40 {
+            bench.arrive(n, &format!("hut-{n}"), 5000 * MS);
+            bench.close(n, 0, &answer(Outcome::Finished));
+        }
+        (0..40).map(|n| bench.sends(n)[0]).collect()
+    };
+    assert_eq!(homes(8, 1), homes(8, 2));
+    let moved = homes(8, 1).into_iter().zip(homes(9, 1)).filter(|(a, b)| a != b).collect::<Vec<_>>();
+    assert!(moved.len() < 12 && moved.iter().all(|(_, new)| *new == server(8)));
+}
+
+#[test]
+fn overflow_moves_to_the_next_and_waits_for_its_load() {
+    let mut bench = Bench::new(rows(Effect::Restartable), 8);
+    let home = bench.warm("hut");
+    (1..6).for_each(|n| bench.arrive(n, "hut", 5000 * MS));
+    assert!((1..3).all(|n| bench.sends(n) == [home]), "lanes of the home first");
+    assert!((3..6).all(|n| bench.sends(n).is_empty()), "a crowd may be gone in a moment");
+    bench.pass(200 * MS);
+    let next = bench.sends(3)[0];
+    assert_ne!(next, home);
+    assert!(bench.sends(4).is_empty() && bench.sends(5).is_empty(), "one answer is awaited there");
+    bench.close(3, 0, &Answer { copy: Copy::Begun, ..answer(Outcome::Finished) });
+    assert_eq!((bench.sends(4)[0], bench.sends(5)[0]), (next, next));
+}
+
+#[test_case(Effect::Restartable, true, 2; "a copy follows")]
+#[test_case(Effect::RunOnce, true, 1; "never of a run-once job")]
+#[test_case(Effect::Restartable, false, 1; "nor where second copies are not allowed")]
+fn hedge(effect: Effect, second_copies: bool, sends: usize) {
+    let mut rows = rows(effect);
+    rows.permits.second_copies = second_copies;
+    let mut bench = Bench::new(rows, 8);
+    bench.arrive(1, "hut", 9000 * MS);
+    bench.pass(2400 * MS);
+    assert_eq!(bench.sends(1).len(), 1, "not before twice the load and the start target");
+    bench.pass(200 * MS);
+    assert_eq!(bench.sends(1).len(), sends);
+    bench.pass(3000 * MS);
+    assert_eq!(bench.sends(1).len(), sends, "at most two copies live");
+    bench.close(1, 0, &answer(Outcome::Finished));
+    let cancelled = bench.record.did.contains(&Did::Cancel(job(1), 1));
+    assert_eq!(cancelled, sends == 2, "the loser is cancelled");
+}
+
+// A worker that fails, whatever the sign, is left alone for a while and then gets a trickle.
+#[test_case(Outcome::Broken, 1; "one broken connection")]
+#[test_case(Outcome::NoConnection, 1; "one connection refused")]
+#[test_case(Outcome::Error, 2; "two errors close together")]
+fn set_aside(outcome: Outcome, times: u8) {
+    let mut bench = Bench::new(rows(Effect::Restartable), 8);
+    let home = bench.warm("hut");
+    for n in 1..=times {
+        bench.arrive(n, "hut", 5000 * MS);
+        assert_eq!(bench.sends(n)[0], home);
+        bench.close(n, 0, &answer(outcome));
+    }
+    bench.arrive(9, "hut", 5000 * MS);
+    assert_ne!(bench.sends(9).first(), Some(&home));
+}
+
+// A worker that owes answers and says nothing is set aside; one slow job is not silence.
+#[test_case(1, false; "one slow job")]
+#[test_case(2, true; "two answers owed")]
+fn silence(jobs: u8, aside: bool) {
+    let mut rows = rows(Effect::RunOnce);
+    rows.workloads[0].start_target = 1000 * MS;
+    let mut bench = Bench::new(rows, 8);
+    let home = bench.warm("hut");
+    (1..=jobs).for_each(|n| bench.arrive(n, "hut", 9000 * MS));
+    bench.pass(3100 * MS);
+    bench.arrive(9, "hut", 5000 * MS);
+    assert_eq!(bench.sends(9).first() != Some(&home), aside);
+}
+
+// What cannot finish in time any more waits behind what can; what is given up is told so at once.
+#[test]
+fn late_jobs_go_last_and_are_pushed_back() {
+    let mut bench = Bench::new(rows(Effect::Restartable), 1);
+    bench.warm("hut");
+    (1..3).for_each(|n| bench.arrive(n, "hut", 5000 * MS));
+    bench.arrive(3, "hut", 5000 * MS);
+    bench.pass(440 * MS);
+    bench.arrive(4, "hut", 5000 * MS);
+    bench.close(1, 0, &answer(Outcome::Finished));
+    assert!(bench.sends(3).is_empty() && bench.sends(4).len() == 1);
+    bench.pass(80 * MS);
+    assert_eq!(bench.ends(3), vec![Did::PushBack(job(3))]);
+}
+
+#[test]
+fn same_events_same_actions() {
+    let run = || {
+        let mut bench = Bench::new(rows(Effect::Restartable), 5);
+        for n in 0..60 {
+            bench.arrive(n, &format!("hut-{}", n % 7), 3000 * MS);
+            bench.pass(30 * MS);
+            bench.close(n / 2, 0, &answer(if n % 5 == 0 { Outcome::Error } else { Outcome::Finished }));
+        }
+        bench.pass(9000 * MS);
+        bench.record.did
+    };
+    assert_eq!(run(), run());
+}
