--- a/src/control.rs
+++ b/src/control.rs
@@ -494,8 +494,11 @@
             return warm;
         }
         let (home, home_serves, home_room) = *usable.first()?;
-        let loading =
-            |s: &ServerId| self.servers[s].holds.get(&function).is_some_and(|h| h.loading.is_some());
+        // The hold does not bind the copy of the very job whose load is awaited: it would never go.
+        let own_load = |s: &ServerId| job.tried.iter().any(|t| t.server == *s && t.fate == Fate::Out);
+        let loading = |s: &ServerId| {
+            !own_load(s) && self.servers[s].holds.get(&function).is_some_and(|h| h.loading.is_some())
+        };
         let pending = self.functions[&function].order.iter().any(loading);
         let gate = self.loads_under_way() < self.loads as usize;
         if !home_serves && home_room && !pending && gate {
