--- a/src/control.rs
+++ b/src/control.rs
@@ -81,8 +81,10 @@
 const LOADS_MOST: f64 = 64.0;
 /// Times the usual load time at which a load counts as slow.
 const LOAD_SLOW: f64 = 2.5;
-/// Own jobs of a function at each worker that serves it before it spreads: fewer do not fill a core.
-const SPREAD_JOBS: u32 = 2;
+/// Part of the most asked-for function's rate at a crowded worker from which a function spreads from there.
+const HEAVY: f64 = 0.5;
+/// µs over which a function's rate is taken: a few jobs of one that matters.
+const FUNCTION_SPAN: f64 = 4_000_000.0;
 /// Times the room of a worker that a function without a job there may use.
 const SMALL_EXTRA: f64 = 1.5;
 /// Usual load times after which an answer is no longer waited for before the next load: past twice the delay.
@@ -147,7 +149,7 @@
     lanes: u32,
     load_time: Option<Micros>,
     last: Micros,
-    gap: f64,
+    rate: f64,
     order: Vec<ServerId>,
     order_of: u64,
 }
@@ -335,13 +337,13 @@
             lanes: 1,
             load_time: None,
             last: now,
-            gap: self.rows.keep as f64,
+            rate: 0.0,
             order: Vec::new(),
             order_of: 0,
         });
         function.lanes = arrival.lanes.max(1);
         function.load_time = arrival.load_time.or(function.load_time);
-        function.gap += 0.2 * ((now - function.last) as f64 - function.gap);
+        function.rate = function.rate * (-((now - function.last) as f64) / FUNCTION_SPAN).exp() + 1.0;
         function.last = now;
         let over = arrival.customer.is_some_and(|customer| self.over_share(customer));
         let share = if over { self.rows.over_share } else { 1.0 };
@@ -477,7 +479,6 @@
         let out_per_weight = f64::from(open().map(Server::busy).sum::<u32>())
             / open().map(|s| s.weight).sum::<f64>().max(1e-9);
         let routers = self.rows.routers.max(1) as f64;
-        let mut here = 0;
         let usable: Vec<(ServerId, bool, bool)> = self.functions[&function]
             .order
             .iter()
@@ -489,7 +490,6 @@
                 // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
                 let bound = server.room.min(crowd) * if own == 0 { SMALL_EXTRA } else { 1.0 };
                 let room = own < lanes && f64::from(server.busy()) < bound;
-                here += if server.serving(now, function) { own } else { 0 };
                 (*s, server.serving(now, function), room)
             })
             .collect();
@@ -519,8 +519,7 @@
         // Overflow: it begins a load at the next worker only when no answer is awaited from one not yet serving,
         // and not for a crowd that is gone in a moment.
         let patient = now < job.came + (row.start_target as f64 * SPREAD_PART) as Micros;
-        let serving = usable.iter().filter(|u| u.1).count() as u32;
-        if pending || !gate || (home_serves && (patient || here < serving * SPREAD_JOBS)) {
+        if pending || !gate || (home_serves && (patient || !self.heavy(home, function))) {
             return None;
         }
         let next = usable.iter().find(|(_, serving, room)| !*serving && *room)?.0;
@@ -530,6 +529,18 @@
         Some(next)
     }
 
+    /// Whether a function is among those that crowd a worker, so that its moving helps: a small one would begin a
+    /// load, evict others and leave the crowd as it is.
+    fn heavy(&self, at: ServerId, function: FunctionId) -> bool {
+        let part = |f: &FunctionId| {
+            let row = &self.functions[f];
+            let rate = row.rate * (-((self.now - row.last) as f64) / FUNCTION_SPAN).exp();
+            rate / self.servers.values().filter(|s| s.serving(self.now, *f)).count().max(1) as f64
+        };
+        let most = self.servers[&at].holds.keys().map(part).fold(0.0, f64::max);
+        part(&function) >= most * HEAVY
+    }
+
     /// The function's hash order over the workers that the list holds ready: weighted rendezvous.
     fn order(&mut self, function: FunctionId) {
         let entry = self.functions.get_mut(&function).expect("a job names its function before it is placed");
