--- a/src/control.rs
+++ b/src/control.rs
@@ -48,9 +48,9 @@
 /// Times the mean of own jobs a worker, by size, that make a crowd there: the usual bound of bounded-load hashing.
 const CROWD: f64 = 1.5;
 /// Part of the start target under which answers let room grow.
-const LAG_LOW: f64 = 0.35;
+const LAG_LOW: f64 = 0.25;
 /// Part of the start target that answers may take before room shrinks: half is left for chance.
-const LAG_HIGH: f64 = 0.45;
+const LAG_HIGH: f64 = 0.4;
 /// Weight of a new answer in the running figures: the last ten or so count.
 const FRESH: f64 = 0.15;
 /// Factor on room at each shrinking: two steps halve it.
@@ -81,6 +81,8 @@
 const LOADS_MOST: f64 = 64.0;
 /// Times the usual load time at which a load counts as slow.
 const LOAD_SLOW: f64 = 2.5;
+/// Part of the mean of own jobs a worker up to which one is idle enough to spread to.
+const SPREAD_IDLE: f64 = 0.5;
 /// Part of the most asked-for function's rate at a crowded worker from which a function spreads from there.
 const HEAVY: f64 = 0.5;
 /// µs over which a function's rate is taken: a few jobs of one that matters.
@@ -522,7 +524,11 @@
         if pending || !gate || (home_serves && (patient || !self.heavy(home, function))) {
             return None;
         }
-        let next = usable.iter().find(|(_, serving, room)| !*serving && *room)?.0;
+        let idle = |s: &ServerId| {
+            f64::from(self.servers[s].busy()) <= SPREAD_IDLE * out_per_weight * self.servers[s].weight
+        };
+        let next =
+            usable.iter().find(|(s, serving, room)| !*serving && *room && (!home_serves || idle(s)))?.0;
         if home_serves && self.order_load(orders, next, function) {
             return None;
         }
