--- a/src/control.rs
+++ b/src/control.rs
@@ -84,7 +84,7 @@
 /// Part of the mean of own jobs a worker up to which one is idle enough to spread to.
 const SPREAD_IDLE: f64 = 0.5;
 /// Part of the most asked-for function's rate at a crowded worker from which a function spreads from there.
-const HEAVY: f64 = 0.5;
+const HEAVY: f64 = 1.0;
 /// µs over which a function's rate is taken: a few jobs of one that matters.
 const FUNCTION_SPAN: f64 = 4_000_000.0;
 /// Times the room of a worker that a function without a job there may use.
@@ -92,7 +92,7 @@
 /// Usual load times after which an answer is no longer waited for before the next load: past twice the delay.
 const HOLD_LOADS: u64 = 5;
 /// Part of the start target that overflow waits before it begins a load at the next worker.
-const SPREAD_PART: f64 = 0.15;
+const SPREAD_PART: f64 = 0.25;
 /// µs over which a customer's rate is taken.
 const RATE_SPAN: f64 = 2_000_000.0;
 /// µs before the client's time is up at which a held job is ended: more than one beat.
