--- a/src/control.rs
+++ b/src/control.rs
@@ -28,9 +28,9 @@
 /// µs assumed for a load where none was told or seen: the design's two seconds stand for twice this.
 const LOAD_UNTOLD: Micros = 1_000_000;
 /// Part of the start target after which a copy follows at a worker that serves: leaves the rest to the copy.
-const HEDGE_PART: f64 = 0.6;
+const HEDGE_PART: f64 = 0.8;
 /// Copies and further executions earned by one job: doubling of the load by them is out of the question.
-const BUDGET_PER_JOB: f64 = 0.1;
+const BUDGET_PER_JOB: f64 = 0.05;
 /// Copies and further executions saved up at most: a short trouble's worth.
 const BUDGET_MOST: f64 = 20.0;
 /// µs until a copy that found no place is tried again.
