--- a/src/control.rs
+++ b/src/control.rs
@@ -48,9 +48,9 @@
 /// Times the mean of own jobs a worker, by size, that make a crowd there: the usual bound of bounded-load hashing.
 const CROWD: f64 = 1.5;
 /// Part of the start target under which answers let room grow.
-const LAG_LOW: f64 = 0.25;
+const LAG_LOW: f64 = 0.2;
 /// Part of the start target that answers may take before room shrinks: half is left for chance.
-const LAG_HIGH: f64 = 0.4;
+const LAG_HIGH: f64 = 0.33;
 /// Weight of a new answer in the running figures: the last ten or so count.
 const FRESH: f64 = 0.15;
 /// Factor on room at each shrinking: two steps halve it.
