--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -135,6 +135,7 @@
         let names = &self.names;
         let reply = &mut Reply { names, actions: Vec::new() };
         let control = &mut self.control;
+        control.clock(now);
         match op {
             "endpoints" => {
                 let kind = match text(event, "kind")? {
@@ -147,7 +148,7 @@
                 let entries =
                     maybe(event, "members").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
                 let entries = entries.iter().map(|e| listed(e, names)).collect::<Read<Vec<_>>>()?;
-                control.list(now, reply, kind, &entries);
+                control.list(reply, kind, &entries);
             }
             "knock" => {
                 let customer = match maybe(event, "customer") {
@@ -164,7 +165,7 @@
                     lanes: number_or(event, "at-once", 1.0)? as u32,
                     load_time: maybe(event, "start-ms").map(|_| time(event, "start-ms")).transpose()?,
                 };
-                control.job(now, reply, &arrival);
+                control.job(reply, &arrival);
             }
             "closed-attempt" => {
                 let detail = number_or(event, "detail", 0.0)? as u32;
@@ -179,19 +180,12 @@
                     busy: maybe(usage, "load_share").and_then(Value::as_f64),
                     queued: maybe(usage, "depth").and_then(Value::as_f64),
                 };
-                control.answered(
-                    now,
-                    reply,
-                    job(event)?,
-                    number_or(event, "send-no", 0.0)? as usize,
-                    &answer,
-                );
+                control.answered(reply, job(event)?, number_or(event, "send-no", 0.0)? as usize, &answer);
             }
             "stands" => {
                 let server = ServerId::named(text(event, "server")?);
                 let function = FunctionId::named(text(event, "model")?);
                 control.stands(
-                    now,
                     reply,
                     server,
                     function,
@@ -199,9 +193,9 @@
                     number_or(event, "copies", 0.0)? as u32,
                 );
             }
-            "streaming" => control.streaming(now, job(event)?),
-            "expired" => control.left(now, job(event)?),
-            "wakeup" => control.wake(now, reply, Token(whole(event, "token")?)),
+            "streaming" => control.streaming(job(event)?),
+            "expired" => control.left(job(event)?),
+            "wakeup" => control.wake(reply, Token(whole(event, "token")?)),
             // Nothing is decided on these yet: no probe and no message is ever sent.
             "probed" | "whisper" => {}
             other => return Err(format!("event '{other}' is not known")),
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,7 +1,7 @@
 //! All decisions of one router.
 //!
 //! How it is called: the owner of an instance makes one `Control` from the start-up rows and calls it once for
-//! each event (`list`, `job`, `answered`, `stands`, `streaming`, `left`, `wake`), with the clock and an `Orders`.
+//! each event (`clock` first, then `list`, `job`, `answered`, `stands`, `streaming`, `left` or `wake`), with an `Orders`.
 //! Interface: `src/interface.rs` (ids, time, rows, `Answer`, `Orders`). No wire, no input or output here.
 //!
 //! The design (docs/design.md): a function's jobs go to its home, the first worker in a hash order that all routers
@@ -53,6 +53,10 @@
 const LAG_HIGH: f64 = 0.33;
 /// Weight of a new answer in the running figures: the last ten or so count.
 const FRESH: f64 = 0.15;
+/// Weight of a new answer in a workload's usual time: slow, so that a short queue does not change it.
+const SERVICE_FRESH: f64 = 0.05;
+/// Part of the start target that a job is taken to need before any has finished.
+const SERVICE_START: f64 = 0.2;
 /// Factor on room at each shrinking: two steps halve it.
 const ROOM_CUT: f64 = 0.75;
 /// Share of errors at which a worker is set aside: two errors close together, never one.
@@ -73,6 +77,8 @@
 const PACE_SPAN: f64 = 5_000_000.0;
 /// Own loads under way at once to begin with.
 const LOADS_START: f64 = 12.0;
+/// Factor on them when loads turn slow or fail: three steps leave a third.
+const LOADS_CUT: f64 = 0.7;
 /// Part of them up to which a copy may begin one.
 const COPY_LOADS: f64 = 0.25;
 /// Own loads under way at least.
@@ -83,8 +89,6 @@
 const LOAD_SLOW: f64 = 2.5;
 /// Part of the mean of own jobs a worker up to which one is idle enough to spread to.
 const SPREAD_IDLE: f64 = 0.5;
-/// Part of the most asked-for function's rate at a crowded worker from which a function spreads from there.
-const HEAVY: f64 = 1.0;
 /// µs over which a function's rate is taken: a few jobs of one that matters.
 const FUNCTION_SPAN: f64 = 4_000_000.0;
 /// Times the room of a worker that a function without a job there may use.
@@ -93,6 +97,8 @@
 const HOLD_LOADS: u64 = 5;
 /// Part of the start target that overflow waits before it begins a load at the next worker.
 const SPREAD_PART: f64 = 0.25;
+/// Times a router's even part of a customer's share that counts as within it: routers are not alike.
+const SHARE_CARE: f64 = 1.2;
 /// µs over which a customer's rate is taken.
 const RATE_SPAN: f64 = 2_000_000.0;
 /// µs before the client's time is up at which a held job is ended: more than one beat.
@@ -188,14 +194,14 @@
 }
 
 impl Server {
-    fn new(now: Micros, entry: &Listed, routers: u64) -> Self {
+    fn new(now: Micros, entry: &Listed, rows: &Startup) -> Self {
         Server {
             open: entry.standing == Standing::Ready,
             up_since: entry.up_since,
             zone: entry.zone,
             rack: entry.rack,
-            weight: if entry.weight > 0.0 { entry.weight } else { 1.0 },
-            room: (ROOM_START / routers.max(1) as f64).max(2.0),
+            weight: if rows.weights_shared && entry.weight > 0.0 { entry.weight } else { 1.0 },
+            room: (ROOM_START / rows.routers.max(1) as f64).max(2.0),
             cut_at: now,
             heard: now,
             backoff: ASIDE,
@@ -208,6 +214,10 @@
         self.out.saturating_sub(self.waiting)
     }
 
+    fn aside(&self, now: Micros) -> bool {
+        self.aside.is_some_and(|until| until > now)
+    }
+
     fn serving(&self, now: Micros, function: FunctionId) -> bool {
         self.holds.get(&function).is_some_and(|h| h.serving_until > now)
     }
@@ -266,7 +276,7 @@
             start_target: row.start_target.max(1),
             importance: row.importance,
             late_part: row.late_part,
-            service: row.start_target as f64 * 0.2,
+            service: row.start_target as f64 * SERVICE_START,
         });
         let customers =
             rows.customers.iter().map(|row| Customer { jobs_per_s: row.jobs_per_s, rate: 0.0, at: now });
@@ -295,8 +305,12 @@
 
     // ---- Events --------------------------------------------------------------------------------------------
 
-    pub fn list(&mut self, now: Micros, orders: &mut dyn Orders, kind: ListKind, entries: &[Listed]) {
+    /// Sets the clock; called before any other event.
+    pub fn clock(&mut self, now: Micros) {
         self.now = now;
+    }
+
+    pub fn list(&mut self, orders: &mut dyn Orders, kind: ListKind, entries: &[Listed]) {
         if kind == ListKind::Failed {
             orders.watch();
             return;
@@ -315,14 +329,14 @@
                     // Restarted: empty, cold, and nothing that was learned of it holds.
                     let (out, waiting) = (s.out, s.waiting);
                     let held: Vec<(FunctionId, u32)> = s.holds.iter().map(|(f, h)| (*f, h.out)).collect();
-                    *s = Server::new(now, entry, self.rows.routers);
+                    *s = Server::new(self.now, entry, &self.rows);
                     (s.out, s.waiting) = (out, waiting);
                     for (f, out) in held.into_iter().filter(|(_, out)| *out > 0) {
                         s.holds.insert(f, Holding { out, ..Holding::default() });
                     }
                 }
                 None if entry.standing == Standing::Ready => {
-                    self.servers.insert(entry.server, Server::new(now, entry, self.rows.routers));
+                    self.servers.insert(entry.server, Server::new(self.now, entry, &self.rows));
                 }
                 None => {}
             }
@@ -332,8 +346,8 @@
         self.dispatch(orders);
     }
 
-    pub fn job(&mut self, now: Micros, orders: &mut dyn Orders, arrival: &Arrival) {
-        self.now = now;
+    pub fn job(&mut self, orders: &mut dyn Orders, arrival: &Arrival) {
+        let now = self.now;
         self.budget = (self.budget + BUDGET_PER_JOB).min(BUDGET_MOST);
         let function = self.functions.entry(arrival.function).or_insert(Function {
             lanes: 1,
@@ -375,15 +389,7 @@
         }
     }
 
-    pub fn answered(
-        &mut self,
-        now: Micros,
-        orders: &mut dyn Orders,
-        job: JobId,
-        execution: usize,
-        answer: &Answer,
-    ) {
-        self.now = now;
+    pub fn answered(&mut self, orders: &mut dyn Orders, job: JobId, execution: usize, answer: &Answer) {
         let Some(out) = self.out.remove(&(job, execution)) else { return };
         self.learn(orders, &out, answer);
         (out.then)(self, orders, Some(answer));
@@ -392,47 +398,37 @@
 
     pub fn stands(
         &mut self,
-        now: Micros,
         orders: &mut dyn Orders,
         server: ServerId,
         function: FunctionId,
         outcome: Outcome,
         copies: u32,
     ) {
-        self.now = now;
-        let keep = self.rows.keep;
+        let serving_until = if copies > 0 { self.now + self.rows.keep } else { 0 };
         if let Some(s) = self.servers.get_mut(&server) {
             let hold = s.holds.entry(function).or_default();
-            hold.loading = None;
-            if copies > 0 {
-                hold.serving_until = now + keep;
-            } else {
-                hold.serving_until = 0;
-                if outcome == Outcome::Error {
-                    self.loads_slow();
-                } else if matches!(outcome, Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut) {
-                    self.set_aside(orders, server);
-                }
+            (hold.loading, hold.serving_until) = (None, serving_until);
+            match outcome {
+                Outcome::Error => self.loads_slow(),
+                Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut => self.set_aside(orders, server),
+                _ => {}
             }
         }
         self.dispatch(orders);
     }
 
-    pub fn streaming(&mut self, now: Micros, job: JobId) {
-        self.now = now;
+    pub fn streaming(&mut self, job: JobId) {
         if let Some(job) = self.jobs.get_mut(&job) {
             job.streaming = true;
         }
     }
 
     /// The client has left: nothing more is owed.
-    pub fn left(&mut self, now: Micros, job: JobId) {
-        self.now = now;
+    pub fn left(&mut self, job: JobId) {
         self.forget(job);
     }
 
-    pub fn wake(&mut self, now: Micros, orders: &mut dyn Orders, token: Token) {
-        self.now = now;
+    pub fn wake(&mut self, orders: &mut dyn Orders, token: Token) {
         if let Some(step) = self.steps.remove(&token) {
             step(self, orders, None);
         }
@@ -442,9 +438,7 @@
 
     /// Sends what waits here, most valuable and oldest first, as far as there is room.
     fn dispatch(&mut self, orders: &mut dyn Orders) {
-        let room = |s: &Server| {
-            s.open && f64::from(s.busy()) < s.room * SMALL_EXTRA && s.aside.is_none_or(|t| t <= self.now)
-        };
+        let room = |s: &Server| s.open && f64::from(s.busy()) < s.room * SMALL_EXTRA && !s.aside(self.now);
         if !self.servers.values().any(room) {
             return;
         }
@@ -535,8 +529,8 @@
         Some(next)
     }
 
-    /// Whether a function is among those that crowd a worker, so that its moving helps: a small one would begin a
-    /// load, evict others and leave the crowd as it is.
+    /// Whether a function is the one most asked for at a crowded worker, so that its moving helps: a small one would
+    /// begin a load, evict others and leave the crowd as it is.
     fn heavy(&self, at: ServerId, function: FunctionId) -> bool {
         let part = |f: &FunctionId| {
             let row = &self.functions[f];
@@ -544,7 +538,7 @@
             rate / self.servers.values().filter(|s| s.serving(self.now, *f)).count().max(1) as f64
         };
         let most = self.servers[&at].holds.keys().map(part).fold(0.0, f64::max);
-        part(&function) >= most * HEAVY
+        part(&function) >= most
     }
 
     /// The function's hash order over the workers that the list holds ready: weighted rendezvous.
@@ -553,14 +547,13 @@
         if entry.order_of == self.list_of {
             return;
         }
-        let shared = self.rows.weights_shared;
         let mut scored: Vec<(f64, ServerId)> = self
             .servers
             .iter()
             .filter(|(_, s)| s.open)
             .map(|(id, s)| {
                 let draw = ((mix(function.0, id.0) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-                (-draw.ln() / if shared { s.weight } else { 1.0 }, *id)
+                (-draw.ln() / s.weight, *id)
             })
             .collect();
         scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -613,8 +606,7 @@
         if !alone || job.streaming || !self.repeat_allowed(job) || job.limit <= self.now + LAST_CALL {
             return;
         }
-        let aside = |s: &Server| s.aside.is_some_and(|until| until > self.now);
-        let lost = self.servers.get(&job.tried[n].server).is_none_or(aside);
+        let lost = self.servers.get(&job.tried[n].server).is_none_or(|s| s.aside(self.now));
         let early = !lost && self.now < job.tried[n].sent + self.hedge_delay(job.function, job.workload);
         if self.budget >= 1.0
             && let Some(server) = self.place(orders, id, early)
@@ -737,17 +729,18 @@
             s.waiting = s.waiting.saturating_sub(1);
             hold.loading = None;
         }
+        if matches!(answer.outcome, Outcome::Finished | Outcome::Missing | Outcome::Full | Outcome::Error) {
+            s.heard = now;
+        }
         let stood = answer.copy == Copy::Stood || (answer.copy == Copy::Unsaid && out.serving);
         match answer.outcome {
             Outcome::Finished => {
-                s.heard = now;
-                hold.serving_until = now + keep;
-                hold.loading = None;
+                (hold.loading, hold.serving_until) = (None, now + keep);
                 s.errors *= 1.0 - ERRORS_FRESH;
                 s.done += row.service;
                 if stood {
                     let part = answer.elapsed as f64 / row.start_target as f64;
-                    row.service += 0.05 * (answer.elapsed as f64 - row.service);
+                    row.service += SERVICE_FRESH * (answer.elapsed as f64 - row.service);
                     s.lag += FRESH * (part - s.lag);
                     if s.lag > LAG_HIGH {
                         Self::cut_room(s, now, row.start_target);
@@ -755,14 +748,10 @@
                         s.room = (s.room + 1.0 / s.room).min(ROOM_MOST);
                     }
                 }
-                if s.aside.is_some_and(|until| until > now) {
-                    s.aside = Some(now);
-                }
+                s.aside = s.aside.map(|until| until.min(now));
                 if let Some(n) = s.trickle {
                     s.trickle = (n * 2 < TRICKLE_END).then_some(n * 2);
-                    if s.trickle.is_none() {
-                        s.backoff = ASIDE;
-                    }
+                    s.backoff = if s.trickle.is_some() { s.backoff } else { ASIDE };
                 }
                 if answer.copy == Copy::Begun {
                     if answer.elapsed as f64 > usual * LOAD_SLOW {
@@ -775,17 +764,12 @@
                 }
             }
             Outcome::Missing | Outcome::Error if answer.copy == Copy::LoadFailed => {
-                s.heard = now;
                 hold.serving_until = 0;
                 self.loads_slow();
             }
             Outcome::Missing => hold.serving_until = 0,
-            Outcome::Full => {
-                s.heard = now;
-                Self::cut_room(s, now, row.start_target / 4);
-            }
+            Outcome::Full => Self::cut_room(s, now, row.start_target / 4),
             Outcome::Error => {
-                s.heard = now;
                 s.errors += ERRORS_FRESH * (1.0 - s.errors);
                 if s.errors > ERRORS_HIGH || s.trickle.is_some() {
                     self.set_aside(orders, out.server);
@@ -803,7 +787,7 @@
         if now >= s.cut_at {
             s.room = (s.room.min(f64::from(s.busy()) + 1.0) * ROOM_CUT).max(ROOM_LEAST);
             s.cut_at = now + rest;
-            s.lag = s.lag.min(LAG_HIGH * 0.7);
+            s.lag = s.lag.min(LAG_LOW);
         }
     }
 
@@ -814,7 +798,7 @@
     fn set_aside(&mut self, orders: &mut dyn Orders, id: ServerId) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&id) else { return };
-        if s.aside.is_some_and(|until| until > now) {
+        if s.aside(now) {
             return;
         }
         s.aside = Some(now + s.backoff);
@@ -830,7 +814,7 @@
     }
 
     fn usable(&self, s: &Server, row: &Workload) -> bool {
-        if s.aside.is_some_and(|until| until > self.now) {
+        if s.aside(self.now) {
             return false;
         }
         if let Some(n) = s.trickle
@@ -881,7 +865,7 @@
 
     fn loads_slow(&mut self) {
         if self.now >= self.loads_cut {
-            self.loads = (self.loads * 0.7).max(LOADS_LEAST);
+            self.loads = (self.loads * LOADS_CUT).max(LOADS_LEAST);
             self.loads_cut = self.now + LOAD_UNTOLD / 2;
         }
     }
@@ -905,24 +889,18 @@
             return;
         }
         let (now, keep) = (self.now, self.rows.keep);
-        let wanted: Vec<FunctionId> = self
-            .functions
-            .iter()
-            .filter(|(_, f)| now < f.last + keep * KEEP_FOR)
-            .map(|(id, _)| *id)
-            .collect();
-        for function in wanted {
+        let asked = |f: &Function| now < f.last + keep * KEEP_FOR;
+        let wanted = self.functions.iter().filter(|(_, f)| asked(f)).map(|(id, _)| *id);
+        for function in wanted.collect::<Vec<_>>() {
             self.order(function);
             let order = &self.functions[&function].order;
             let Some(home) = order.first().copied() else { continue };
             let s = self.servers.get_mut(&home).expect("the order holds known workers");
-            let Some(hold) = s.holds.get_mut(&function) else { continue };
-            if hold.out == 0
-                && hold.loading.is_none()
-                && hold.serving_until > now
-                && hold.serving_until < now + KEEP_AHEAD
-                && s.aside.is_none_or(|until| until <= now)
-            {
+            let aside = s.aside(now);
+            let due = |h: &&mut Holding| {
+                h.out == 0 && h.loading.is_none() && (now..now + KEEP_AHEAD).contains(&h.serving_until)
+            };
+            if let Some(hold) = s.holds.get_mut(&function).filter(due).filter(|_| !aside) {
                 hold.serving_until = now + KEEP_AHEAD;
                 orders.load(home, function, 1);
             }
@@ -937,7 +915,7 @@
         row.rate = row.rate * (-((self.now - row.at) as f64) / RATE_SPAN).exp() + 1.0;
         row.at = self.now;
         let per_s = row.rate * 1e6 / RATE_SPAN;
-        per_s * self.rows.routers as f64 > row.jobs_per_s * 1.2
+        per_s * self.rows.routers as f64 > row.jobs_per_s * SHARE_CARE
     }
 
     fn beat(&mut self, orders: &mut dyn Orders) {
@@ -969,11 +947,9 @@
         self.keep_loaded(orders);
         self.age_held();
         self.dispatch(orders);
-        let loading: BTreeSet<FunctionId> = self
-            .servers
-            .values()
-            .flat_map(|s| s.holds.iter().filter(|(_, h)| h.loading.is_some()).map(|(f, _)| *f))
-            .collect();
+        let holds = self.servers.values().flat_map(|s| &s.holds);
+        let loading: BTreeSet<FunctionId> =
+            holds.filter(|(_, h)| h.loading.is_some()).map(|(f, _)| *f).collect();
         for (_, came, id) in self.held.iter().copied().collect::<Vec<_>>() {
             let job = &self.jobs[&id];
             let row = &self.workloads[job.workload.0];
@@ -1015,11 +991,8 @@
                 *owed.entry(out.server).or_default() += 1;
             }
         }
-        let silent: Vec<ServerId> =
-            owed.into_iter().filter(|(_, n)| *n >= SILENT_JOBS).map(|(s, _)| s).collect();
-        for server in silent {
-            self.set_aside(orders, server);
-        }
+        let silent = owed.into_iter().filter(|(_, n)| *n >= SILENT_JOBS);
+        silent.for_each(|(server, _)| self.set_aside(orders, server));
     }
 
     fn wake_then(&mut self, orders: &mut dyn Orders, delay: Micros, step: Step) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -109,12 +109,12 @@
         let mut record = Record { now: 100_000 * MS, ..Record::default() };
         let mut control = Control::new(record.now, rows, &mut record);
         let list: Vec<Listed> = (0..servers).map(|n| listed(n, Standing::Ready, 0)).collect();
-        control.list(record.now, &mut record, ListKind::Saved, &list);
+        control.list(&mut record, ListKind::Saved, &list);
         Bench { control, record }
     }
 
     pub fn list(&mut self, entries: &[Listed]) {
-        self.control.list(self.record.now, &mut self.record, ListKind::Changes, entries);
+        self.control.list(&mut self.record, ListKind::Changes, entries);
     }
 
     pub fn arrive(&mut self, n: u8, function: &str, left: Micros) {
@@ -127,11 +127,11 @@
             lanes: 2,
             load_time: Some(1000 * MS),
         };
-        self.control.job(self.record.now, &mut self.record, &arrival);
+        self.control.job(&mut self.record, &arrival);
     }
 
     pub fn close(&mut self, n: u8, execution: usize, answer: &Answer) {
-        self.control.answered(self.record.now, &mut self.record, job(n), execution, answer);
+        self.control.answered(&mut self.record, job(n), execution, answer);
     }
 
     /// Lets time pass, with every timer that falls due.
@@ -143,9 +143,11 @@
         {
             let (due, token) = self.record.timers.swap_remove(at);
             self.record.now = due;
-            self.control.wake(due, &mut self.record, token);
+            self.control.clock(due);
+            self.control.wake(&mut self.record, token);
         }
         self.record.now = end;
+        self.control.clock(end);
     }
 
     pub fn sends(&self, n: u8) -> Vec<ServerId> {
