--- a/src/control.rs
+++ b/src/control.rs
@@ -75,6 +75,8 @@
 const COLD_CARE: f64 = 0.5;
 /// µs over which a worker's pace of finished work is averaged.
 const PACE_SPAN: f64 = 5_000_000.0;
+/// µs for which the best pace seen stays of use: a rollout may leave no warm worker to look at.
+const PACE_MEMORY: f64 = 60_000_000.0;
 /// Own loads under way at once to begin with.
 const LOADS_START: f64 = 12.0;
 /// Factor on them when loads turn slow or fail: three steps leave a third.
@@ -923,7 +925,7 @@
         self.wake_then(orders, BEAT, Box::new(|c, o, _| c.beat(o)));
         let span = self.rows.rules.fall_span;
         let warm_within = self.rows.rules.warm_within;
-        let (mut pace, mut weight) = (0.0, 0.0);
+        self.pace_per_weight *= 1.0 - BEAT as f64 / PACE_MEMORY;
         for s in self.servers.values_mut() {
             let part = BEAT as f64 / PACE_SPAN;
             s.pace += part * (s.done / BEAT as f64 - s.pace);
@@ -938,11 +940,9 @@
             }
             s.holds.retain(|_, h| h.out > 0 || h.loading.is_some() || h.serving_until > now);
             if s.open && (s.up_since == 0 || now >= s.up_since + warm_within) {
-                pace += s.pace;
-                weight += s.weight;
+                self.pace_per_weight = self.pace_per_weight.max(s.pace / s.weight);
             }
         }
-        self.pace_per_weight = if weight > 0.0 { pace / weight } else { 0.0 };
         self.silent_workers(orders);
         self.keep_loaded(orders);
         self.age_held();
