--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -162,6 +162,7 @@
                     workload: WorkloadId(position(&names.workloads, event, "type")?),
                     customer,
                     left: time(event, "left")?,
+                    retry: mark(event, "retry")?,
                     lanes: number_or(event, "at-once", 1.0)? as u32,
                     load_time: maybe(event, "start-ms").map(|_| time(event, "start-ms")).transpose()?,
                 };
--- a/src/control.rs
+++ b/src/control.rs
@@ -364,7 +364,9 @@
         function.rate = function.rate * (-((now - function.last) as f64) / FUNCTION_SPAN).exp() + 1.0;
         function.last = now;
         let over = arrival.customer.is_some_and(|customer| self.over_share(customer));
-        let share = if over { self.rows.over_share } else { 1.0 };
+        // A client's second try has lost its start target with the first one.
+        let late = if arrival.retry { self.workloads[arrival.workload.0].late_part } else { 1.0 };
+        let share = if over { self.rows.over_share } else { 1.0 } * late;
         let job = Job {
             function: arrival.function,
             workload: arrival.workload,
@@ -373,7 +375,7 @@
             value: (self.workloads[arrival.workload.0].importance * share * 1000.0) as u64,
             tried: Vec::new(),
             streaming: false,
-            late: false,
+            late: arrival.retry,
         };
         let waits = self.held.iter().any(|(_, _, id)| {
             let other = &self.jobs[id];
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -175,6 +175,8 @@
     pub customer: Option<CustomerId>,
     pub left: Micros,
     pub lanes: u32,
+    /// The client has tried before, where clients say so.
+    pub retry: bool,
     pub load_time: Option<Micros>,
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -125,6 +125,7 @@
             customer: Some(CustomerId(0)),
             left,
             lanes: 2,
+            retry: false,
             load_time: Some(1000 * MS),
         };
         self.control.job(&mut self.record, &arrival);
