--- a/src/control.rs
+++ b/src/control.rs
@@ -955,7 +955,7 @@
         for (_, came, id) in self.held.iter().copied().collect::<Vec<_>>() {
             let job = &self.jobs[&id];
             let row = &self.workloads[job.workload.0];
-            let late = now >= came + row.start_target && !loading.contains(&job.function);
+            let late = job.late && now >= came + 2 * BEAT && !loading.contains(&job.function);
             if late || now + LAST_CALL >= job.limit || (now as f64) + row.service > job.limit as f64 {
                 self.give_up(orders, id);
             }
