--- a/src/control.rs
+++ b/src/control.rs
@@ -152,6 +152,7 @@
     workload: WorkloadId,
     sent: Micros,
     serving: bool,
+    lost: bool,
     then: Step,
 }
 
@@ -589,7 +590,7 @@
                 c.closed(o, id, n, answer);
             }
         });
-        self.out.insert((id, n), Out { server, function, workload, sent: now, serving, then });
+        self.out.insert((id, n), Out { server, function, workload, sent: now, serving, lost: false, then });
         if !copy && self.rows.permits.second_copies && row.effect != Effect::RunOnce {
             let early = (row.start_target as f64 * HEDGE_PART) as Micros;
             let delay = if serving { early } else { self.hedge_delay(function, workload) };
@@ -727,8 +728,8 @@
         let Some(s) = self.servers.get_mut(&out.server) else { return };
         let row = &mut self.workloads[out.workload.0];
         let hold = s.holds.entry(out.function).or_default();
-        s.out = s.out.saturating_sub(1);
-        hold.out = hold.out.saturating_sub(1);
+        s.out = s.out.saturating_sub(u32::from(!out.lost));
+        hold.out = hold.out.saturating_sub(u32::from(!out.lost));
         if !out.serving {
             s.waiting = s.waiting.saturating_sub(1);
             hold.loading = None;
@@ -946,37 +947,50 @@
             }
         }
         self.silent_workers(orders);
+        self.lost_executions();
         self.keep_loaded(orders);
-        self.age_held();
+        self.look_at_held(orders);
         self.dispatch(orders);
+    }
+
+    /// Jobs that can no longer finish within their start target wait behind those that can, and only for a load; what
+    /// finds no room is pushed back. Without this the oldest go first when there is too much to do, and all are late.
+    fn look_at_held(&mut self, orders: &mut dyn Orders) {
+        let now = self.now;
         let holds = self.servers.values().flat_map(|s| &s.holds);
         let loading: BTreeSet<FunctionId> =
             holds.filter(|(_, h)| h.loading.is_some()).map(|(f, _)| *f).collect();
-        for (_, came, id) in self.held.iter().copied().collect::<Vec<_>>() {
-            let job = &self.jobs[&id];
+        for key in self.held.iter().copied().collect::<Vec<_>>() {
+            let job = self.jobs.get_mut(&key.2).expect("held jobs are kept");
             let row = &self.workloads[job.workload.0];
-            let late = job.late && now >= came + 2 * BEAT && !loading.contains(&job.function);
-            if late || now + LAST_CALL >= job.limit || (now as f64) + row.service > job.limit as f64 {
-                self.give_up(orders, id);
+            let done = now + row.service as Micros;
+            if job.late && now >= key.1 + 2 * BEAT && !loading.contains(&job.function)
+                || done.max(now + LAST_CALL) >= job.limit
+            {
+                self.give_up(orders, key.2);
+            } else if !job.late && done > key.1 + row.start_target {
+                job.value = (job.value as f64 * row.late_part) as u64;
+                job.late = true;
+                self.held.remove(&key);
+                self.held.insert((Reverse(job.value), key.1, key.2));
             }
         }
     }
 
-    /// Jobs that can no longer finish within their start target wait behind those that can: without this the
-    /// oldest go first when there is too much to do, and all are late.
-    fn age_held(&mut self) {
-        let due = |c: &Control, came: Micros, id: &JobId| {
-            let job = &c.jobs[id];
-            let row = &c.workloads[job.workload.0];
-            !job.late && c.now as f64 + row.service > (came + row.start_target) as f64
-        };
-        let late: Vec<_> = self.held.iter().copied().filter(|(_, came, id)| due(self, *came, id)).collect();
-        for key in late {
-            let job = self.jobs.get_mut(&key.2).expect("held jobs are kept");
-            job.value = (job.value as f64 * self.workloads[job.workload.0].late_part) as u64;
-            job.late = true;
-            self.held.remove(&key);
-            self.held.insert((Reverse(job.value), key.1, key.2));
+    /// An execution overdue at a worker that has answered later ones is lost, whatever lost it: it no longer takes
+    /// room there, or a lossy link or a stuck copy would fill the room with jobs that never end. In an overload it
+    /// could let one job too many in; answers that late shrink the room.
+    fn lost_executions(&mut self) {
+        for out in self.out.values_mut().filter(|o| o.serving && !o.lost) {
+            let target = self.workloads[out.workload.0].start_target;
+            if let Some(s) = self.servers.get_mut(&out.server)
+                && self.now > out.sent + target
+                && s.heard > out.sent + target / 2
+            {
+                out.lost = true;
+                s.out = s.out.saturating_sub(1);
+                s.holds.entry(out.function).and_modify(|h| h.out = h.out.saturating_sub(1));
+            }
         }
     }
 
