--- a/src/control.rs
+++ b/src/control.rs
@@ -69,6 +69,8 @@
 const ASIDE_MOST: Micros = 8_000_000;
 /// Overdue answers that make a worker silent: one can be a single slow job.
 const SILENT_JOBS: u32 = 2;
+/// Start targets after which an execution counts as lost where later ones were answered.
+const LOST_AFTER: u64 = 2;
 /// Jobs at once at which the doubling trickle ends: more than a worker usually has from one router.
 const TRICKLE_END: u32 = 16;
 /// Part of the allowed work that a cold worker is sent: figures for its capacity are guesses.
@@ -984,8 +986,8 @@
         for out in self.out.values_mut().filter(|o| o.serving && !o.lost) {
             let target = self.workloads[out.workload.0].start_target;
             if let Some(s) = self.servers.get_mut(&out.server)
-                && self.now > out.sent + target
-                && s.heard > out.sent + target / 2
+                && self.now > out.sent + LOST_AFTER * target
+                && s.heard > out.sent + target
             {
                 out.lost = true;
                 s.out = s.out.saturating_sub(1);
