--- a/src/control.rs
+++ b/src/control.rs
@@ -69,6 +69,8 @@
 const ASIDE_MOST: Micros = 8_000_000;
 /// Overdue answers that make a worker silent: one can be a single slow job.
 const SILENT_JOBS: u32 = 2;
+/// Part of the workers that may be set aside or on a trickle for errors: the others have to carry their work.
+const ASIDE_PART: f64 = 0.4;
 /// Start targets after which an execution counts as lost where later ones were answered.
 const LOST_AFTER: u64 = 2;
 /// Jobs at once at which the doubling trickle ends: more than a worker usually has from one router.
@@ -779,7 +781,7 @@
             Outcome::Error => {
                 s.errors += ERRORS_FRESH * (1.0 - s.errors);
                 if s.errors > ERRORS_HIGH || s.trickle.is_some() {
-                    self.set_aside(orders, out.server);
+                    self.set_aside_if_few(orders, out.server);
                 }
             }
             Outcome::NoConnection | Outcome::Broken => {
@@ -820,6 +822,17 @@
         }
     }
 
+    /// A worker that does part of its work is set aside only while few are: the rest must not drown.
+    fn set_aside_if_few(&mut self, orders: &mut dyn Orders, id: ServerId) {
+        let open = self.servers.values().filter(|s| s.open);
+        let (all, out) = open.fold((0.0, 0.0), |(all, out), s| {
+            (all + 1.0, out + f64::from(u8::from(s.aside(self.now) || s.trickle.is_some())))
+        });
+        if out < all * ASIDE_PART {
+            self.set_aside(orders, id);
+        }
+    }
+
     fn usable(&self, s: &Server, row: &Workload) -> bool {
         if s.aside(self.now) {
             return false;
@@ -949,7 +962,7 @@
             }
         }
         self.silent_workers(orders);
-        self.lost_executions();
+        self.lost_executions(orders);
         self.keep_loaded(orders);
         self.look_at_held(orders);
         self.dispatch(orders);
@@ -982,7 +995,8 @@
     /// An execution overdue at a worker that has answered later ones is lost, whatever lost it: it no longer takes
     /// room there, or a lossy link or a stuck copy would fill the room with jobs that never end. In an overload it
     /// could let one job too many in; answers that late shrink the room.
-    fn lost_executions(&mut self) {
+    fn lost_executions(&mut self, orders: &mut dyn Orders) {
+        let mut losing = BTreeSet::new();
         for out in self.out.values_mut().filter(|o| o.serving && !o.lost) {
             let target = self.workloads[out.workload.0].start_target;
             if let Some(s) = self.servers.get_mut(&out.server)
@@ -992,8 +1006,13 @@
                 out.lost = true;
                 s.out = s.out.saturating_sub(1);
                 s.holds.entry(out.function).and_modify(|h| h.out = h.out.saturating_sub(1));
+                s.errors += ERRORS_FRESH * (1.0 - s.errors);
+                if s.errors > ERRORS_HIGH {
+                    losing.insert(out.server);
+                }
             }
         }
+        losing.into_iter().for_each(|server| self.set_aside_if_few(orders, server));
     }
 
     /// A worker that owes two answers for longer than the full hedge delay, and has said nothing since they were
