--- a/src/control.rs
+++ b/src/control.rs
@@ -69,10 +69,6 @@
 const ASIDE_MOST: Micros = 8_000_000;
 /// Overdue answers that make a worker silent: one can be a single slow job.
 const SILENT_JOBS: u32 = 2;
-/// Part of the workers that may be set aside or on a trickle for errors: the others have to carry their work.
-const ASIDE_PART: f64 = 0.4;
-/// Start targets after which an execution counts as lost where later ones were answered.
-const LOST_AFTER: u64 = 2;
 /// Jobs at once at which the doubling trickle ends: more than a worker usually has from one router.
 const TRICKLE_END: u32 = 16;
 /// Part of the allowed work that a cold worker is sent: figures for its capacity are guesses.
@@ -156,7 +152,6 @@
     workload: WorkloadId,
     sent: Micros,
     serving: bool,
-    lost: bool,
     then: Step,
 }
 
@@ -594,7 +589,7 @@
                 c.closed(o, id, n, answer);
             }
         });
-        self.out.insert((id, n), Out { server, function, workload, sent: now, serving, lost: false, then });
+        self.out.insert((id, n), Out { server, function, workload, sent: now, serving, then });
         if !copy && self.rows.permits.second_copies && row.effect != Effect::RunOnce {
             let early = (row.start_target as f64 * HEDGE_PART) as Micros;
             let delay = if serving { early } else { self.hedge_delay(function, workload) };
@@ -732,8 +727,8 @@
         let Some(s) = self.servers.get_mut(&out.server) else { return };
         let row = &mut self.workloads[out.workload.0];
         let hold = s.holds.entry(out.function).or_default();
-        s.out = s.out.saturating_sub(u32::from(!out.lost));
-        hold.out = hold.out.saturating_sub(u32::from(!out.lost));
+        s.out = s.out.saturating_sub(1);
+        hold.out = hold.out.saturating_sub(1);
         if !out.serving {
             s.waiting = s.waiting.saturating_sub(1);
             hold.loading = None;
@@ -781,7 +776,7 @@
             Outcome::Error => {
                 s.errors += ERRORS_FRESH * (1.0 - s.errors);
                 if s.errors > ERRORS_HIGH || s.trickle.is_some() {
-                    self.set_aside_if_few(orders, out.server);
+                    self.set_aside(orders, out.server);
                 }
             }
             Outcome::NoConnection | Outcome::Broken => {
@@ -822,17 +817,6 @@
         }
     }
 
-    /// A worker that does part of its work is set aside only while few are: the rest must not drown.
-    fn set_aside_if_few(&mut self, orders: &mut dyn Orders, id: ServerId) {
-        let open = self.servers.values().filter(|s| s.open);
-        let (all, out) = open.fold((0.0, 0.0), |(all, out), s| {
-            (all + 1.0, out + f64::from(u8::from(s.aside(self.now) || s.trickle.is_some())))
-        });
-        if out < all * ASIDE_PART {
-            self.set_aside(orders, id);
-        }
-    }
-
     fn usable(&self, s: &Server, row: &Workload) -> bool {
         if s.aside(self.now) {
             return false;
@@ -962,7 +946,6 @@
             }
         }
         self.silent_workers(orders);
-        self.lost_executions(orders);
         self.keep_loaded(orders);
         self.look_at_held(orders);
         self.dispatch(orders);
@@ -992,29 +975,6 @@
         }
     }
 
-    /// An execution overdue at a worker that has answered later ones is lost, whatever lost it: it no longer takes
-    /// room there, or a lossy link or a stuck copy would fill the room with jobs that never end. In an overload it
-    /// could let one job too many in; answers that late shrink the room.
-    fn lost_executions(&mut self, orders: &mut dyn Orders) {
-        let mut losing = BTreeSet::new();
-        for out in self.out.values_mut().filter(|o| o.serving && !o.lost) {
-            let target = self.workloads[out.workload.0].start_target;
-            if let Some(s) = self.servers.get_mut(&out.server)
-                && self.now > out.sent + LOST_AFTER * target
-                && s.heard > out.sent + target
-            {
-                out.lost = true;
-                s.out = s.out.saturating_sub(1);
-                s.holds.entry(out.function).and_modify(|h| h.out = h.out.saturating_sub(1));
-                s.errors += ERRORS_FRESH * (1.0 - s.errors);
-                if s.errors > ERRORS_HIGH {
-                    losing.insert(out.server);
-                }
-            }
-        }
-        losing.into_iter().for_each(|server| self.set_aside_if_few(orders, server));
-    }
-
     /// A worker that owes two answers for longer than the full hedge delay, and has said nothing since they were
     /// sent, is silent: cut off, hung or dead without a word. One slow job or a load does not count, nor does a
     /// long queue, which still answers now and then. It could harm where every load takes that long.
