Let a worker that is full for a function rest from it for 0.3 s

Told from slow workers by the times. Also covers a worker without memory. It could harm where fullness lasts only moments.

--- a/src/control.rs
+++ b/src/control.rs
@@ -51,6 +51,8 @@
 const LAG_LOW: f64 = 0.2;
 /// Part of the start target that answers may take before room shrinks: half is left for chance.
 const LAG_HIGH: f64 = 0.33;
+/// µs for which a function is not sent to a worker that was full for it: a few jobs' work.
+const FULL_REST: Micros = 300_000;
 /// Weight of a new answer in the running figures: the last ten or so count.
 const FRESH: f64 = 0.15;
 /// Weight of a new answer in a workload's usual time: slow, so that a short queue does not change it.
@@ -170,6 +172,7 @@
     out: u32,
     serving_until: Micros,
     loading: Option<Micros>,
+    full_until: Micros,
 }
 
 #[derive(Default)]
@@ -485,11 +488,11 @@
             .filter(|s| self.may_send(job, **s) && self.usable(&self.servers[s], row))
             .map(|s| {
                 let server = &self.servers[s];
-                let own = server.holds.get(&function).map_or(0, |h| h.out);
+                let (own, full) = server.holds.get(&function).map_or((0, 0), |h| (h.out, h.full_until));
                 let crowd = (CROWD_FREE / routers).max(1.0) + CROWD * out_per_weight * server.weight;
                 // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
                 let bound = server.room.min(crowd) * if own == 0 { SMALL_EXTRA } else { 1.0 };
-                let room = own < lanes && f64::from(server.busy()) < bound;
+                let room = now >= full && own < lanes && f64::from(server.busy()) < bound;
                 (*s, server.serving(now, function), room)
             })
             .collect();
@@ -772,7 +775,11 @@
                 self.loads_slow();
             }
             Outcome::Missing => hold.serving_until = 0,
-            Outcome::Full => Self::cut_room(s, now, row.start_target / 4),
+            Outcome::Full => {
+                // No memory or no waiting room: sent again at once, all jobs of the function would be turned away.
+                hold.full_until = now + FULL_REST;
+                Self::cut_room(s, now, row.start_target / 4);
+            }
             Outcome::Error => {
                 s.errors += ERRORS_FRESH * (1.0 - s.errors);
                 if s.errors > ERRORS_HIGH || s.trickle.is_some() {
@@ -940,7 +947,9 @@
                 let usual = self.functions.get(f).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD);
                 h.loading = h.loading.filter(|since| now < since + HOLD_LOADS * usual);
             }
-            s.holds.retain(|_, h| h.out > 0 || h.loading.is_some() || h.serving_until > now);
+            s.holds.retain(|_, h| {
+                h.out > 0 || h.full_until > now || h.loading.is_some() || h.serving_until > now
+            });
             if s.open && (s.up_since == 0 || now >= s.up_since + warm_within) {
                 self.pace_per_weight = self.pace_per_weight.max(s.pace / s.weight);
             }
