--- a/src/control.rs
+++ b/src/control.rs
@@ -51,7 +51,7 @@
 const LAG_LOW: f64 = 0.2;
 /// Part of the start target that answers may take before room shrinks: half is left for chance.
 const LAG_HIGH: f64 = 0.33;
-/// µs for which a function is not sent to a worker that was full for it: a few jobs' work.
+/// µs for which nothing is sent to a worker that was full: a few jobs' work.
 const FULL_REST: Micros = 300_000;
 /// Weight of a new answer in the running figures: the last ten or so count.
 const FRESH: f64 = 0.15;
@@ -172,7 +172,6 @@
     out: u32,
     serving_until: Micros,
     loading: Option<Micros>,
-    full_until: Micros,
 }
 
 #[derive(Default)]
@@ -187,6 +186,7 @@
     room: f64,
     lag: f64,
     cut_at: Micros,
+    full_until: Micros,
     heard: Micros,
     errors: f64,
     aside: Option<Micros>,
@@ -488,11 +488,11 @@
             .filter(|s| self.may_send(job, **s) && self.usable(&self.servers[s], row))
             .map(|s| {
                 let server = &self.servers[s];
-                let (own, full) = server.holds.get(&function).map_or((0, 0), |h| (h.out, h.full_until));
+                let own = server.holds.get(&function).map_or(0, |h| h.out);
                 let crowd = (CROWD_FREE / routers).max(1.0) + CROWD * out_per_weight * server.weight;
                 // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
                 let bound = server.room.min(crowd) * if own == 0 { SMALL_EXTRA } else { 1.0 };
-                let room = now >= full && own < lanes && f64::from(server.busy()) < bound;
+                let room = now >= server.full_until && own < lanes && f64::from(server.busy()) < bound;
                 (*s, server.serving(now, function), room)
             })
             .collect();
@@ -776,8 +776,8 @@
             }
             Outcome::Missing => hold.serving_until = 0,
             Outcome::Full => {
-                // No memory or no waiting room: sent again at once, all jobs of the function would be turned away.
-                hold.full_until = now + FULL_REST;
+                // No memory or no waiting room: sent on at once, all that comes would be turned away.
+                s.full_until = now + FULL_REST;
                 Self::cut_room(s, now, row.start_target / 4);
             }
             Outcome::Error => {
@@ -947,9 +947,7 @@
                 let usual = self.functions.get(f).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD);
                 h.loading = h.loading.filter(|since| now < since + HOLD_LOADS * usual);
             }
-            s.holds.retain(|_, h| {
-                h.out > 0 || h.full_until > now || h.loading.is_some() || h.serving_until > now
-            });
+            s.holds.retain(|_, h| h.out > 0 || h.loading.is_some() || h.serving_until > now);
             if s.open && (s.up_since == 0 || now >= s.up_since + warm_within) {
                 self.pace_per_weight = self.pace_per_weight.max(s.pace / s.weight);
             }
