--- a/src/control.rs
+++ b/src/control.rs
@@ -51,7 +51,7 @@
 const LAG_LOW: f64 = 0.2;
 /// Part of the start target that answers may take before room shrinks: half is left for chance.
 const LAG_HIGH: f64 = 0.33;
-/// µs for which nothing is sent to a worker that was full: a few jobs' work.
+/// µs for which a function is not sent to a worker that was full for it: a few jobs' work.
 const FULL_REST: Micros = 300_000;
 /// Weight of a new answer in the running figures: the last ten or so count.
 const FRESH: f64 = 0.15;
@@ -172,6 +172,7 @@
     out: u32,
     serving_until: Micros,
     loading: Option<Micros>,
+    full_until: Micros,
 }
 
 #[derive(Default)]
@@ -186,7 +187,6 @@
     room: f64,
     lag: f64,
     cut_at: Micros,
-    full_until: Micros,
     heard: Micros,
     errors: f64,
     aside: Option<Micros>,
@@ -488,11 +488,11 @@
             .filter(|s| self.may_send(job, **s) && self.usable(&self.servers[s], row))
             .map(|s| {
                 let server = &self.servers[s];
-                let own = server.holds.get(&function).map_or(0, |h| h.out);
+                let (own, full) = server.holds.get(&function).map_or((0, 0), |h| (h.out, h.full_until));
                 let crowd = (CROWD_FREE / routers).max(1.0) + CROWD * out_per_weight * server.weight;
                 // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
                 let bound = server.room.min(crowd) * if own == 0 { SMALL_EXTRA } else { 1.0 };
-                let room = now >= server.full_until && own < lanes && f64::from(server.busy()) < bound;
+                let room = now >= full && own < lanes && f64::from(server.busy()) < bound;
                 (*s, server.serving(now, function), room)
             })
             .collect();
@@ -506,7 +506,8 @@
         let pending = self.functions[&function].order.iter().any(loading);
         // A copy that begins a load makes a slow store slower and more copies due: only few at a time.
         let bound = if job.tried.iter().any(|t| t.fate == Fate::Out) { COPY_LOADS } else { 1.0 };
-        let gate = (self.loads_under_way() as f64) < self.loads * bound;
+        let holds = self.servers.values().flat_map(|s| s.holds.values());
+        let gate = (holds.filter(|h| h.loading.is_some()).count() as f64) < self.loads * bound;
         if !home_serves && home_room && !pending && gate {
             if warm.is_some() && self.order_load(orders, home, function) {
                 return warm;
@@ -776,8 +777,8 @@
             }
             Outcome::Missing => hold.serving_until = 0,
             Outcome::Full => {
-                // No memory or no waiting room: sent on at once, all that comes would be turned away.
-                s.full_until = now + FULL_REST;
+                // No memory or no waiting room: sent again at once, all jobs of the function would be turned away.
+                hold.full_until = now + FULL_REST;
                 Self::cut_room(s, now, row.start_target / 4);
             }
             Outcome::Error => {
@@ -828,16 +829,9 @@
         if s.aside(self.now) {
             return false;
         }
-        if let Some(n) = s.trickle
-            && (s.out >= n || (row.effect == Effect::RunOnce && self.repeatable_exists()))
-        {
-            return false;
-        }
-        self.cold_budget(s, row.service)
-    }
-
-    fn repeatable_exists(&self) -> bool {
-        self.workloads.iter().any(|w| w.effect != Effect::RunOnce)
+        // A job that cannot be repeated does not go first where others can find out.
+        let risky = row.effect == Effect::RunOnce && self.workloads.iter().any(|w| w.effect != row.effect);
+        s.trickle.is_none_or(|n| s.out < n && !risky) && self.cold_budget(s, row.service)
     }
 
     // ---- Mechanism 2: fresh workers (rule 4) ---------------------------------------------------------------
@@ -870,10 +864,6 @@
         self.functions.get(&function).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD)
     }
 
-    fn loads_under_way(&self) -> usize {
-        self.servers.values().flat_map(|s| s.holds.values()).filter(|h| h.loading.is_some()).count()
-    }
-
     fn loads_slow(&mut self) {
         if self.now >= self.loads_cut {
             self.loads = (self.loads * LOADS_CUT).max(LOADS_LEAST);
@@ -947,7 +937,9 @@
                 let usual = self.functions.get(f).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD);
                 h.loading = h.loading.filter(|since| now < since + HOLD_LOADS * usual);
             }
-            s.holds.retain(|_, h| h.out > 0 || h.loading.is_some() || h.serving_until > now);
+            s.holds.retain(|_, h| {
+                h.out > 0 || h.full_until > now || h.loading.is_some() || h.serving_until > now
+            });
             if s.open && (s.up_since == 0 || now >= s.up_since + warm_within) {
                 self.pace_per_weight = self.pace_per_weight.max(s.pace / s.weight);
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -101,6 +101,8 @@
 pub struct Bench {
     pub control: Control,
     pub record: Record,
+    /// Jobs that arrive now are second tries.
+    pub retry: bool,
 }
 
 impl Bench {
@@ -110,7 +112,7 @@
         let mut control = Control::new(record.now, rows, &mut record);
         let list: Vec<Listed> = (0..servers).map(|n| listed(n, Standing::Ready, 0)).collect();
         control.list(&mut record, ListKind::Saved, &list);
-        Bench { control, record }
+        Bench { control, record, retry: false }
     }
 
     pub fn list(&mut self, entries: &[Listed]) {
@@ -125,7 +127,7 @@
             customer: Some(CustomerId(0)),
             left,
             lanes: 2,
-            retry: false,
+            retry: self.retry,
             load_time: Some(1000 * MS),
         };
         self.control.job(&mut self.record, &arrival);
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -109,6 +109,48 @@
     assert_eq!(bench.ends(3), vec![Did::PushBack(job(3))]);
 }
 
+// A worker that was full for a function is left alone by its next jobs for a moment.
+#[test_case(100, false; "still resting")]
+#[test_case(400, true; "tried again")]
+fn full_rests(wait_ms: Micros, again: bool) {
+    let mut bench = Bench::new(rows(Effect::Restartable), 8);
+    let home = bench.warm("hut");
+    bench.arrive(1, "hut", 5000 * MS);
+    bench.close(1, 0, &answer(Outcome::Full));
+    bench.pass(wait_ms * MS);
+    bench.arrive(2, "hut", 5000 * MS);
+    assert_eq!(bench.sends(2) == [home], again);
+}
+
+// A client's second try has lost its start target: it waits behind a first try that came later.
+#[test_case(false, 3; "oldest first")]
+#[test_case(true, 4; "a second try last")]
+fn second_tries(retry: bool, first: u8) {
+    let mut bench = Bench::new(rows(Effect::Restartable), 1);
+    bench.warm("hut");
+    (1..3).for_each(|n| bench.arrive(n, "hut", 5000 * MS));
+    bench.retry = retry;
+    bench.arrive(3, "hut", 5000 * MS);
+    bench.retry = false;
+    bench.arrive(4, "hut", 5000 * MS);
+    bench.close(1, 0, &answer(Outcome::Finished));
+    assert_eq!((bench.sends(3).len(), bench.sends(4).len()), if first == 3 { (1, 0) } else { (0, 1) });
+}
+
+// Routers together: each keeps less at a worker the more of them there are.
+#[test_case(1, 20; "one router")]
+#[test_case(8, 4; "eight routers")]
+fn room_by_routers(routers: u64, sends: usize) {
+    let mut bench = Bench::new(Startup { routers, ..rows(Effect::Restartable) }, 1);
+    for n in 1..21 {
+        bench.arrive(n, &format!("hut-{n}"), 5000 * MS);
+        bench.close(n, 0, &answer(Outcome::Finished));
+    }
+    (21..41).for_each(|n| bench.arrive(n, &format!("hut-{}", n - 20), 5000 * MS));
+    let sent = (21..41).filter(|n| !bench.sends(*n).is_empty()).count();
+    assert_eq!(sent, sends);
+}
+
 #[test]
 fn same_events_same_actions() {
     let run = || {
