--- a/src/control.rs
+++ b/src/control.rs
@@ -74,7 +74,7 @@
 /// Jobs at once at which the doubling trickle ends: more than a worker usually has from one router.
 const TRICKLE_END: u32 = 16;
 /// Part of the allowed work that a cold worker is sent: figures for its capacity are guesses.
-const COLD_CARE: f64 = 0.5;
+const COLD_CARE: f64 = 0.4;
 /// µs over which a worker's pace of finished work is averaged.
 const PACE_SPAN: f64 = 5_000_000.0;
 /// µs for which the best pace seen stays of use: a rollout may leave no warm worker to look at.
