--- a/src/control.rs
+++ b/src/control.rs
@@ -765,11 +765,7 @@
                     if answer.elapsed as f64 > usual * LOAD_SLOW {
                         self.loads_slow();
                     } else {
-                        // Grown only while in use, or a quiet hour would leave no bound for the next flush.
-                        let grown = (self.loads + 0.5).min(LOADS_MOST);
-                        let holds = self.servers.values().flat_map(|s| s.holds.values());
-                        let used = holds.filter(|h| h.loading.is_some()).count() as f64 * 2.0 >= self.loads;
-                        self.loads = if used { grown } else { self.loads };
+                        self.loads = (self.loads + 0.5).min(LOADS_MOST);
                         let load_time = &mut self.functions.get_mut(&out.function).expect("kept").load_time;
                         *load_time = load_time.or(Some(answer.elapsed.saturating_sub(row.service as Micros)));
                     }
