Count a customer's share by tokens at the exact share; only jobs beyond it wait last

Told from other causes by writing rooms and waiting jobs out: cores full, only the choice of jobs was wrong.

--- a/src/control.rs
+++ b/src/control.rs
@@ -101,10 +101,10 @@
 const HOLD_LOADS: u64 = 5;
 /// Part of the start target that overflow waits before it begins a load at the next worker.
 const SPREAD_PART: f64 = 0.25;
-/// Times a router's even part of a customer's share that counts as within it: routers are not alike.
-const SHARE_CARE: f64 = 1.2;
-/// µs over which a customer's rate is taken.
-const RATE_SPAN: f64 = 2_000_000.0;
+/// Times a router's even part of a customer's share that counts as within it: shares add up to about all there is.
+const SHARE_CARE: f64 = 1.0;
+/// µs of a customer's share saved up at most.
+const SHARE_SPAN: f64 = 2_000_000.0;
 /// µs before the client's time is up at which a held job is ended: more than one beat.
 const LAST_CALL: Micros = 30_000;
 /// Keep times after which a function nobody asks for is let go.
@@ -239,7 +239,7 @@
 
 struct Customer {
     jobs_per_s: f64,
-    rate: f64,
+    tokens: f64,
     at: Micros,
 }
 
@@ -284,7 +284,7 @@
             service: row.start_target as f64 * SERVICE_START,
         });
         let customers =
-            rows.customers.iter().map(|row| Customer { jobs_per_s: row.jobs_per_s, rate: 0.0, at: now });
+            rows.customers.iter().map(|row| Customer { jobs_per_s: row.jobs_per_s, tokens: 1.0, at: now });
         let mut control = Control {
             now,
             rng: Rand64::new(u128::from(rows.seed)),
@@ -910,13 +910,16 @@
 
     // ---- Mechanism 5: shares, and the regular look at what waits -------------------------------------------
 
-    /// Whether a customer now sends this router more than its part of the customer's share.
+    /// Whether a job is beyond what this router may count to its customer's share. Only the jobs beyond it wait last:
+    /// the rest of a customer that asks too much is worth as much as anyone's.
     fn over_share(&mut self, customer: CustomerId) -> bool {
         let row = &mut self.customers[customer.0];
-        row.rate = row.rate * (-((self.now - row.at) as f64) / RATE_SPAN).exp() + 1.0;
+        let per_us = row.jobs_per_s * SHARE_CARE / 1e6 / self.rows.routers.max(1) as f64;
+        row.tokens = (row.tokens + (self.now - row.at) as f64 * per_us).min((per_us * SHARE_SPAN).max(1.0));
         row.at = self.now;
-        let per_s = row.rate * 1e6 / RATE_SPAN;
-        per_s * self.rows.routers as f64 > row.jobs_per_s * SHARE_CARE
+        let over = row.tokens < 1.0;
+        row.tokens -= f64::from(u8::from(!over));
+        over
     }
 
     fn beat(&mut self, orders: &mut dyn Orders) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -103,6 +103,8 @@
     pub record: Record,
     /// Jobs that arrive now are second tries.
     pub retry: bool,
+    /// The customer that asks now.
+    pub customer: usize,
 }
 
 impl Bench {
@@ -112,7 +114,7 @@
         let mut control = Control::new(record.now, rows, &mut record);
         let list: Vec<Listed> = (0..servers).map(|n| listed(n, Standing::Ready, 0)).collect();
         control.list(&mut record, ListKind::Saved, &list);
-        Bench { control, record, retry: false }
+        Bench { control, record, retry: false, customer: 0 }
     }
 
     pub fn list(&mut self, entries: &[Listed]) {
@@ -124,7 +126,7 @@
             job: job(n),
             function: FunctionId::named(function),
             workload: WorkloadId(0),
-            customer: Some(CustomerId(0)),
+            customer: Some(CustomerId(self.customer)),
             left,
             lanes: 2,
             retry: self.retry,
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -137,6 +137,25 @@
     assert_eq!((bench.sends(3).len(), bench.sends(4).len()), if first == 3 { (1, 0) } else { (0, 1) });
 }
 
+// Only what a customer asks beyond its share waits last; what is within it keeps its place.
+#[test_case(1000.0, 3; "all within the share: oldest first")]
+#[test_case(1.0, 4; "the third job is beyond the share")]
+fn shares(jobs_per_s: f64, first: u8) {
+    let mut rows = rows(Effect::Restartable);
+    rows.customers = vec![CustomerRow { jobs_per_s }, CustomerRow { jobs_per_s: 1000.0 }];
+    let mut bench = Bench::new(rows, 1);
+    bench.customer = 1;
+    bench.warm("hut");
+    (1..3).for_each(|n| bench.arrive(n, "hut", 5000 * MS));
+    bench.customer = 0;
+    bench.arrive(5, "other", 5000 * MS);
+    bench.arrive(3, "hut", 5000 * MS);
+    bench.customer = 1;
+    bench.arrive(4, "hut", 5000 * MS);
+    bench.close(1, 0, &answer(Outcome::Finished));
+    assert_eq!((bench.sends(3).len(), bench.sends(4).len()), if first == 3 { (1, 0) } else { (0, 1) });
+}
+
 // Routers together: each keeps less at a worker the more of them there are.
 #[test_case(1, 20; "one router")]
 #[test_case(8, 4; "eight routers")]
