--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -24,7 +24,6 @@
     workloads: Vec<String>,
     customers: Vec<String>,
     zones: Vec<String>,
-    kinds: Vec<String>,
 }
 
 /// Writes what the decisions order as actions of the wire, in their order.
@@ -103,7 +102,7 @@
         if op == "boot" {
             let setup = object(event, "setup")?;
             let names = Names::read(setup)?;
-            let rows = startup(setup, &names, whole(event, "salt")?)?;
+            let rows = startup(setup, whole(event, "salt")?)?;
             let mut reply = Reply { names: &names, actions: Vec::new() };
             let control = Control::new(now, rows, &mut reply);
             let actions = reply.actions;
@@ -242,7 +241,6 @@
         },
         up_since: time_or_none(entry, "up-since")?,
         zone: place(&names.zones, "rack-zone")?.map(ZoneId),
-        kind: place(&names.kinds, "generation-hw")?.map(KindId),
         rack: RackId(number_or(entry, "group", 0.0)? as i64),
         weight: number_or(entry, "nominal", 1.0)?,
     })
@@ -263,13 +261,12 @@
             workloads: rows("lanes")?,
             customers: rows("projects")?,
             zones: plain("zones")?,
-            kinds: plain("kinds")?,
             ..Names::default()
         })
     }
 }
 
-fn startup(setup: &Value, names: &Names, seed: u64) -> Read<Startup> {
+fn startup(setup: &Value, seed: u64) -> Read<Startup> {
     let allowed = object(setup, "allowed")?;
     let rules = object(setup, "rules")?;
     let prices = object(setup, "penalties")?;
@@ -278,10 +275,6 @@
         seed,
         me: number_or(setup, "self-index", 0.0)? as u64,
         routers: (number_or(setup, "group-size", 1.0)? as u64).max(1),
-        zone: maybe(setup, "my-zone")
-            .map(|_| position(&names.zones, setup, "my-zone"))
-            .transpose()?
-            .map(ZoneId),
         workloads: array(setup, "lanes")?.iter().map(workload).collect::<Read<_>>()?,
         customers: maybe(setup, "projects")
             .and_then(Value::as_array)
@@ -303,18 +296,15 @@
             fall_multiple: number_or(rules, "fall-multiple", 1.0)?,
             fall_span: time_or_none(rules, "fall")?,
             load_window: time_or_none(own, "loads-within")?,
-            load_free: number_or(own, "load-free", 0.0)?,
-            load_share: number_or(own, "load-part", 0.0)?,
         },
         prices: Prices {
-            crossing: number_or(prices, "cross-zone", 0.0)?,
             fetch: number_or(prices, "origin", 0.0)?,
-            waste: number_or(prices, "waste", 0.0)?,
             probe: number_or(prices, "probe", 0.0)?,
             memory: number_or(own, "memory-price", 0.0)?,
         },
         over_share: number_or(setup, "over-share-worth", 1.0)?,
         keep: time_or_none(own, "keep")?,
+        list_by_asking: maybe(setup, "discovery").and_then(Value::as_str) == Some("ask"),
         weights_shared: maybe(setup, "weights").and_then(Value::as_str) != Some("live"),
     })
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,11 +1,11 @@
 //! All decisions of one router.
 //!
-//! How it is called: the owner of an instance makes one `Control` from the start-up rows and calls it once for
-//! each event (`clock` first, then `list`, `job`, `answered`, `stands`, `streaming`, `left` or `wake`), with an `Orders`.
+//! How it is called: an instance's owner makes one `Control` from the start-up rows and calls, for each
+//! event, `clock` and one of `list`, `job`, `answered`, `stands`, `streaming`, `left`, `wake`, with an `Orders`.
 //! Interface: `src/interface.rs` (ids, time, rows, `Answer`, `Orders`). No wire, no input or output here.
 //!
-//! The design (docs/design.md): a function's jobs go to its home, the first worker in a hash order that all routers
-//! share; lanes filled by this router's own jobs move on to the next worker; one copy after the hedge delay; what
+//! The design (docs/design.md): a function's jobs go to its home, the first worker in a hash order that all
+//! routers share; lanes filled by own jobs move on to the next worker; one copy after the hedge delay; what
 //! would begin a second load waits while this router's job at a worker not yet serving is unanswered.
 //!
 //! Mechanisms beside the design, six at most:
@@ -21,7 +21,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-// ---- Constants: unit, and why this size --------------------------------------------------------------------
+// ---- Constants: unit, and why this size ------------------------------------------------
 
 /// µs between two looks at what waits: far below any start target, far above a batch.
 const BEAT: Micros = 20_000;
@@ -41,11 +41,11 @@
 const ROOM_START: f64 = 16.0;
 /// Own jobs at a worker at least: it is heard of again, and many routers' ones are not a crowd.
 const ROOM_LEAST: f64 = 1.0;
-/// Own jobs at a worker at most: no bound that would not be reached anyway.
+/// Own jobs at a worker, and own loads under way, at most: beyond what either ever needs.
 const ROOM_MOST: f64 = 64.0;
 /// Jobs of all routers at a worker that are never a crowd: below this chance decides, not load.
 const CROWD_FREE: f64 = 5.0;
-/// Times the mean of own jobs a worker, by size, that make a crowd there: the usual bound of bounded-load hashing.
+/// Times the mean of own jobs a worker, by size, that make a crowd: the usual bound of bounded-load hashing.
 const CROWD: f64 = 1.5;
 /// Part of the start target under which answers let room grow.
 const LAG_LOW: f64 = 0.2;
@@ -87,8 +87,6 @@
 const COPY_LOADS: f64 = 0.25;
 /// Own loads under way at least.
 const LOADS_LEAST: f64 = 3.0;
-/// Own loads under way at most.
-const LOADS_MOST: f64 = 64.0;
 /// Times the usual load time at which a load counts as slow.
 const LOAD_SLOW: f64 = 2.5;
 /// Part of the mean of own jobs a worker up to which one is idle enough to spread to.
@@ -101,7 +99,7 @@
 const HOLD_LOADS: u64 = 5;
 /// Part of the start target that overflow waits before it begins a load at the next worker.
 const SPREAD_PART: f64 = 0.25;
-/// Times a router's even part of a customer's share that counts as within it: shares add up to about all there is.
+/// Times a router's even part of a customer's share that is within it: shares add up to about all there is.
 const SHARE_CARE: f64 = 1.0;
 /// µs of a customer's share saved up at most.
 const SHARE_SPAN: f64 = 2_000_000.0;
@@ -114,7 +112,7 @@
 /// µs named at least as a time to come back.
 const COME_BACK: Micros = 200_000;
 
-// ---- What is kept ------------------------------------------------------------------------------------------
+// ---- What is kept ----------------------------------------------------------------------
 
 /// What to do with the result of a step: an execution's answer, or nothing but the time.
 type Step = Box<dyn FnOnce(&mut Control, &mut dyn Orders, Option<&Answer>)>;
@@ -283,8 +281,8 @@
             late_part: row.late_part,
             service: row.start_target as f64 * SERVICE_START,
         });
-        let customers =
-            rows.customers.iter().map(|row| Customer { jobs_per_s: row.jobs_per_s, tokens: 1.0, at: now });
+        let full = |row: &CustomerRow| Customer { jobs_per_s: row.jobs_per_s, tokens: f64::MAX, at: now };
+        let customers = rows.customers.iter().map(full);
         let mut control = Control {
             now,
             rng: Rand64::new(u128::from(rows.seed)),
@@ -304,13 +302,15 @@
             loads_cut: now,
             pace_per_weight: 0.0,
         };
+        if control.rows.list_by_asking {
+            orders.watch();
+        }
         control.wake_then(orders, BEAT, Box::new(|c, o, _| c.beat(o)));
         control
     }
 
-    // ---- Events --------------------------------------------------------------------------------------------
+    // ---- Events ----------------------------------------------------------------------------
 
-    /// Sets the clock; called before any other event.
     pub fn clock(&mut self, now: Micros) {
         self.now = now;
     }
@@ -430,7 +430,6 @@
         }
     }
 
-    /// The client has left: nothing more is owed.
     pub fn left(&mut self, job: JobId) {
         self.forget(job);
     }
@@ -441,7 +440,7 @@
         }
     }
 
-    // ---- The ordinary path: home, next, hold, copy ---------------------------------------------------------
+    // ---- The ordinary path: home, next, hold, copy -----------------------------------------
 
     /// Sends what waits here, most valuable and oldest first, as far as there is room.
     fn dispatch(&mut self, orders: &mut dyn Orders) {
@@ -520,7 +519,7 @@
         if !home_serves && home_room && loading(&home) {
             return Some(home);
         }
-        // Overflow: it begins a load at the next worker only when no answer is awaited from one not yet serving,
+        // Overflow: it begins a load at the next worker only when no answer is awaited from a cold one,
         // and not for a crowd that is gone in a moment.
         let patient = now < job.came + (row.start_target as f64 * SPREAD_PART) as Micros;
         if pending || !gate || (home_serves && (patient || !self.heavy(home, function))) {
@@ -537,8 +536,8 @@
         Some(next)
     }
 
-    /// Whether a function is the one most asked for at a crowded worker, so that its moving helps: a small one would
-    /// begin a load, evict others and leave the crowd as it is.
+    /// Whether a function is the one most asked for at a crowded worker, so that its moving helps: a small one
+    /// would begin a load, evict others and leave the crowd as it is.
     fn heavy(&self, at: ServerId, function: FunctionId) -> bool {
         let part = |f: &FunctionId| {
             let row = &self.functions[f];
@@ -606,8 +605,8 @@
         2 * self.load_time(function) + self.workloads[workload.0].start_target
     }
 
-    /// The one copy that follows an execution that has not finished within the hedge delay. Before the full delay
-    /// it goes only to a worker that serves the function, unless the first one's worker was set aside.
+    /// The one copy that follows an execution that has not finished within the hedge delay. Before the full
+    /// delay it goes only to a worker that serves the function, unless the first one's worker was set aside.
     fn hedge(&mut self, orders: &mut dyn Orders, id: JobId, n: usize) {
         let Some(job) = self.jobs.get(&id) else { return };
         let alone = job.tried.len() == n + 1 && job.tried[n].fate == Fate::Out;
@@ -654,7 +653,7 @@
         self.held.insert((Reverse(job.value), job.came, id));
     }
 
-    // ---- Rules 1 and 2: one final answer, no effect twice --------------------------------------------------
+    // ---- Rules 1 and 2: one final answer, no effect twice ----------------------------------
 
     /// Whether the job may have another execution at all; `may_send` tells where.
     fn repeat_allowed(&self, job: &Job) -> bool {
@@ -686,7 +685,7 @@
         }
     }
 
-    /// The one end of a job that this router decides: pushed back where that is true to the rules, else killed.
+    /// The one end of a job that this router decides: pushed back where the rules allow it, else killed.
     fn give_up(&mut self, orders: &mut dyn Orders, id: JobId) {
         let Some(job) = self.jobs.get(&id).filter(|j| !j.streaming) else { return };
         let may_have_run = job.tried.iter().any(|t| t.fate != Fate::NeverRan);
@@ -722,7 +721,7 @@
         }
     }
 
-    // ---- What answers teach --------------------------------------------------------------------------------
+    // ---- What answers teach ----------------------------------------------------------------
 
     fn learn(&mut self, orders: &mut dyn Orders, out: &Out, answer: &Answer) {
         let now = self.now;
@@ -765,7 +764,7 @@
                     if answer.elapsed as f64 > usual * LOAD_SLOW {
                         self.loads_slow();
                     } else {
-                        self.loads = (self.loads + 0.5).min(LOADS_MOST);
+                        self.loads = (self.loads + 0.5).min(ROOM_MOST);
                         let load_time = &mut self.functions.get_mut(&out.function).expect("kept").load_time;
                         *load_time = load_time.or(Some(answer.elapsed.saturating_sub(row.service as Micros)));
                     }
@@ -777,7 +776,7 @@
             }
             Outcome::Missing => hold.serving_until = 0,
             Outcome::Full => {
-                // No memory or no waiting room: sent again at once, all jobs of the function would be turned away.
+                // No memory or no waiting room: without a rest all jobs of the function are turned away.
                 hold.full_until = now + FULL_REST;
                 Self::cut_room(s, now, row.start_target / 4);
             }
@@ -803,10 +802,10 @@
         }
     }
 
-    // ---- Mechanism 1: set aside ----------------------------------------------------------------------------
+    // ---- Mechanism 1: set aside ------------------------------------------------------------
 
-    /// Guards against a worker that errs, breaks, cannot be reached or is silent, whatever the cause: nothing new
-    /// goes there for a while and what waits there and may be repeated gets its copy now.
+    /// Guards against a worker that errs, breaks, cannot be reached or is silent, whatever the cause: nothing
+    /// new goes there for a while and what waits there and may be repeated gets its copy now.
     fn set_aside(&mut self, orders: &mut dyn Orders, id: ServerId) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&id) else { return };
@@ -834,10 +833,10 @@
         s.trickle.is_none_or(|n| s.out < n && !risky) && self.cold_budget(s, row.service)
     }
 
-    // ---- Mechanism 2: fresh workers (rule 4) ---------------------------------------------------------------
+    // ---- Mechanism 2: fresh workers (rule 4) -----------------------------------------------
 
     /// Whether a cold worker may be sent this much work now. Every router keeps to its own part: its turn by
-    /// number, and within a span no more than its own pace at like warm workers allows, which errs low because
+    /// number, and within a span no more than its own pace at like warm workers allows, which errs low as
     /// finished work never exceeds capacity.
     fn cold_budget(&self, s: &Server, work: f64) -> bool {
         let rules = &self.rows.rules;
@@ -858,7 +857,7 @@
         spent == 0.0 || spent + work <= allowed
     }
 
-    // ---- Mechanism 6: loads --------------------------------------------------------------------------------
+    // ---- Mechanism 6: loads ----------------------------------------------------------------
 
     fn load_time(&self, function: FunctionId) -> Micros {
         self.functions.get(&function).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD)
@@ -883,10 +882,11 @@
         true
     }
 
-    /// Keeps a function that is still asked for where it stands, by an order just before its keep time ends, when
-    /// the order costs less than the load it likely spares.
+    /// Keeps a function that is still asked for where it stands, by an order just before its keep time ends,
+    /// when an order and the memory cost less than a fetch.
     fn keep_loaded(&mut self, orders: &mut dyn Orders) {
-        if !self.rows.permits.load_orders || self.rows.rules.load_window > 0 {
+        let dear = self.rows.prices.probe + self.rows.prices.memory > self.rows.prices.fetch;
+        if !self.rows.permits.load_orders || self.rows.rules.load_window > 0 || dear {
             return;
         }
         let (now, keep) = (self.now, self.rows.keep);
@@ -908,10 +908,10 @@
         }
     }
 
-    // ---- Mechanism 5: shares, and the regular look at what waits -------------------------------------------
+    // ---- Mechanism 5: shares, and the regular look at what waits ---------------------------
 
-    /// Whether a job is beyond what this router may count to its customer's share. Only the jobs beyond it wait last:
-    /// the rest of a customer that asks too much is worth as much as anyone's.
+    /// Whether a job is beyond what this router may count to its customer's share. Only the jobs beyond it wait
+    /// last: the rest of a customer that asks too much is worth as much as anyone's.
     fn over_share(&mut self, customer: CustomerId) -> bool {
         let row = &mut self.customers[customer.0];
         let per_us = row.jobs_per_s * SHARE_CARE / 1e6 / self.rows.routers.max(1) as f64;
@@ -953,8 +953,8 @@
         self.dispatch(orders);
     }
 
-    /// Jobs that can no longer finish within their start target wait behind those that can, and only for a load; what
-    /// finds no room is pushed back. Without this the oldest go first when there is too much to do, and all are late.
+    /// Jobs that can no longer finish within their start target wait behind those that can, and only for a load;
+    /// what finds no room is pushed back. Else the oldest go first when there is too much to do, and all are late.
     fn look_at_held(&mut self, orders: &mut dyn Orders) {
         let now = self.now;
         let holds = self.servers.values().flat_map(|s| &s.holds);
@@ -977,9 +977,9 @@
         }
     }
 
-    /// A worker that owes two answers for longer than the full hedge delay, and has said nothing since they were
-    /// sent, is silent: cut off, hung or dead without a word. One slow job or a load does not count, nor does a
-    /// long queue, which still answers now and then. It could harm where every load takes that long.
+    /// A worker that owes two answers for longer than the full hedge delay, and has said nothing since they
+    /// were sent, is silent: cut off, hung or dead without a word. One slow job or a load does not count, nor
+    /// does a long queue, which still answers now and then. It could harm where every load takes that long.
     fn silent_workers(&mut self, orders: &mut dyn Orders) {
         let mut owed: BTreeMap<ServerId, u32> = BTreeMap::new();
         for out in self.out.values() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -48,10 +48,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub usize);
 
-/// A machine kind, by its position in the start-up list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct KindId(pub usize);
-
 /// A small set of model servers that know each other's fingerprints.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RackId(pub i64);
@@ -107,16 +103,12 @@
     pub fall_multiple: f64,
     pub fall_span: Micros,
     pub load_window: Micros,
-    pub load_free: f64,
-    pub load_share: f64,
 }
 
 /// What things cost, in parts of the result.
 #[derive(Clone, Debug)]
 pub struct Prices {
-    pub crossing: f64,
     pub fetch: f64,
-    pub waste: f64,
     pub probe: f64,
     pub memory: f64,
 }
@@ -127,7 +119,6 @@
     pub seed: u64,
     pub me: u64,
     pub routers: u64,
-    pub zone: Option<ZoneId>,
     pub workloads: Vec<WorkloadRow>,
     pub customers: Vec<CustomerRow>,
     pub permits: Permits,
@@ -135,7 +126,10 @@
     pub prices: Prices,
     pub over_share: f64,
     pub keep: Micros,
+    /// The weights in the list are the same for every router and do not follow the load.
     pub weights_shared: bool,
+    /// The list of model servers comes only to those that ask.
+    pub list_by_asking: bool,
 }
 
 /// How complete a list of model servers is.
@@ -161,7 +155,6 @@
     pub standing: Standing,
     pub up_since: Micros,
     pub zone: Option<ZoneId>,
-    pub kind: Option<KindId>,
     pub rack: RackId,
     pub weight: f64,
 }
