--- a/src/control.rs
+++ b/src/control.rs
@@ -1,7 +1,7 @@
 //! All decisions of one router.
 //!
 //! How it is called: an instance's owner makes one `Control` from the start-up rows and calls, for each
-//! event, `clock` and one of `list`, `job`, `answered`, `stands`, `streaming`, `left`, `wake`, with an `Orders`.
+//! event, `clock` and one of `list`, `job`, `answered`, `stands`, `streaming`, `left`, `wake`.
 //! Interface: `src/interface.rs` (ids, time, rows, `Answer`, `Orders`). No wire, no input or output here.
 //!
 //! The design (docs/design.md): a function's jobs go to its home, the first worker in a hash order that all
@@ -536,8 +536,8 @@
         Some(next)
     }
 
-    /// Whether a function is the one most asked for at a crowded worker, so that its moving helps: a small one
-    /// would begin a load, evict others and leave the crowd as it is.
+    /// Whether a function is the one most asked for at a crowded worker, so that its moving helps: a
+    /// small one would begin a load, evict others and leave the crowd as it is.
     fn heavy(&self, at: ServerId, function: FunctionId) -> bool {
         let part = |f: &FunctionId| {
             let row = &self.functions[f];
@@ -910,8 +910,8 @@
 
     // ---- Mechanism 5: shares, and the regular look at what waits ---------------------------
 
-    /// Whether a job is beyond what this router may count to its customer's share. Only the jobs beyond it wait
-    /// last: the rest of a customer that asks too much is worth as much as anyone's.
+    /// Whether a job is beyond what this router may count to its customer's share. Only such jobs wait last:
+    /// the rest of a customer that asks too much is worth as much as anyone's.
     fn over_share(&mut self, customer: CustomerId) -> bool {
         let row = &mut self.customers[customer.0];
         let per_us = row.jobs_per_s * SHARE_CARE / 1e6 / self.rows.routers.max(1) as f64;
@@ -953,8 +953,8 @@
         self.dispatch(orders);
     }
 
-    /// Jobs that can no longer finish within their start target wait behind those that can, and only for a load;
-    /// what finds no room is pushed back. Else the oldest go first when there is too much to do, and all are late.
+    /// Jobs that can no longer finish within their start target wait behind those that can, and only for a
+    /// load; what finds no room is pushed back. Else the oldest go first under overload, and all are late.
     fn look_at_held(&mut self, orders: &mut dyn Orders) {
         let now = self.now;
         let holds = self.servers.values().flat_map(|s| &s.holds);
