Count the other routers' jobs at a worker; cold budget from customers' shares, by chance

Cause: with 35 to 200 routers own jobs never fill a worker, so all crowded the homes (up to 80 % of executions answered full), and turns of a few ms starved fresh workers. A worker's crowd now includes the other routers' jobs: company told, reports, or this router's own mean times the rest; a function's jobs move on by chance beyond a worker's part.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -176,6 +176,7 @@
                     elapsed: time_or_none(event, "elapsed")?,
                     copy: copy_note(detail & 7),
                     company: detail >> 3,
+                    held: maybe(usage, "concurrent").and_then(Value::as_f64),
                     loads: maybe(usage, "x1").and_then(Value::as_f64),
                     busy: maybe(usage, "load_share").and_then(Value::as_f64),
                     queued: maybe(usage, "depth").and_then(Value::as_f64),
@@ -304,6 +305,7 @@
         },
         over_share: number_or(setup, "over-share-worth", 1.0)?,
         keep: time_or_none(own, "keep")?,
+        tells_company: mark(own, "says-company")?,
         list_by_asking: maybe(setup, "discovery").and_then(Value::as_str) == Some("ask"),
         weights_shared: maybe(setup, "weights").and_then(Value::as_str) != Some("live"),
     })
--- a/src/control.rs
+++ b/src/control.rs
@@ -37,15 +37,17 @@
 const HEDGE_AGAIN: Micros = 50_000;
 /// µs for which a job avoids a worker that has just turned it away.
 const REST: Micros = 200_000;
-/// Jobs of all routers at a worker to begin with: a few cores' worth.
+/// Jobs of all routers at a worker to begin with, where nothing tells its pace: a few cores' worth.
 const ROOM_START: f64 = 16.0;
-/// Own jobs at a worker at least: it is heard of again, and many routers' ones are not a crowd.
-const ROOM_LEAST: f64 = 1.0;
-/// Own jobs at a worker, and own loads under way, at most: beyond what either ever needs.
+/// Part of the start target whose work at a full pace is a worker's room to begin with.
+const ROOM_PART: f64 = 0.5;
+/// Jobs of all routers at a worker at least: it is heard of again.
+const ROOM_LEAST: f64 = 2.0;
+/// Jobs at a worker, and own loads under way, at most: beyond what either ever needs.
 const ROOM_MOST: f64 = 64.0;
 /// Jobs of all routers at a worker that are never a crowd: below this chance decides, not load.
 const CROWD_FREE: f64 = 5.0;
-/// Times the mean of own jobs a worker, by size, that make a crowd: the usual bound of bounded-load hashing.
+/// Times the mean of jobs a worker, by size, that make a crowd: the usual bound of bounded-load hashing.
 const CROWD: f64 = 1.5;
 /// Part of the start target under which answers let room grow.
 const LAG_LOW: f64 = 0.2;
@@ -53,8 +55,12 @@
 const LAG_HIGH: f64 = 0.33;
 /// µs for which a function is not sent to a worker that was full for it: a few jobs' work.
 const FULL_REST: Micros = 300_000;
-/// Weight of a new answer in the running figures: the last ten or so count.
+/// Weight of a new answer in the running figures at least: the last ten or so count.
 const FRESH: f64 = 0.15;
+/// µs after which what was heard of a worker has mostly lost its weight, however few answers came since.
+const SPAN: f64 = 10_000_000.0;
+/// Weight of a new sample of what stands at a worker: a sample is nearly the whole truth, but noisy.
+const CROWD_FRESH: f64 = 0.5;
 /// Weight of a new answer in a workload's usual time: slow, so that a short queue does not change it.
 const SERVICE_FRESH: f64 = 0.05;
 /// Part of the start target that a job is taken to need before any has finished.
@@ -63,7 +69,7 @@
 const ROOM_CUT: f64 = 0.75;
 /// Share of errors at which a worker is set aside: two errors close together, never one.
 const ERRORS_HIGH: f64 = 0.3;
-/// Weight of one answer in the share of errors.
+/// Weight of one answer in the share of errors at least.
 const ERRORS_FRESH: f64 = 0.2;
 /// µs set aside the first time; doubles with each relapse.
 const ASIDE: Micros = 500_000;
@@ -75,10 +81,8 @@
 const TRICKLE_END: u32 = 16;
 /// Part of the allowed work that a cold worker is sent: figures for its capacity are guesses.
 const COLD_CARE: f64 = 0.4;
-/// µs over which a worker's pace of finished work is averaged.
-const PACE_SPAN: f64 = 5_000_000.0;
-/// µs for which the best pace seen stays of use: a rollout may leave no warm worker to look at.
-const PACE_MEMORY: f64 = 60_000_000.0;
+/// Times its even part of the jobs that a cold worker is expected to be wanted for: hot functions, others full.
+const COLD_WANTED: f64 = 2.0;
 /// Own loads under way at once to begin with.
 const LOADS_START: f64 = 12.0;
 /// Factor on them when loads turn slow or fail: three steps leave a third.
@@ -89,10 +93,12 @@
 const LOADS_LEAST: f64 = 3.0;
 /// Times the usual load time at which a load counts as slow.
 const LOAD_SLOW: f64 = 2.5;
-/// Part of the mean of own jobs a worker up to which one is idle enough to spread to.
+/// Part of a worker's pace that one function's jobs of all routers may take before they move on.
+const FUNCTION_PART: f64 = 0.6;
+/// Part of the mean of jobs a worker up to which one is idle enough to spread to.
 const SPREAD_IDLE: f64 = 0.5;
-/// µs over which a function's rate is taken: a few jobs of one that matters.
-const FUNCTION_SPAN: f64 = 4_000_000.0;
+/// µs over which rates of jobs are taken: a few jobs of a function that matters.
+const RATE_SPAN: f64 = 15_000_000.0;
 /// Times the room of a worker that a function without a job there may use.
 const SMALL_EXTRA: f64 = 1.5;
 /// Usual load times after which an answer is no longer waited for before the next load: past twice the delay.
@@ -105,10 +111,6 @@
 const SHARE_SPAN: f64 = 2_000_000.0;
 /// µs before the client's time is up at which a held job is ended: more than one beat.
 const LAST_CALL: Micros = 30_000;
-/// Keep times after which a function nobody asks for is let go.
-const KEEP_FOR: u64 = 3;
-/// µs before the keep time ends at which an order renews it.
-const KEEP_AHEAD: Micros = 1_500_000;
 /// µs named at least as a time to come back.
 const COME_BACK: Micros = 200_000;
 
@@ -140,6 +142,8 @@
     came: Micros,
     limit: Micros,
     value: u64,
+    /// Its own throw of the dice.
+    chance: u64,
     tried: Vec<Tried>,
     streaming: bool,
     late: bool,
@@ -168,6 +172,8 @@
 #[derive(Default, Clone)]
 struct Holding {
     out: u32,
+    /// Jobs of other routers for the function there, as told or as this router's own ones let expect.
+    others: f64,
     serving_until: Micros,
     loading: Option<Micros>,
     full_until: Micros,
@@ -182,6 +188,8 @@
     weight: f64,
     out: u32,
     waiting: u32,
+    /// Jobs of other routers there, likewise.
+    others: f64,
     room: f64,
     lag: f64,
     cut_at: Micros,
@@ -191,8 +199,6 @@
     backoff: Micros,
     trickle: Option<u32>,
     cold_sent: VecDeque<(Micros, f64)>,
-    done: f64,
-    pace: f64,
     holds: BTreeMap<FunctionId, Holding>,
 }
 
@@ -204,7 +210,6 @@
             zone: entry.zone,
             rack: entry.rack,
             weight: if rows.weights_shared && entry.weight > 0.0 { entry.weight } else { 1.0 },
-            room: (ROOM_START / rows.routers.max(1) as f64).max(2.0),
             cut_at: now,
             heard: now,
             backoff: ASIDE,
@@ -212,9 +217,10 @@
         }
     }
 
-    /// Own jobs there that run or are about to: those that wait for a load take no core.
-    fn busy(&self) -> u32 {
-        self.out.saturating_sub(self.waiting)
+    /// Jobs there that run or are about to: those that wait for a load take no core. With many routers the
+    /// own ones say little, so what is heard of the others' ones counts too.
+    fn busy(&self) -> f64 {
+        f64::from(self.out.saturating_sub(self.waiting)) + self.others
     }
 
     fn aside(&self, now: Micros) -> bool {
@@ -259,7 +265,14 @@
     budget: f64,
     loads: f64,
     loads_cut: Micros,
-    pace_per_weight: f64,
+    /// Own jobs, as a rate times `RATE_SPAN`, until `job_at`.
+    rate: f64,
+    job_at: Micros,
+    /// Sum of weights of the ready workers, at the most and now; jobs there a weight.
+    weight_most: f64,
+    weight: f64,
+    busy_per_weight: f64,
+    mean_service: f64,
 }
 
 /// Mixes two ids into a place in a function's order; the same at every router.
@@ -272,6 +285,11 @@
     x ^ (x >> 32)
 }
 
+/// Whether a draw, given as evenly spread bits, comes up with this chance.
+fn draws(bits: u64, chance: f64) -> bool {
+    ((bits >> 11) as f64) < chance * (1u64 << 53) as f64
+}
+
 impl Control {
     pub fn new(now: Micros, rows: Startup, orders: &mut dyn Orders) -> Self {
         let workloads = rows.workloads.iter().map(|row| Workload {
@@ -300,8 +318,15 @@
             budget: BUDGET_MOST / 2.0,
             loads: LOADS_START,
             loads_cut: now,
-            pace_per_weight: 0.0,
+            rate: 0.0,
+            job_at: now,
+            weight_most: 0.0,
+            weight: 0.0,
+            busy_per_weight: 0.0,
+            mean_service: 1.0,
         };
+        let sum: f64 = control.workloads.iter().map(|w| w.service).sum();
+        control.mean_service = sum / control.workloads.len().max(1) as f64;
         if control.rows.list_by_asking {
             orders.watch();
         }
@@ -348,12 +373,31 @@
         }
         self.servers.retain(|_, s| s.open || s.out > 0);
         self.list_of += 1;
+        self.weight = self.servers.values().filter(|s| s.open).map(|s| s.weight).sum();
+        self.weight_most = self.weight_most.max(self.weight);
+        let target = self.workloads.iter().map(|w| w.start_target).min().unwrap_or(0) as f64;
+        let per_weight = self.capacity_per_weight() * target * ROOM_PART;
+        for s in self.servers.values_mut().filter(|s| s.room == 0.0) {
+            s.room = if per_weight > 0.0 { per_weight * s.weight } else { ROOM_START };
+            s.room = s.room.clamp(ROOM_LEAST, ROOM_MOST);
+        }
         self.dispatch(orders);
     }
 
+    /// Jobs a µs that a weight of warm workers can do, erring low: the customers' shares add up to about what
+    /// the fleet can do; where none are told, what all routers are seen to bring is done somehow.
+    fn capacity_per_weight(&self) -> f64 {
+        let shares = self.customers.iter().map(|c| c.jobs_per_s).sum::<f64>() / 1e6;
+        let seen = self.rate / RATE_SPAN * self.rows.routers as f64;
+        let all = if shares > 0.0 { shares } else { seen };
+        all / self.weight_most.max(1e-9)
+    }
+
     pub fn job(&mut self, orders: &mut dyn Orders, arrival: &Arrival) {
         let now = self.now;
         self.budget = (self.budget + BUDGET_PER_JOB).min(BUDGET_MOST);
+        self.rate = self.rate * (-((now - self.job_at) as f64) / RATE_SPAN).exp() + 1.0;
+        self.job_at = now;
         let function = self.functions.entry(arrival.function).or_insert(Function {
             lanes: 1,
             load_time: None,
@@ -364,7 +408,7 @@
         });
         function.lanes = arrival.lanes.max(1);
         function.load_time = arrival.load_time.or(function.load_time);
-        function.rate = function.rate * (-((now - function.last) as f64) / FUNCTION_SPAN).exp() + 1.0;
+        function.rate = function.rate * (-((now - function.last) as f64) / RATE_SPAN).exp() + 1.0;
         function.last = now;
         let over = arrival.customer.is_some_and(|customer| self.over_share(customer));
         // A client's second try has lost its start target with the first one.
@@ -376,6 +420,7 @@
             came: now,
             limit: now + arrival.left,
             value: (self.workloads[arrival.workload.0].importance * share * 1000.0) as u64,
+            chance: self.rng.rand_u64(),
             tried: Vec::new(),
             streaming: false,
             late: arrival.retry,
@@ -444,7 +489,7 @@
 
     /// Sends what waits here, most valuable and oldest first, as far as there is room.
     fn dispatch(&mut self, orders: &mut dyn Orders) {
-        let room = |s: &Server| s.open && f64::from(s.busy()) < s.room * SMALL_EXTRA && !s.aside(self.now);
+        let room = |s: &Server| s.open && s.busy() < s.room * SMALL_EXTRA && !s.aside(self.now);
         if !self.servers.values().any(room) {
             return;
         }
@@ -476,30 +521,54 @@
         self.order(function);
         let job = &self.jobs[&id];
         let row = &self.workloads[job.workload.0];
-        let lanes = self.functions[&function].lanes;
-        let open = || self.servers.values().filter(|s| s.open);
-        let out_per_weight = f64::from(open().map(Server::busy).sum::<u32>())
-            / open().map(|s| s.weight).sum::<f64>().max(1e-9);
-        let routers = self.rows.routers.max(1) as f64;
-        let usable: Vec<(ServerId, bool, bool)> = self.functions[&function]
-            .order
-            .iter()
-            .filter(|s| self.may_send(job, **s) && self.usable(&self.servers[s], row))
-            .map(|s| {
-                let server = &self.servers[s];
-                let (own, full) = server.holds.get(&function).map_or((0, 0), |h| (h.out, h.full_until));
-                let crowd = (CROWD_FREE / routers).max(1.0) + CROWD * out_per_weight * server.weight;
-                // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
-                let bound = server.room.min(crowd) * if own == 0 { SMALL_EXTRA } else { 1.0 };
-                let room = now >= full && own < lanes && f64::from(server.busy()) < bound;
-                (*s, server.serving(now, function), room)
-            })
-            .collect();
-        let warm = usable.iter().find(|(_, serving, room)| *serving && *room).map(|u| u.0);
+        let lanes = f64::from(self.functions[&function].lanes);
+        let (mut home, mut warm, mut next) = (None, None, None);
+        // Jobs a µs that the other routers are taken to have of this function: as many as this one had before
+        // this job, or a rare function's only job would look like one of many.
+        let before = (self.functions[&function].rate - 1.0).max(0.0);
+        let mut wanted = before / RATE_SPAN * (self.rows.routers - 1) as f64;
+        let takes = self.capacity_per_weight() * FUNCTION_PART;
+        for (place, id) in self.functions[&function].order.iter().enumerate() {
+            let server = &self.servers[id];
+            if !self.may_send(job, *id) || !self.usable(server, job, *id) {
+                continue;
+            }
+            // The lane bound where own jobs say little: what all routers are taken to bring beyond a worker's
+            // part moves on, by chance, so that their shares come out even.
+            let part = takes * server.weight;
+            if wanted > part && !draws(mix(job.chance, place as u64), part / wanted) {
+                wanted -= part;
+                continue;
+            }
+            let hold = server.holds.get(&function);
+            let (own, others, full) = hold.map_or((0, 0.0, 0), |h| (h.out, h.others, h.full_until));
+            let fresh = self.warmth(server);
+            let crowd = CROWD_FREE + CROWD * self.busy_per_weight * server.weight;
+            // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
+            let small = if own == 0 && others < 1.0 { SMALL_EXTRA } else { 1.0 };
+            let crowded = server.busy() >= server.room.min(crowd) * small * fresh;
+            let filled = f64::from(own) + others >= lanes;
+            let room = now >= full && !filled && !crowded;
+            let serving = server.serving(now, function);
+            // What the other routers alone fill is no crowd that is gone in a moment.
+            let lasting = others >= lanes || server.others >= server.room.min(crowd);
+            home = home.or(Some((*id, serving, room, lasting)));
+            if serving && room {
+                warm = Some(*id);
+                break;
+            }
+            let idle = server.busy() <= SPREAD_IDLE * self.busy_per_weight * server.weight;
+            if !serving && room && next.is_none() && (idle || home.is_none_or(|h| !h.1)) {
+                next = Some(*id);
+            }
+        }
         if early_copy {
             return warm;
         }
-        let (home, home_serves, home_room) = *usable.first()?;
+        let (home, home_serves, home_room, lasting) = home?;
+        if warm == Some(home) {
+            return warm;
+        }
         let loading =
             |s: &ServerId| self.servers[s].holds.get(&function).is_some_and(|h| h.loading.is_some());
         let pending = self.functions[&function].order.iter().any(loading);
@@ -521,19 +590,14 @@
         }
         // Overflow: it begins a load at the next worker only when no answer is awaited from a cold one,
         // and not for a crowd that is gone in a moment.
-        let patient = now < job.came + (row.start_target as f64 * SPREAD_PART) as Micros;
+        let patient = !lasting && now < job.came + (row.start_target as f64 * SPREAD_PART) as Micros;
         if pending || !gate || (home_serves && (patient || !self.heavy(home, function))) {
             return None;
         }
-        let idle = |s: &ServerId| {
-            f64::from(self.servers[s].busy()) <= SPREAD_IDLE * out_per_weight * self.servers[s].weight
-        };
-        let next =
-            usable.iter().find(|(s, serving, room)| !*serving && *room && (!home_serves || idle(s)))?.0;
-        if home_serves && self.order_load(orders, next, function) {
+        if home_serves && self.order_load(orders, next?, function) {
             return None;
         }
-        Some(next)
+        next
     }
 
     /// Whether a function is the one most asked for at a crowded worker, so that its moving helps: a
@@ -541,7 +605,7 @@
     fn heavy(&self, at: ServerId, function: FunctionId) -> bool {
         let part = |f: &FunctionId| {
             let row = &self.functions[f];
-            let rate = row.rate * (-((self.now - row.last) as f64) / FUNCTION_SPAN).exp();
+            let rate = row.rate * (-((self.now - row.last) as f64) / RATE_SPAN).exp();
             rate / self.servers.values().filter(|s| s.serving(self.now, *f)).count().max(1) as f64
         };
         let most = self.servers[&at].holds.keys().map(part).fold(0.0, f64::max);
@@ -584,7 +648,7 @@
         s.out += 1;
         s.waiting += u32::from(!serving);
         if now < s.up_since + self.rows.rules.warm_within && s.up_since > 0 {
-            s.cold_sent.push_back((now, row.service));
+            s.cold_sent.push_back((now, row.service / self.mean_service.max(1.0)));
         }
         orders.send(id, server, job.limit - now);
         let then: Step = Box::new(move |c, o, answer| {
@@ -727,9 +791,12 @@
         let now = self.now;
         let keep = self.rows.keep;
         let usual = self.load_time(out.function) as f64;
+        let others = (self.rows.routers - 1) as f64;
         let Some(s) = self.servers.get_mut(&out.server) else { return };
         let row = &mut self.workloads[out.workload.0];
         let hold = s.holds.entry(out.function).or_default();
+        // Rare answers weigh more each: with many routers the one before is long past.
+        let age = 1.0 - (-((now - s.heard) as f64) / SPAN).exp();
         s.out = s.out.saturating_sub(1);
         hold.out = hold.out.saturating_sub(1);
         if !out.serving {
@@ -739,19 +806,30 @@
         if matches!(answer.outcome, Outcome::Finished | Outcome::Missing | Outcome::Full | Outcome::Error) {
             s.heard = now;
         }
+        if self.rows.tells_company && matches!(answer.outcome, Outcome::Finished | Outcome::Full) {
+            let told = f64::from(answer.company) * others / (others + 1.0);
+            hold.others += CROWD_FRESH * (told - hold.others);
+        }
+        if let Some(held) = answer.held {
+            s.others += CROWD_FRESH * (held * others / (others + 1.0) - s.others);
+        }
         let stood = answer.copy == Copy::Stood || (answer.copy == Copy::Unsaid && out.serving);
         match answer.outcome {
             Outcome::Finished => {
                 (hold.loading, hold.serving_until) = (None, now + keep);
-                s.errors *= 1.0 - ERRORS_FRESH;
-                s.done += row.service;
+                s.errors *= 1.0 - age.max(ERRORS_FRESH);
                 if stood {
                     let part = answer.elapsed as f64 / row.start_target as f64;
                     row.service += SERVICE_FRESH * (answer.elapsed as f64 - row.service);
-                    s.lag += FRESH * (part - s.lag);
+                    self.mean_service += SERVICE_FRESH * (row.service - self.mean_service);
+                    // Each other router is taken to have as many there, on average, as this one.
+                    let mean = others * answer.elapsed as f64 / SPAN;
+                    hold.others += if self.rows.tells_company { 0.0 } else { mean };
+                    s.others += if answer.held.is_some() { 0.0 } else { mean };
+                    s.lag += age.max(FRESH) * (part - s.lag);
                     if s.lag > LAG_HIGH {
                         Self::cut_room(s, now, row.start_target);
-                    } else if s.lag < LAG_LOW && f64::from(s.busy()) + 2.0 >= s.room {
+                    } else if s.lag < LAG_LOW && s.busy() + 2.0 >= s.room {
                         s.room = (s.room + 1.0 / s.room).min(ROOM_MOST);
                     }
                 }
@@ -781,7 +859,7 @@
                 Self::cut_room(s, now, row.start_target / 4);
             }
             Outcome::Error => {
-                s.errors += ERRORS_FRESH * (1.0 - s.errors);
+                s.errors += age.max(ERRORS_FRESH) * (1.0 - s.errors);
                 if s.errors > ERRORS_HIGH || s.trickle.is_some() {
                     self.set_aside(orders, out.server);
                 }
@@ -796,7 +874,7 @@
 
     fn cut_room(s: &mut Server, now: Micros, rest: Micros) {
         if now >= s.cut_at {
-            s.room = (s.room.min(f64::from(s.busy()) + 1.0) * ROOM_CUT).max(ROOM_LEAST);
+            s.room = (s.room.min(s.busy() + 1.0) * ROOM_CUT).max(ROOM_LEAST);
             s.cut_at = now + rest;
             s.lag = s.lag.min(LAG_LOW);
         }
@@ -824,37 +902,50 @@
         }
     }
 
-    fn usable(&self, s: &Server, row: &Workload) -> bool {
+    fn usable(&self, s: &Server, job: &Job, id: ServerId) -> bool {
         if s.aside(self.now) {
             return false;
         }
+        let row = &self.workloads[job.workload.0];
         // A job that cannot be repeated does not go first where others can find out.
         let risky = row.effect == Effect::RunOnce && self.workloads.iter().any(|w| w.effect != row.effect);
-        s.trickle.is_none_or(|n| s.out < n && !risky) && self.cold_budget(s, row.service)
+        s.trickle.is_none_or(|n| s.out < n && !risky) && self.cold_budget(s, job, id)
     }
 
     // ---- Mechanism 2: fresh workers (rule 4) -----------------------------------------------
 
-    /// Whether a cold worker may be sent this much work now. Every router keeps to its own part: its turn by
-    /// number, and within a span no more than its own pace at like warm workers allows, which errs low as
-    /// finished work never exceeds capacity.
-    fn cold_budget(&self, s: &Server, work: f64) -> bool {
+    /// The part of its full pace that a worker has for certain: it rises about evenly from the cold share.
+    fn warmth(&self, s: &Server) -> f64 {
         let rules = &self.rows.rules;
         if s.up_since == 0 || self.now >= s.up_since + rules.warm_within {
-            return true;
+            return 1.0;
         }
-        let age = self.now.saturating_sub(s.up_since);
-        let turn = (rules.fall_span / self.rows.routers.max(1)).max(1);
-        if (age / turn) % self.rows.routers.max(1) != self.rows.me {
-            return false;
+        let warm = self.now.saturating_sub(s.up_since) as f64 / rules.warm_within as f64;
+        rules.cold_share + (1.0 - rules.cold_share) * warm
+    }
+
+    /// Whether a cold worker may be sent this job now. Each router keeps to its even part of what the worker
+    /// may be sent in a span. Where that part is less than a job, chance decides, by how many jobs this router
+    /// is expected to have for the worker in a span; one job draws once for a worker however often it asks.
+    fn cold_budget(&self, s: &Server, job: &Job, id: ServerId) -> bool {
+        let rules = &self.rows.rules;
+        let warmth = self.warmth(s);
+        if warmth >= 1.0 {
+            return true;
         }
-        let warm = age as f64 / rules.warm_within.max(1) as f64;
-        let share = rules.cold_share + (1.0 - rules.cold_share) * warm;
-        let pace = self.pace_per_weight * s.weight;
-        let allowed = rules.fall_multiple * share * pace * rules.fall_span as f64 * COLD_CARE;
+        let routers = self.rows.routers as f64;
+        let span = rules.fall_span as f64;
+        let pace = self.capacity_per_weight() * s.weight;
+        let part = rules.fall_multiple * warmth * pace * span * COLD_CARE / routers;
         let recent = s.cold_sent.iter().filter(|(at, _)| at + rules.fall_span > self.now);
         let spent: f64 = recent.map(|(_, work)| work).sum();
-        spent == 0.0 || spent + work <= allowed
+        let work = self.workloads[job.workload.0].service / self.mean_service.max(1.0);
+        if spent + work <= part {
+            return true;
+        }
+        let even = COLD_WANTED * self.rate * s.weight / self.weight.max(1e-9);
+        let wanted = even.max(self.functions[&job.function].rate) / RATE_SPAN * span * work;
+        spent == 0.0 && draws(mix(job.chance, id.0), part / wanted.max(part))
     }
 
     // ---- Mechanism 6: loads ----------------------------------------------------------------
@@ -882,32 +973,6 @@
         true
     }
 
-    /// Keeps a function that is still asked for where it stands, by an order just before its keep time ends,
-    /// when an order and the memory cost less than a fetch.
-    fn keep_loaded(&mut self, orders: &mut dyn Orders) {
-        let dear = self.rows.prices.probe + self.rows.prices.memory > self.rows.prices.fetch;
-        if !self.rows.permits.load_orders || self.rows.rules.load_window > 0 || dear {
-            return;
-        }
-        let (now, keep) = (self.now, self.rows.keep);
-        let asked = |f: &Function| now < f.last + keep * KEEP_FOR;
-        let wanted = self.functions.iter().filter(|(_, f)| asked(f)).map(|(id, _)| *id);
-        for function in wanted.collect::<Vec<_>>() {
-            self.order(function);
-            let order = &self.functions[&function].order;
-            let Some(home) = order.first().copied() else { continue };
-            let s = self.servers.get_mut(&home).expect("the order holds known workers");
-            let aside = s.aside(now);
-            let due = |h: &&mut Holding| {
-                h.out == 0 && h.loading.is_none() && (now..now + KEEP_AHEAD).contains(&h.serving_until)
-            };
-            if let Some(hold) = s.holds.get_mut(&function).filter(due).filter(|_| !aside) {
-                hold.serving_until = now + KEEP_AHEAD;
-                orders.load(home, function, 1);
-            }
-        }
-    }
-
     // ---- Mechanism 5: shares, and the regular look at what waits ---------------------------
 
     /// Whether a job is beyond what this router may count to its customer's share. Only such jobs wait last:
@@ -926,12 +991,9 @@
         let now = self.now;
         self.wake_then(orders, BEAT, Box::new(|c, o, _| c.beat(o)));
         let span = self.rows.rules.fall_span;
-        let warm_within = self.rows.rules.warm_within;
-        self.pace_per_weight *= 1.0 - BEAT as f64 / PACE_MEMORY;
+        let fade = 1.0 - BEAT as f64 / SPAN;
         for s in self.servers.values_mut() {
-            let part = BEAT as f64 / PACE_SPAN;
-            s.pace += part * (s.done / BEAT as f64 - s.pace);
-            s.done = 0.0;
+            s.others *= fade;
             while s.cold_sent.front().is_some_and(|(at, _)| at + span <= now) {
                 s.cold_sent.pop_front();
             }
@@ -939,16 +1001,15 @@
             for (f, h) in &mut s.holds {
                 let usual = self.functions.get(f).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD);
                 h.loading = h.loading.filter(|since| now < since + HOLD_LOADS * usual);
+                h.others *= fade;
             }
             s.holds.retain(|_, h| {
                 h.out > 0 || h.full_until > now || h.loading.is_some() || h.serving_until > now
             });
-            if s.open && (s.up_since == 0 || now >= s.up_since + warm_within) {
-                self.pace_per_weight = self.pace_per_weight.max(s.pace / s.weight);
-            }
         }
+        let open = self.servers.values().filter(|s| s.open);
+        self.busy_per_weight = open.map(Server::busy).sum::<f64>() / self.weight.max(1e-9);
         self.silent_workers(orders);
-        self.keep_loaded(orders);
         self.look_at_held(orders);
         self.dispatch(orders);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -126,6 +126,8 @@
     pub prices: Prices,
     pub over_share: f64,
     pub keep: Micros,
+    /// Answers tell how many jobs of the same function the model server held.
+    pub tells_company: bool,
     /// The weights in the list are the same for every router and do not follow the load.
     pub weights_shared: bool,
     /// The list of model servers comes only to those that ask.
@@ -207,6 +209,8 @@
     pub copy: Copy,
     /// Jobs of the function that the model server held when this one came, where told.
     pub company: u32,
+    /// Jobs of all functions that it holds, where reported.
+    pub held: Option<f64>,
     /// Loads under way or waiting there, where reported.
     pub loads: Option<f64>,
     /// Share of the cores that is busy, where reported.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -71,6 +71,7 @@
         prices: Prices { fetch: 0.1, probe: 0.0, memory: 0.0 },
         over_share: 0.1,
         keep: 10_000 * MS,
+        tells_company: false,
         weights_shared: true,
         list_by_asking: false,
     }
@@ -92,7 +93,7 @@
 pub fn answer(outcome: Outcome) -> Answer {
     let closed = outcome == Outcome::Finished;
     let copy = if closed { Copy::Stood } else { Copy::Unsaid };
-    Answer { outcome, closed, elapsed: 50 * MS, copy, company: 0, loads: None, busy: None, queued: None }
+    Answer { outcome, closed, elapsed: 50 * MS, copy, company: 0, held: None, loads: None, busy: None, queued: None }
 }
 
 /// One instance with its record and its clock.
