--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -24,6 +24,7 @@
     workloads: Vec<String>,
     customers: Vec<String>,
     zones: Vec<String>,
+    kinds: Vec<String>,
 }
 
 /// Writes what the decisions order as actions of the wire, in their order.
@@ -242,6 +243,7 @@
         },
         up_since: time_or_none(entry, "up-since")?,
         zone: place(&names.zones, "rack-zone")?.map(ZoneId),
+        kind: place(&names.kinds, "generation-hw")?.map(KindId).unwrap_or_default(),
         rack: RackId(number_or(entry, "group", 0.0)? as i64),
         weight: number_or(entry, "nominal", 1.0)?,
     })
@@ -262,6 +264,7 @@
             workloads: rows("lanes")?,
             customers: rows("projects")?,
             zones: plain("zones")?,
+            kinds: plain("kinds")?,
             ..Names::default()
         })
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -67,6 +67,8 @@
 const SERVICE_START: f64 = 0.2;
 /// Factor on room at each shrinking: two steps halve it.
 const ROOM_CUT: f64 = 0.75;
+/// Factor by which one answer moves what a kind of worker is taken to need: some twenty answers for a half.
+const KIND_STEP: f64 = 1.04;
 /// Share of errors at which a worker is set aside: two errors close together, never one.
 const ERRORS_HIGH: f64 = 0.3;
 /// Weight of one answer in the share of errors at least.
@@ -185,6 +187,7 @@
     up_since: Micros,
     zone: Option<ZoneId>,
     rack: RackId,
+    kind: KindId,
     weight: f64,
     out: u32,
     waiting: u32,
@@ -209,6 +212,7 @@
             up_since: entry.up_since,
             zone: entry.zone,
             rack: entry.rack,
+            kind: entry.kind,
             weight: if rows.weights_shared && entry.weight > 0.0 { entry.weight } else { 1.0 },
             cut_at: now,
             heard: now,
@@ -268,11 +272,15 @@
     /// Own jobs, as a rate times `RATE_SPAN`, until `job_at`.
     rate: f64,
     job_at: Micros,
-    /// Sum of weights of the ready workers, at the most and now; jobs there a weight.
-    weight_most: f64,
+    /// Sum of sizes of the ready workers, of listed weights at the most, and the part of these that is left.
     weight: f64,
+    listed_most: f64,
+    share_left: f64,
+    /// Jobs at workers for each size.
     busy_per_weight: f64,
     mean_service: f64,
+    /// Usual time of a job at workers of each kind, as a part of the workload's.
+    slowness: BTreeMap<KindId, f64>,
 }
 
 /// Mixes two ids into a place in a function's order; the same at every router.
@@ -320,10 +328,12 @@
             loads_cut: now,
             rate: 0.0,
             job_at: now,
-            weight_most: 0.0,
-            weight: 0.0,
+            weight: 1e-9,
+            listed_most: 0.0,
+            share_left: 1.0,
             busy_per_weight: 0.0,
             mean_service: 1.0,
+            slowness: BTreeMap::new(),
         };
         let sum: f64 = control.workloads.iter().map(|w| w.service).sum();
         control.mean_service = sum / control.workloads.len().max(1) as f64;
@@ -373,24 +383,42 @@
         }
         self.servers.retain(|_, s| s.open || s.out > 0);
         self.list_of += 1;
-        self.weight = self.servers.values().filter(|s| s.open).map(|s| s.weight).sum();
-        self.weight_most = self.weight_most.max(self.weight);
+        entries.iter().for_each(|e| {
+            self.slowness.entry(e.kind).or_insert(1.0);
+        });
+        self.weigh();
         let target = self.workloads.iter().map(|w| w.start_target).min().unwrap_or(0) as f64;
         let per_weight = self.capacity_per_weight() * target * ROOM_PART;
         for s in self.servers.values_mut().filter(|s| s.room == 0.0) {
-            s.room = if per_weight > 0.0 { per_weight * s.weight } else { ROOM_START };
+            s.room = if per_weight > 0.0 { per_weight * s.weight / self.slowness[&s.kind] } else { ROOM_START };
             s.room = s.room.clamp(ROOM_LEAST, ROOM_MOST);
         }
         self.dispatch(orders);
     }
 
+    /// A worker's size against others: what the list says, corrected by what its kind is seen to take for a
+    /// job, as the list may count cores whatever their pace.
+    fn size(&self, s: &Server) -> f64 {
+        s.weight / self.slowness[&s.kind]
+    }
+
+    fn weigh(&mut self) {
+        let open = || self.servers.values().filter(|s| s.open);
+        let weight = open().map(|s| self.size(s)).sum::<f64>().max(1e-9);
+        let listed = open().map(|s| s.weight).sum::<f64>();
+        self.busy_per_weight = open().map(Server::busy).sum::<f64>() / weight;
+        self.listed_most = self.listed_most.max(listed);
+        self.weight = weight;
+        self.share_left = listed / self.listed_most.max(1e-9);
+    }
+
     /// Jobs a µs that a weight of warm workers can do, erring low: the customers' shares add up to about what
     /// the fleet can do; where none are told, what all routers are seen to bring is done somehow.
     fn capacity_per_weight(&self) -> f64 {
         let shares = self.customers.iter().map(|c| c.jobs_per_s).sum::<f64>() / 1e6;
         let seen = self.rate / RATE_SPAN * self.rows.routers as f64;
         let all = if shares > 0.0 { shares } else { seen };
-        all / self.weight_most.max(1e-9)
+        all * self.share_left / self.weight
     }
 
     pub fn job(&mut self, orders: &mut dyn Orders, arrival: &Arrival) {
@@ -535,7 +563,7 @@
             }
             // The lane bound where own jobs say little: what all routers are taken to bring beyond a worker's
             // part moves on, by chance, so that their shares come out even.
-            let part = takes * server.weight;
+            let part = takes * self.size(server);
             if wanted > part && !draws(mix(job.chance, place as u64), part / wanted) {
                 wanted -= part;
                 continue;
@@ -543,7 +571,7 @@
             let hold = server.holds.get(&function);
             let (own, others, full) = hold.map_or((0, 0.0, 0), |h| (h.out, h.others, h.full_until));
             let fresh = self.warmth(server);
-            let crowd = CROWD_FREE + CROWD * self.busy_per_weight * server.weight;
+            let crowd = CROWD_FREE + CROWD * self.busy_per_weight * self.size(server);
             // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
             let small = if own == 0 && others < 1.0 { SMALL_EXTRA } else { 1.0 };
             let crowded = server.busy() >= server.room.min(crowd) * small * fresh;
@@ -557,7 +585,7 @@
                 warm = Some(*id);
                 break;
             }
-            let idle = server.busy() <= SPREAD_IDLE * self.busy_per_weight * server.weight;
+            let idle = server.busy() <= SPREAD_IDLE * self.busy_per_weight * self.size(server);
             if !serving && room && next.is_none() && (idle || home.is_none_or(|h| !h.1)) {
                 next = Some(*id);
             }
@@ -820,6 +848,9 @@
                 s.errors *= 1.0 - age.max(ERRORS_FRESH);
                 if stood {
                     let part = answer.elapsed as f64 / row.start_target as f64;
+                    // The median by small steps: a queue or a long job moves it little.
+                    let slowness = self.slowness.entry(s.kind).or_insert(1.0);
+                    *slowness *= if answer.elapsed as f64 > row.service * *slowness { KIND_STEP } else { 1.0 / KIND_STEP };
                     row.service += SERVICE_FRESH * (answer.elapsed as f64 - row.service);
                     self.mean_service += SERVICE_FRESH * (row.service - self.mean_service);
                     // Each other router is taken to have as many there, on average, as this one.
@@ -935,7 +966,7 @@
         }
         let routers = self.rows.routers as f64;
         let span = rules.fall_span as f64;
-        let pace = self.capacity_per_weight() * s.weight;
+        let pace = self.capacity_per_weight() * self.size(s);
         let part = rules.fall_multiple * warmth * pace * span * COLD_CARE / routers;
         let recent = s.cold_sent.iter().filter(|(at, _)| at + rules.fall_span > self.now);
         let spent: f64 = recent.map(|(_, work)| work).sum();
@@ -943,7 +974,7 @@
         if spent + work <= part {
             return true;
         }
-        let even = COLD_WANTED * self.rate * s.weight / self.weight.max(1e-9);
+        let even = COLD_WANTED * self.rate * self.size(s) / self.weight;
         let wanted = even.max(self.functions[&job.function].rate) / RATE_SPAN * span * work;
         spent == 0.0 && draws(mix(job.chance, id.0), part / wanted.max(part))
     }
@@ -1007,8 +1038,7 @@
                 h.out > 0 || h.full_until > now || h.loading.is_some() || h.serving_until > now
             });
         }
-        let open = self.servers.values().filter(|s| s.open);
-        self.busy_per_weight = open.map(Server::busy).sum::<f64>() / self.weight.max(1e-9);
+        self.weigh();
         self.silent_workers(orders);
         self.look_at_held(orders);
         self.dispatch(orders);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -68,6 +68,10 @@
     RunOnce,
 }
 
+/// A kind of machine, by its position in the start-up list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KindId(pub usize);
+
 /// One row a workload.
 #[derive(Clone, Debug)]
 pub struct WorkloadRow {
@@ -158,6 +162,7 @@
     pub up_since: Micros,
     pub zone: Option<ZoneId>,
     pub rack: RackId,
+    pub kind: KindId,
     pub weight: f64,
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,7 +83,7 @@
 
 pub fn listed(n: u64, standing: Standing, up_since: Micros) -> Listed {
     let rack = RackId(n as i64 / 2);
-    Listed { server: server(n), standing, up_since, zone: Some(ZoneId(0)), rack, weight: 1.0 }
+    Listed { server: server(n), standing, up_since, zone: Some(ZoneId(0)), rack, kind: KindId(0), weight: 1.0 }
 }
 
 pub fn job(n: u8) -> JobId {
