--- a/src/control.rs
+++ b/src/control.rs
@@ -41,8 +41,10 @@
 const ROOM_START: f64 = 16.0;
 /// Part of the start target whose work at a full pace is a worker's room to begin with.
 const ROOM_PART: f64 = 0.5;
-/// Jobs of all routers at a worker at least: it is heard of again.
-const ROOM_LEAST: f64 = 2.0;
+/// Jobs of all routers at a worker at least, as a multiple of those that fill its cores: none may starve.
+const ROOM_LEAST: f64 = 1.0;
+/// Jobs of all routers at a worker at least, where its pace is not known.
+const ROOM_FEW: f64 = 2.0;
 /// Jobs at a worker, and own loads under way, at most: beyond what either ever needs.
 const ROOM_MOST: f64 = 64.0;
 /// Jobs of all routers at a worker that are never a crowd: below this chance decides, not load.
@@ -103,6 +105,8 @@
 const RATE_SPAN: f64 = 15_000_000.0;
 /// Times the room of a worker that a function without a job there may use.
 const SMALL_EXTRA: f64 = 1.5;
+/// Part of that span's weight that a router which has just started is taken to have seen at least.
+const RATE_KNOWN: f64 = 0.07;
 /// Usual load times after which an answer is no longer waited for before the next load: past twice the delay.
 const HOLD_LOADS: u64 = 5;
 /// Part of the start target that overflow waits before it begins a load at the next worker.
@@ -194,6 +198,7 @@
     /// Jobs of other routers there, likewise.
     others: f64,
     room: f64,
+    least: f64,
     lag: f64,
     cut_at: Micros,
     heard: Micros,
@@ -279,6 +284,7 @@
     /// Jobs at workers for each size.
     busy_per_weight: f64,
     mean_service: f64,
+    born: Micros,
     /// Usual time of a job at workers of each kind, as a part of the workload's.
     slowness: BTreeMap<KindId, f64>,
 }
@@ -293,9 +299,9 @@
     x ^ (x >> 32)
 }
 
-/// Whether a draw, given as evenly spread bits, comes up with this chance.
-fn draws(bits: u64, chance: f64) -> bool {
-    ((bits >> 11) as f64) < chance * (1u64 << 53) as f64
+/// Evenly spread bits as a number from 0 to 1.
+fn part_of_one(bits: u64) -> f64 {
+    (bits >> 11) as f64 / (1u64 << 53) as f64
 }
 
 impl Control {
@@ -333,6 +339,7 @@
             share_left: 1.0,
             busy_per_weight: 0.0,
             mean_service: 1.0,
+            born: now,
             slowness: BTreeMap::new(),
         };
         let sum: f64 = control.workloads.iter().map(|w| w.service).sum();
@@ -387,11 +394,12 @@
             self.slowness.entry(e.kind).or_insert(1.0);
         });
         self.weigh();
-        let target = self.workloads.iter().map(|w| w.start_target).min().unwrap_or(0) as f64;
-        let per_weight = self.capacity_per_weight() * target * ROOM_PART;
+        let target = self.workloads.iter().map(|w| w.start_target as f64).sum::<f64>();
+        let part = ROOM_PART * target / self.workloads.len().max(1) as f64;
+        let pace = self.capacity_per_weight();
         for s in self.servers.values_mut().filter(|s| s.room == 0.0) {
-            s.room = if per_weight > 0.0 { per_weight * s.weight / self.slowness[&s.kind] } else { ROOM_START };
-            s.room = s.room.clamp(ROOM_LEAST, ROOM_MOST);
+            let jobs = pace * part * s.weight / self.slowness[&s.kind];
+            s.room = if pace > 0.0 { jobs.clamp(s.least, ROOM_MOST) } else { ROOM_START };
         }
         self.dispatch(orders);
     }
@@ -410,6 +418,10 @@
         self.listed_most = self.listed_most.max(listed);
         self.weight = weight;
         self.share_left = listed / self.listed_most.max(1e-9);
+        let filling = self.capacity_per_weight() * self.mean_service * ROOM_LEAST;
+        for s in self.servers.values_mut() {
+            s.least = (filling * s.weight / self.slowness[&s.kind]).clamp(ROOM_FEW, ROOM_MOST);
+        }
     }
 
     /// Jobs a µs that a weight of warm workers can do, erring low: the customers' shares add up to about what
@@ -554,18 +566,19 @@
         // Jobs a µs that the other routers are taken to have of this function: as many as this one had before
         // this job, or a rare function's only job would look like one of many.
         let before = (self.functions[&function].rate - 1.0).max(0.0);
-        let mut wanted = before / RATE_SPAN * (self.rows.routers - 1) as f64;
+        let known = 1.0 - (-((now - self.born) as f64) / RATE_SPAN).exp();
+        let mut beyond = before / RATE_SPAN / known.max(RATE_KNOWN) * (self.rows.routers - 1) as f64;
         let takes = self.capacity_per_weight() * FUNCTION_PART;
         for (place, id) in self.functions[&function].order.iter().enumerate() {
             let server = &self.servers[id];
-            if !self.may_send(job, *id) || !self.usable(server, job, *id) {
+            if server.aside(now) {
                 continue;
             }
             // The lane bound where own jobs say little: what all routers are taken to bring beyond a worker's
             // part moves on, by chance, so that their shares come out even.
             let part = takes * self.size(server);
-            if wanted > part && !draws(mix(job.chance, place as u64), part / wanted) {
-                wanted -= part;
+            if beyond > part && part_of_one(mix(job.chance, place as u64)) >= part / beyond {
+                beyond -= part;
                 continue;
             }
             let hold = server.holds.get(&function);
@@ -576,10 +589,11 @@
             let small = if own == 0 && others < 1.0 { SMALL_EXTRA } else { 1.0 };
             let crowded = server.busy() >= server.room.min(crowd) * small * fresh;
             let filled = f64::from(own) + others >= lanes;
-            let room = now >= full && !filled && !crowded;
+            let barred = now < full || !self.may_send(job, *id) || !self.usable(server, job, *id);
+            let room = !barred && !filled && !crowded;
             let serving = server.serving(now, function);
             // What the other routers alone fill is no crowd that is gone in a moment.
-            let lasting = others >= lanes || server.others >= server.room.min(crowd);
+            let lasting = barred || others >= lanes || server.others >= server.room.min(crowd);
             home = home.or(Some((*id, serving, room, lasting)));
             if serving && room {
                 warm = Some(*id);
@@ -619,7 +633,8 @@
         // Overflow: it begins a load at the next worker only when no answer is awaited from a cold one,
         // and not for a crowd that is gone in a moment.
         let patient = !lasting && now < job.came + (row.start_target as f64 * SPREAD_PART) as Micros;
-        if pending || !gate || (home_serves && (patient || !self.heavy(home, function))) {
+        let heavy = lasting || self.heavy(home, function);
+        if pending || !gate || (home_serves && (patient || !heavy)) {
             return None;
         }
         if home_serves && self.order_load(orders, next?, function) {
@@ -899,13 +914,19 @@
                 hold.serving_until = 0;
                 self.set_aside(orders, out.server);
             }
+            // No answer is one too: the worker took at least this long, and nothing faster says otherwise.
+            Outcome::TimedOut | Outcome::Cancelled if answer.elapsed > row.start_target => {
+                s.lag += age.max(FRESH) * (answer.elapsed as f64 / row.start_target as f64 - s.lag);
+                s.others += if answer.held.is_some() { 0.0 } else { others * answer.elapsed as f64 / SPAN };
+                Self::cut_room(s, now, row.start_target);
+            }
             Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
         }
     }
 
     fn cut_room(s: &mut Server, now: Micros, rest: Micros) {
         if now >= s.cut_at {
-            s.room = (s.room.min(s.busy() + 1.0) * ROOM_CUT).max(ROOM_LEAST);
+            s.room = (s.room.min(s.busy() + 1.0) * ROOM_CUT).max(s.least);
             s.cut_at = now + rest;
             s.lag = s.lag.min(LAG_LOW);
         }
@@ -976,7 +997,7 @@
         }
         let even = COLD_WANTED * self.rate * self.size(s) / self.weight;
         let wanted = even.max(self.functions[&job.function].rate) / RATE_SPAN * span * work;
-        spent == 0.0 && draws(mix(job.chance, id.0), part / wanted.max(part))
+        spent == 0.0 && part_of_one(mix(job.chance, id.0)) < part / wanted.max(part)
     }
 
     // ---- Mechanism 6: loads ----------------------------------------------------------------
