--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -293,7 +293,6 @@
             come_back: mark(allowed, "retry-after")?,
             come_back_max: time_or_none(allowed, "max-retry-after")?,
             load_orders: mark(own, "orders")?,
-            idle_close: time_or_none(allowed, "idle-close")?,
         },
         rules: RuleFigures {
             cold_share: number_or(rules, "cold-from", 1.0)?,
--- a/src/control.rs
+++ b/src/control.rs
@@ -69,10 +69,6 @@
 const SERVICE_START: f64 = 0.2;
 /// Factor on room at each shrinking: two steps halve it.
 const ROOM_CUT: f64 = 0.75;
-/// Weight of one new connection in the share of those that fail: of several workers, never of one.
-const DIALS_FRESH: f64 = 0.1;
-/// Share of failing new connections from which on connecting is slow everywhere, not a few workers down.
-const DIALS_HIGH: f64 = 0.5;
 /// Factor by which one answer moves what a kind of worker is taken to need: some twenty answers for a half.
 const KIND_STEP: f64 = 1.04;
 /// Share of errors at which a worker is set aside: two errors close together, never one.
@@ -89,8 +85,6 @@
 const TRICKLE_END: u32 = 16;
 /// Part of the allowed work that a cold worker is sent: figures for its capacity are guesses.
 const COLD_CARE: f64 = 0.6;
-/// Part of a job in a span from which on one job of each router stays within the limit: above `COLD_CARE`.
-const COLD_ONE: f64 = 0.75;
 /// Times its even part of the jobs that a cold worker is expected to be wanted for: hot functions, others full.
 const COLD_WANTED: f64 = 2.0;
 /// Own loads under way at once to begin with.
@@ -291,8 +285,6 @@
     busy_per_weight: f64,
     mean_service: f64,
     born: Micros,
-    /// Share of new connections that fail, over all workers.
-    dials: f64,
     /// Usual time of a job at workers of each kind, as a part of the workload's.
     slowness: BTreeMap<KindId, f64>,
 }
@@ -348,7 +340,6 @@
             busy_per_weight: 0.0,
             mean_service: 1.0,
             born: now,
-            dials: 0.0,
             slowness: BTreeMap::new(),
         };
         let sum: f64 = control.workloads.iter().map(|w| w.service).sum();
@@ -598,9 +589,7 @@
             let small = if own == 0 && others < 1.0 { SMALL_EXTRA } else { 1.0 };
             let crowded = server.busy() >= server.room.min(crowd) * small * fresh;
             let filled = f64::from(own) + others >= lanes;
-            // Where new connections fail at many workers, it is not they that are down: those heard of go first.
-            let dialled = self.dials > DIALS_HIGH && now > server.heard + self.rows.permits.idle_close;
-            let barred = dialled || now < full || !self.may_send(job, *id) || !self.usable(server, job, *id);
+            let barred = now < full || !self.may_send(job, *id) || !self.usable(server, job, *id);
             let room = !barred && !filled && !crowded;
             let serving = server.serving(now, function);
             // What the other routers alone fill is no crowd that is gone in a moment.
@@ -857,11 +846,6 @@
             s.waiting = s.waiting.saturating_sub(1);
             hold.loading = None;
         }
-        let dialled = now > s.heard + self.rows.permits.idle_close;
-        if answer.outcome == Outcome::NoConnection || dialled && answer.outcome == Outcome::Finished {
-            let failed = f64::from(u8::from(answer.outcome == Outcome::NoConnection));
-            self.dials += DIALS_FRESH * (failed - self.dials);
-        }
         if matches!(answer.outcome, Outcome::Finished | Outcome::Missing | Outcome::Full | Outcome::Error) {
             s.heard = now;
         }
@@ -926,7 +910,6 @@
                     self.set_aside(orders, out.server);
                 }
             }
-            Outcome::NoConnection if self.dials > DIALS_HIGH => hold.full_until = now + FULL_REST,
             Outcome::NoConnection | Outcome::Broken => {
                 hold.serving_until = 0;
                 self.set_aside(orders, out.server);
@@ -1014,8 +997,7 @@
         }
         let even = COLD_WANTED * self.rate * self.size(s) / self.weight;
         let wanted = even.max(self.functions[&job.function].rate) / RATE_SPAN * span * work;
-        // Where a job from each router in a span is within the limit, each may send its one.
-        spent == 0.0 && (part >= COLD_ONE * work || part_of_one(mix(job.chance, id.0)) < part / wanted.max(part))
+        spent == 0.0 && part_of_one(mix(job.chance, id.0)) < part / wanted.max(part)
     }
 
     // ---- Mechanism 6: loads ----------------------------------------------------------------
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -97,8 +97,6 @@
     pub come_back: bool,
     pub come_back_max: Micros,
     pub load_orders: bool,
-    /// Idle connections are closed after this long.
-    pub idle_close: Micros,
 }
 
 /// Figures of the rules on drains, cold model servers and orders to load.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -60,7 +60,6 @@
             come_back: true,
             come_back_max: 1000 * MS,
             load_orders: false,
-            idle_close: 15_000 * MS,
         },
         rules: RuleFigures {
             cold_share: 0.2,
