--- a/src/control.rs
+++ b/src/control.rs
@@ -57,10 +57,14 @@
 const LAG_HIGH: f64 = 0.33;
 /// µs for which a function is not sent to a worker that was full for it: a few jobs' work.
 const FULL_REST: Micros = 300_000;
+/// Part of the start target within which a worker without room says so: turning away takes no work.
+const FULL_QUICK: f64 = 0.06;
+/// µs for which a customer's jobs keep away from a worker that turns it away alone.
+const SHUT_REST: Micros = 8_000_000;
 /// Weight of a new answer in the running figures at least: the last ten or so count.
 const FRESH: f64 = 0.15;
 /// µs after which what was heard of a worker has mostly lost its weight, however few answers came since.
-const SPAN: f64 = 10_000_000.0;
+const SPAN: f64 = 15_000_000.0;
 /// Weight of a new sample of what stands at a worker: a sample is nearly the whole truth, but noisy.
 const CROWD_FRESH: f64 = 0.5;
 /// Weight of a new answer in a workload's usual time: slow, so that a short queue does not change it.
@@ -98,7 +102,7 @@
 /// Times the usual load time at which a load counts as slow.
 const LOAD_SLOW: f64 = 2.5;
 /// Part of a worker's pace that one function's jobs of all routers may take before they move on.
-const FUNCTION_PART: f64 = 0.6;
+const FUNCTION_PART: f64 = 0.4;
 /// Part of the mean of jobs a worker up to which one is idle enough to spread to.
 const SPREAD_IDLE: f64 = 0.5;
 /// µs over which rates of jobs are taken: a few jobs of a function that matters.
@@ -145,6 +149,7 @@
 struct Job {
     function: FunctionId,
     workload: WorkloadId,
+    customer: Option<CustomerId>,
     came: Micros,
     limit: Micros,
     value: u64,
@@ -160,6 +165,7 @@
     server: ServerId,
     function: FunctionId,
     workload: WorkloadId,
+    customer: Option<CustomerId>,
     sent: Micros,
     serving: bool,
     then: Step,
@@ -207,6 +213,8 @@
     backoff: Micros,
     trickle: Option<u32>,
     cold_sent: VecDeque<(Micros, f64)>,
+    /// Customers that it turns away though it has room, and until when that is believed.
+    shut: BTreeMap<CustomerId, Micros>,
     holds: BTreeMap<FunctionId, Holding>,
 }
 
@@ -457,6 +465,7 @@
         let job = Job {
             function: arrival.function,
             workload: arrival.workload,
+            customer: arrival.customer,
             came: now,
             limit: now + arrival.left,
             value: (self.workloads[arrival.workload.0].importance * share * 1000.0) as u64,
@@ -589,7 +598,8 @@
             let small = if own == 0 && others < 1.0 { SMALL_EXTRA } else { 1.0 };
             let crowded = server.busy() >= server.room.min(crowd) * small * fresh;
             let filled = f64::from(own) + others >= lanes;
-            let barred = now < full || !self.may_send(job, *id) || !self.usable(server, job, *id);
+            let shut = job.customer.and_then(|c| server.shut.get(&c)).is_some_and(|until| now < *until);
+            let barred = shut || now < full || !self.may_send(job, *id) || !self.usable(server, job, *id);
             let room = !barred && !filled && !crowded;
             let serving = server.serving(now, function);
             // What the other routers alone fill is no crowd that is gone in a moment.
@@ -678,7 +688,7 @@
     fn send(&mut self, orders: &mut dyn Orders, id: JobId, server: ServerId, copy: bool) {
         let now = self.now;
         let job = self.jobs.get_mut(&id).expect("only jobs that are held here are sent");
-        let (function, workload, n) = (job.function, job.workload, job.tried.len());
+        let (function, workload, customer, n) = (job.function, job.workload, job.customer, job.tried.len());
         let row = &self.workloads[workload.0];
         let s = self.servers.get_mut(&server).expect("place names known workers");
         job.tried.push(Tried { server, rack: s.rack, zone: s.zone, sent: now, closed: now, fate: Fate::Out });
@@ -699,7 +709,7 @@
                 c.closed(o, id, n, answer);
             }
         });
-        self.out.insert((id, n), Out { server, function, workload, sent: now, serving, then });
+        self.out.insert((id, n), Out { server, function, workload, customer, sent: now, serving, then });
         if !copy && self.rows.permits.second_copies && row.effect != Effect::RunOnce {
             let early = (row.start_target as f64 * HEDGE_PART) as Micros;
             let delay = if serving { early } else { self.hedge_delay(function, workload) };
@@ -902,7 +912,16 @@
             Outcome::Full => {
                 // No memory or no waiting room: without a rest all jobs of the function are turned away.
                 hold.full_until = now + FULL_REST;
-                Self::cut_room(s, now, row.start_target / 4);
+                match out.customer {
+                    // A full worker says so at once. One that takes its time turns away this customer alone.
+                    Some(customer) if answer.elapsed as f64 > row.start_target as f64 * FULL_QUICK => {
+                        s.shut.insert(customer, now + SHUT_REST);
+                    }
+                    _ => {
+                        s.others = s.others.max(s.room * others / (others + 1.0));
+                        Self::cut_room(s, now, row.start_target / 4);
+                    }
+                }
             }
             Outcome::Error => {
                 s.errors += age.max(ERRORS_FRESH) * (1.0 - s.errors);
