--- a/src/control.rs
+++ b/src/control.rs
@@ -603,13 +603,14 @@
             let room = !barred && !filled && !crowded;
             let serving = server.serving(now, function);
             // What the other routers alone fill is no crowd that is gone in a moment.
-            let lasting = barred || others >= lanes || server.others >= server.room.min(crowd);
+            let lasting = barred || others >= lanes || (small == 1.0 && server.others >= server.room.min(crowd));
             home = home.or(Some((*id, serving, room, lasting)));
-            if serving && room {
+            let idle = server.busy() <= SPREAD_IDLE * self.busy_per_weight * self.size(server);
+            // A copy before the full delay is work on top of a queue: only an idle worker gets one.
+            if serving && room && (idle || !early_copy) {
                 warm = Some(*id);
                 break;
             }
-            let idle = server.busy() <= SPREAD_IDLE * self.busy_per_weight * self.size(server);
             if !serving && room && next.is_none() && (idle || home.is_none_or(|h| !h.1)) {
                 next = Some(*id);
             }
