Each job meets between half and all of the others' crowd; rooms at least half of what fills the cores

Cause: what is heard of the others is old and alike at all routers, so a hard bound shut workers for all at once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -42,7 +42,7 @@
 /// Part of the start target whose work at a full pace is a worker's room to begin with.
 const ROOM_PART: f64 = 0.5;
 /// Jobs of all routers at a worker at least, as a multiple of those that fill its cores: none may starve.
-const ROOM_LEAST: f64 = 1.0;
+const ROOM_LEAST: f64 = 0.5;
 /// Jobs of all routers at a worker at least, where its pace is not known.
 const ROOM_FEW: f64 = 2.0;
 /// Jobs at a worker, and own loads under way, at most: beyond what either ever needs.
@@ -234,10 +234,14 @@
         }
     }
 
-    /// Jobs there that run or are about to: those that wait for a load take no core. With many routers the
-    /// own ones say little, so what is heard of the others' ones counts too.
+    /// Own jobs there that run or are about to: those that wait for a load take no core.
+    fn running(&self) -> f64 {
+        f64::from(self.out.saturating_sub(self.waiting))
+    }
+
+    /// With many routers the own ones say little, so what is heard of the others' ones counts too.
     fn busy(&self) -> f64 {
-        f64::from(self.out.saturating_sub(self.waiting)) + self.others
+        self.running() + self.others
     }
 
     fn aside(&self, now: Micros) -> bool {
@@ -596,8 +600,11 @@
             let crowd = CROWD_FREE + CROWD * self.busy_per_weight * self.size(server);
             // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
             let small = if own == 0 && others < 1.0 { SMALL_EXTRA } else { 1.0 };
-            let crowded = server.busy() >= server.room.min(crowd) * small * fresh;
-            let filled = f64::from(own) + others >= lanes;
+            // What is heard of the others is old and seen alike by all: a hard bound would shut the worker for
+            // all of them at once and for long, so each job meets its own part of their crowd.
+            let met = 1.0 - part_of_one(mix(job.chance, id.0)) / 2.0;
+            let crowded = server.running() + met * server.others >= server.room.min(crowd) * small * fresh;
+            let filled = f64::from(own) + met * others >= lanes;
             let shut = job.customer.and_then(|c| server.shut.get(&c)).is_some_and(|until| now < *until);
             let barred = shut || now < full || !self.may_send(job, *id) || !self.usable(server, job, *id);
             let room = !barred && !filled && !crowded;
