--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -24,7 +24,6 @@
     workloads: Vec<String>,
     customers: Vec<String>,
     zones: Vec<String>,
-    kinds: Vec<String>,
 }
 
 /// Writes what the decisions order as actions of the wire, in their order.
@@ -64,11 +63,6 @@
         self.actions.push(json!({"op": "after", "offset": ms(delay), "token": token.0}));
     }
 
-    fn load(&mut self, server: ServerId, function: FunctionId, copies: u32) {
-        let (server, function) = (&self.names.servers[&server], &self.names.functions[&function]);
-        self.actions.push(json!({"op": "bring-up", "server": server, "copies": copies, "model": function}));
-    }
-
     fn note(&mut self, text: &str) {
         self.actions.push(json!({"op": "journal-line", "message": text}));
     }
@@ -184,22 +178,11 @@
                 };
                 control.answered(reply, job(event)?, number_or(event, "send-no", 0.0)? as usize, &answer);
             }
-            "stands" => {
-                let server = ServerId::named(text(event, "server")?);
-                let function = FunctionId::named(text(event, "model")?);
-                control.stands(
-                    reply,
-                    server,
-                    function,
-                    outcome(event)?,
-                    number_or(event, "copies", 0.0)? as u32,
-                );
-            }
             "streaming" => control.streaming(job(event)?),
             "expired" => control.left(job(event)?),
             "wakeup" => control.wake(reply, Token(whole(event, "token")?)),
-            // Nothing is decided on these yet: no probe and no message is ever sent.
-            "probed" | "whisper" => {}
+            // Nothing is decided on these yet: no probe, message or order to load is ever sent.
+            "probed" | "whisper" | "stands" => {}
             other => return Err(format!("event '{other}' is not known")),
         }
         Ok(std::mem::take(&mut reply.actions))
@@ -243,7 +226,6 @@
         },
         up_since: time_or_none(entry, "up-since")?,
         zone: place(&names.zones, "rack-zone")?.map(ZoneId),
-        kind: place(&names.kinds, "generation-hw")?.map(KindId).unwrap_or_default(),
         rack: RackId(number_or(entry, "group", 0.0)? as i64),
         weight: number_or(entry, "nominal", 1.0)?,
     })
@@ -264,7 +246,6 @@
             workloads: rows("lanes")?,
             customers: rows("projects")?,
             zones: plain("zones")?,
-            kinds: plain("kinds")?,
             ..Names::default()
         })
     }
@@ -273,7 +254,6 @@
 fn startup(setup: &Value, seed: u64) -> Read<Startup> {
     let allowed = object(setup, "allowed")?;
     let rules = object(setup, "rules")?;
-    let prices = object(setup, "penalties")?;
     let own = maybe(setup, "specifics").unwrap_or(&Value::Null);
     Ok(Startup {
         seed,
@@ -292,19 +272,12 @@
             second_copies: mark(allowed, "second-copies")?,
             come_back: mark(allowed, "retry-after")?,
             come_back_max: time_or_none(allowed, "max-retry-after")?,
-            load_orders: mark(own, "orders")?,
         },
         rules: RuleFigures {
             cold_share: number_or(rules, "cold-from", 1.0)?,
             warm_within: time_or_none(rules, "warm-within")?,
             fall_multiple: number_or(rules, "fall-multiple", 1.0)?,
             fall_span: time_or_none(rules, "fall")?,
-            load_window: time_or_none(own, "loads-within")?,
-        },
-        prices: Prices {
-            fetch: number_or(prices, "origin", 0.0)?,
-            probe: number_or(prices, "probe", 0.0)?,
-            memory: number_or(own, "memory-price", 0.0)?,
         },
         over_share: number_or(setup, "over-share-worth", 1.0)?,
         keep: time_or_none(own, "keep")?,
--- a/src/control.rs
+++ b/src/control.rs
@@ -35,16 +35,12 @@
 const BUDGET_MOST: f64 = 20.0;
 /// µs until a copy that found no place is tried again.
 const HEDGE_AGAIN: Micros = 50_000;
-/// µs for which a job avoids a worker that has just turned it away.
-const REST: Micros = 200_000;
 /// Jobs of all routers at a worker to begin with, where nothing tells its pace: a few cores' worth.
 const ROOM_START: f64 = 16.0;
 /// Part of the start target whose work at a full pace is a worker's room to begin with.
 const ROOM_PART: f64 = 0.5;
 /// Jobs of all routers at a worker at least, as a multiple of those that fill its cores: none may starve.
 const ROOM_LEAST: f64 = 0.5;
-/// Jobs of all routers at a worker at least, where its pace is not known.
-const ROOM_FEW: f64 = 2.0;
 /// Jobs at a worker, and own loads under way, at most: beyond what either ever needs.
 const ROOM_MOST: f64 = 64.0;
 /// Jobs of all routers at a worker that are never a crowd: below this chance decides, not load.
@@ -55,15 +51,15 @@
 const LAG_LOW: f64 = 0.2;
 /// Part of the start target that answers may take before room shrinks: half is left for chance.
 const LAG_HIGH: f64 = 0.33;
-/// µs for which a function is not sent to a worker that was full for it: a few jobs' work.
-const FULL_REST: Micros = 300_000;
+/// µs for which a job, and its function, avoid a worker that has just turned it away: a few jobs' work.
+const REST: Micros = 300_000;
 /// Part of the start target within which a worker without room says so: turning away takes no work.
 const FULL_QUICK: f64 = 0.06;
 /// µs for which a customer's jobs keep away from a worker that turns it away alone.
 const SHUT_REST: Micros = 8_000_000;
 /// Weight of a new answer in the running figures at least: the last ten or so count.
 const FRESH: f64 = 0.15;
-/// µs after which what was heard of a worker has mostly lost its weight, however few answers came since.
+/// µs over which rates are taken, and after which what was heard of a worker has lost most of its weight.
 const SPAN: f64 = 15_000_000.0;
 /// Weight of a new sample of what stands at a worker: a sample is nearly the whole truth, but noisy.
 const CROWD_FRESH: f64 = 0.5;
@@ -73,12 +69,8 @@
 const SERVICE_START: f64 = 0.2;
 /// Factor on room at each shrinking: two steps halve it.
 const ROOM_CUT: f64 = 0.75;
-/// Factor by which one answer moves what a kind of worker is taken to need: some twenty answers for a half.
-const KIND_STEP: f64 = 1.04;
 /// Share of errors at which a worker is set aside: two errors close together, never one.
-const ERRORS_HIGH: f64 = 0.3;
-/// Weight of one answer in the share of errors at least.
-const ERRORS_FRESH: f64 = 0.2;
+const ERRORS_HIGH: f64 = 0.25;
 /// µs set aside the first time; doubles with each relapse.
 const ASIDE: Micros = 500_000;
 /// µs set aside at most: a worker that comes back is found within this.
@@ -88,15 +80,13 @@
 /// Jobs at once at which the doubling trickle ends: more than a worker usually has from one router.
 const TRICKLE_END: u32 = 16;
 /// Part of the allowed work that a cold worker is sent: figures for its capacity are guesses.
-const COLD_CARE: f64 = 0.6;
+const COLD_CARE: f64 = 0.5;
 /// Times its even part of the jobs that a cold worker is expected to be wanted for: hot functions, others full.
 const COLD_WANTED: f64 = 2.0;
 /// Own loads under way at once to begin with.
 const LOADS_START: f64 = 12.0;
 /// Factor on them when loads turn slow or fail: three steps leave a third.
 const LOADS_CUT: f64 = 0.7;
-/// Part of them up to which a copy may begin one.
-const COPY_LOADS: f64 = 0.25;
 /// Own loads under way at least.
 const LOADS_LEAST: f64 = 3.0;
 /// Times the usual load time at which a load counts as slow.
@@ -105,8 +95,6 @@
 const FUNCTION_PART: f64 = 0.4;
 /// Part of the mean of jobs a worker up to which one is idle enough to spread to.
 const SPREAD_IDLE: f64 = 0.5;
-/// µs over which rates of jobs are taken: a few jobs of a function that matters.
-const RATE_SPAN: f64 = 15_000_000.0;
 /// Times the room of a worker that a function without a job there may use.
 const SMALL_EXTRA: f64 = 1.5;
 /// Part of that span's weight that a router which has just started is taken to have seen at least.
@@ -115,8 +103,6 @@
 const HOLD_LOADS: u64 = 5;
 /// Part of the start target that overflow waits before it begins a load at the next worker.
 const SPREAD_PART: f64 = 0.25;
-/// Times a router's even part of a customer's share that is within it: shares add up to about all there is.
-const SHARE_CARE: f64 = 1.0;
 /// µs of a customer's share saved up at most.
 const SHARE_SPAN: f64 = 2_000_000.0;
 /// µs before the client's time is up at which a held job is ended: more than one beat.
@@ -197,7 +183,6 @@
     up_since: Micros,
     zone: Option<ZoneId>,
     rack: RackId,
-    kind: KindId,
     weight: f64,
     out: u32,
     waiting: u32,
@@ -225,7 +210,6 @@
             up_since: entry.up_since,
             zone: entry.zone,
             rack: entry.rack,
-            kind: entry.kind,
             weight: if rows.weights_shared && entry.weight > 0.0 { entry.weight } else { 1.0 },
             cut_at: now,
             heard: now,
@@ -286,19 +270,15 @@
     budget: f64,
     loads: f64,
     loads_cut: Micros,
-    /// Own jobs, as a rate times `RATE_SPAN`, until `job_at`.
+    /// Own jobs, as a rate times `SPAN`, until `job_at`.
     rate: f64,
     job_at: Micros,
-    /// Sum of sizes of the ready workers, of listed weights at the most, and the part of these that is left.
+    /// Sum of the ready workers' weights now and at the most, and jobs there a weight.
     weight: f64,
-    listed_most: f64,
-    share_left: f64,
-    /// Jobs at workers for each size.
+    weight_most: f64,
     busy_per_weight: f64,
     mean_service: f64,
     born: Micros,
-    /// Usual time of a job at workers of each kind, as a part of the workload's.
-    slowness: BTreeMap<KindId, f64>,
 }
 
 /// Mixes two ids into a place in a function's order; the same at every router.
@@ -347,12 +327,10 @@
             rate: 0.0,
             job_at: now,
             weight: 1e-9,
-            listed_most: 0.0,
-            share_left: 1.0,
+            weight_most: 0.0,
             busy_per_weight: 0.0,
             mean_service: 1.0,
             born: now,
-            slowness: BTreeMap::new(),
         };
         let sum: f64 = control.workloads.iter().map(|w| w.service).sum();
         control.mean_service = sum / control.workloads.len().max(1) as f64;
@@ -385,14 +363,13 @@
                     s.open = entry.standing == Standing::Ready;
                 }
                 Some(s) => {
-                    // Restarted: empty, cold, and nothing that was learned of it holds.
-                    let (out, waiting) = (s.out, s.waiting);
-                    let held: Vec<(FunctionId, u32)> = s.holds.iter().map(|(f, h)| (*f, h.out)).collect();
-                    *s = Server::new(self.now, entry, &self.rows);
-                    (s.out, s.waiting) = (out, waiting);
-                    for (f, out) in held.into_iter().filter(|(_, out)| *out > 0) {
-                        s.holds.insert(f, Holding { out, ..Holding::default() });
-                    }
+                    // Restarted: empty, cold, and nothing that was learned of it holds but what is out there.
+                    let new = Server::new(self.now, entry, &self.rows);
+                    let old = std::mem::replace(s, new);
+                    (s.out, s.waiting) = (old.out, old.waiting);
+                    let out =
+                        |(f, h): (&FunctionId, &Holding)| (*f, Holding { out: h.out, ..Holding::default() });
+                    s.holds = old.holds.iter().filter(|(_, h)| h.out > 0).map(out).collect();
                 }
                 None if entry.standing == Standing::Ready => {
                     self.servers.insert(entry.server, Server::new(self.now, entry, &self.rows));
@@ -402,37 +379,25 @@
         }
         self.servers.retain(|_, s| s.open || s.out > 0);
         self.list_of += 1;
-        entries.iter().for_each(|e| {
-            self.slowness.entry(e.kind).or_insert(1.0);
-        });
         self.weigh();
         let target = self.workloads.iter().map(|w| w.start_target as f64).sum::<f64>();
         let part = ROOM_PART * target / self.workloads.len().max(1) as f64;
         let pace = self.capacity_per_weight();
         for s in self.servers.values_mut().filter(|s| s.room == 0.0) {
-            let jobs = pace * part * s.weight / self.slowness[&s.kind];
+            let jobs = pace * part * s.weight;
             s.room = if pace > 0.0 { jobs.clamp(s.least, ROOM_MOST) } else { ROOM_START };
         }
         self.dispatch(orders);
     }
 
-    /// A worker's size against others: what the list says, corrected by what its kind is seen to take for a
-    /// job, as the list may count cores whatever their pace.
-    fn size(&self, s: &Server) -> f64 {
-        s.weight / self.slowness[&s.kind]
-    }
-
     fn weigh(&mut self) {
         let open = || self.servers.values().filter(|s| s.open);
-        let weight = open().map(|s| self.size(s)).sum::<f64>().max(1e-9);
-        let listed = open().map(|s| s.weight).sum::<f64>();
-        self.busy_per_weight = open().map(Server::busy).sum::<f64>() / weight;
-        self.listed_most = self.listed_most.max(listed);
-        self.weight = weight;
-        self.share_left = listed / self.listed_most.max(1e-9);
+        self.weight = open().map(|s| s.weight).sum::<f64>().max(1e-9);
+        self.weight_most = self.weight_most.max(self.weight);
+        self.busy_per_weight = open().map(Server::busy).sum::<f64>() / self.weight;
         let filling = self.capacity_per_weight() * self.mean_service * ROOM_LEAST;
         for s in self.servers.values_mut() {
-            s.least = (filling * s.weight / self.slowness[&s.kind]).clamp(ROOM_FEW, ROOM_MOST);
+            s.least = (filling * s.weight).clamp(1.0, ROOM_MOST);
         }
     }
 
@@ -440,15 +405,15 @@
     /// the fleet can do; where none are told, what all routers are seen to bring is done somehow.
     fn capacity_per_weight(&self) -> f64 {
         let shares = self.customers.iter().map(|c| c.jobs_per_s).sum::<f64>() / 1e6;
-        let seen = self.rate / RATE_SPAN * self.rows.routers as f64;
+        let seen = self.rate / SPAN * self.rows.routers as f64;
         let all = if shares > 0.0 { shares } else { seen };
-        all * self.share_left / self.weight
+        all / self.weight_most.max(1e-9)
     }
 
     pub fn job(&mut self, orders: &mut dyn Orders, arrival: &Arrival) {
         let now = self.now;
         self.budget = (self.budget + BUDGET_PER_JOB).min(BUDGET_MOST);
-        self.rate = self.rate * (-((now - self.job_at) as f64) / RATE_SPAN).exp() + 1.0;
+        self.rate = self.rate * (-((now - self.job_at) as f64) / SPAN).exp() + 1.0;
         self.job_at = now;
         let function = self.functions.entry(arrival.function).or_insert(Function {
             lanes: 1,
@@ -460,7 +425,7 @@
         });
         function.lanes = arrival.lanes.max(1);
         function.load_time = arrival.load_time.or(function.load_time);
-        function.rate = function.rate * (-((now - function.last) as f64) / RATE_SPAN).exp() + 1.0;
+        function.rate = function.rate * (-((now - function.last) as f64) / SPAN).exp() + 1.0;
         function.last = now;
         let over = arrival.customer.is_some_and(|customer| self.over_share(customer));
         // A client's second try has lost its start target with the first one.
@@ -484,7 +449,7 @@
         });
         self.held.insert((Reverse(job.value), now, arrival.job));
         self.jobs.insert(arrival.job, job);
-        let place = if waits { None } else { self.place(orders, arrival.job, false) };
+        let place = if waits { None } else { self.place(arrival.job, false) };
         if let Some(server) = place {
             self.held.remove(&(Reverse(self.jobs[&arrival.job].value), now, arrival.job));
             self.send(orders, arrival.job, server, false);
@@ -501,27 +466,6 @@
         self.dispatch(orders);
     }
 
-    pub fn stands(
-        &mut self,
-        orders: &mut dyn Orders,
-        server: ServerId,
-        function: FunctionId,
-        outcome: Outcome,
-        copies: u32,
-    ) {
-        let serving_until = if copies > 0 { self.now + self.rows.keep } else { 0 };
-        if let Some(s) = self.servers.get_mut(&server) {
-            let hold = s.holds.entry(function).or_default();
-            (hold.loading, hold.serving_until) = (None, serving_until);
-            match outcome {
-                Outcome::Error => self.loads_slow(),
-                Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut => self.set_aside(orders, server),
-                _ => {}
-            }
-        }
-        self.dispatch(orders);
-    }
-
     pub fn streaming(&mut self, job: JobId) {
         if let Some(job) = self.jobs.get_mut(&job) {
             job.streaming = true;
@@ -554,7 +498,7 @@
             if bare && stuck.contains(&function) {
                 continue;
             }
-            match self.place(orders, key.2, false) {
+            match self.place(key.2, false) {
                 Some(server) => {
                     self.held.remove(&key);
                     self.send(orders, key.2, server, false);
@@ -568,7 +512,7 @@
     }
 
     /// The worker for a job's next execution, or None where it has to wait here.
-    fn place(&mut self, orders: &mut dyn Orders, id: JobId, early_copy: bool) -> Option<ServerId> {
+    fn place(&mut self, id: JobId, early_copy: bool) -> Option<ServerId> {
         let now = self.now;
         let function = self.jobs[&id].function;
         self.order(function);
@@ -579,8 +523,8 @@
         // Jobs a µs that the other routers are taken to have of this function: as many as this one had before
         // this job, or a rare function's only job would look like one of many.
         let before = (self.functions[&function].rate - 1.0).max(0.0);
-        let known = 1.0 - (-((now - self.born) as f64) / RATE_SPAN).exp();
-        let mut beyond = before / RATE_SPAN / known.max(RATE_KNOWN) * (self.rows.routers - 1) as f64;
+        let known = 1.0 - (-((now - self.born) as f64) / SPAN).exp();
+        let mut beyond = before / SPAN / known.max(RATE_KNOWN) * (self.rows.routers - 1) as f64;
         let takes = self.capacity_per_weight() * FUNCTION_PART;
         for (place, id) in self.functions[&function].order.iter().enumerate() {
             let server = &self.servers[id];
@@ -589,7 +533,7 @@
             }
             // The lane bound where own jobs say little: what all routers are taken to bring beyond a worker's
             // part moves on, by chance, so that their shares come out even.
-            let part = takes * self.size(server);
+            let part = takes * server.weight;
             if beyond > part && part_of_one(mix(job.chance, place as u64)) >= part / beyond {
                 beyond -= part;
                 continue;
@@ -597,7 +541,7 @@
             let hold = server.holds.get(&function);
             let (own, others, full) = hold.map_or((0, 0.0, 0), |h| (h.out, h.others, h.full_until));
             let fresh = self.warmth(server);
-            let crowd = CROWD_FREE + CROWD * self.busy_per_weight * self.size(server);
+            let crowd = CROWD_FREE + CROWD * self.busy_per_weight * server.weight;
             // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
             let small = if own == 0 && others < 1.0 { SMALL_EXTRA } else { 1.0 };
             // What is heard of the others is old and seen alike by all: a hard bound would shut the worker for
@@ -610,9 +554,10 @@
             let room = !barred && !filled && !crowded;
             let serving = server.serving(now, function);
             // What the other routers alone fill is no crowd that is gone in a moment.
-            let lasting = barred || others >= lanes || (small == 1.0 && server.others >= server.room.min(crowd));
+            let lasting =
+                barred || others >= lanes || (small == 1.0 && server.others >= server.room.min(crowd));
             home = home.or(Some((*id, serving, room, lasting)));
-            let idle = server.busy() <= SPREAD_IDLE * self.busy_per_weight * self.size(server);
+            let idle = server.busy() <= SPREAD_IDLE * self.busy_per_weight * server.weight;
             // A copy before the full delay is work on top of a queue: only an idle worker gets one.
             if serving && room && (idle || !early_copy) {
                 warm = Some(*id);
@@ -632,14 +577,9 @@
         let loading =
             |s: &ServerId| self.servers[s].holds.get(&function).is_some_and(|h| h.loading.is_some());
         let pending = self.functions[&function].order.iter().any(loading);
-        // A copy that begins a load makes a slow store slower and more copies due: only few at a time.
-        let bound = if job.tried.iter().any(|t| t.fate == Fate::Out) { COPY_LOADS } else { 1.0 };
-        let holds = self.servers.values().flat_map(|s| s.holds.values());
-        let gate = (holds.filter(|h| h.loading.is_some()).count() as f64) < self.loads * bound;
+        let loads = self.servers.values().flat_map(|s| s.holds.values()).filter(|h| h.loading.is_some());
+        let gate = (loads.count() as f64) < self.loads;
         if !home_serves && home_room && !pending && gate {
-            if warm.is_some() && self.order_load(orders, home, function) {
-                return warm;
-            }
             return Some(home);
         }
         if warm.is_some() {
@@ -651,26 +591,7 @@
         // Overflow: it begins a load at the next worker only when no answer is awaited from a cold one,
         // and not for a crowd that is gone in a moment.
         let patient = !lasting && now < job.came + (row.start_target as f64 * SPREAD_PART) as Micros;
-        let heavy = lasting || self.heavy(home, function);
-        if pending || !gate || (home_serves && (patient || !heavy)) {
-            return None;
-        }
-        if home_serves && self.order_load(orders, next?, function) {
-            return None;
-        }
-        next
-    }
-
-    /// Whether a function is the one most asked for at a crowded worker, so that its moving helps: a
-    /// small one would begin a load, evict others and leave the crowd as it is.
-    fn heavy(&self, at: ServerId, function: FunctionId) -> bool {
-        let part = |f: &FunctionId| {
-            let row = &self.functions[f];
-            let rate = row.rate * (-((self.now - row.last) as f64) / RATE_SPAN).exp();
-            rate / self.servers.values().filter(|s| s.serving(self.now, *f)).count().max(1) as f64
-        };
-        let most = self.servers[&at].holds.keys().map(part).fold(0.0, f64::max);
-        part(&function) >= most
+        if pending || !gate || (home_serves && patient) { None } else { next }
     }
 
     /// The function's hash order over the workers that the list holds ready: weighted rendezvous.
@@ -741,7 +662,7 @@
         let lost = self.servers.get(&job.tried[n].server).is_none_or(|s| s.aside(self.now));
         let early = !lost && self.now < job.tried[n].sent + self.hedge_delay(job.function, job.workload);
         if self.budget >= 1.0
-            && let Some(server) = self.place(orders, id, early)
+            && let Some(server) = self.place(id, early)
         {
             self.budget -= 1.0;
             self.send(orders, id, server, true);
@@ -878,12 +799,9 @@
         match answer.outcome {
             Outcome::Finished => {
                 (hold.loading, hold.serving_until) = (None, now + keep);
-                s.errors *= 1.0 - age.max(ERRORS_FRESH);
+                s.errors *= 1.0 - age.max(FRESH);
                 if stood {
                     let part = answer.elapsed as f64 / row.start_target as f64;
-                    // The median by small steps: a queue or a long job moves it little.
-                    let slowness = self.slowness.entry(s.kind).or_insert(1.0);
-                    *slowness *= if answer.elapsed as f64 > row.service * *slowness { KIND_STEP } else { 1.0 / KIND_STEP };
                     row.service += SERVICE_FRESH * (answer.elapsed as f64 - row.service);
                     self.mean_service += SERVICE_FRESH * (row.service - self.mean_service);
                     // Each other router is taken to have as many there, on average, as this one.
@@ -919,7 +837,7 @@
             Outcome::Missing => hold.serving_until = 0,
             Outcome::Full => {
                 // No memory or no waiting room: without a rest all jobs of the function are turned away.
-                hold.full_until = now + FULL_REST;
+                hold.full_until = now + REST;
                 match out.customer {
                     // A full worker says so at once. One that takes its time turns away this customer alone.
                     Some(customer) if answer.elapsed as f64 > row.start_target as f64 * FULL_QUICK => {
@@ -932,7 +850,7 @@
                 }
             }
             Outcome::Error => {
-                s.errors += age.max(ERRORS_FRESH) * (1.0 - s.errors);
+                s.errors += age.max(FRESH) * (1.0 - s.errors);
                 if s.errors > ERRORS_HIGH || s.trickle.is_some() {
                     self.set_aside(orders, out.server);
                 }
@@ -1014,7 +932,9 @@
         }
         let routers = self.rows.routers as f64;
         let span = rules.fall_span as f64;
-        let pace = self.capacity_per_weight() * self.size(s);
+        // The list's weights are rough, and may count the cores of a slow kind: none counts above the mean.
+        let open = self.servers.values().filter(|s| s.open).count().max(1) as f64;
+        let pace = self.capacity_per_weight() * s.weight.min(self.weight / open);
         let part = rules.fall_multiple * warmth * pace * span * COLD_CARE / routers;
         let recent = s.cold_sent.iter().filter(|(at, _)| at + rules.fall_span > self.now);
         let spent: f64 = recent.map(|(_, work)| work).sum();
@@ -1022,8 +942,8 @@
         if spent + work <= part {
             return true;
         }
-        let even = COLD_WANTED * self.rate * self.size(s) / self.weight;
-        let wanted = even.max(self.functions[&job.function].rate) / RATE_SPAN * span * work;
+        let even = COLD_WANTED * self.rate * s.weight / self.weight;
+        let wanted = even.max(self.functions[&job.function].rate) / SPAN * span * work;
         spent == 0.0 && part_of_one(mix(job.chance, id.0)) < part / wanted.max(part)
     }
 
@@ -1040,25 +960,13 @@
         }
     }
 
-    /// Orders the function to a worker where that is allowed, instead of letting a job wait for the load.
-    fn order_load(&mut self, orders: &mut dyn Orders, id: ServerId, function: FunctionId) -> bool {
-        if !self.rows.permits.load_orders || self.rows.rules.load_window > 0 {
-            return false;
-        }
-        let now = self.now;
-        let Some(s) = self.servers.get_mut(&id).filter(|s| s.open) else { return false };
-        s.holds.entry(function).or_default().loading = Some(now);
-        orders.load(id, function, 1);
-        true
-    }
-
     // ---- Mechanism 5: shares, and the regular look at what waits ---------------------------
 
     /// Whether a job is beyond what this router may count to its customer's share. Only such jobs wait last:
     /// the rest of a customer that asks too much is worth as much as anyone's.
     fn over_share(&mut self, customer: CustomerId) -> bool {
         let row = &mut self.customers[customer.0];
-        let per_us = row.jobs_per_s * SHARE_CARE / 1e6 / self.rows.routers.max(1) as f64;
+        let per_us = row.jobs_per_s / 1e6 / self.rows.routers.max(1) as f64;
         row.tokens = (row.tokens + (self.now - row.at) as f64 * per_us).min((per_us * SHARE_SPAN).max(1.0));
         row.at = self.now;
         let over = row.tokens < 1.0;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -68,10 +68,6 @@
     RunOnce,
 }
 
-/// A kind of machine, by its position in the start-up list.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct KindId(pub usize);
-
 /// One row a workload.
 #[derive(Clone, Debug)]
 pub struct WorkloadRow {
@@ -96,7 +92,6 @@
     pub second_copies: bool,
     pub come_back: bool,
     pub come_back_max: Micros,
-    pub load_orders: bool,
 }
 
 /// Figures of the rules on drains, cold model servers and orders to load.
@@ -106,15 +101,6 @@
     pub warm_within: Micros,
     pub fall_multiple: f64,
     pub fall_span: Micros,
-    pub load_window: Micros,
-}
-
-/// What things cost, in parts of the result.
-#[derive(Clone, Debug)]
-pub struct Prices {
-    pub fetch: f64,
-    pub probe: f64,
-    pub memory: f64,
 }
 
 /// All that an instance is told when it starts.
@@ -127,7 +113,6 @@
     pub customers: Vec<CustomerRow>,
     pub permits: Permits,
     pub rules: RuleFigures,
-    pub prices: Prices,
     pub over_share: f64,
     pub keep: Micros,
     /// Answers tell how many jobs of the same function the model server held.
@@ -162,7 +147,6 @@
     pub up_since: Micros,
     pub zone: Option<ZoneId>,
     pub rack: RackId,
-    pub kind: KindId,
     pub weight: f64,
 }
 
@@ -231,7 +215,6 @@
     fn push_back(&mut self, job: JobId, come_back: Option<Micros>);
     fn kill(&mut self, job: JobId);
     fn wake_after(&mut self, delay: Micros, token: Token);
-    fn load(&mut self, server: ServerId, function: FunctionId, copies: u32);
     fn note(&mut self, text: &str);
     /// Ask for the list of model servers and its changes.
     fn watch(&mut self);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,7 +10,6 @@
     Cancel(JobId, usize),
     PushBack(JobId),
     Kill(JobId),
-    Load(ServerId, FunctionId, u32),
 }
 
 #[derive(Default)]
@@ -36,9 +35,6 @@
     fn wake_after(&mut self, delay: Micros, token: Token) {
         self.timers.push((self.now + delay, token));
     }
-    fn load(&mut self, server: ServerId, function: FunctionId, copies: u32) {
-        self.did.push(Did::Load(server, function, copies));
-    }
     fn note(&mut self, _text: &str) {}
     fn watch(&mut self) {}
 }
@@ -59,16 +55,13 @@
             second_copies: true,
             come_back: true,
             come_back_max: 1000 * MS,
-            load_orders: false,
         },
         rules: RuleFigures {
             cold_share: 0.2,
             warm_within: 10_000 * MS,
             fall_multiple: 2.0,
             fall_span: 1000 * MS,
-            load_window: 0,
         },
-        prices: Prices { fetch: 0.1, probe: 0.0, memory: 0.0 },
         over_share: 0.1,
         keep: 10_000 * MS,
         tells_company: false,
@@ -83,7 +76,7 @@
 
 pub fn listed(n: u64, standing: Standing, up_since: Micros) -> Listed {
     let rack = RackId(n as i64 / 2);
-    Listed { server: server(n), standing, up_since, zone: Some(ZoneId(0)), rack, kind: KindId(0), weight: 1.0 }
+    Listed { server: server(n), standing, up_since, zone: Some(ZoneId(0)), rack, weight: 1.0 }
 }
 
 pub fn job(n: u8) -> JobId {
@@ -93,7 +86,17 @@
 pub fn answer(outcome: Outcome) -> Answer {
     let closed = outcome == Outcome::Finished;
     let copy = if closed { Copy::Stood } else { Copy::Unsaid };
-    Answer { outcome, closed, elapsed: 50 * MS, copy, company: 0, held: None, loads: None, busy: None, queued: None }
+    Answer {
+        outcome,
+        closed,
+        elapsed: 50 * MS,
+        copy,
+        company: 0,
+        held: None,
+        loads: None,
+        busy: None,
+        queued: None,
+    }
 }
 
 /// One instance with its record and its clock.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -87,7 +87,7 @@
     bench.close(1, 0, &answer(Outcome::Full));
     bench.arrive(4, "hut", 5000 * MS);
     bench.pass(4000 * MS);
-    let to_home = |d: &Did| matches!(d, Did::Send(_, s) | Did::Load(s, _, _) if *s == home);
+    let to_home = |d: &Did| matches!(d, Did::Send(_, s) if *s == home);
     assert!(!bench.record.did[before..].iter().any(to_home));
     assert_eq!(bench.sends(1).len(), 2, "it goes elsewhere");
 }
