--- a/src/control.rs
+++ b/src/control.rs
@@ -1,7 +1,7 @@
 //! All decisions of one router.
 //!
 //! How it is called: an instance's owner makes one `Control` from the start-up rows and calls, for each
-//! event, `clock` and one of `list`, `job`, `answered`, `stands`, `streaming`, `left`, `wake`.
+//! event, `clock` and one of `list`, `job`, `answered`, `streaming`, `left`, `wake`.
 //! Interface: `src/interface.rs` (ids, time, rows, `Answer`, `Orders`). No wire, no input or output here.
 //!
 //! The design (docs/design.md): a function's jobs go to its home, the first worker in a hash order that all
@@ -10,11 +10,11 @@
 //!
 //! Mechanisms beside the design, six at most:
 //! 1. Set aside: a worker that errs, breaks or falls silent gets nothing, then a trickle that doubles.
-//! 2. Fresh workers: turns by this router's number and a budget of work while a worker is cold.
-//! 3. Room: a bound on own jobs at a worker, moved by how late its answers are.
+//! 2. Fresh workers: an even part, by chance, of a budget of work while a worker is cold.
+//! 3. Room: a bound on the jobs of all routers at a worker, moved by how late its answers are.
 //! 4. Further executions, within one budget shared with copies.
 //! 5. Pushback: what waits here goes out by value and is pushed back once its start target is lost.
-//! 6. Loads: a bound on own loads under way, and orders to load and to keep where they are allowed.
+//! 6. Loads: a bound on own loads under way.
 
 use crate::interface::*;
 use oorandom::Rand64;
@@ -33,10 +33,6 @@
 const BUDGET_PER_JOB: f64 = 0.05;
 /// Copies and further executions saved up at most: a short trouble's worth.
 const BUDGET_MOST: f64 = 20.0;
-/// µs until a copy that found no place is tried again.
-const HEDGE_AGAIN: Micros = 50_000;
-/// Jobs of all routers at a worker to begin with, where nothing tells its pace: a few cores' worth.
-const ROOM_START: f64 = 16.0;
 /// Part of the start target whose work at a full pace is a worker's room to begin with.
 const ROOM_PART: f64 = 0.5;
 /// Jobs of all routers at a worker at least, as a multiple of those that fill its cores: none may starve.
@@ -157,6 +153,7 @@
     then: Step,
 }
 
+#[derive(Default)]
 struct Function {
     lanes: u32,
     load_time: Option<Micros>,
@@ -278,6 +275,7 @@
     weight_most: f64,
     busy_per_weight: f64,
     mean_service: f64,
+    mean_target: f64,
     born: Micros,
 }
 
@@ -330,10 +328,12 @@
             weight_most: 0.0,
             busy_per_weight: 0.0,
             mean_service: 1.0,
+            mean_target: 1.0,
             born: now,
         };
-        let sum: f64 = control.workloads.iter().map(|w| w.service).sum();
-        control.mean_service = sum / control.workloads.len().max(1) as f64;
+        let sum: f64 = control.workloads.iter().map(|w| w.start_target as f64).sum();
+        control.mean_target = sum / control.workloads.len().max(1) as f64;
+        control.mean_service = control.mean_target * SERVICE_START;
         if control.rows.list_by_asking {
             orders.watch();
         }
@@ -380,13 +380,6 @@
         self.servers.retain(|_, s| s.open || s.out > 0);
         self.list_of += 1;
         self.weigh();
-        let target = self.workloads.iter().map(|w| w.start_target as f64).sum::<f64>();
-        let part = ROOM_PART * target / self.workloads.len().max(1) as f64;
-        let pace = self.capacity_per_weight();
-        for s in self.servers.values_mut().filter(|s| s.room == 0.0) {
-            let jobs = pace * part * s.weight;
-            s.room = if pace > 0.0 { jobs.clamp(s.least, ROOM_MOST) } else { ROOM_START };
-        }
         self.dispatch(orders);
     }
 
@@ -395,9 +388,12 @@
         self.weight = open().map(|s| s.weight).sum::<f64>().max(1e-9);
         self.weight_most = self.weight_most.max(self.weight);
         self.busy_per_weight = open().map(Server::busy).sum::<f64>() / self.weight;
-        let filling = self.capacity_per_weight() * self.mean_service * ROOM_LEAST;
+        let pace = self.capacity_per_weight();
         for s in self.servers.values_mut() {
-            s.least = (filling * s.weight).clamp(1.0, ROOM_MOST);
+            s.least = (pace * s.weight * self.mean_service * ROOM_LEAST).clamp(1.0, ROOM_MOST);
+            if s.room == 0.0 && pace > 0.0 {
+                s.room = (pace * s.weight * self.mean_target * ROOM_PART).clamp(s.least, ROOM_MOST);
+            }
         }
     }
 
@@ -415,14 +411,7 @@
         self.budget = (self.budget + BUDGET_PER_JOB).min(BUDGET_MOST);
         self.rate = self.rate * (-((now - self.job_at) as f64) / SPAN).exp() + 1.0;
         self.job_at = now;
-        let function = self.functions.entry(arrival.function).or_insert(Function {
-            lanes: 1,
-            load_time: None,
-            last: now,
-            rate: 0.0,
-            order: Vec::new(),
-            order_of: 0,
-        });
+        let function = self.functions.entry(arrival.function).or_default();
         function.lanes = arrival.lanes.max(1);
         function.load_time = arrival.load_time.or(function.load_time);
         function.rate = function.rate * (-((now - function.last) as f64) / SPAN).exp() + 1.0;
@@ -579,15 +568,13 @@
         let pending = self.functions[&function].order.iter().any(loading);
         let loads = self.servers.values().flat_map(|s| s.holds.values()).filter(|h| h.loading.is_some());
         let gate = (loads.count() as f64) < self.loads;
-        if !home_serves && home_room && !pending && gate {
+        let joins = warm.is_none() && loading(&home);
+        if !home_serves && home_room && (joins || !pending && gate) {
             return Some(home);
         }
         if warm.is_some() {
             return warm;
         }
-        if !home_serves && home_room && loading(&home) {
-            return Some(home);
-        }
         // Overflow: it begins a load at the next worker only when no answer is awaited from a cold one,
         // and not for a crowd that is gone in a moment.
         let patient = !lasting && now < job.came + (row.start_target as f64 * SPREAD_PART) as Micros;
@@ -668,7 +655,7 @@
             self.send(orders, id, server, true);
             return;
         }
-        self.wake_then(orders, HEDGE_AGAIN, Box::new(move |c, o, _| c.hedge(o, id, n)));
+        self.wake_then(orders, 2 * BEAT, Box::new(move |c, o, _| c.hedge(o, id, n)));
     }
 
     /// An execution has closed: what its job does next.
@@ -900,9 +887,6 @@
     }
 
     fn usable(&self, s: &Server, job: &Job, id: ServerId) -> bool {
-        if s.aside(self.now) {
-            return false;
-        }
         let row = &self.workloads[job.workload.0];
         // A job that cannot be repeated does not go first where others can find out.
         let risky = row.effect == Effect::RunOnce && self.workloads.iter().any(|w| w.effect != row.effect);
