--- a/src/control.rs
+++ b/src/control.rs
@@ -843,14 +843,11 @@
 
     // ---- Mechanism 1: set aside ------------------------------------------------------------
 
-    /// Guards against a worker that errs, breaks, cannot be reached or is silent, whatever the cause: nothing
-    /// new goes there for a while and what waits there and may be repeated gets its copy now.
+    /// Guards against a worker that errs, breaks or is silent, whatever the cause: nothing new goes there for a
+    /// while and what waits there and may be repeated gets its copy now.
     fn set_aside(&mut self, orders: &mut dyn Orders, id: ServerId) {
         let now = self.now;
-        let Some(s) = self.servers.get_mut(&id) else { return };
-        if s.aside(now) {
-            return;
-        }
+        let Some(s) = self.servers.get_mut(&id).filter(|s| !s.aside(now)) else { return };
         s.aside = Some(now + s.backoff);
         s.backoff = (s.backoff * 2).min(ASIDE_MOST);
         s.trickle = Some(1);
@@ -884,7 +881,8 @@
 
     /// Whether a cold worker may be sent this job now. Each router keeps to its even part of the budget of a
     /// span. Where that is less than a job, chance decides, by how many jobs this router is expected to have for
-    /// the worker in a span; one job draws once for a worker however often it asks.
+    /// the worker in a span, those that wait here too, or what has piled up would fall on it at once. One job
+    /// draws once for a worker however often it asks.
     fn cold_budget(&self, s: &Server, job: &Job, id: ServerId) -> bool {
         let rules = &self.rows.rules;
         let warmth = self.warmth(s);
@@ -902,7 +900,8 @@
             return true;
         }
         let even = COLD_WANTED * self.rate * s.weight / self.weight;
-        let wanted = self.per_us(even.max(self.functions[&job.function].rate)) * span * work;
+        let new = self.per_us(even.max(self.functions[&job.function].rate)) * span;
+        let wanted = (new + self.held.len().saturating_sub(1) as f64) * work;
         spent == 0.0 && part_of_one(mix(job.chance, id.0)) < part / wanted.max(part)
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -131,3 +131,23 @@
     // 20 jobs a second for each of the 8 workers, of which a cold one may be sent 2 x 0.2 in a second, then more.
     assert!(sent <= 11, "{sent}");
 }
+
+// What piled up at the routers while all others were set aside does not fall on a fresh worker at once: one of 21
+// workers that do 1600 jobs a second together may be sent 2 x 0.2 x 76 in its first second.
+#[test]
+fn cold_after_waiting() {
+    let mut sent = 0;
+    for me in 0..200 {
+        let mut rows = Startup { me, seed: me, routers: 200, ..rows(Effect::Restartable) };
+        rows.customers = vec![CustomerRow { jobs_per_s: 1600.0 }];
+        let mut bench = Bench::new(rows, 20);
+        for n in 100..110 {
+            bench.arrive(n, &format!("hut-{n}"), 5000 * MS);
+            (0..4).for_each(|k| bench.close(n, k, &answer(Outcome::Broken)));
+        }
+        (0..8).for_each(|n| bench.arrive(n, &format!("hut-{n}"), 5000 * MS));
+        bench.list(&[listed(27, Standing::Ready, bench.record.now)]);
+        sent += (0..8).flat_map(|n| bench.sends(n)).filter(|s| *s == server(27)).count();
+    }
+    assert!(sent > 0 && sent <= 30, "{sent}");
+}
