--- a/src/control.rs
+++ b/src/control.rs
@@ -89,6 +89,8 @@
 const FUNCTION_PART: f64 = 0.4;
 /// Part of the mean of jobs a worker up to which one is idle enough to spread to.
 const SPREAD_IDLE: f64 = 0.5;
+/// Loads under way or waiting a worker, on average, from which on the store and the workers choke on them.
+const LOADS_CALM: f64 = 1.5;
 /// Times the room of a worker that a function without a job there may use.
 const SMALL_EXTRA: f64 = 1.5;
 /// Part of that span's weight that a router which has just started is taken to have seen at least.
@@ -133,7 +135,6 @@
     came: Micros,
     limit: Micros,
     value: u64,
-    /// Its own throw of the dice.
     chance: u64,
     tried: Vec<Tried>,
     streaming: bool,
@@ -181,7 +182,6 @@
     weight: f64,
     out: u32,
     waiting: u32,
-    /// Jobs of other routers there, likewise.
     others: f64,
     room: f64,
     least: f64,
@@ -265,6 +265,8 @@
     budget: f64,
     loads: f64,
     loads_cut: Micros,
+    /// Loads under way at a worker, as told by answers of all of them.
+    under_way: f64,
     /// Faded count of own jobs until `job_at`.
     rate: f64,
     job_at: Micros,
@@ -322,6 +324,7 @@
             budget: BUDGET_MOST / 2.0,
             loads: LOADS_START,
             loads_cut: now,
+            under_way: 0.0,
             rate: 0.0,
             job_at: now,
             weight: 1e-9,
@@ -500,7 +503,6 @@
         self.order(function);
         let job = &self.jobs[&id];
         let row = &self.workloads[job.workload.0];
-        let lanes = f64::from(self.functions[&function].lanes);
         let (mut home, mut warm, mut next) = (None, None, None);
         // Jobs a µs that the other routers are taken to have of this function: as many as this one had before
         // this job, or a rare function's only job would look like one of many.
@@ -529,6 +531,7 @@
             // all of them at once and for long, so each job meets its own part of their crowd.
             let met = 1.0 - part_of_one(mix(job.chance, id.0)) / 2.0;
             let crowded = server.running() + met * server.others >= server.room.min(crowd) * small * fresh;
+            let lanes = f64::from(self.functions[&function].lanes);
             let filled = f64::from(own) + met * others >= lanes;
             let shut = job.customer.and_then(|c| server.shut.get(&c)).is_some_and(|until| now < *until);
             let barred = shut || now < full || !self.may_send(job, *id) || !self.usable(server, job, *id);
@@ -566,7 +569,9 @@
         // Overflow: it begins a load at the next worker only when no answer is awaited from a cold one,
         // and not for a crowd that is gone in a moment.
         let patient = !lasting && now < job.came + (row.start_target as f64 * SPREAD_PART) as Micros;
-        if pending || !gate || (home_serves && patient) { None } else { next }
+        // Nor while loads jam everywhere: each further one makes the others late, and moves no job in time.
+        let jam = self.under_way > LOADS_CALM;
+        if pending || !gate || jam || (home_serves && patient) { None } else { next }
     }
 
     /// The function's hash order over the workers that the list holds ready: weighted rendezvous.
@@ -608,20 +613,15 @@
             s.cold_sent.push((now, row.service / self.mean_service.max(1.0)));
         }
         orders.send(id, server, job.limit - now);
-        let last = "an execution ends with its answer";
-        let then: Step = Box::new(move |c, o, answer| c.closed(o, id, n, answer.expect(last)));
+        let then: Step = Box::new(move |c, o, answer| c.closed(o, id, n, answer.expect("what it ends with")));
         self.out.insert((id, n), Out { server, function, workload, customer, sent: now, serving, then });
         if !copy && self.rows.permits.second_copies && row.effect != Effect::RunOnce {
-            let delay = self.hedge_delay(function, workload);
+            // The design's delay: twice the load time and the start target.
+            let delay = 2 * self.load_time(function) + row.start_target;
             self.wake_then(orders, delay, Box::new(move |c, o, _| c.hedge(o, id, n)));
         }
     }
 
-    /// The design's delay: twice the load time and the start target.
-    fn hedge_delay(&self, function: FunctionId, workload: WorkloadId) -> Micros {
-        2 * self.load_time(function) + self.workloads[workload.0].start_target
-    }
-
     /// The one copy that follows an execution that has not finished within the hedge delay, or whose worker
     /// has been set aside.
     fn hedge(&mut self, orders: &mut dyn Orders, id: JobId, n: usize) {
@@ -735,7 +735,6 @@
 
     fn learn(&mut self, orders: &mut dyn Orders, out: &Out, answer: &Answer) {
         let now = self.now;
-        let keep = self.rows.keep;
         let usual = self.load_time(out.function) as f64;
         let others = (self.rows.routers - 1) as f64;
         let Some(s) = self.servers.get_mut(&out.server) else { return };
@@ -759,10 +758,11 @@
         if let Some(held) = answer.held {
             s.others += CROWD_FRESH * (held * others / (others + 1.0) - s.others);
         }
+        self.under_way += SERVICE_FRESH * (answer.loads.unwrap_or(0.0) - self.under_way);
         let stood = answer.copy == Copy::Stood || (answer.copy == Copy::Unsaid && out.serving);
         match answer.outcome {
             Outcome::Finished => {
-                (hold.loading, hold.serving_until) = (None, now + keep);
+                (hold.loading, hold.serving_until) = (None, now + self.rows.keep);
                 s.errors *= 1.0 - age.max(FRESH);
                 if stood {
                     let part = answer.elapsed as f64 / row.start_target as f64;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -211,6 +211,21 @@
     assert!(if least == 1 { used.len() == 1 } else { used.len() >= least });
 }
 
+// While the workers tell of loads jammed everywhere no overflow begins another one; the job waits for its home.
+#[test_case(0.5, true; "calm")]
+#[test_case(9.0, false; "jammed")]
+fn jam(loads: f64, spreads: bool) {
+    let mut bench = Bench::new(rows(Effect::Restartable), 8);
+    bench.warm("hut");
+    for n in 100..140 {
+        bench.arrive(n, "other", 5000 * MS);
+        bench.close(n, 0, &Answer { loads: Some(loads), ..answer(Outcome::Finished) });
+    }
+    (1..4).for_each(|n| bench.arrive(n, "hut", 5000 * MS));
+    bench.pass(200 * MS);
+    assert_eq!(bench.sends(3).len() == 1, spreads);
+}
+
 #[test]
 fn same_events_same_actions() {
     let run = || {
