--- a/src/control.rs
+++ b/src/control.rs
@@ -403,8 +403,7 @@
         count / SPAN / seen.max(RATE_KNOWN)
     }
 
-    /// Jobs a µs that a weight of warm workers can do, erring low: the customers' shares add up to about what
-    /// the fleet can do; where none are told, what all routers are seen to bring is done somehow.
+    /// Jobs a µs that a weight of warm workers can do, erring low: the customers' shares, else what is seen.
     fn capacity_per_weight(&self) -> f64 {
         let shares = self.customers.iter().map(|c| c.jobs_per_s).sum::<f64>() / 1e6;
         let seen = self.per_us(self.rate) * self.rows.routers as f64;
@@ -521,7 +520,12 @@
                 beyond -= part;
                 continue;
             }
+            // With the home and a next one known only those that serve matter: the fleet may be large.
             let hold = server.holds.get(&function);
+            let serving = hold.is_some_and(|h| h.serving_until > now);
+            if !serving && next.is_some() {
+                continue;
+            }
             let (own, others, full) = hold.map_or((0, 0.0, 0), |h| (h.out, h.others, h.full_until));
             let fresh = self.warmth(server);
             let crowd = CROWD_FREE + CROWD * self.busy_per_weight * server.weight;
@@ -534,13 +538,12 @@
             let lanes = f64::from(self.functions[&function].lanes);
             let filled = f64::from(own) + met * others >= lanes;
             let shut = job.customer.and_then(|c| server.shut.get(&c)).is_some_and(|until| now < *until);
-            let barred = shut || now < full || !self.may_send(job, *id) || !self.usable(server, job, *id);
-            let room = !barred && !filled && !crowded;
-            let serving = server.serving(now, function);
+            let open = || !shut && now >= full && self.may_send(job, *id) && self.usable(server, job, *id);
+            let room = !filled && !crowded && open();
             // What the other routers alone fill is no crowd that is gone in a moment.
             let lasting =
-                barred || others >= lanes || (small == 1.0 && server.others >= server.room.min(crowd));
-            home = home.or(Some((*id, serving, room, lasting)));
+                || small == 1.0 && server.others >= server.room.min(crowd) || others >= lanes || !open();
+            home = home.or_else(|| Some((*id, serving, room, lasting())));
             if serving && room {
                 warm = Some(*id);
                 break;
@@ -800,7 +803,6 @@
             }
             Outcome::Missing => hold.serving_until = 0,
             Outcome::Full => {
-                // No memory or no waiting room: without a rest all jobs of the function are turned away.
                 hold.full_until = now + REST;
                 match out.customer {
                     // A full worker says so at once. One that takes its time turns away this customer alone.
@@ -843,8 +845,7 @@
 
     // ---- Mechanism 1: set aside ------------------------------------------------------------
 
-    /// Guards against a worker that errs, breaks or is silent, whatever the cause: nothing new goes there for a
-    /// while and what waits there and may be repeated gets its copy now.
+    /// Guards against a worker that errs, breaks or is silent: nothing new goes there, what waits gets its copy.
     fn set_aside(&mut self, orders: &mut dyn Orders, id: ServerId) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&id).filter(|s| !s.aside(now)) else { return };
@@ -920,8 +921,7 @@
 
     // ---- Mechanism 5: shares, and the regular look at what waits ---------------------------
 
-    /// Whether a job is beyond what this router may count to its customer's share. Only such jobs wait last:
-    /// the rest of a customer that asks too much is worth as much as anyone's.
+    /// Whether a job is beyond this router's part of its customer's share. Only such jobs wait last.
     fn over_share(&mut self, customer: CustomerId) -> bool {
         let row = &mut self.customers[customer.0];
         let per_us = row.jobs_per_s / 1e6 / self.rows.routers.max(1) as f64;
@@ -952,12 +952,13 @@
         }
         self.weigh();
         self.silent_workers(orders);
-        self.look_at_held(orders);
-        self.dispatch(orders);
+        if !self.held.is_empty() {
+            self.look_at_held(orders);
+            self.dispatch(orders);
+        }
     }
 
-    /// Jobs that can no longer finish within their start target wait behind those that can, and only for a
-    /// load; what finds no room is pushed back. Else the oldest go first under overload, and all are late.
+    /// Jobs that have lost their start target wait behind those that can keep it, or are pushed back.
     fn look_at_held(&mut self, orders: &mut dyn Orders) {
         let now = self.now;
         let holds = self.servers.values().flat_map(|s| &s.holds);
@@ -980,8 +981,7 @@
         }
     }
 
-    /// A worker that owes two answers for longer than the hedge delay, and has said nothing since they were
-    /// sent, is silent: cut off, hung or dead without a word. It could harm where every load takes that long.
+    /// A worker that owes two answers for longer than the hedge delay and has said nothing since is silent.
     fn silent_workers(&mut self, orders: &mut dyn Orders) {
         let mut owed: BTreeMap<ServerId, u32> = BTreeMap::new();
         for out in self.out.values() {
