--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -2,13 +2,18 @@
 use applepond_adapter::Host;
 use test_case::test_case;
 
-const BOOT: &str = r#"{"op":"boot","salt":5,"setup":{"allowed":{"attempts-cap":4,"cancel":true,"retry-after":true,
+const BOOT: &str = r#"{"op":"boot","salt":5,"setup":{"allowed":{"attempts-cap":4,"cancel":true,
+ "retry-after":true,
  "second-copies":true,"unheard-of":1},"lanes":[{"name":"quote","idempotency":"idempotent","on-time":500.0}],
- "penalties":{},"rules":{},"projects":[{"name":"huts","quota-per-s":75.0}],"zones":["hall-a"],"my-zone":"hall-a"}}"#;
+ "penalties":{},"rules":{},"projects":[{"name":"huts","quota-per-s":75.0}],"zones":["hall-a"],
+ "my-zone":"hall-a"}}"#;
 const LIST: &str = r#"{"op":"endpoints","serial":1,"kind":"SAVED","members":[{"condition":"Ready","nominal":1,
  "rack-zone":"hall-a","server":"server.a","group":0}]}"#;
-const KNOCK: &str = r#"{"op":"knock","msg-id":"5d3a91c4-e2f3-4656-a336-20af9f7c719b","model":"m-a","start-ms":900,
- "type":"quote","size-mb":384,"at-once":2,"left":240.0,"customer":"huts"}"#;
+const KNOCK: &str = r#"{"op":"knock","msg-id":"5d3a91c4-e2f3-4656-a336-20af9f7c719b","model":"m-a",
+ "start-ms":900,"type":"quote","size-mb":384,"at-once":2,"left":240.0,"customer":"huts"}"#;
+const NO_TOKEN: &str = r#"{"op":"wakeup"}"#;
+const WORD_TOKEN: &str = r#"{"op":"wakeup","token":"x"}"#;
+const SHORT_ID: &str = r#"{"op":"expired","msg-id":"x"}"#;
 
 fn batch(host: &mut Host, events: &[&str]) -> Result<String, String> {
     let line = format!(r#"{{"ts":8412.25,"parts":[{{"router":3,"arrivals":[{}]}}]}}"#, events.join(","));
@@ -36,9 +41,9 @@
 }
 
 #[test_case(&[r#"{"op":"wakeup","token":1}"#], "instance 3: 'wakeup' before any 'boot'"; "never booted")]
-#[test_case(&[BOOT, r#"{"op":"wakeup"}"#], "instance 3: 'wakeup': field 'token': a whole number is wanted"; "missing")]
-#[test_case(&[BOOT, r#"{"op":"wakeup","token":"x"}"#], "field 'token': a whole number is wanted"; "wrongly typed")]
-#[test_case(&[BOOT, r#"{"op":"expired","msg-id":"x"}"#], "field 'msg-id': 36 characters are wanted"; "short id")]
+#[test_case(&[BOOT, NO_TOKEN], "instance 3: 'wakeup': field 'token': a whole number is wanted"; "missing")]
+#[test_case(&[BOOT, WORD_TOKEN], "field 'token': a whole number is wanted"; "wrongly typed")]
+#[test_case(&[BOOT, SHORT_ID], "field 'msg-id': 36 characters are wanted"; "short id")]
 #[test_case(&[BOOT, r#"{"op":"tea"}"#], "event 'tea' is not known"; "unknown event")]
 #[test_case(&["{"], "not JSON"; "not JSON")]
 fn bad_input(events: &[&str], told: &str) {
--- /dev/null
+++ b/crates/http/src/encode.rs
@@ -0,0 +1,114 @@
+//! Encodes whole messages, and problem bodies (RFC 9457).
+use crate::Fault;
+use serde_json::json;
+
+/// A message under construction: a head, then `body` or `empty` ends it.
+pub struct Message(Vec<u8>);
+
+/// The phrase of a status; clients are not to read it (RFC 9112, section 4).
+fn phrase(status: u16) -> &'static str {
+    match status {
+        100 => "Continue",
+        200 => "OK",
+        202 => "Accepted",
+        204 => "No Content",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        415 => "Unsupported Media Type",
+        417 => "Expectation Failed",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "Other",
+    }
+}
+
+/// What tells a client to go on with its body (RFC 9110, section 10.1.1).
+pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+pub fn request(method: &str, target: &str, host: &str) -> Message {
+    Message(format!("{method} {target} HTTP/1.1\r\nHost: {host}\r\n").into_bytes())
+}
+
+pub fn response(status: u16) -> Message {
+    Message(format!("HTTP/1.1 {status} {}\r\n", phrase(status)).into_bytes())
+}
+
+impl Message {
+    /// A header field. Bytes that would end the line are written as spaces, so that no value can add a field.
+    pub fn field(mut self, name: &str, value: &str) -> Self {
+        self.0.extend_from_slice(name.as_bytes());
+        self.0.extend_from_slice(b": ");
+        self.0.extend(value.bytes().map(|b| if b < b' ' || b == 0x7f { b' ' } else { b }));
+        self.0.extend_from_slice(b"\r\n");
+        self
+    }
+
+    pub fn body(mut self, bytes: &[u8]) -> Vec<u8> {
+        self = self.field("Content-Length", &bytes.len().to_string());
+        self.0.extend_from_slice(b"\r\n");
+        self.0.extend_from_slice(bytes);
+        self.0
+    }
+
+    /// A head whose body follows in chunks.
+    pub fn chunked(mut self) -> Vec<u8> {
+        self = self.field("Transfer-Encoding", "chunked");
+        self.0.extend_from_slice(b"\r\n");
+        self.0
+    }
+
+    /// A request without a body.
+    pub fn empty(mut self) -> Vec<u8> {
+        self.0.extend_from_slice(b"\r\n");
+        self.0
+    }
+}
+
+/// One chunk of a chunked body; an empty one ends the body.
+pub fn chunk(bytes: &[u8]) -> Vec<u8> {
+    let mut out = format!("{:x}\r\n", bytes.len()).into_bytes();
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+    out
+}
+
+/// The body of an error (RFC 9457): `type`, `status`, `title` and `detail` of the RFC, with `reason` (the code that
+/// the log carries), the job's id where known, and `retry-after-ms` where the client may come back.
+pub fn problem(fault: &Fault, id: Option<&str>, come_back_ms: Option<u64>) -> Vec<u8> {
+    let mut body = json!({
+        "type": format!("urn:applepond:problem:{}", fault.reason),
+        "title": phrase(fault.status),
+        "status": fault.status,
+        "detail": fault.detail,
+        "reason": fault.reason,
+    });
+    if let Some(id) = id {
+        body["id"] = json!(id);
+    }
+    if let Some(ms) = come_back_ms {
+        body["retry-after-ms"] = json!(ms);
+    }
+    body.to_string().into_bytes()
+}
+
+/// A whole answer with a problem body. `Retry-After` is in whole seconds, rounded up (RFC 9110, section 10.2.3).
+pub fn problem_answer(fault: &Fault, id: Option<&str>, come_back_ms: Option<u64>, keep: bool) -> Vec<u8> {
+    let mut head = response(fault.status).field("Content-Type", "application/problem+json");
+    if let Some(ms) = come_back_ms {
+        head = head.field("Retry-After", &ms.div_ceil(1000).max(1).to_string());
+    }
+    if !keep {
+        head = head.field("Connection", "close");
+    }
+    head.body(&problem(fault, id, come_back_ms))
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -75,7 +75,8 @@
 const TRICKLE_END: u32 = 16;
 /// Part of the allowed work that a cold worker is sent: figures for its capacity are guesses.
 const COLD_CARE: f64 = 0.5;
-/// Times its even part of the jobs that a cold worker is expected to be wanted for: hot functions, others full.
+/// Times its even part of the jobs for which a cold worker is expected to be wanted: hot functions,
+/// others full.
 const COLD_WANTED: f64 = 2.0;
 /// Own loads under way at once to begin with.
 const LOADS_START: f64 = 12.0;
@@ -531,8 +532,8 @@
             let crowd = CROWD_FREE + CROWD * self.busy_per_weight * server.weight;
             // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
             let small = if own == 0 && others < 1.0 { SMALL_EXTRA } else { 1.0 };
-            // What is heard of the others is old and seen alike by all: a hard bound would shut the worker for
-            // all of them at once and for long, so each job meets its own part of their crowd.
+            // What is heard of the others is old and seen alike by all: a hard bound would shut the worker
+            // for all of them at once and for long, so each job meets its own part of their crowd.
             let met = 1.0 - part_of_one(mix(job.chance, id.0)) / 2.0;
             let crowded = server.running() + met * server.others >= server.room.min(crowd) * small * fresh;
             let lanes = f64::from(self.functions[&function].lanes);
@@ -845,7 +846,8 @@
 
     // ---- Mechanism 1: set aside ------------------------------------------------------------
 
-    /// Guards against a worker that errs, breaks or is silent: nothing new goes there, what waits gets its copy.
+    /// Guards against a worker that errs, breaks or is silent: nothing new goes there, what waits gets
+    /// its copy.
     fn set_aside(&mut self, orders: &mut dyn Orders, id: ServerId) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&id).filter(|s| !s.aside(now)) else { return };
@@ -881,9 +883,9 @@
     }
 
     /// Whether a cold worker may be sent this job now. Each router keeps to its even part of the budget of a
-    /// span. Where that is less than a job, chance decides, by how many jobs this router is expected to have for
-    /// the worker in a span, those that wait here too, or what has piled up would fall on it at once. One job
-    /// draws once for a worker however often it asks.
+    /// span. Where that is less than a job, chance decides, by how many jobs this router is expected to have
+    /// for the worker in a span, those that wait here too, or what has piled up would fall on it at once.
+    /// One job draws once for a worker however often it asks.
     fn cold_budget(&self, s: &Server, job: &Job, id: ServerId) -> bool {
         let rules = &self.rows.rules;
         let warmth = self.warmth(s);
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -195,8 +195,8 @@
     assert!(sends.contains(&sent), "{sent}");
 }
 
-// A function that this router asked for often is asked for by the others as well: its jobs spread over several
-// workers before any is full. With one router they stay at home.
+// A function that this router asked for often is asked for by the others as well: its jobs spread over
+// several workers before any is full. With one router they stay at home.
 #[test_case(1, 1; "alone")]
 #[test_case(100, 2; "one of a hundred")]
 fn many_routers_spread_a_hot_function(routers: u64, least: usize) {
@@ -211,7 +211,8 @@
     assert!(if least == 1 { used.len() == 1 } else { used.len() >= least });
 }
 
-// While the workers tell of loads jammed everywhere no overflow begins another one; the job waits for its home.
+// While the workers tell of loads jammed everywhere no overflow begins another one; the job waits for
+// its home.
 #[test_case(0.5, true; "calm")]
 #[test_case(9.0, false; "jammed")]
 fn jam(loads: f64, spreads: bool) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -128,12 +128,13 @@
         }
         sent += (0..asks).flat_map(|n| bench.sends(n)).filter(|s| *s == server(7)).count();
     }
-    // 20 jobs a second for each of the 8 workers, of which a cold one may be sent 2 x 0.2 in a second, then more.
+    // 20 jobs a second for each of the 8 workers, of which a cold one may be sent 2 x 0.2 in a second, then
+    // more.
     assert!(sent <= 11, "{sent}");
 }
 
-// What piled up at the routers while all others were set aside does not fall on a fresh worker at once: one of 21
-// workers that do 1600 jobs a second together may be sent 2 x 0.2 x 76 in its first second.
+// What piled up at the routers while all others were set aside does not fall on a fresh worker at once: one
+// of 21 workers that do 1600 jobs a second together may be sent 2 x 0.2 x 76 in its first second.
 #[test]
 fn cold_after_waiting() {
     let mut sent = 0;
