--- a/crates/reactor/tests/sockets.rs
+++ b/crates/reactor/tests/sockets.rs
@@ -21,12 +21,13 @@
 }
 
 type Act = Box<dyn FnMut(&mut dyn Wire, Conn, &[u8])>;
+type Start = Box<dyn FnMut(&mut dyn Wire, Micros)>;
 
 /// Listens and writes down; `act` answers bytes.
 struct Probe {
     seen: Rc<RefCell<Seen>>,
     most: usize,
-    start: Box<dyn FnMut(&mut dyn Wire, Micros)>,
+    start: Start,
     act: Act,
 }
 
