--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,58 @@
+//! The program: `applepond serve`, `check`, `standin`, `drill`.
+mod drill;
+mod serve;
+mod standin;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Routes jobs to workers that load functions on demand.
+#[derive(Parser)]
+#[command(name = "applepond", version)]
+struct Line {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Runs one router instance.
+    Serve {
+        /// The instance's settings, HCL.
+        #[arg(long)]
+        settings: PathBuf,
+        /// Listens here instead of where the settings say.
+        #[arg(long)]
+        listen: Option<std::net::SocketAddr>,
+        /// Form of the log on standard error.
+        #[arg(long, value_enum, default_value_t = serve::LogForm::Text)]
+        log: serve::LogForm,
+        /// Breaks a rule on purpose, to prove the auditor of a drill.
+        #[arg(long, hide = true)]
+        plant: Option<String>,
+    },
+    /// Reads settings and reports every fault by line and column.
+    Check { file: PathBuf },
+    /// Runs a stand-in of an outside system, for trying things out by hand.
+    Standin {
+        #[command(subcommand)]
+        which: standin::Which,
+    },
+    /// Plays a scripted day against a fleet on loopback and judges it.
+    Drill {
+        #[command(subcommand)]
+        which: drill::Which,
+    },
+}
+
+fn main() -> ExitCode {
+    match Line::parse().what {
+        What::Serve { settings, listen, log, plant } => {
+            serve::serve(&settings, listen, log, plant.as_deref())
+        }
+        What::Check { file } => serve::check(&file),
+        What::Standin { which } => standin::run(which),
+        What::Drill { which } => drill::run(which),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,99 @@
+//! `serve` and `check`.
+use applepond_drill::saboteur::{PLANTS, Saboteur};
+use applepond_gateway::{Deployment, Gateway};
+use applepond_reactor::{Machine, Reactor};
+use clap::ValueEnum;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Longest wait of one turn: nothing but events ends it earlier.
+const TURN: Duration = Duration::from_secs(1);
+/// Exit status for settings or words of the command line that are wrong.
+pub const WRONG: u8 = 2;
+
+#[derive(Clone, Copy, ValueEnum)]
+pub enum LogForm {
+    /// A line of text an event.
+    Text,
+    /// A JSON object a line.
+    Json,
+}
+
+fn read(file: &Path) -> Result<Deployment, u8> {
+    let text = std::fs::read_to_string(file).map_err(|error| {
+        eprintln!("{}: {error}", file.display());
+        WRONG
+    })?;
+    applepond_settings::deployment(&text).map_err(|faults| {
+        for fault in &faults {
+            eprintln!("{}:{fault}", file.display());
+        }
+        eprintln!("{}: {} fault(s)", file.display(), faults.len());
+        WRONG
+    })
+}
+
+pub fn check(file: &Path) -> ExitCode {
+    match read(file) {
+        Ok(d) => {
+            let (workloads, workers) = (d.workloads.len(), d.workers.len());
+            let hosts = d.hosts.map_or("no host list".to_owned(), |at| format!("the host list at {at}"));
+            println!("{}: good; {workloads} workload(s), {workers} worker(s), {hosts}", file.display());
+            ExitCode::SUCCESS
+        }
+        Err(status) => ExitCode::from(status),
+    }
+}
+
+pub fn serve(file: &Path, listen: Option<SocketAddr>, log: LogForm, plant: Option<&str>) -> ExitCode {
+    let mut deployment = match read(file) {
+        Ok(deployment) => deployment,
+        Err(status) => return ExitCode::from(status),
+    };
+    deployment.listen = listen.unwrap_or(deployment.listen);
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env()
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    let lines = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match log {
+        LogForm::Text => lines.init(),
+        LogForm::Json => lines.json().flatten_event(true).init(),
+    }
+    let mut reactor = match Reactor::new() {
+        Ok(reactor) => reactor,
+        Err(error) => {
+            tracing::error!(%error, "no epoll instance");
+            return ExitCode::FAILURE;
+        }
+    };
+    let heard = std::rc::Rc::new(std::cell::Cell::new(false));
+    let listening = heard.clone();
+    let told = Box::new(move |at: SocketAddr| {
+        listening.set(true);
+        println!("listening {at}");
+        let _ = std::io::stdout().flush();
+    });
+    let gateway = Box::new(Gateway::new(reactor.now(), deployment, told));
+    let machine: Box<dyn Machine> = match plant {
+        None => gateway,
+        Some(name) => match PLANTS.iter().find(|(known, _, _)| *known == name) {
+            Some((_, plant, _)) => Box::new(Saboteur::new(gateway, *plant)),
+            None => {
+                eprintln!("--plant {name}: no such fault");
+                return ExitCode::from(WRONG);
+            }
+        },
+    };
+    reactor.add(machine);
+    if !heard.get() {
+        return ExitCode::FAILURE;
+    }
+    loop {
+        if let Err(error) = reactor.turn(TURN) {
+            tracing::error!(%error, "epoll");
+            return ExitCode::FAILURE;
+        }
+    }
+}
--- /dev/null
+++ b/crates/drill/src/run.rs
@@ -0,0 +1,197 @@
+//! Plays a bad day: stand-ins in this process, each router in one of its own.
+use crate::audit::{Effect, Terms, Verdict, judge};
+use crate::day::{self, Day};
+use applepond_reactor::{Micros, Reactor};
+use applepond_standins::client::{Client, Got, Results};
+use applepond_standins::hosts::Hosts;
+use applepond_standins::ledger::{Event, Ledger};
+use applepond_standins::store::Store;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// µs from the first process to the first job: routers connect to the list meanwhile.
+const SETTLES: Micros = 1_500_000;
+/// µs after the last arrival until everything must have been told.
+const TAIL: Micros = 6_000_000;
+/// µs of a window in the table of service over time.
+const WINDOW: Micros = 2_000_000;
+/// µs of a fetch from the store, and fetches at a time.
+const FETCH: Micros = 150_000;
+const FETCHES: usize = 24;
+
+pub struct Plan {
+    /// The program that serves; it takes `serve --settings FILE`.
+    pub program: PathBuf,
+    pub seed: u64,
+    pub routers: usize,
+    pub workers: usize,
+    /// Name of a fault that each router is to plant.
+    pub plant: Option<String>,
+}
+
+pub struct Report {
+    pub verdict: Verdict,
+    pub got: BTreeMap<Got, usize>,
+    /// By window: jobs, and those answered within their start target.
+    pub windows: Vec<(usize, usize)>,
+    pub story: Vec<(Micros, String)>,
+    /// µs to the answer of finished jobs: median, 99th percentile.
+    pub took: (Micros, Micros),
+}
+
+impl Report {
+    pub fn holds(&self) -> bool {
+        self.verdict.broken.is_empty() && self.got.get(&Got::Nothing).is_none_or(|n| *n == 0)
+    }
+}
+
+/// A router's process; ended when dropped.
+struct Router {
+    child: Child,
+    settings: PathBuf,
+    at: SocketAddr,
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start(plan: &Plan, settings: PathBuf) -> Result<Router, String> {
+    let mut command = Command::new(&plan.program);
+    command.arg("serve").arg("--settings").arg(&settings).arg("--log").arg("json");
+    if let Some(plant) = &plan.plant {
+        command.arg("--plant").arg(plant);
+    }
+    let log = std::fs::OpenOptions::new().append(true).create(true).open(settings.with_extension("log"));
+    let log = log.map_err(|e| format!("{}: {e}", settings.display()))?;
+    let child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).spawn();
+    let mut child = child.map_err(|e| format!("{}: {e}", plan.program.display()))?;
+    let mut line = String::new();
+    let read = child.stdout.take().map(|out| BufReader::new(out).read_line(&mut line));
+    let at = line.trim().strip_prefix("listening ").and_then(|a| a.parse().ok());
+    let router = |at| Router { child, settings: settings.clone(), at };
+    match at {
+        Some(at) => Ok(router(at)),
+        None => {
+            drop(router(SocketAddr::from(([127, 0, 0, 1], 0))));
+            Err(format!("the router of {} did not start: {read:?}", settings.display()))
+        }
+    }
+}
+
+/// Plays the day; `progress` is told about once a second how far it is, in words.
+pub fn bad_day(
+    plan: &Plan,
+    folder: &std::path::Path,
+    progress: &mut dyn FnMut(&str),
+) -> Result<Report, String> {
+    let told = |e: std::io::Error| format!("{}: {e}", folder.display());
+    std::fs::create_dir_all(folder).map_err(told)?;
+    let mut reactor = Reactor::new().map_err(|e| format!("epoll: {e}"))?;
+    let begin = reactor.now() + SETTLES;
+    let (store_at, hosts_at) = (day::address(0, 250), day::address(0, 251));
+    let day = day::draw(plan.seed, begin, plan.workers, plan.routers, store_at);
+    let ledger = Ledger::default();
+    let mut store = Store::new(store_at, FETCH, FETCHES, ledger.clone());
+    store.stops = vec![day.store_stop];
+    reactor.add(Box::new(store));
+    for worker in day.workers(&ledger) {
+        reactor.add(Box::new(worker));
+    }
+    let (rows, changes) = day.list();
+    reactor.add(Box::new(Hosts::new(hosts_at, rows, changes, ledger.clone())));
+    let mut routers = Vec::new();
+    for me in 0..plan.routers {
+        let text = Day::settings(me, plan.routers, plan.workers, plan.seed, hosts_at);
+        let file = folder.join(format!("router-{me}.hcl"));
+        std::fs::write(&file, text).map_err(told)?;
+        routers.push(Some(start(plan, file)?));
+    }
+    let addresses = routers.iter().flatten().map(|r| r.at).collect();
+    let addresses: Rc<RefCell<Vec<SocketAddr>>> = Rc::new(RefCell::new(addresses));
+    let (client, results) = Client::new(day.jobs.clone(), addresses.clone(), ledger.clone());
+    reactor.add(Box::new(client));
+    let (killed, from, until) = day.kill;
+    let mut kills = Vec::new();
+    let (mut told_at, mut story) = (0, day.story.iter().peekable());
+    let end = begin + day::LENGTH + TAIL;
+    while reactor.now() < end && (results.borrow().done < day.jobs.len() || reactor.now() < until) {
+        reactor.turn(Duration::from_millis(20)).map_err(|e| format!("epoll: {e}"))?;
+        let now = reactor.now();
+        if now >= from && kills.is_empty() {
+            // Outright, with whatever it holds.
+            let router = routers[killed].take();
+            let settings = router.as_ref().map(|r| (r.settings.clone(), r.at));
+            drop(router);
+            kills.push((killed as u64, now, until));
+            if let Some((settings, at)) = settings {
+                let text = std::fs::read_to_string(&settings).map_err(told)?;
+                let text = text
+                    .lines()
+                    .map(|l| if l.starts_with("listen") { format!("listen = \"{at}\"") } else { l.into() });
+                std::fs::write(&settings, text.collect::<Vec<_>>().join("\n")).map_err(told)?;
+            }
+        }
+        if now >= until && routers[killed].is_none() {
+            routers[killed] = Some(start(plan, folder.join(format!("router-{killed}.hcl")))?);
+            kills[0].2 = reactor.now();
+        }
+        if let Some((_, what)) = story.next_if(|(at, _)| *at <= now) {
+            progress(&format!("{:5.1} s  {what}", now.saturating_sub(begin) as f64 / 1e6));
+        } else if now >= told_at + 2_000_000 {
+            told_at = now;
+            let done = results.borrow().done;
+            progress(&format!(
+                "{:5.1} s  {done} of {} jobs",
+                now.saturating_sub(begin) as f64 / 1e6,
+                day.jobs.len()
+            ));
+        }
+    }
+    // Answers that come too late, or a second time, are still seen.
+    for _ in 0..25 {
+        reactor.turn(Duration::from_millis(20)).map_err(|e| format!("epoll: {e}"))?;
+    }
+    drop(routers);
+    let effects = day.jobs.iter().map(|j| {
+        let effect = match (j.restartable, j.fingerprint) {
+            (true, _) => Effect::Restartable,
+            (_, true) => Effect::Fingerprinted,
+            _ => Effect::RunOnce,
+        };
+        (Event::from(format!("{} {}", j.source, j.id)), effect)
+    });
+    let terms = Terms { grace: day::GRACE, window: day::WINDOW, effects: effects.collect(), kills };
+    let verdict = ledger.read(|ledger| judge(ledger, &terms));
+    Ok(report(&day, begin, &results.borrow(), verdict))
+}
+
+fn report(day: &Day, begin: Micros, results: &Results, verdict: Verdict) -> Report {
+    let mut got = BTreeMap::new();
+    let mut windows = vec![(0, 0); (day::LENGTH / WINDOW) as usize + 1];
+    let mut took: Vec<Micros> = Vec::new();
+    for (job, (end, after)) in day.jobs.iter().zip(&results.got) {
+        *got.entry(*end).or_default() += 1;
+        let window = &mut windows[((job.at - begin) / WINDOW) as usize];
+        window.0 += 1;
+        if *end == Got::Finished {
+            window.1 += 1;
+        }
+        if matches!(end, Got::Finished | Got::Late) {
+            took.push(*after);
+        }
+    }
+    took.sort_unstable();
+    let at = |part: usize| took.get(took.len() * part / 100).copied().unwrap_or(0);
+    let story = day.story.iter().map(|(t, what)| (t - begin, what.clone())).collect();
+    Report { verdict, got, windows, story, took: (at(50), at(99)) }
+}
--- /dev/null
+++ b/crates/drill/src/saboteur.rs
@@ -0,0 +1,193 @@
+//! Faults planted between a router and its sockets, to prove the auditor: the router itself stays as it is,
+//! what it reads and writes is bent.
+use applepond_reactor::{Closed, Conn, Listener, Machine, Micros, Wake, Wire};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Every so many answers one is bent.
+const EVERY: u64 = 40;
+/// Copies of each request that are sent to a cold worker.
+const FLOOD: usize = 8;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    LostAnswer,
+    DoubleAnswer,
+    EffectTwice,
+    SendToDrained,
+    PushColdOver,
+}
+
+pub const PLANTS: [(&str, Plant, u8); 5] = [
+    ("lost-answer", Plant::LostAnswer, 1),
+    ("double-answer", Plant::DoubleAnswer, 1),
+    ("effect-twice", Plant::EffectTwice, 2),
+    ("send-to-drained", Plant::SendToDrained, 3),
+    ("push-cold-over", Plant::PushColdOver, 4),
+];
+
+#[derive(Default)]
+struct State {
+    callers: BTreeSet<Conn>,
+    links: BTreeMap<Conn, SocketAddr>,
+    cold: BTreeSet<SocketAddr>,
+    /// Connections of the saboteur's own, with what they are to send.
+    own: BTreeMap<Conn, Vec<u8>>,
+    answers: u64,
+}
+
+pub struct Saboteur {
+    inside: Box<dyn Machine>,
+    plant: Plant,
+    state: State,
+}
+
+impl Saboteur {
+    pub fn new(inside: Box<dyn Machine>, plant: Plant) -> Self {
+        Saboteur { inside, plant, state: State::default() }
+    }
+
+    fn with(&mut self, wire: &mut dyn Wire, call: impl FnOnce(&mut dyn Machine, &mut dyn Wire)) {
+        let mut bent = Bent { wire, plant: self.plant, state: &mut self.state };
+        call(self.inside.as_mut(), &mut bent);
+    }
+}
+
+struct Bent<'a> {
+    wire: &'a mut dyn Wire,
+    plant: Plant,
+    state: &'a mut State,
+}
+
+fn holds(bytes: &[u8], text: &str) -> bool {
+    bytes.windows(text.len()).any(|w| w == text.as_bytes())
+}
+
+/// Puts `new` for each `old` of the same length, so that the lengths of chunks stay right.
+fn swap(bytes: &mut [u8], old: &str, new: &str) {
+    for at in 0..bytes.len().saturating_sub(old.len() - 1) {
+        if &bytes[at..at + old.len()] == old.as_bytes() {
+            bytes[at..at + old.len()].copy_from_slice(new.as_bytes());
+        }
+    }
+}
+
+impl Wire for Bent<'_> {
+    fn connect(&mut self, to: SocketAddr, patience: Micros) -> Conn {
+        let conn = self.wire.connect(to, patience);
+        self.state.links.insert(conn, to);
+        conn
+    }
+    fn write(&mut self, conn: Conn, bytes: &[u8]) {
+        let answer = self.state.callers.contains(&conn) && bytes.starts_with(b"HTTP/1.1 200");
+        self.state.answers += u64::from(answer);
+        let turn = answer && self.state.answers.is_multiple_of(EVERY);
+        let to = self.state.links.get(&conn).copied();
+        let times = match self.plant {
+            Plant::EffectTwice if holds(bytes, "ce-type: confirm") => 1,
+            Plant::PushColdOver if to.is_some_and(|to| self.state.cold.contains(&to)) => FLOOD,
+            _ => 0,
+        };
+        if let Some(to) = to.filter(|_| bytes.starts_with(b"POST")) {
+            for _ in 0..times {
+                let own = self.wire.connect(to, 1_000_000);
+                self.state.own.insert(own, bytes.to_vec());
+            }
+        }
+        match self.plant {
+            Plant::LostAnswer if turn => {}
+            Plant::DoubleAnswer if turn => self.wire.write(conn, &[bytes, bytes].concat()),
+            _ => self.wire.write(conn, bytes),
+        }
+    }
+    fn unsent(&self, conn: Conn) -> usize {
+        self.wire.unsent(conn)
+    }
+    fn sent(&self, conn: Conn) -> u64 {
+        self.wire.sent(conn)
+    }
+    fn reading(&mut self, conn: Conn, on: bool) {
+        self.wire.reading(conn, on);
+    }
+    fn finish(&mut self, conn: Conn) {
+        self.wire.finish(conn);
+    }
+    fn cut(&mut self, conn: Conn) {
+        self.wire.cut(conn);
+    }
+    fn listen(&mut self, at: SocketAddr, most: usize) -> std::io::Result<(Listener, SocketAddr)> {
+        self.wire.listen(at, most)
+    }
+    fn deafen(&mut self, listener: Listener, close: bool) {
+        self.wire.deafen(listener, close);
+    }
+    fn hear(&mut self, listener: Listener) {
+        self.wire.hear(listener);
+    }
+    fn wake_at(&mut self, at: Micros, wake: Wake) {
+        self.wire.wake_at(at, wake);
+    }
+}
+
+impl Machine for Saboteur {
+    fn start(&mut self, now: Micros, wire: &mut dyn Wire) {
+        self.with(wire, |m, w| m.start(now, w));
+    }
+    fn accepted(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, listener: Listener) {
+        self.state.callers.insert(conn);
+        self.with(wire, |m, w| m.accepted(now, w, conn, listener));
+    }
+    fn connected(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        match self.state.own.get(&conn) {
+            Some(bytes) => wire.write(conn, bytes),
+            None => self.with(wire, |m, w| m.connected(now, w, conn)),
+        }
+    }
+    fn bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        if self.state.own.contains_key(&conn) {
+            return;
+        }
+        let mut bytes = bytes.to_vec();
+        let list = holds(&bytes, "\"standing\"");
+        if list && self.plant == Plant::SendToDrained {
+            swap(&mut bytes, "\"draining\"", "\"ready\"   ");
+        }
+        if list && self.plant == Plant::PushColdOver {
+            // One row a change: its address, and that it has just started, are in the same piece.
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            for row in text.split('{').filter(|r| r.contains("\"ready\"") && !r.contains("\"started\":0")) {
+                let address = row.split("\"address\":\"").nth(1).and_then(|r| r.split('"').next());
+                self.state.cold.extend(address.and_then(|a| a.parse::<SocketAddr>().ok()));
+            }
+            while let Some(at) =
+                bytes.windows(11).position(|w| w.starts_with(b"\"started\":") && w[10] != b'0')
+            {
+                let digits = bytes[at + 10..].iter().take_while(|b| b.is_ascii_digit()).count();
+                bytes[at + 10..at + 10 + digits].fill(b' ');
+                bytes[at + 10] = b'0';
+            }
+        }
+        self.with(wire, |m, w| m.bytes(now, w, conn, &bytes));
+    }
+    fn half_closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        match self.state.own.remove(&conn) {
+            Some(_) => wire.cut(conn),
+            None => self.with(wire, |m, w| m.half_closed(now, w, conn)),
+        }
+    }
+    fn closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, why: Closed, sent: u64) {
+        self.state.callers.remove(&conn);
+        self.state.links.remove(&conn);
+        if self.state.own.remove(&conn).is_none() {
+            self.with(wire, |m, w| m.closed(now, w, conn, why, sent));
+        }
+    }
+    fn flushed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        if !self.state.own.contains_key(&conn) {
+            self.with(wire, |m, w| m.flushed(now, w, conn));
+        }
+    }
+    fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
+        self.with(wire, |m, w| m.woken(now, w, wake));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/claims.rs
@@ -0,0 +1,187 @@
+//! Which exchanges share a job, and what is told again after its end.
+//!
+//! A job's name is (`source`, `id`): CloudEvents makes two events with the same pair the same event. An
+//! exchange that names a running job joins it. After the end the answer is told again where another execution
+//! could do harm, or could only repeat work; it is remembered for a time, and up to a number and a sum of
+//! bytes.
+use applepond::interface::{Effect, JobId, Micros};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// `source` and `id` of an event.
+pub type Name = (Rc<str>, Rc<str>);
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Finished,
+    PushedBack,
+    Killed,
+}
+
+/// What to do with an exchange that names a job.
+#[derive(Debug, PartialEq)]
+pub enum Claim<A> {
+    /// A job of its own.
+    New,
+    /// It waits for this one's answer.
+    Join(JobId),
+    /// It gets the answer again.
+    Again(Rc<A>),
+}
+
+struct Kept<A> {
+    until: Micros,
+    order: u64,
+    bytes: usize,
+    answer: Rc<A>,
+}
+
+pub struct Claims<A> {
+    running: BTreeMap<Name, JobId>,
+    kept: BTreeMap<Name, Kept<A>>,
+    by_age: BTreeSet<(Micros, u64, Name)>,
+    order: u64,
+    bytes: usize,
+    hold: Micros,
+    most: usize,
+    bytes_most: usize,
+}
+
+/// Whether an ended job's answer is told again. A pushback invites another try, so that must be a new job. A
+/// kill promises nothing, and what may have run must not run again unless it is restartable.
+fn told_again(ending: Ending, effect: Effect) -> bool {
+    match ending {
+        Ending::Finished => true,
+        Ending::PushedBack => false,
+        Ending::Killed => effect != Effect::Restartable,
+    }
+}
+
+impl<A> Claims<A> {
+    /// Answers are kept for `hold`, `most` of them, `bytes_most` bytes in all.
+    pub fn new(hold: Micros, most: usize, bytes_most: usize) -> Self {
+        Claims {
+            running: BTreeMap::new(),
+            kept: BTreeMap::new(),
+            by_age: BTreeSet::new(),
+            order: 0,
+            bytes: 0,
+            hold,
+            most,
+            bytes_most,
+        }
+    }
+
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    pub fn remembered(&self) -> usize {
+        self.kept.len()
+    }
+
+    pub fn claim(&mut self, now: Micros, name: &Name) -> Claim<A> {
+        self.forget_old(now);
+        if let Some(job) = self.running.get(name) {
+            return Claim::Join(*job);
+        }
+        self.kept.get(name).map_or(Claim::New, |k| Claim::Again(k.answer.clone()))
+    }
+
+    pub fn begin(&mut self, name: Name, job: JobId) {
+        self.running.insert(name, job);
+    }
+
+    /// A job that no exchange waits for any more and that has never been sent.
+    pub fn drop(&mut self, name: &Name) {
+        self.running.remove(name);
+    }
+
+    pub fn end(
+        &mut self,
+        now: Micros,
+        name: &Name,
+        ending: Ending,
+        effect: Effect,
+        answer: Rc<A>,
+        bytes: usize,
+    ) {
+        self.running.remove(name);
+        if !told_again(ending, effect) || bytes > self.bytes_most {
+            return;
+        }
+        self.order += 1;
+        let until = now + self.hold;
+        let bytes = bytes + name.0.len() + name.1.len();
+        let kept = Kept { until, order: self.order, bytes, answer };
+        if let Some(old) = self.kept.insert(name.clone(), kept) {
+            self.by_age.remove(&(old.until, old.order, name.clone()));
+            self.bytes -= old.bytes;
+        }
+        self.by_age.insert((until, self.order, name.clone()));
+        self.bytes += bytes;
+        self.forget_old(now);
+    }
+
+    fn forget_old(&mut self, now: Micros) {
+        while let Some((until, _, _)) = self.by_age.first()
+            && (*until <= now || self.kept.len() > self.most || self.bytes > self.bytes_most)
+        {
+            let (_, _, name) = self.by_age.pop_first().expect("there is a first");
+            self.bytes -= self.kept.remove(&name).map_or(0, |k| k.bytes);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use applepond::interface::Within;
+    use test_case::test_case;
+
+    const MARKED: Effect = Effect::Fingerprinted { within: Within::Rack, window: 1 };
+
+    fn name(n: u32) -> Name {
+        (Rc::from("/desk"), Rc::from(n.to_string()))
+    }
+
+    fn job(n: u8) -> JobId {
+        JobId([n; 36])
+    }
+
+    #[test_case(Ending::Finished, Effect::Restartable, true; "finished: the work is done")]
+    #[test_case(Ending::Finished, Effect::RunOnce, true; "finished run-once")]
+    #[test_case(Ending::PushedBack, Effect::RunOnce, false; "pushed back: a new try is invited")]
+    #[test_case(Ending::Killed, Effect::Restartable, false; "killed restartable may run again")]
+    #[test_case(Ending::Killed, MARKED, true; "killed fingerprinted may have run")]
+    #[test_case(Ending::Killed, Effect::RunOnce, true; "killed run-once may have run")]
+    fn after_the_end(ending: Ending, effect: Effect, again: bool) {
+        let mut claims = Claims::new(1000, 10, 1000);
+        assert_eq!(claims.claim(0, &name(1)), Claim::New);
+        claims.begin(name(1), job(1));
+        assert_eq!(claims.claim(5, &name(1)), Claim::Join(job(1)), "while it runs");
+        claims.end(10, &name(1), ending, effect, Rc::new("answer"), 6);
+        let want = if again { Claim::Again(Rc::new("answer")) } else { Claim::New };
+        assert_eq!(claims.claim(1009, &name(1)), want);
+        assert_eq!(claims.claim(1010, &name(1)), Claim::New, "after its time");
+    }
+
+    #[test_case(4, 100_000; "by number")]
+    #[test_case(1000, 4 * 16; "by bytes")]
+    fn bounded(most: usize, bytes: usize) {
+        let mut claims = Claims::new(1000, most, bytes);
+        for n in 0..100 {
+            claims.begin(name(n), job(n as u8));
+            claims.end(u64::from(n), &name(n), Ending::Finished, Effect::RunOnce, Rc::new(()), 9);
+            assert!(claims.remembered() <= 4);
+        }
+        assert_eq!(
+            (claims.claim(100, &name(99)), claims.claim(100, &name(0))),
+            (Claim::Again(Rc::new(())), Claim::New)
+        );
+        assert!(claims.remembered() >= 3 && claims.running() == 0);
+        claims.claim(5000, &name(1));
+        assert_eq!((claims.remembered(), claims.bytes, claims.by_age.len()), (0, 0, 0));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/deployment.rs
@@ -0,0 +1,76 @@
+//! What an instance is given at its start: the module's rows, and the names and addresses around them.
+use applepond::interface::{Micros, Startup};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Where the name of a job's function comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FunctionBy {
+    /// An attribute of the event: `subject` or an extension.
+    Attribute(String),
+    /// One function for the whole workload.
+    Named(String),
+}
+
+/// What is told of a function or, where nothing is, of a workload's functions.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FunctionRow {
+    /// Jobs that one loaded copy runs at a time.
+    pub lanes: u32,
+    /// MB of one loaded copy.
+    pub memory_mb: u32,
+    /// The usual time of a load, where known.
+    pub load_time: Option<Micros>,
+}
+
+/// Beside the module's row of a workload: how its events are known and what holds where they say nothing.
+#[derive(Clone, Debug)]
+pub struct WorkloadNames {
+    pub name: String,
+    /// Values of the event attribute `type`.
+    pub types: Vec<String>,
+    pub function_by: FunctionBy,
+    pub time_limit: Micros,
+    pub function: FunctionRow,
+}
+
+/// One worker as the settings name it.
+#[derive(Clone, Debug)]
+pub struct NamedWorker {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: Option<usize>,
+    pub rack: i64,
+    pub weight: f64,
+}
+
+/// All that one instance starts with.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub rows: Startup,
+    pub listen: SocketAddr,
+    /// In the order of `rows.workloads`.
+    pub workloads: Vec<WorkloadNames>,
+    /// In the order of `rows.customers`.
+    pub customers: Vec<String>,
+    /// The attribute that names the customer.
+    pub customer_by: String,
+    pub zones: Vec<String>,
+    /// Functions with rows of their own.
+    pub functions: BTreeMap<String, FunctionRow>,
+    pub workers: Vec<NamedWorker>,
+    /// Who tells of workers and their changes, beside or instead of `workers`.
+    pub hosts: Option<SocketAddr>,
+    /// A connection that does not stand within this time was none.
+    pub connect_limit: Micros,
+    /// Client connections at a time.
+    pub callers_most: usize,
+    /// Bytes of one event at most.
+    pub body_most: u64,
+    /// Answers are remembered this long,
+    pub remember_for: Micros,
+    /// this many of them,
+    pub remember_most: usize,
+    /// and this many bytes of them, at most.
+    pub remember_bytes: usize,
+}
--- /dev/null
+++ b/crates/gateway/src/fate.rs
@@ -0,0 +1,84 @@
+//! Whether an execution may have run, judged by what really happened on its connection.
+use applepond::interface::Outcome;
+use applepond_reactor::Closed;
+
+/// How far a request got before its connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reached {
+    /// The connection never stood.
+    NotOpen,
+    /// It stood, and the kernel took no byte of the request.
+    NothingWritten,
+    /// The kernel took some of it: the worker may have seen as much, or all.
+    Written,
+}
+
+pub fn reached(open: bool, sent_before: u64, sent: u64) -> Reached {
+    match (open, sent > sent_before) {
+        (false, _) => Reached::NotOpen,
+        (true, false) => Reached::NothingWritten,
+        (true, true) => Reached::Written,
+    }
+}
+
+/// What an ended connection means for the execution on it. A request of which no byte left has never run,
+/// whatever the end looked like; one of which any byte left may have run, though the peer may never have read
+/// it.
+pub fn of_end(reached: Reached) -> Outcome {
+    match reached {
+        Reached::NotOpen | Reached::NothingWritten => Outcome::NoConnection,
+        Reached::Written => Outcome::Broken,
+    }
+}
+
+/// Whether the same execution may go out once more on a new connection, without a word to the module: only
+/// where a kept connection had been closed by the worker while it lay idle, and nothing of the request had
+/// left.
+pub fn again(reached: Reached, kept: bool, why: Closed) -> bool {
+    reached == Reached::NothingWritten && kept && why != Closed::Overflow
+}
+
+/// What a whole answer means. Only the worker's own mark proves that the job has not run: any other peer on
+/// the way may answer 503 or 404 to a job that has.
+pub fn of_answer(status: u16, mark: Option<&str>, event: bool) -> Outcome {
+    match (status, mark) {
+        (200, None) if event => Outcome::Finished,
+        (503, Some("full")) => Outcome::Full,
+        (404, Some("missing")) => Outcome::Missing,
+        _ => Outcome::Error,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test_case(false, 0, 0, Outcome::NoConnection; "never open")]
+    #[test_case(true, 0, 0, Outcome::NoConnection; "open, nothing written")]
+    #[test_case(true, 700, 700, Outcome::NoConnection; "kept, nothing of this one written")]
+    #[test_case(true, 700, 701, Outcome::Broken; "kept, one byte written")]
+    #[test_case(true, 0, 9000, Outcome::Broken; "all written")]
+    fn ends(open: bool, before: u64, sent: u64, want: Outcome) {
+        assert_eq!(of_end(reached(open, before, sent)), want);
+    }
+
+    #[test_case(Reached::NothingWritten, true, Closed::Reset, true; "kept and closed meanwhile")]
+    #[test_case(Reached::NothingWritten, false, Closed::Reset, false; "a new one: the worker is in trouble")]
+    #[test_case(Reached::Written, true, Closed::Reset, false; "a byte has left: it may have run")]
+    #[test_case(Reached::NotOpen, false, Closed::Never, false; "refused")]
+    fn once_more(reached: Reached, kept: bool, why: Closed, want: bool) {
+        assert_eq!(again(reached, kept, why), want);
+    }
+
+    #[test_case(200, None, true, Outcome::Finished; "finished")]
+    #[test_case(200, None, false, Outcome::Error; "garbage with a good status")]
+    #[test_case(503, Some("full"), false, Outcome::Full; "full, by the worker's own mark")]
+    #[test_case(503, None, false, Outcome::Error; "503 of who knows whom proves nothing")]
+    #[test_case(404, Some("missing"), false, Outcome::Missing; "missing")]
+    #[test_case(404, None, false, Outcome::Error; "404 without the mark")]
+    #[test_case(500, Some("full"), false, Outcome::Error; "a mark that does not fit its status")]
+    fn answers(status: u16, mark: Option<&str>, event: bool, want: Outcome) {
+        assert_eq!(of_answer(status, mark, event), want);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,16 @@
+//! One router instance as a machine without I/O: it is told of bytes, connections and time, asks `Control` of
+//! the root package for every product decision, carries it out on worker connections, and gives each job its
+//! one final answer. Decisions of its own: whether an execution may have run (`fate`), which exchanges share
+//! a job and what is told again after its end (`claims`), how long a job has (`limit`), which list to believe
+//! (`members`).
+pub mod claims;
+pub mod deployment;
+pub mod fate;
+pub mod front;
+pub mod limit;
+pub mod links;
+pub mod machine;
+pub mod members;
+
+pub use deployment::Deployment;
+pub use machine::Gateway;
--- /dev/null
+++ b/crates/gateway/src/links.rs
@@ -0,0 +1,127 @@
+//! The workers' side: what one connection to a worker carries, and how its answer is read.
+//!
+//! A connection carries one execution at a time. Ending it is the cancel: HTTP/1.1 has no other word for it
+//! that the worker sees on the same connection, and it reaches a worker that still reads the request as well
+//! as one that runs it.
+use applepond::interface::{Copy, JobId, ServerId};
+use applepond_http::Fault;
+use applepond_http::cloudevent::{EventSink, Reader};
+use applepond_http::decode::{Decoder, Fields, Side, Sink};
+
+/// Bytes of an answer's head and body at most: an answer beyond it counts as broken.
+const HEAD_MOST: usize = 16 * 1024;
+const BODY_MOST: u64 = 8 * 1024 * 1024;
+
+/// An answer while it comes in.
+pub struct Answering {
+    pub status: u16,
+    /// What the worker says of the job by itself: `full`, `missing`.
+    pub mark: Option<String>,
+    pub copy: Copy,
+    pub company: u32,
+    pub held: Option<f64>,
+    pub loads: Option<f64>,
+    pub busy: Option<f64>,
+    pub queued: Option<f64>,
+    /// Fields that go on to the client: the result event's attributes and its media type.
+    pub fields: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    pub event: bool,
+    /// Set once the answer is whole: whether the connection stands for another one.
+    pub whole: Option<bool>,
+}
+
+impl Default for Answering {
+    fn default() -> Self {
+        Answering {
+            status: 0,
+            mark: None,
+            copy: Copy::Unsaid,
+            company: 0,
+            held: None,
+            loads: None,
+            busy: None,
+            queued: None,
+            fields: Vec::new(),
+            body: Vec::new(),
+            event: false,
+            whole: None,
+        }
+    }
+}
+
+impl EventSink for Answering {
+    fn attribute(&mut self, _: &str, _: &str) {}
+    fn data(&mut self, _: Option<&str>, _: Vec<u8>) {}
+}
+
+impl Sink for Answering {
+    fn request(&mut self, _: &str, _: &str, _: &Fields<'_>) -> Result<(), Fault> {
+        Err(Fault::new(400, "bad-head", "an answer is wanted"))
+    }
+
+    fn response(&mut self, status: u16, fields: &Fields<'_>) -> Result<(), Fault> {
+        let number = |name| fields.get(name).and_then(|v| v.parse::<f64>().ok()).filter(|v| v.is_finite());
+        self.status = status;
+        self.mark = fields.get("applepond-outcome").map(str::to_owned);
+        self.copy = match fields.get("applepond-copy") {
+            Some("stood") => Copy::Stood,
+            Some("begun") => Copy::Begun,
+            Some("awaited") => Copy::Awaited,
+            Some("load-failed") => Copy::LoadFailed,
+            _ => Copy::Unsaid,
+        };
+        self.company = fields.get("applepond-company").and_then(|v| v.parse().ok()).unwrap_or(0);
+        self.held = number("applepond-held");
+        self.loads = number("applepond-loads");
+        self.busy = number("applepond-busy");
+        self.queued = number("applepond-queued");
+        let mut seen = Answering::default();
+        self.event = Reader::head(fields, &mut seen).is_ok();
+        for (name, value) in fields.iter() {
+            let passes = name.get(..3).is_some_and(|p| p.eq_ignore_ascii_case("ce-"))
+                || name.eq_ignore_ascii_case("content-type");
+            if let Some(value) = std::str::from_utf8(value).ok().filter(|_| passes) {
+                self.fields.push((name.to_owned(), value.to_owned()));
+            }
+        }
+        Ok(())
+    }
+
+    fn body(&mut self, bytes: &[u8]) -> Result<(), Fault> {
+        self.body.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn end(&mut self, keep: bool) -> Result<(), Fault> {
+        self.whole = Some(keep);
+        Ok(())
+    }
+}
+
+/// One connection to a worker.
+pub struct Link {
+    pub server: ServerId,
+    pub open: bool,
+    /// It carried an answer before.
+    pub kept: bool,
+    pub carries: Option<(JobId, usize)>,
+    /// Bytes that the kernel had taken before this execution's request.
+    pub sent_before: u64,
+    pub decoder: Decoder,
+    pub answering: Answering,
+}
+
+impl Link {
+    pub fn new(server: ServerId, carries: (JobId, usize)) -> Self {
+        Link {
+            server,
+            open: false,
+            kept: false,
+            carries: Some(carries),
+            sent_before: 0,
+            decoder: Decoder::new(Side::Client, HEAD_MOST, BODY_MOST),
+            answering: Answering::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/machine.rs
@@ -0,0 +1,889 @@
+//! The instance itself: connects the clients' side, the module, the workers' side and the host list.
+use crate::claims::{Claim, Claims, Ending, Name};
+use crate::deployment::{Deployment, FunctionBy, FunctionRow};
+use crate::front::{self, Ask, Caller, Draft, Patience, Told};
+use crate::links::{Answering, Link};
+use crate::members::{Entry, Members, Taken};
+use crate::{fate, limit};
+use applepond::control::Control;
+use applepond::interface::*;
+use applepond_http::decode::{Decoder, Fields, Side, Sink, Step as Decoded};
+use applepond_http::{Fault, cloudevent, encode};
+use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// Idle connections kept a worker: more than one router has jobs there at a time.
+const IDLE_MOST: usize = 64;
+/// µs after which an idle connection is not used any more: shorter than a worker keeps it, so that the
+/// worker's own closing does not meet a request on its way.
+const IDLE_LIMIT: Micros = 4_000_000;
+/// µs of idleness after which a connection carries no run-once job: should the worker have closed it after
+/// all, the job would count as one that may have run.
+const IDLE_RUN_ONCE: Micros = 500_000;
+/// µs between two looks for connections idle too long.
+const SWEEP: Micros = 1_000_000;
+/// µs between two looks at a client's patience at most: a new request may have begun meanwhile.
+const LOOK: Micros = 5_000_000;
+/// Jobs that have not ended at most; beyond it the gateway itself pushes back, at the cost of one answer.
+const JOBS_MOST: usize = 20_000;
+/// µs named as a time to come back by that.
+const JOBS_MOST_WAIT: Micros = 1_000_000;
+/// µs between two tries to reach the host list, at first and at most.
+const WATCH_AGAIN: Micros = 100_000;
+const WATCH_AGAIN_MOST: Micros = 3_000_000;
+/// Bytes of one line of the host list at most.
+const LINE_MOST: usize = 8 * 1024 * 1024;
+
+/// What a timer leaves to do.
+type Step = Box<dyn FnOnce(&mut Gateway, Micros, &mut dyn Wire)>;
+
+/// What the module ordered, until its call returns.
+enum Act {
+    Send(JobId, ServerId, Micros),
+    Cancel(JobId, usize),
+    PushBack(JobId, Option<Micros>),
+    Kill(JobId),
+    Wake(Micros, Token),
+    Note(String),
+}
+
+#[derive(Default)]
+struct Acts(VecDeque<Act>);
+
+impl Orders for Acts {
+    fn send(&mut self, job: JobId, server: ServerId, patience: Micros) {
+        self.0.push_back(Act::Send(job, server, patience));
+    }
+    fn cancel(&mut self, job: JobId, execution: usize) {
+        self.0.push_back(Act::Cancel(job, execution));
+    }
+    fn push_back(&mut self, job: JobId, come_back: Option<Micros>) {
+        self.0.push_back(Act::PushBack(job, come_back));
+    }
+    fn kill(&mut self, job: JobId) {
+        self.0.push_back(Act::Kill(job));
+    }
+    fn wake_after(&mut self, delay: Micros, token: Token) {
+        self.0.push_back(Act::Wake(delay, token));
+    }
+    fn note(&mut self, text: &str) {
+        self.0.push_back(Act::Note(text.to_owned()));
+    }
+    // The list is pushed to whoever is connected to it, so there is nothing to ask for.
+    fn watch(&mut self) {}
+}
+
+/// One execution of a job.
+struct Execution {
+    server: ServerId,
+    sent: Micros,
+    /// Its connection, until it has closed.
+    link: Option<Conn>,
+    closed: bool,
+}
+
+/// One job, from its arrival until its last execution has closed.
+struct Task {
+    name: Name,
+    workload: usize,
+    function: String,
+    came: Micros,
+    limit: Micros,
+    /// Exchanges that wait for its answer.
+    callers: Vec<Conn>,
+    executions: Vec<Execution>,
+    /// What every execution sends after its own head.
+    attributes: Vec<(String, String)>,
+    media: Option<String>,
+    data: Rc<Vec<u8>>,
+    row: FunctionRow,
+    ended: bool,
+    timed_out: bool,
+}
+
+impl Task {
+    fn out(&self) -> usize {
+        self.executions.iter().filter(|e| !e.closed).count()
+    }
+}
+
+/// The connection to the host list.
+#[derive(Default)]
+struct Watch {
+    conn: Option<Conn>,
+    decoder: Option<Decoder>,
+    lines: Lines,
+    pause: Micros,
+}
+
+/// Lines of the list's body as they come in.
+#[derive(Default)]
+struct Lines {
+    status: u16,
+    buffer: Vec<u8>,
+    whole: VecDeque<Vec<u8>>,
+}
+
+impl Sink for Lines {
+    fn request(&mut self, _: &str, _: &str, _: &Fields<'_>) -> Result<(), Fault> {
+        Err(Fault::new(400, "bad-head", "an answer is wanted"))
+    }
+    fn response(&mut self, status: u16, _: &Fields<'_>) -> Result<(), Fault> {
+        self.status = status;
+        if status == 200 { Ok(()) } else { Err(Fault::new(status, "no-list", "the host list was not given")) }
+    }
+    fn body(&mut self, bytes: &[u8]) -> Result<(), Fault> {
+        for byte in bytes {
+            if *byte == b'\n' {
+                self.whole.push_back(std::mem::take(&mut self.buffer));
+            } else if self.buffer.len() < LINE_MOST {
+                self.buffer.push(*byte);
+            } else {
+                return Err(Fault::new(413, "long-line", "a line of the host list is too long"));
+            }
+        }
+        Ok(())
+    }
+    fn end(&mut self, _: bool) -> Result<(), Fault> {
+        Ok(())
+    }
+}
+
+/// Counts since the start, for the state page.
+#[derive(Default)]
+struct Counts {
+    jobs: u64,
+    joined: u64,
+    again: u64,
+    finished: u64,
+    pushed_back: u64,
+    killed: u64,
+    executions: u64,
+    refused: u64,
+}
+
+pub struct Gateway {
+    deployment: Deployment,
+    control: Control,
+    acts: Acts,
+    callers: BTreeMap<Conn, Caller>,
+    links: BTreeMap<Conn, Link>,
+    members: Members,
+    tasks: BTreeMap<JobId, Task>,
+    claims: Claims<Told>,
+    steps: BTreeMap<u64, Step>,
+    next_step: u64,
+    next_job: u64,
+    watch: Watch,
+    /// Clients whose answer has gone out and whose next request may be here.
+    ready: VecDeque<Conn>,
+    counts: Counts,
+    /// Told where it listens, once it does.
+    on_listening: Box<dyn FnMut(std::net::SocketAddr)>,
+}
+
+impl Gateway {
+    /// `now` is the shell's clock. `on_listening` is told the address, which matters for port 0.
+    pub fn new(
+        now: Micros,
+        deployment: Deployment,
+        on_listening: Box<dyn FnMut(std::net::SocketAddr)>,
+    ) -> Self {
+        let mut acts = Acts::default();
+        let control = Control::new(now, deployment.rows.clone(), &mut acts);
+        let claims =
+            Claims::new(deployment.remember_for, deployment.remember_most, deployment.remember_bytes);
+        Gateway {
+            control,
+            acts,
+            callers: BTreeMap::new(),
+            links: BTreeMap::new(),
+            members: Members::default(),
+            tasks: BTreeMap::new(),
+            claims,
+            steps: BTreeMap::new(),
+            next_step: 0,
+            next_job: 0,
+            watch: Watch { pause: WATCH_AGAIN, ..Watch::default() },
+            ready: VecDeque::new(),
+            counts: Counts::default(),
+            deployment,
+            on_listening,
+        }
+    }
+
+    fn after(&mut self, now: Micros, wire: &mut dyn Wire, delay: Micros, step: Step) {
+        self.next_step += 1;
+        self.steps.insert(self.next_step, step);
+        wire.wake_at(now + delay, Wake(self.next_step));
+    }
+
+    // ---- The module's orders -----------------------------------------------------------------
+
+    /// Carries out what the module ordered, and what comes of that, until nothing is left. A client whose
+    /// answer went out may have sent its next request already: those are taken here, one after the other, and
+    /// not from within each other, or a long pipeline would fill the stack.
+    fn settle(&mut self, now: Micros, wire: &mut dyn Wire) {
+        loop {
+            self.carry_out(now, wire);
+            match self.ready.pop_front() {
+                Some(conn) => self.read_on(now, wire, conn),
+                None if self.acts.0.is_empty() => return,
+                None => {}
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, wire: &mut dyn Wire) {
+        while let Some(act) = self.acts.0.pop_front() {
+            match act {
+                Act::Send(job, server, patience) => self.execute(now, wire, job, server, patience),
+                Act::Cancel(job, n) => {
+                    self.drop_execution(now, wire, job, n, Outcome::Cancelled);
+                }
+                Act::PushBack(job, come_back) => {
+                    let fault =
+                        Fault::new(503, "pushed-back", "there is no room in time; a retry does no harm");
+                    let id = self.tasks.get(&job).map(|t| t.name.1.clone());
+                    let told = front::problem(Ending::PushedBack, &fault, id.as_deref(), come_back);
+                    self.end(now, wire, job, told);
+                }
+                Act::Kill(job) => {
+                    let Some(task) = self.tasks.get(&job) else { continue };
+                    let late = task.timed_out || now >= task.limit;
+                    let fault = if late {
+                        Fault::new(504, "killed-late", "no answer came in time; the job may have run")
+                    } else {
+                        Fault::new(502, "killed", "the worker failed; the job may have run")
+                    };
+                    let id = task.name.1.clone();
+                    let told = front::problem(Ending::Killed, &fault, Some(&id), None);
+                    self.end(now, wire, job, told);
+                }
+                Act::Wake(delay, token) => {
+                    let step: Step = Box::new(move |g, now, _| {
+                        g.control.clock(now);
+                        g.control.wake(&mut g.acts, token);
+                    });
+                    self.after(now, wire, delay, step);
+                }
+                Act::Note(text) => tracing::info!(target: "module", "{text}"),
+            }
+        }
+    }
+
+    /// Begins one execution: on a connection that stands, else on a new one.
+    fn execute(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, server: ServerId, patience: Micros) {
+        let most = self.deployment.rows.permits.executions;
+        let Some(task) = self.tasks.get_mut(&job) else { return };
+        let n = task.executions.len();
+        task.executions.push(Execution { server, sent: now, link: None, closed: false });
+        if task.ended || n >= most {
+            self.close(now, job, n, Outcome::Moot, None);
+            return;
+        }
+        self.counts.executions += 1;
+        if let Some(worker) = self.members.get_mut(server) {
+            worker.out += 1;
+        }
+        self.after(
+            now,
+            wire,
+            patience,
+            Box::new(move |g, now, wire| g.drop_execution(now, wire, job, n, Outcome::TimedOut)),
+        );
+        self.connect(now, wire, job, n);
+    }
+
+    fn connect(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize) {
+        let Some(task) = self.tasks.get_mut(&job) else { return };
+        let server = task.executions[n].server;
+        let run_once = self.deployment.rows.workloads[task.workload].effect == Effect::RunOnce;
+        let Some(worker) = self.members.get_mut(server).filter(|w| w.standing == Standing::Ready) else {
+            self.close(now, job, n, Outcome::NoConnection, None);
+            return;
+        };
+        let rested = if run_once { IDLE_RUN_ONCE } else { IDLE_LIMIT };
+        // The latest of them is the freshest; where that is too old, all are, and the sweep takes them.
+        let fresh = worker.idle.last().is_some_and(|(_, since)| now < since + rested);
+        let conn = match if fresh { worker.idle.pop() } else { None } {
+            Some((conn, _)) => {
+                let link = self.links.get_mut(&conn).expect("idle connections are known");
+                link.carries = Some((job, n));
+                link.sent_before = wire.sent(conn);
+                conn
+            }
+            None => {
+                let conn = wire.connect(worker.address, self.deployment.connect_limit);
+                self.links.insert(conn, Link::new(server, (job, n)));
+                conn
+            }
+        };
+        task.executions[n].link = Some(conn);
+        if fresh {
+            self.write(now, wire, conn);
+        }
+    }
+
+    /// Writes the request of the execution that a connection carries.
+    fn write(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        let Some(link) = self.links.get(&conn) else { return };
+        let Some((job, n)) = link.carries else { return };
+        let Some(worker) = self.members.get(link.server) else { return };
+        // A drain was told while the connection was made: nothing new goes there.
+        if worker.standing != Standing::Ready {
+            self.drop_execution(now, wire, job, n, Outcome::NoConnection);
+            return;
+        }
+        let Some(task) = self.tasks.get(&job) else { return };
+        let mut head = encode::request("POST", "/run", &worker.address.to_string());
+        for (name, value) in &task.attributes {
+            head = cloudevent::attribute(head, name, value);
+        }
+        if let Some(media) = &task.media {
+            head = head.field("Content-Type", media);
+        }
+        let row = &task.row;
+        head = head
+            .field("applepond-function", &task.function)
+            .field("applepond-workload", &self.deployment.workloads[task.workload].name)
+            .field("applepond-lanes", &row.lanes.to_string())
+            .field("applepond-memory-mb", &row.memory_mb.to_string())
+            .field("applepond-router", &self.deployment.rows.me.to_string())
+            .field("applepond-execution", &n.to_string())
+            .field("applepond-time-left-ms", &(task.limit.saturating_sub(now) / 1000).to_string());
+        wire.write(conn, &head.body(&task.data));
+    }
+
+    /// Ends an execution from this side, by a cancel or because its time is up: the worker is told by the end
+    /// of its connection, and whatever it answers after that is never read.
+    fn drop_execution(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize, outcome: Outcome) {
+        let Some(task) = self.tasks.get_mut(&job) else { return };
+        let Some(execution) = task.executions.get_mut(n).filter(|e| !e.closed) else { return };
+        if let Some(conn) = execution.link.take() {
+            wire.cut(conn);
+            self.links.remove(&conn);
+        }
+        task.timed_out |= outcome == Outcome::TimedOut;
+        self.close(now, job, n, outcome, None);
+    }
+
+    /// Tells the module how an execution closed, once.
+    fn close(&mut self, now: Micros, job: JobId, n: usize, outcome: Outcome, said: Option<&Answering>) {
+        let Some(task) = self.tasks.get_mut(&job) else { return };
+        let execution = &mut task.executions[n];
+        if std::mem::replace(&mut execution.closed, true) {
+            return;
+        }
+        execution.link = None;
+        if let Some(worker) = self.members.get_mut(execution.server) {
+            worker.out = worker.out.saturating_sub(1);
+        }
+        let answer = Answer {
+            outcome,
+            closed: task.ended,
+            elapsed: now - execution.sent,
+            copy: said.map_or(Copy::Unsaid, |s| s.copy),
+            company: said.map_or(0, |s| s.company),
+            held: said.and_then(|s| s.held),
+            loads: said.and_then(|s| s.loads),
+            busy: said.and_then(|s| s.busy),
+            queued: said.and_then(|s| s.queued),
+        };
+        tracing::debug!(job = %task.name.1, n, ?outcome, elapsed = answer.elapsed, "execution closed");
+        if task.ended && task.out() == 0 {
+            self.tasks.remove(&job);
+        }
+        self.control.clock(now);
+        self.control.answered(&mut self.acts, job, n, &answer);
+    }
+
+    // ---- The end of a job --------------------------------------------------------------------
+
+    /// The one place where a job ends: each exchange that waits gets the answer, the log its line.
+    fn end(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, told: Rc<Told>) {
+        let Some(task) = self.tasks.get_mut(&job).filter(|t| !t.ended) else { return };
+        task.ended = true;
+        let count = match told.ending {
+            Ending::Finished => &mut self.counts.finished,
+            Ending::PushedBack => &mut self.counts.pushed_back,
+            Ending::Killed => &mut self.counts.killed,
+        };
+        *count += 1;
+        let effect = self.deployment.rows.workloads[task.workload].effect;
+        self.claims.end(now, &task.name, told.ending, effect, told.clone(), told.bytes());
+        tracing::info!(
+            id = %task.name.1,
+            source = %task.name.0,
+            function = %task.function,
+            workload = %self.deployment.workloads[task.workload].name,
+            reason = told.reason,
+            status = told.status,
+            executions = task.executions.len(),
+            exchanges = task.callers.len(),
+            took_us = now - task.came,
+            left_us = task.limit.saturating_sub(now),
+            "job ended"
+        );
+        let callers = std::mem::take(&mut task.callers);
+        if task.out() == 0 {
+            self.tasks.remove(&job);
+        }
+        for conn in callers {
+            if let Some(caller) = self.callers.get_mut(&conn) {
+                caller.answer(now, wire, conn, &told);
+                self.ready.push_back(conn);
+            }
+        }
+    }
+
+    // ---- The clients' side -------------------------------------------------------------------
+
+    /// Takes the requests that are whole, as far as answers allow.
+    fn read_on(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        while let Some(caller) = self.callers.get_mut(&conn)
+            && let Some(asked) = caller.next(wire, conn)
+        {
+            match asked {
+                Ok(Ask::Event(draft)) => match self.take(now, conn, *draft) {
+                    Ok(()) => {}
+                    Err(told) => self.answer(now, wire, conn, &told),
+                },
+                Ok(Ask::StatePage) => {
+                    let told = self.state_page(now);
+                    self.answer(now, wire, conn, &told);
+                }
+                Err(fault) => {
+                    self.counts.refused += 1;
+                    tracing::info!(reason = fault.reason, status = fault.status, "request refused");
+                    caller.refuse(now, wire, conn, &fault);
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, told: &Told) {
+        if let Some(caller) = self.callers.get_mut(&conn) {
+            caller.answer(now, wire, conn, told);
+        }
+    }
+
+    /// Takes one event: it joins its job, is told its answer again, or becomes a job. An error is its answer.
+    fn take(&mut self, now: Micros, conn: Conn, draft: Draft) -> Result<(), Rc<Told>> {
+        let id = draft.id.clone();
+        let refuse = |status, reason, detail: String| {
+            let fault = Fault::new(status, reason, detail);
+            tracing::info!(id, reason, status, "event refused");
+            Err(front::problem(Ending::PushedBack, &fault, Some(&id), None))
+        };
+        let Some(workload) = self.deployment.workloads.iter().position(|w| w.types.contains(&draft.kind))
+        else {
+            let shown: String = draft.kind.escape_default().take(80).collect();
+            return refuse(422, "unknown-workload", format!("no workload takes events of type '{shown}'"));
+        };
+        let names = &self.deployment.workloads[workload];
+        let function = match &names.function_by {
+            FunctionBy::Named(name) => Some(name.as_str()),
+            FunctionBy::Attribute(by) => draft.attribute_named(by).filter(|f| !f.is_empty()),
+        };
+        let Some(function) = function.map(str::to_owned) else {
+            return refuse(
+                422,
+                "no-function",
+                format!("the event does not name its function: {:?}", names.function_by),
+            );
+        };
+        let customer = match draft.attribute_named(&self.deployment.customer_by) {
+            None => None,
+            Some(named) => match self.deployment.customers.iter().position(|c| c == named) {
+                Some(n) => Some(CustomerId(n)),
+                None => {
+                    return refuse(422, "unknown-customer", "no such customer has a share here".to_owned());
+                }
+            },
+        };
+        let name: Name = (Rc::from(draft.source.as_str()), Rc::from(draft.id.as_str()));
+        match self.claims.claim(now, &name) {
+            Claim::Join(job) => {
+                self.counts.joined += 1;
+                let task = self.tasks.get_mut(&job).expect("running jobs are known");
+                task.callers.push(conn);
+                if let Some(caller) = self.callers.get_mut(&conn) {
+                    caller.job = Some(job);
+                }
+                return Ok(());
+            }
+            Claim::Again(told) => {
+                self.counts.again += 1;
+                return Err(told);
+            }
+            Claim::New => {}
+        }
+        let Some(left) = limit::left(now, names.time_limit, draft.asked) else {
+            return refuse(504, "expired", "the event's time was up when it came".to_owned());
+        };
+        if self.tasks.len() >= JOBS_MOST {
+            let fault = Fault::new(503, "too-many-jobs", "this router holds as many jobs as it may");
+            return Err(front::problem(Ending::PushedBack, &fault, Some(&id), Some(JOBS_MOST_WAIT)));
+        }
+        let row = self.deployment.functions.get(&function);
+        let row = row.unwrap_or(&names.function).clone();
+        self.next_job += 1;
+        self.counts.jobs += 1;
+        let job = job_id(self.deployment.rows.seed, self.next_job);
+        let arrival = Arrival {
+            job,
+            function: FunctionId::named(&function),
+            workload: WorkloadId(workload),
+            customer,
+            left,
+            lanes: row.lanes,
+            retry: draft.retry,
+            load_time: row.load_time,
+        };
+        let task = Task {
+            name: name.clone(),
+            workload,
+            function,
+            came: now,
+            limit: now + left,
+            callers: vec![conn],
+            executions: Vec::new(),
+            attributes: draft.attributes,
+            media: draft.media,
+            data: Rc::new(draft.data),
+            row,
+            ended: false,
+            timed_out: false,
+        };
+        self.claims.begin(name, job);
+        self.tasks.insert(job, task);
+        if let Some(caller) = self.callers.get_mut(&conn) {
+            caller.job = Some(job);
+        }
+        self.control.clock(now);
+        self.control.job(&mut self.acts, &arrival);
+        Ok(())
+    }
+
+    /// A client has gone. A job that never left for a worker ends with the last that waited for it; one that
+    /// did goes on, for the client may come back for its answer and must not make it run twice.
+    fn caller_gone(&mut self, now: Micros, conn: Conn) {
+        let Some(job) = self.callers.remove(&conn).and_then(|c| c.job) else { return };
+        let Some(task) = self.tasks.get_mut(&job) else { return };
+        task.callers.retain(|c| *c != conn);
+        if task.callers.is_empty() && task.executions.is_empty() && !task.ended {
+            tracing::info!(id = %task.name.1, source = %task.name.0, reason = "client-left", "job ended");
+            self.claims.drop(&task.name);
+            self.tasks.remove(&job);
+            self.control.clock(now);
+            self.control.left(job);
+        }
+    }
+
+    fn state_page(&self, now: Micros) -> Rc<Told> {
+        let standing = |wanted| self.members.iter().filter(|(_, w)| w.standing == wanted).count();
+        let out: usize = self.tasks.values().map(Task::out).sum();
+        let c = &self.counts;
+        let body = serde_json::json!({
+            "now_us": now,
+            "router": self.deployment.rows.me,
+            "jobs": {"open": self.tasks.values().filter(|t| !t.ended).count(), "taken": c.jobs,
+                "joined": c.joined, "told-again": c.again, "finished": c.finished,
+                "pushed-back": c.pushed_back, "killed": c.killed, "requests-refused": c.refused},
+            "executions": {"out": out, "begun": c.executions},
+            "remembered": self.claims.remembered(),
+            "connections": {"clients": self.callers.len(), "workers": self.links.len(),
+                "list": self.watch.conn.is_some()},
+            "workers": {"ready": standing(Standing::Ready), "draining": standing(Standing::Draining),
+                "gone": standing(Standing::Gone)},
+        });
+        let fields = vec![("Content-Type".to_owned(), "application/json".to_owned())];
+        let body = format!("{body}\n").into_bytes();
+        Rc::new(Told {
+            ending: Ending::Finished,
+            status: 200,
+            reason: "state",
+            fields,
+            body,
+            come_back: None,
+        })
+    }
+
+    // ---- The workers' side -------------------------------------------------------------------
+
+    fn link_bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        let Some((job, n)) = link.carries else {
+            // Nobody asked: a second answer, or garbage. What it belongs to can't be told.
+            self.drop_link(wire, conn);
+            return;
+        };
+        link.decoder.feed(bytes);
+        match link.decoder.step(&mut link.answering) {
+            Ok(Decoded::More) => {}
+            Ok(Decoded::Done) => self.link_answered(now, wire, conn),
+            Err(fault) => {
+                tracing::warn!(reason = fault.reason, "a worker's answer cannot be read");
+                self.drop_execution(now, wire, job, n, Outcome::Broken);
+            }
+        }
+    }
+
+    /// An answer is whole: the connection is free for the next, and the execution closes.
+    fn link_answered(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        let mut answering = std::mem::take(&mut link.answering);
+        let Some((job, n)) = link.carries.take() else { return };
+        link.kept = true;
+        let server = link.server;
+        // Bytes after the answer are a second one to the same request: that connection is not trusted
+        // further.
+        let clean = answering.whole == Some(true) && link.decoder.idle();
+        let worker = self.members.get_mut(server).filter(|w| w.standing == Standing::Ready);
+        match worker.filter(|w| clean && w.idle.len() < IDLE_MOST) {
+            Some(worker) => worker.idle.push((conn, now)),
+            None => {
+                wire.cut(conn);
+                self.links.remove(&conn);
+            }
+        }
+        let outcome = fate::of_answer(answering.status, answering.mark.as_deref(), answering.event);
+        if let Some(task) = self.tasks.get_mut(&job) {
+            task.executions[n].link = None;
+            if outcome == Outcome::Finished && !task.ended {
+                let mut fields = std::mem::take(&mut answering.fields);
+                fields.push(("applepond-executions".to_owned(), task.executions.len().to_string()));
+                let body = std::mem::take(&mut answering.body);
+                let told = Told {
+                    ending: Ending::Finished,
+                    status: 200,
+                    reason: "finished",
+                    fields,
+                    body,
+                    come_back: None,
+                };
+                self.end(now, wire, job, Rc::new(told));
+            }
+        }
+        self.close(now, job, n, outcome, Some(&answering));
+    }
+
+    /// A connection to a worker is gone, or its worker has ended its side.
+    fn link_gone(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, why: Closed, sent: u64) {
+        let Some(mut link) = self.links.remove(&conn) else { return };
+        let Some((job, n)) = link.carries else {
+            if let Some(worker) = self.members.get_mut(link.server) {
+                worker.idle.retain(|(c, _)| *c != conn);
+            }
+            return;
+        };
+        // An answer without a length ends with its connection.
+        if link.decoder.in_body() && link.decoder.finish(&mut link.answering).is_ok() {
+            self.links.insert(conn, link);
+            self.link_answered(now, wire, conn);
+            return;
+        }
+        let reached = fate::reached(link.open, link.sent_before, sent);
+        if let Some(task) = self.tasks.get_mut(&job) {
+            task.executions[n].link = None;
+            if fate::again(reached, link.kept, why) && !task.ended {
+                self.connect(now, wire, job, n);
+                return;
+            }
+        }
+        self.close(now, job, n, fate::of_end(reached), None);
+    }
+
+    fn drop_link(&mut self, wire: &mut dyn Wire, conn: Conn) {
+        wire.cut(conn);
+        if let Some(link) = self.links.remove(&conn)
+            && let Some(worker) = self.members.get_mut(link.server)
+        {
+            worker.idle.retain(|(c, _)| *c != conn);
+        }
+    }
+
+    fn sweep(&mut self, now: Micros, wire: &mut dyn Wire) {
+        for (_, worker) in self.members.iter_mut() {
+            let old = worker.idle.iter().take_while(|(_, since)| now >= since + IDLE_LIMIT).count();
+            for (conn, _) in worker.idle.drain(..old) {
+                wire.cut(conn);
+                self.links.remove(&conn);
+            }
+        }
+        self.after(now, wire, SWEEP, Box::new(|g, now, wire| g.sweep(now, wire)));
+    }
+
+    // ---- The host list -----------------------------------------------------------------------
+
+    fn listed(&mut self, now: Micros, wire: &mut dyn Wire, taken: &Taken) {
+        for conn in &taken.cut {
+            wire.cut(*conn);
+            self.links.remove(conn);
+        }
+        let entries: Vec<Listed> = taken.entries.iter().map(Listed::from).collect();
+        self.control.clock(now);
+        self.control.list(&mut self.acts, taken.kind, &entries);
+    }
+
+    fn watch(&mut self, wire: &mut dyn Wire) {
+        let Some(at) = self.deployment.hosts else { return };
+        let conn = wire.connect(at, self.deployment.connect_limit);
+        self.watch.conn = Some(conn);
+        self.watch.decoder = Some(Decoder::new(Side::Client, LINE_MOST, u64::MAX));
+        self.watch.lines = Lines::default();
+    }
+
+    fn watch_gone(&mut self, now: Micros, wire: &mut dyn Wire) {
+        self.watch.conn = None;
+        let pause = self.watch.pause;
+        self.watch.pause = (pause * 2).min(WATCH_AGAIN_MOST);
+        tracing::warn!(again_in_us = pause, "the host list is out of reach; the last one holds");
+        self.after(now, wire, pause, Box::new(|g, _, wire| g.watch(wire)));
+    }
+
+    fn watch_bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        let Some(decoder) = self.watch.decoder.as_mut() else { return };
+        decoder.feed(bytes);
+        let done = decoder.step(&mut self.watch.lines);
+        while let Some(line) = self.watch.lines.whole.pop_front() {
+            match self.members.line(&line, &self.deployment.zones) {
+                Ok(taken) => {
+                    self.watch.pause = WATCH_AGAIN;
+                    self.listed(now, wire, &taken);
+                }
+                Err(why) => {
+                    tracing::warn!(%why, "a line of the host list cannot be read; the last one holds")
+                }
+            }
+        }
+        if !matches!(done, Ok(Decoded::More)) {
+            wire.cut(conn);
+            self.watch_gone(now, wire);
+        }
+    }
+}
+
+/// A number of this instance's as the module's kind of id.
+fn job_id(seed: u64, number: u64) -> JobId {
+    let text = format!("{seed:016x}-{number:019}");
+    let mut id = [b'0'; 36];
+    id.copy_from_slice(&text.as_bytes()[..36]);
+    JobId(id)
+}
+
+impl Machine for Gateway {
+    fn start(&mut self, now: Micros, wire: &mut dyn Wire) {
+        let most = self.deployment.callers_most;
+        match wire.listen(self.deployment.listen, most) {
+            Ok((_, at)) => (self.on_listening)(at),
+            Err(error) => tracing::error!(listen = %self.deployment.listen, %error, "cannot listen"),
+        }
+        let workers = self.deployment.workers.iter();
+        let named: Vec<_> = workers
+            .map(|w| {
+                let entry = Entry {
+                    server: ServerId::named(&w.name),
+                    standing: Standing::Ready,
+                    up_since: 0,
+                    zone: w.zone.map(ZoneId),
+                    rack: RackId(w.rack),
+                    weight: w.weight,
+                };
+                (w.name.clone(), w.address, entry)
+            })
+            .collect();
+        if !named.is_empty() {
+            let taken = self.members.take(ListKind::Full, named);
+            self.listed(now, wire, &taken);
+        }
+        self.watch(wire);
+        self.sweep(now, wire);
+        self.settle(now, wire);
+    }
+
+    fn accepted(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, _: Listener) {
+        self.callers.insert(conn, Caller::new(now, self.deployment.body_most));
+        self.look_at_caller(now, wire, conn);
+    }
+
+    fn connected(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        if self.watch.conn == Some(conn) {
+            let at = self.deployment.hosts.map(|a| a.to_string()).unwrap_or_default();
+            wire.write(
+                conn,
+                &encode::request("GET", &format!("/watch?router={}", self.deployment.rows.me), &at).empty(),
+            );
+        } else if let Some(link) = self.links.get_mut(&conn) {
+            link.open = true;
+            self.write(now, wire, conn);
+        }
+        self.settle(now, wire);
+    }
+
+    fn bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        if let Some(caller) = self.callers.get_mut(&conn) {
+            caller.feed(now, wire, conn, bytes);
+            self.read_on(now, wire, conn);
+        } else if self.watch.conn == Some(conn) {
+            self.watch_bytes(now, wire, conn, bytes);
+        } else {
+            self.link_bytes(now, wire, conn, bytes);
+        }
+        self.settle(now, wire);
+    }
+
+    fn half_closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        if let Some(caller) = self.callers.get_mut(&conn) {
+            caller.half_closed(now, wire, conn);
+        } else if self.watch.conn == Some(conn) {
+            wire.cut(conn);
+            self.watch_gone(now, wire);
+        } else if self.links.contains_key(&conn) {
+            let sent = wire.sent(conn);
+            wire.cut(conn);
+            self.link_gone(now, wire, conn, Closed::Ended, sent);
+        }
+        self.settle(now, wire);
+    }
+
+    fn closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, why: Closed, sent: u64) {
+        if self.callers.contains_key(&conn) {
+            self.caller_gone(now, conn);
+        } else if self.watch.conn == Some(conn) {
+            self.watch_gone(now, wire);
+        } else {
+            self.link_gone(now, wire, conn, why, sent);
+        }
+        self.settle(now, wire);
+    }
+
+    fn flushed(&mut self, now: Micros, _: &mut dyn Wire, conn: Conn) {
+        if let Some(caller) = self.callers.get_mut(&conn) {
+            caller.flushed(now);
+        }
+    }
+
+    fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
+        if let Some(step) = self.steps.remove(&wake.0) {
+            step(self, now, wire);
+        }
+        self.settle(now, wire);
+    }
+}
+
+impl Gateway {
+    /// Looks whether a client has used up its patience, and again when it next could have.
+    fn look_at_caller(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        let Some(caller) = self.callers.get_mut(&conn) else { return };
+        match caller.patience(now, wire, conn) {
+            Patience::Until(at) => {
+                let step: Step = Box::new(move |g, now, wire| g.look_at_caller(now, wire, conn));
+                self.after(now, wire, at.saturating_sub(now).min(LOOK), step);
+            }
+            Patience::Over => self.caller_gone(now, conn),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/members.rs
@@ -0,0 +1,205 @@
+//! The host list: one record a worker, and what each message of the list does to it.
+//!
+//! A message is one line of JSON: `{"kind":"full","workers":[{"name":"w1","address":"127.0.0.1:9000",
+//! "standing":"ready","started":1764600000000,"zone":"hall-a","rack":0,"weight":4}]}`. `kind` is `full` or
+//! `changes`;
+//! `standing` is `ready`, `draining` or `gone`; `started` is ms since the Unix epoch, 0 or absent where
+//! unknown.
+use applepond::interface::{ListKind, Listed, Micros, RackId, ServerId, Standing, ZoneId};
+use applepond_reactor::Conn;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Workers that one list may name: beyond this it is taken for broken rather than for a fleet.
+const WORKERS_MOST: usize = 20_000;
+
+/// The one record of a worker.
+pub struct Worker {
+    pub name: String,
+    pub address: SocketAddr,
+    pub standing: Standing,
+    pub up_since: Micros,
+    /// Connections that stand and carry nothing, each with when it fell idle; the latest last.
+    pub idle: Vec<(Conn, Micros)>,
+    /// Executions out there.
+    pub out: usize,
+}
+
+#[derive(Default)]
+pub struct Members {
+    workers: BTreeMap<ServerId, Worker>,
+}
+
+/// What a message leaves to do: the entries for the module, and connections that are of no more use.
+#[derive(Debug, PartialEq)]
+pub struct Taken {
+    pub kind: ListKind,
+    pub entries: Vec<Entry>,
+    pub cut: Vec<Conn>,
+}
+
+/// An entry for the module; `Listed` has no comparison of its own.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    pub server: ServerId,
+    pub standing: Standing,
+    pub up_since: Micros,
+    pub zone: Option<ZoneId>,
+    pub rack: RackId,
+    pub weight: f64,
+}
+
+impl From<&Entry> for Listed {
+    fn from(e: &Entry) -> Self {
+        Listed {
+            server: e.server,
+            standing: e.standing,
+            up_since: e.up_since,
+            zone: e.zone,
+            rack: e.rack,
+            weight: e.weight,
+        }
+    }
+}
+
+impl Members {
+    pub fn get(&self, server: ServerId) -> Option<&Worker> {
+        self.workers.get(&server)
+    }
+
+    pub fn get_mut(&mut self, server: ServerId) -> Option<&mut Worker> {
+        self.workers.get_mut(&server)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&ServerId, &Worker)> {
+        self.workers.iter()
+    }
+
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&ServerId, &mut Worker)> {
+        self.workers.iter_mut()
+    }
+
+    /// Takes one line of the list. A line that cannot be read changes nothing: the list known so far holds.
+    pub fn line(&mut self, line: &[u8], zones: &[String]) -> Result<Taken, String> {
+        let message: Value = serde_json::from_slice(line).map_err(|e| format!("no JSON: {e}"))?;
+        let kind = match message["kind"].as_str() {
+            Some("full") => ListKind::Full,
+            Some("changes") => ListKind::Changes,
+            other => return Err(format!("'kind' is {other:?}; \"full\" or \"changes\" is wanted")),
+        };
+        let workers = message["workers"].as_array().ok_or("'workers' is no array")?;
+        if workers.len() > WORKERS_MOST {
+            return Err(format!("{} workers; {WORKERS_MOST} at most are wanted", workers.len()));
+        }
+        let read = |(n, worker)| entry(worker, zones).map_err(|why| format!("'workers[{n}]': {why}"));
+        let read: Result<Vec<_>, String> = workers.iter().enumerate().map(read).collect();
+        Ok(self.take(kind, read?))
+    }
+
+    pub fn take(&mut self, kind: ListKind, read: Vec<(String, SocketAddr, Entry)>) -> Taken {
+        let mut cut = Vec::new();
+        if kind == ListKind::Full {
+            for (id, worker) in &mut self.workers {
+                if !read.iter().any(|(_, _, e)| e.server == *id) {
+                    worker.standing = Standing::Gone;
+                    cut.extend(worker.idle.drain(..).map(|(conn, _)| conn));
+                }
+            }
+        }
+        let mut entries = Vec::new();
+        for (name, address, entry) in read {
+            let worker = self.workers.entry(entry.server).or_insert_with(|| Worker {
+                name,
+                address,
+                standing: entry.standing,
+                up_since: entry.up_since,
+                idle: Vec::new(),
+                out: 0,
+            });
+            // A process that was replaced, moved or is to stop: its idle connections lead nowhere.
+            if worker.address != address
+                || worker.up_since != entry.up_since
+                || entry.standing != Standing::Ready
+            {
+                cut.extend(worker.idle.drain(..).map(|(conn, _)| conn));
+            }
+            worker.address = address;
+            worker.standing = entry.standing;
+            if entry.standing == Standing::Ready {
+                worker.up_since = entry.up_since;
+            }
+            entries.push(entry);
+        }
+        self.workers.retain(|_, w| w.standing != Standing::Gone || w.out > 0);
+        Taken { kind, entries, cut }
+    }
+}
+
+fn entry(worker: &Value, zones: &[String]) -> Result<(String, SocketAddr, Entry), String> {
+    let name = worker["name"].as_str().filter(|n| !n.is_empty()).ok_or("'name' is no text")?;
+    let address = worker["address"].as_str().and_then(|a| a.parse().ok());
+    let address = address.ok_or_else(|| format!("'address' of {name} is no address with a port"))?;
+    let standing = match worker["standing"].as_str() {
+        Some("ready") => Standing::Ready,
+        Some("draining") => Standing::Draining,
+        Some("gone") => Standing::Gone,
+        other => return Err(format!("'standing' of {name} is {other:?}")),
+    };
+    let zone = worker["zone"].as_str().and_then(|z| zones.iter().position(|known| known == z)).map(ZoneId);
+    let entry = Entry {
+        server: ServerId::named(name),
+        standing,
+        up_since: worker["started"].as_u64().unwrap_or(0).saturating_mul(1000),
+        zone,
+        rack: RackId(worker["rack"].as_i64().unwrap_or(0)),
+        weight: worker["weight"].as_f64().unwrap_or(1.0),
+    };
+    Ok((name.to_owned(), address, entry))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    fn full(standing: &str, started: u64) -> String {
+        format!(
+            r#"{{"kind":"full","workers":[{{"name":"w","address":"127.0.0.1:9","standing":"{standing}",
+            "started":{started},"zone":"b","rack":3,"weight":2.5}}]}}"#
+        )
+    }
+
+    #[test_case("", "no JSON"; "empty")]
+    #[test_case("{\"kind\":\"some\"}", "'kind'"; "kind")]
+    #[test_case("{\"kind\":\"full\"}", "'workers' is no array"; "no workers")]
+    #[test_case("{\"kind\":\"full\",\"workers\":[{}]}", "'workers[0]': 'name'"; "no name")]
+    #[test_case(&full("tired", 0), "'standing' of w"; "standing")]
+    #[test_case("{\"kind\":\"full\",\"workers\":[{\"name\":\"w\",\"address\":\"here\"}]}", "'address' of w";
+    "address")]
+    fn a_line_that_cannot_be_read_changes_nothing(line: &str, why: &str) {
+        let mut members = Members::default();
+        members.line(full("ready", 7).as_bytes(), &[]).expect("a good line");
+        let fault = members.line(line.as_bytes(), &[]).expect_err("a fault");
+        assert!(fault.contains(why), "{fault}");
+        assert_eq!(members.iter().next().map(|(_, w)| w.standing), Some(Standing::Ready));
+    }
+
+    #[test_case(&full("ready", 7), false, Some(Standing::Ready); "the same again")]
+    #[test_case(&full("ready", 8), true, Some(Standing::Ready); "restarted")]
+    #[test_case(&full("draining", 7), true, Some(Standing::Draining); "draining")]
+    #[test_case("{\"kind\":\"full\",\"workers\":[]}", true, None; "left out of a full list")]
+    #[test_case("{\"kind\":\"changes\",\"workers\":[]}", false, Some(Standing::Ready); "no change")]
+    fn idle_connections_go_with_what_they_led_to(line: &str, cut: bool, standing: Option<Standing>) {
+        let mut members = Members::default();
+        let zones = ["a".to_owned(), "b".to_owned()];
+        let taken = members.line(full("ready", 7).as_bytes(), &zones).expect("a good line");
+        let first = &taken.entries[0];
+        assert_eq!((first.up_since, first.zone, first.rack.0, first.weight), (7000, Some(ZoneId(1)), 3, 2.5));
+        let id = ServerId::named("w");
+        members.get_mut(id).expect("known").idle.push((Conn(5), 0));
+        let taken = members.line(line.as_bytes(), &zones).expect("a good line");
+        assert_eq!(taken.cut, if cut { vec![Conn(5)] } else { vec![] });
+        assert_eq!(members.get(id).map(|w| w.standing), standing);
+    }
+}
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -38,6 +38,8 @@
     /// This side has ended, or will once `out` is empty.
     finishing: bool,
     peer_ended: bool,
+    /// All is written and this side has ended: the peer's end is awaited for `LINGER`.
+    lingering: bool,
     /// The machine is to be told when `out` is empty.
     tell_flushed: bool,
     interest: epoll::EventFlags,
@@ -147,6 +149,10 @@
             }
             if link.finishing && !link.peer_ended {
                 let _ = net::shutdown(&link.fd, net::Shutdown::Write);
+                if !std::mem::replace(&mut link.lingering, true) {
+                    let at = self.now() + LINGER;
+                    self.wheel.insert(at, Timer::LingerOver(conn));
+                }
             } else if link.finishing {
                 return self.drop_link(conn, Some(Closed::Ended));
             }
@@ -209,6 +215,7 @@
             sent: 0,
             finishing: false,
             peer_ended: false,
+            lingering: false,
             tell_flushed: false,
             interest,
             dirty: false,
@@ -267,10 +274,8 @@
     }
 
     fn finish(&mut self, conn: Conn) {
-        let at = self.core.now() + LINGER;
         if let Some(link) = self.core.links.get_mut(&conn.0).filter(|l| !l.finishing) {
             link.finishing = true;
-            self.core.wheel.insert(at, Timer::LingerOver(conn));
             self.core.touch(conn);
         }
     }
--- /dev/null
+++ b/crates/settings/src/instance.rs
@@ -0,0 +1,262 @@
+//! The settings of one instance as its `Deployment`.
+use crate::sheet::{Fault, Part, Sheet};
+use applepond::interface::*;
+use applepond_gateway::Deployment;
+use applepond_gateway::deployment::{FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// µs in a second, for defaults below.
+const S: Micros = 1_000_000;
+/// What an address looks like, for faults.
+const ADDRESS: &str = "an address with a port, as \"127.0.0.1:8080\"";
+
+/// Reads a file's text; on any fault, all of them.
+pub fn deployment(text: &str) -> Result<Deployment, Vec<Fault>> {
+    let sheet = Sheet::new(text);
+    let read = sheet.parse().and_then(|body| {
+        let file = Part::whole(&sheet, &body);
+        let read = read(&file);
+        file.done();
+        read
+    });
+    let faults = sheet.faults();
+    match read {
+        Some(deployment) if faults.is_empty() => Ok(deployment),
+        _ => Err(faults),
+    }
+}
+
+fn read(file: &Part<'_>) -> Option<Deployment> {
+    let listen: Option<SocketAddr> = file.parsed("listen", ADDRESS, None);
+    // Where there is no such key nothing is wanted of it.
+    let hosts = file.parsed("hosts", ADDRESS, listen).filter(|_| file.has("hosts"));
+    let routers = file.whole_number("routers", 1..100_000, Some(1));
+    let me = file.whole_number("router", 0..99_999, Some(0));
+    if let (Some(me), Some(routers)) = (me, routers)
+        && me >= routers
+    {
+        file.fault(&file.place_of("router"), format!("router = {me} of {routers}"), "a number below routers");
+    }
+    let zones = file.texts("zones", Some(Vec::new()));
+    // All keys are read before any is missed, or the rest of a block would go unchecked.
+    let permits = block(file, "permits", |p| {
+        let executions = p.whole_number("executions", 1..100, Some(4));
+        let cancel = p.mark("cancel", Some(true));
+        let second_copies = p.mark("second_copies", Some(true));
+        let come_back = p.mark("come_back", Some(true));
+        let come_back_max = p.time("come_back_max", Some(S));
+        Some(Permits {
+            executions: executions? as usize,
+            cancel: cancel?,
+            second_copies: second_copies?,
+            come_back: come_back?,
+            come_back_max: come_back_max?,
+        })
+    });
+    let rules = block(file, "rules", |p| {
+        let cold_share = p.number("cold_share", 0.01..1.0, None);
+        let warm_within = p.time("warm_within", None);
+        let fall_multiple = p.number("fall_multiple", 1.0..1000.0, None);
+        let fall_span = p.time("fall_span", None);
+        Some(RuleFigures {
+            cold_share: cold_share?,
+            warm_within: warm_within?,
+            fall_multiple: fall_multiple?,
+            fall_span: fall_span?,
+        })
+    });
+    let bounds = block(file, "bounds", |p| {
+        let clients = p.whole_number("clients", 1..1_000_000, Some(10_000));
+        let event_bytes = p.whole_number("event_bytes", 1..1 << 30, Some(1 << 20));
+        let remember_for = p.time("remember_for", Some(60 * S));
+        let remember = p.whole_number("remember", 0..10_000_000, Some(20_000));
+        let remember_bytes = p.whole_number("remember_bytes", 0..1 << 40, Some(64 << 20));
+        Some((clients? as usize, event_bytes?, remember_for?, remember? as usize, remember_bytes? as usize))
+    });
+    let mut workloads = Vec::new();
+    let mut types = BTreeMap::new();
+    for (name, part) in file.named("workload") {
+        let row = workload(&name, &part);
+        for kind in row.iter().flat_map(|(_, names)| &names.types) {
+            if let Some(other) = types.insert(kind.clone(), name.clone()) {
+                let found = format!("type \"{kind}\" again, it is workload \"{other}\"'s");
+                part.fault(&part.place_of("types"), found, "each type in one workload");
+            }
+        }
+        workloads.push(row);
+        part.done();
+    }
+    if workloads.is_empty() {
+        file.fault(&file.place.clone(), "no workload", "at least one workload \"NAME\" { ... }");
+    }
+    let customers = file.named("customer").into_iter().map(|(name, part)| {
+        let rate = part.number("jobs_per_s", 0.001..1e9, None);
+        part.done();
+        rate.map(|jobs_per_s| (name, CustomerRow { jobs_per_s }))
+    });
+    let customers: Vec<_> = customers.collect();
+    let functions = file.named("function").into_iter().map(|(name, part)| {
+        let row = function(&part);
+        part.done();
+        row.map(|row| (name, row))
+    });
+    let functions: Vec<_> = functions.collect();
+    let workers = file.named("worker").into_iter().map(|(name, part)| {
+        let worker = worker(name, &part, zones.as_deref().unwrap_or_default());
+        part.done();
+        worker
+    });
+    let workers: Vec<_> = workers.collect();
+    if workers.is_empty() && !file.has("hosts") {
+        let wanted = "hosts = \"ADDRESS\" or worker \"NAME\" { ... }";
+        file.fault(&file.place.clone(), "no source of workers", wanted);
+    }
+    let seed = file.whole_number("seed", 0..u64::MAX, Some(0));
+    let over_share = file.number("over_share", 0.0..1.0, Some(0.1));
+    let keep = file.time("keep", Some(10 * S));
+    let tells_company = file.mark("tells_company", Some(false));
+    let weights_shared = file.mark("weights_shared", Some(true));
+    let connect_limit = file.time("connect_limit", Some(S / 4));
+    let customer_by = file.text("customer_by", Some("customer"));
+    let workloads = workloads.into_iter().collect::<Option<Vec<_>>>()?;
+    let (workload_rows, workloads) = workloads.into_iter().unzip();
+    let (customers, customer_rows) = customers.into_iter().collect::<Option<Vec<_>>>()?.into_iter().unzip();
+    let (callers_most, body_most, remember_for, remember_most, remember_bytes) = bounds?;
+    let rows = Startup {
+        seed: seed?,
+        me: me?,
+        routers: routers?,
+        workloads: workload_rows,
+        customers: customer_rows,
+        permits: permits?,
+        rules: rules?,
+        over_share: over_share?,
+        keep: keep?,
+        tells_company: tells_company?,
+        weights_shared: weights_shared?,
+        list_by_asking: false,
+    };
+    let deployment = Deployment {
+        rows,
+        listen: listen?,
+        workloads,
+        customers,
+        customer_by: customer_by?,
+        zones: zones?,
+        functions: functions.into_iter().collect::<Option<_>>()?,
+        workers: workers.into_iter().collect::<Option<_>>()?,
+        hosts,
+        connect_limit: connect_limit?,
+        callers_most,
+        body_most,
+        remember_for,
+        remember_most,
+        remember_bytes,
+    };
+    Some(deployment)
+}
+
+/// Reads the one block of this name; a file without it is told what it would have to hold.
+fn block<T>(file: &Part<'_>, name: &'static str, read: impl Fn(&Part<'_>) -> Option<T>) -> Option<T> {
+    match file.block(name) {
+        Some(part) => {
+            let got = read(&part);
+            part.done();
+            got
+        }
+        None => {
+            // Without required keys an absent block is an empty one.
+            let empty = hcl_edit::structure::Body::new();
+            let sheet = Sheet::new("");
+            let got = read(&Part::whole(&sheet, &empty));
+            for fault in sheet.faults() {
+                let found = format!("no block '{name}' ({})", fault.found);
+                file.fault(&file.place.clone(), found, fault.wanted);
+            }
+            got
+        }
+    }
+}
+
+fn workload(name: &str, part: &Part<'_>) -> Option<(WorkloadRow, WorkloadNames)> {
+    let kind = part.one_of("effect", &["restartable", "fingerprinted", "run-once"], None);
+    let fingerprinted = kind.as_deref() == Some("fingerprinted");
+    let (within, window) = if fingerprinted {
+        (part.one_of("within", &["everywhere", "zone", "rack"], None), part.time("window", None))
+    } else {
+        for key in ["within", "window"].into_iter().filter(|k| part.has(k)) {
+            part.fault(
+                &part.place_of(key),
+                format!("{key} of a workload that carries no fingerprint"),
+                "no such key",
+            );
+        }
+        (part.one_of("within", &["everywhere", "zone", "rack"], Some("rack")), part.time("window", Some(0)))
+    };
+    let start_target = part.time("start_target", None);
+    let time_limit = part.time("time_limit", None);
+    if let (Some(target), Some(limit)) = (start_target, time_limit)
+        && target > limit
+    {
+        part.fault(&part.place_of("start_target"), "a start target past the time limit", "one within it");
+    }
+    let importance = part.number("importance", 0.001..1e6, Some(1.0));
+    let late_part = part.number("late_part", 0.0..1.0, Some(0.0));
+    let types = part.texts("types", None);
+    if types.as_ref().is_some_and(Vec::is_empty) {
+        part.fault(&part.place_of("types"), "no type", "at least one");
+    }
+    let function_by = match (part.has("function"), part.has("function_by")) {
+        (true, true) => {
+            part.fault(&part.place_of("function_by"), "function and function_by", "one of them");
+            None
+        }
+        (true, false) => part.text("function", None).map(FunctionBy::Named),
+        _ => part.text("function_by", Some("subject")).map(FunctionBy::Attribute),
+    };
+    // Both keys are known, whichever was given.
+    let _ = (part.text("function", Some("")), part.text("function_by", Some("")));
+    let row = function(part);
+    let effect = match kind?.as_str() {
+        "restartable" => Effect::Restartable,
+        "run-once" => Effect::RunOnce,
+        _ => Effect::Fingerprinted {
+            within: match within?.as_str() {
+                "everywhere" => Within::Everywhere,
+                "zone" => Within::Zone,
+                _ => Within::Rack,
+            },
+            window: window?,
+        },
+    };
+    let rows =
+        WorkloadRow { effect, start_target: start_target?, importance: importance?, late_part: late_part? };
+    let names = WorkloadNames {
+        name: name.to_owned(),
+        types: types?,
+        function_by: function_by?,
+        time_limit: time_limit?,
+        function: row?,
+    };
+    Some((rows, names))
+}
+
+fn function(part: &Part<'_>) -> Option<FunctionRow> {
+    let lanes = part.whole_number("lanes", 1..10_000, Some(1));
+    let memory_mb = part.whole_number("memory_mb", 1..10_000_000, Some(256));
+    let load_time = part.time("load_time", Some(0)).map(|t| (t > 0).then_some(t));
+    Some(FunctionRow { lanes: lanes? as u32, memory_mb: memory_mb? as u32, load_time: load_time? })
+}
+
+fn worker(name: String, part: &Part<'_>, zones: &[String]) -> Option<NamedWorker> {
+    let address = part.parsed("address", ADDRESS, None);
+    let zone = part.text("zone", Some(""));
+    let place = zone.as_ref().and_then(|z| zones.iter().position(|known| known == z));
+    if part.has("zone") && place.is_none() {
+        part.fault(&part.place_of("zone"), format!("zone {zone:?}"), format!("one of zones = {zones:?}"));
+    }
+    let rack = part.whole_number("rack", 0..1 << 40, Some(0));
+    let weight = part.number("weight", 0.001..1e6, Some(1.0));
+    Some(NamedWorker { name, address: address?, zone: place, rack: rack? as i64, weight: weight? })
+}
--- /dev/null
+++ b/crates/settings/tests/faults.rs
@@ -0,0 +1,77 @@
+//! Whole files, and each fault by its place.
+use applepond_settings::deployment;
+use test_case::test_case;
+
+const GOOD: &str = r#"listen = "127.0.0.1:0"
+zones = ["hall-a"]
+rules {
+  cold_share = 0.2
+  warm_within = "10s"
+  fall_multiple = 2.5
+  fall_span = "1s"
+}
+workload "quote" {
+  types = ["quote"]
+  effect = "restartable"
+  start_target = "500ms"
+  time_limit = "5s"
+}
+worker "w1" {
+  address = "127.0.0.1:9001"
+  zone = "hall-a"
+}
+"#;
+
+#[test]
+fn a_good_file_with_its_defaults() {
+    let d = deployment(GOOD).expect("no fault");
+    assert_eq!((d.rows.routers, d.rows.permits.executions, d.workloads[0].time_limit), (1, 4, 5_000_000));
+    assert_eq!((d.workers[0].zone, d.rows.rules.fall_multiple), (Some(0), 2.5));
+}
+
+#[test_case("listen = \"127.0.0.1:0\"", "listen = 8080", "1:10: found listen = `8080`; wanted: an address";
+    "address")]
+#[test_case("listen = \"127.0.0.1:0\"\n", "", "1:1: found no listen in the file"; "missing")]
+#[test_case("\"10s\"", "\"10 s\"", "5:17: found warm_within = `\"10 s\"`; wanted: a time"; "time")]
+#[test_case("0.2", "1.5", "4:16: found cold_share = `1.5`; wanted: a number from 0.01 to 1"; "range")]
+#[test_case("\"restartable\"", "\"safe\"", "11:12: found effect = `\"safe\"`; wanted: one of \"restart";
+    "word")]
+#[test_case("fall_span", "fall_spam", "7:3: found 'fall_spam' in block 'rules'; wanted: one of"; "misspelt")]
+#[test_case("rules {", "rule {", "1:1: found no block 'rules'"; "block missing")]
+#[test_case("[\"quote\"]", "[]", "10:11: found no type"; "no type")]
+#[test_case("\"500ms\"", "\"6s\"", "12:18: found a start target past the time limit"; "target past limit")]
+#[test_case("  zone = \"hall-a\"", "  zone = \"hall-x\"", "17:10: found zone"; "zone")]
+#[test_case("\"fingerprint", "", ""; "nothing replaced is no fault")]
+#[test_case("zones = [\"hall-a\"]", "zones = [", "found"; "syntax")]
+#[test_case("zones", "router = 1\nzones", "2:10: found router = 1 of 1"; "router past routers")]
+fn faults(old: &str, new: &str, told: &str) {
+    let text = GOOD.replacen(old, new, 1);
+    match deployment(&text) {
+        Ok(_) => assert!(told.is_empty(), "a fault was wanted: {told}"),
+        Err(faults) => {
+            let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            assert!(!told.is_empty() && all.iter().any(|f| f.contains(told)), "{all:#?}");
+        }
+    }
+}
+
+#[test]
+fn all_faults_at_once_in_their_order() {
+    let text = GOOD.replace("500ms", "soon").replace("0.2", "\"x\"").replace("effect", "efect");
+    let places: Vec<usize> = deployment(&text).expect_err("faults").iter().map(|f| f.line).collect();
+    assert_eq!(places, [4, 9, 11, 12]);
+}
+
+#[test_case("effect = \"fingerprinted\"", 2; "window and group are wanted")]
+#[test_case("effect = \"run-once\"\n  window = \"3s\"", 1; "a window without a fingerprint")]
+fn fingerprints(effect: &str, faults: usize) {
+    let text = GOOD.replace("effect = \"restartable\"", effect);
+    assert_eq!(deployment(&text).expect_err("faults").len(), faults);
+}
+
+#[test]
+fn names_once() {
+    let text = format!("{GOOD}{}", GOOD[GOOD.find("workload").expect("there")..].replace("w1", "w2"));
+    let faults = deployment(&text).expect_err("faults");
+    assert!(faults.len() == 1 && faults[0].found.contains("workload \"quote\" a second time"), "{faults:?}");
+}
--- /dev/null
+++ b/crates/standins/src/client.rs
@@ -0,0 +1,298 @@
+//! The scripted client: open arrivals, retries as the contract allows, some that ask twice at once, some that
+//! leave.
+//!
+//! The contract of docs/gateway.md: a pushback may be retried by anybody, a connection that never stood too;
+//! what broke off in between only where the job is restartable.
+use crate::ledger::{Event, Ledger, Saw};
+use crate::wording::{Message, Talk};
+use applepond_http::decode::Side;
+use applepond_http::encode;
+use applepond_reactor::{Closed, Conn, Listener, Machine, Micros, Wake, Wire};
+use serde_json::json;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// µs until a try elsewhere after a connection that never stood, and after one that broke.
+const ELSEWHERE: Micros = 50_000;
+/// µs beyond its limit for which a client still listens, to see answers that come too late.
+const LISTENS: Micros = 300_000;
+
+/// One job as the script has it.
+#[derive(Clone, Debug)]
+pub struct Planned {
+    pub at: Micros,
+    pub source: String,
+    pub id: String,
+    pub kind: &'static str,
+    pub function: String,
+    pub customer: &'static str,
+    pub work_ms: u64,
+    /// µs that the client waits in all, and within which it hopes for an answer.
+    pub limit: Micros,
+    pub target: Micros,
+    pub restartable: bool,
+    pub fingerprint: bool,
+    pub structured: bool,
+    pub router: usize,
+    pub tries: u32,
+    /// Asks once more, for the same event, while the first exchange runs.
+    pub twin_after: Option<Micros>,
+    /// Leaves without waiting for the answer.
+    pub leaves_after: Option<Micros>,
+}
+
+/// How a job ended for its client.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Got {
+    #[default]
+    Nothing,
+    Finished,
+    Late,
+    PushedBack,
+    Killed,
+    Broken,
+    Left,
+    Other(u16),
+}
+
+struct Exchange {
+    job: usize,
+    conn: Conn,
+    router: usize,
+    open: bool,
+    twin: bool,
+}
+
+#[derive(Default)]
+pub struct Results {
+    pub got: Vec<(Got, Micros)>,
+    pub done: usize,
+}
+
+enum Then {
+    Ask { job: usize, router: usize, twin: bool },
+    Leave(usize),
+    GiveUp(u64),
+}
+
+pub struct Client {
+    plan: Vec<Planned>,
+    routers: Rc<RefCell<Vec<SocketAddr>>>,
+    ledger: Ledger,
+    results: Rc<RefCell<Results>>,
+    tries: Vec<u32>,
+    exchanges: BTreeMap<u64, Exchange>,
+    talks: BTreeMap<Conn, (Talk, u64)>,
+    idle: Vec<(usize, Conn)>,
+    next: u64,
+    wakes: Vec<Option<Then>>,
+}
+
+impl Client {
+    /// `routers` may change while the day runs, as when one comes back on another port.
+    pub fn new(
+        plan: Vec<Planned>,
+        routers: Rc<RefCell<Vec<SocketAddr>>>,
+        ledger: Ledger,
+    ) -> (Self, Rc<RefCell<Results>>) {
+        let results = Rc::new(RefCell::new(Results { got: vec![Default::default(); plan.len()], done: 0 }));
+        let client = Client {
+            tries: vec![0; plan.len()],
+            plan,
+            routers,
+            ledger,
+            results: results.clone(),
+            exchanges: BTreeMap::new(),
+            talks: BTreeMap::new(),
+            idle: Vec::new(),
+            next: 0,
+            wakes: Vec::new(),
+        };
+        (client, results)
+    }
+
+    fn wake(&mut self, wire: &mut dyn Wire, at: Micros, then: Then) {
+        self.wakes.push(Some(then));
+        wire.wake_at(at, Wake(self.wakes.len() as u64 - 1));
+    }
+
+    fn settle(&self, now: Micros, job: usize, got: Got) {
+        let mut results = self.results.borrow_mut();
+        if results.got[job].0 == Got::Nothing {
+            results.got[job] = (got, now - self.plan[job].at);
+            results.done += 1;
+        }
+    }
+
+    fn ask(&mut self, now: Micros, wire: &mut dyn Wire, job: usize, router: usize, twin: bool) {
+        let planned = &self.plan[job];
+        if now >= planned.at + planned.limit {
+            return self.settle(now, job, Got::Nothing);
+        }
+        let idle = self.idle.iter().position(|(r, _)| *r == router);
+        let at = self.routers.borrow()[router];
+        let (conn, stands) = match idle {
+            Some(n) => (self.idle.swap_remove(n).1, true),
+            None => (wire.connect(at, planned.limit), false),
+        };
+        self.next += 1;
+        self.exchanges.insert(self.next, Exchange { job, conn, router, open: true, twin });
+        let talk = self.talks.entry(conn).or_insert_with(|| (Talk::new(Side::Client), 0));
+        talk.1 = self.next;
+        let (limit, number) = (planned.at + planned.limit + LISTENS, self.next);
+        self.wake(wire, limit, Then::GiveUp(number));
+        if stands {
+            self.write(now, wire, conn);
+        }
+    }
+
+    fn write(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        let Some((_, number)) = self.talks.get(&conn) else { return };
+        let Some(exchange) = self.exchanges.get(number) else { return };
+        let p = &self.plan[exchange.job];
+        let left = ((p.at + p.limit).saturating_sub(now) / 1000).to_string();
+        let (work, retry) = (p.work_ms.to_string(), (self.tries[exchange.job] > 1).to_string());
+        let mark = p.fingerprint.to_string();
+        let attributes = [
+            ("specversion", "1.0"),
+            ("id", &p.id),
+            ("source", &p.source),
+            ("type", p.kind),
+            ("subject", &p.function),
+            ("customer", p.customer),
+            ("workms", &work),
+            ("timelimit", &left),
+            ("retry", &retry),
+            ("fingerprint", &mark),
+        ];
+        let head = encode::request("POST", "/events", "router");
+        let bytes = if p.structured {
+            let mut event = json!({"datacontenttype": "application/json", "data": {"nights": 2}});
+            attributes.iter().for_each(|(n, v)| event[*n] = json!(v));
+            head.field("Content-Type", "application/cloudevents+json").body(event.to_string().as_bytes())
+        } else {
+            let head = attributes.iter().fold(head, |h, (n, v)| h.field(&format!("ce-{n}"), v));
+            head.field("Content-Type", "application/json").body(b"{\"nights\":2}")
+        };
+        wire.write(conn, &bytes);
+        let (router, event) = (exchange.router as u64, Event::from(format!("{} {}", p.source, p.id)));
+        let limit = p.at + p.limit;
+        self.ledger.write(now, Saw::Asked { exchange: *number, router, event, limit });
+    }
+
+    fn again(&mut self, now: Micros, wire: &mut dyn Wire, job: usize, router: usize, wait: Micros) -> bool {
+        let p = &self.plan[job];
+        let may = self.tries[job] < p.tries && now + wait < p.at + p.limit;
+        if may {
+            self.tries[job] += 1;
+            self.wake(wire, now + wait, Then::Ask { job, router, twin: false });
+        }
+        may
+    }
+
+    fn answered(&mut self, now: Micros, wire: &mut dyn Wire, number: u64, answer: &Message) {
+        let Some(exchange) = self.exchanges.get_mut(&number).filter(|e| e.open) else {
+            return self.ledger.write(now, Saw::Stray { exchange: number });
+        };
+        exchange.open = false;
+        let (job, conn, router, twin) = (exchange.job, exchange.conn, exchange.router, exchange.twin);
+        self.ledger.write(now, Saw::Answered { exchange: number, status: answer.status });
+        if answer.keep {
+            self.idle.push((router, conn));
+        }
+        let late = now > self.plan[job].at + self.plan[job].target;
+        match answer.status {
+            200 => self.settle(now, job, if late { Got::Late } else { Got::Finished }),
+            503 if !twin => {
+                let seconds = answer.number("retry-after").unwrap_or(1) * 1_000_000;
+                let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+                let wait = body["retry-after-ms"].as_u64().map_or(seconds, |ms| ms * 1000);
+                if !self.again(now, wire, job, router, wait) {
+                    self.settle(now, job, Got::PushedBack);
+                }
+            }
+            503 => {}
+            502 | 504 => self.settle(now, job, Got::Killed),
+            other => self.settle(now, job, Got::Other(other)),
+        }
+    }
+
+    fn gone(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, never: bool) {
+        self.idle.retain(|(_, c)| *c != conn);
+        let Some((_, number)) = self.talks.remove(&conn) else { return };
+        let Some(exchange) = self.exchanges.get_mut(&number).filter(|e| e.open) else { return };
+        exchange.open = false;
+        let (job, router, twin) = (exchange.job, exchange.router, exchange.twin);
+        self.ledger.write(now, Saw::Cut { exchange: number });
+        let elsewhere = (router + 1) % self.routers.borrow().len();
+        let may = never || self.plan[job].restartable;
+        let goes_on = twin || may && self.again(now, wire, job, elsewhere, ELSEWHERE);
+        if !goes_on {
+            self.settle(now, job, Got::Broken);
+        }
+    }
+}
+
+impl Machine for Client {
+    fn start(&mut self, _: Micros, wire: &mut dyn Wire) {
+        for job in 0..self.plan.len() {
+            let p = self.plan[job].clone();
+            self.tries[job] = 1;
+            self.wake(wire, p.at, Then::Ask { job, router: p.router, twin: false });
+            if let Some(after) = p.twin_after {
+                self.wake(wire, p.at + after, Then::Ask { job, router: p.router, twin: true });
+            }
+            if let Some(after) = p.leaves_after {
+                self.wake(wire, p.at + after, Then::Leave(job));
+            }
+        }
+    }
+    fn accepted(&mut self, _: Micros, _: &mut dyn Wire, _: Conn, _: Listener) {}
+    fn connected(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        self.write(now, wire, conn);
+    }
+    fn bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        let Some((talk, number)) = self.talks.get_mut(&conn) else { return };
+        let number = *number;
+        match talk.hear(bytes) {
+            Some(answers) => answers.iter().for_each(|a| self.answered(now, wire, number, a)),
+            None => self.ledger.write(now, Saw::Stray { exchange: number }),
+        }
+    }
+    fn half_closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        wire.cut(conn);
+        self.gone(now, wire, conn, false);
+    }
+    fn closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, why: Closed, _: u64) {
+        self.gone(now, wire, conn, why == Closed::Never);
+    }
+    fn flushed(&mut self, _: Micros, _: &mut dyn Wire, _: Conn) {}
+    fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
+        match self.wakes[wake.0 as usize].take() {
+            Some(Then::Ask { job, .. }) if self.results.borrow().got[job].0 != Got::Nothing => {}
+            Some(Then::Ask { job, router, twin }) => self.ask(now, wire, job, router, twin),
+            Some(Then::Leave(job)) => {
+                let mine = self.exchanges.iter_mut().filter(|(_, e)| e.job == job && e.open);
+                for (number, exchange) in mine {
+                    exchange.open = false;
+                    wire.cut(exchange.conn);
+                    self.talks.remove(&exchange.conn);
+                    self.ledger.write(now, Saw::Left { exchange: *number });
+                }
+                self.settle(now, job, Got::Left);
+            }
+            Some(Then::GiveUp(number)) => {
+                let Some(exchange) = self.exchanges.get_mut(&number).filter(|e| e.open) else { return };
+                exchange.open = false;
+                let (job, conn) = (exchange.job, exchange.conn);
+                wire.cut(conn);
+                self.talks.remove(&conn);
+                self.ledger.write(now, Saw::GaveUp { exchange: number });
+                self.settle(now, job, Got::Broken);
+            }
+            None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/hosts.rs
@@ -0,0 +1,96 @@
+//! The host list: knows when processes run, drain and are gone, and pushes it late to whoever watches.
+use crate::ledger::{Ledger, Saw};
+use crate::wording::Talk;
+use applepond_http::decode::Side;
+use applepond_http::encode;
+use applepond_reactor::{Closed, Conn, Listener, Machine, Micros, Wake, Wire};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// One worker as the list names it.
+#[derive(Clone)]
+pub struct Row {
+    pub name: Rc<str>,
+    pub address: SocketAddr,
+    pub standing: &'static str,
+    /// ms since the Unix epoch; 0 for one that ran before the day began.
+    pub started: u64,
+    pub zone: String,
+    pub rack: i64,
+    pub weight: f64,
+}
+
+impl Row {
+    fn json(&self) -> Value {
+        json!({"name": &*self.name, "address": self.address.to_string(), "standing": self.standing,
+            "started": self.started, "zone": self.zone, "rack": self.rack, "weight": self.weight})
+    }
+}
+
+pub struct Hosts {
+    pub listen: SocketAddr,
+    /// Rows at the start, and changes with the time at which they are told.
+    pub rows: Vec<Row>,
+    pub changes: Vec<(Micros, Row)>,
+    pub ledger: Ledger,
+    talks: BTreeMap<Conn, (Talk, Option<u64>)>,
+}
+
+impl Hosts {
+    pub fn new(listen: SocketAddr, rows: Vec<Row>, changes: Vec<(Micros, Row)>, ledger: Ledger) -> Self {
+        Hosts { listen, rows, changes, ledger, talks: BTreeMap::new() }
+    }
+
+    fn tell(&self, now: Micros, wire: &mut dyn Wire, conn: Conn, router: u64, kind: &str, rows: &[&Row]) {
+        let workers: Vec<Value> = rows.iter().map(|r| r.json()).collect();
+        let line = format!("{}\n", json!({"kind": kind, "workers": workers}));
+        wire.write(conn, &encode::chunk(line.as_bytes()));
+        for row in rows {
+            let (worker, ready) = (row.name.clone(), row.standing == "ready");
+            self.ledger.write(now, Saw::Told { router, worker, ready, started: row.started });
+        }
+    }
+}
+
+impl Machine for Hosts {
+    fn start(&mut self, _: Micros, wire: &mut dyn Wire) {
+        wire.listen(self.listen, 10_000).expect("the host list's port is free");
+        for (n, (at, _)) in self.changes.iter().enumerate() {
+            wire.wake_at(*at, Wake(n as u64));
+        }
+    }
+    fn accepted(&mut self, _: Micros, _: &mut dyn Wire, conn: Conn, _: Listener) {
+        self.talks.insert(conn, (Talk::new(Side::Server), None));
+    }
+    fn connected(&mut self, _: Micros, _: &mut dyn Wire, _: Conn) {}
+    fn bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        let Some((talk, watches)) = self.talks.get_mut(&conn) else { return };
+        let Some(asked) = talk.hear(bytes).and_then(|mut m| m.pop()) else { return };
+        let router = asked.target.rsplit("router=").next().and_then(|r| r.parse().ok()).unwrap_or(0);
+        *watches = Some(router);
+        wire.write(conn, &encode::response(200).field("Content-Type", "application/jsonl").chunked());
+        self.tell(now, wire, conn, router, "full", &self.rows.iter().collect::<Vec<_>>());
+    }
+    fn half_closed(&mut self, _: Micros, wire: &mut dyn Wire, conn: Conn) {
+        self.talks.remove(&conn);
+        wire.cut(conn);
+    }
+    fn closed(&mut self, _: Micros, _: &mut dyn Wire, conn: Conn, _: Closed, _: u64) {
+        self.talks.remove(&conn);
+    }
+    fn flushed(&mut self, _: Micros, _: &mut dyn Wire, _: Conn) {}
+    fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
+        let row = self.changes[wake.0 as usize].1.clone();
+        match self.rows.iter_mut().find(|r| r.name == row.name) {
+            Some(known) => *known = row.clone(),
+            None => self.rows.push(row.clone()),
+        }
+        let watching = self.talks.iter().filter_map(|(c, (_, w))| w.map(|router| (*c, router)));
+        for (conn, router) in watching.collect::<Vec<_>>() {
+            self.tell(now, wire, conn, router, "changes", &[&row]);
+        }
+        self.rows.retain(|r| r.standing != "gone");
+    }
+}
--- /dev/null
+++ b/crates/standins/src/worker.rs
@@ -0,0 +1,449 @@
+//! The worker: cores, lanes, memory, copies that load from the store and are evicted, warm-up, falling over
+//! when pushed while cold, repeats dropped by rack, reports in answers. Its script tells it to misbehave.
+use crate::ledger::{Event, Ledger, Saw};
+use crate::wording::{Message, Talk};
+use applepond_http::decode::Side;
+use applepond_http::encode;
+use applepond_reactor::{Closed, Conn, Listener, Machine, Micros, Wake, Wire};
+use oorandom::Rand64;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// What fingerprints a rack has seen end well, and until when it drops their repeats.
+pub type Rack = Rc<RefCell<BTreeMap<Event, Micros>>>;
+
+/// What a worker is.
+#[derive(Clone)]
+pub struct Build {
+    pub name: Rc<str>,
+    pub listen: SocketAddr,
+    pub rack: i64,
+    pub cores: usize,
+    pub memory_mb: u64,
+    /// Jobs that may wait here; beyond it a job is turned away as full.
+    pub queue: usize,
+    pub store: Option<SocketAddr>,
+    /// µs of a load after its fetch.
+    pub load: Micros,
+    /// µs after which an idle copy may be unloaded by itself.
+    pub keep: Micros,
+    /// Share of its pace with which it starts, and µs until it is warm; 0 for one that is warm.
+    pub cold_share: f64,
+    pub warm_within: Micros,
+    /// Falls over when sent over `fall_multiple` times what it can do, over `fall_span`.
+    pub fall_multiple: f64,
+    pub fall_span: Micros,
+    /// µs for which repeats of fingerprinted jobs are dropped.
+    pub window: Micros,
+    pub seed: u64,
+}
+
+/// How it behaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mood {
+    Well,
+    /// This share of the jobs fails at once.
+    FailFast(f64),
+    /// Takes jobs and answers none.
+    Hang,
+    /// Answers only the first half of an answer, then ends the connection.
+    CutAnswers,
+    /// Answers with bytes that are no HTTP, or HTTP that is no event.
+    Garbage,
+    /// Accepts no connection; those that stand work on.
+    NoHandshakes,
+    /// Turns everything away, saying so.
+    RefuseAll,
+    /// Turns one customer's jobs away, taking its time.
+    RefuseCustomer(u8),
+    /// Sends each answer twice.
+    TwoAnswers,
+}
+
+/// A turn of its script.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Turn {
+    Mood(Mood),
+    /// The process ends: all connections break, the port closes.
+    Die,
+    /// It starts again, empty and cold.
+    Rise,
+}
+
+struct Copy {
+    memory_mb: u64,
+    lanes: usize,
+    running: usize,
+    loading: bool,
+    last: Micros,
+}
+
+struct Job {
+    event: Event,
+    function: Rc<str>,
+    work: Micros,
+    marked: bool,
+    note: &'static str,
+    company: usize,
+    running: bool,
+}
+
+enum Then {
+    Turn(usize),
+    Done(Conn, u64),
+    Loaded(Rc<str>),
+}
+
+pub struct Worker {
+    build: Build,
+    script: Vec<(Micros, Turn)>,
+    ledger: Ledger,
+    rack: Rack,
+    rng: Rand64,
+    mood: Mood,
+    up: Option<Listener>,
+    started: Micros,
+    talks: BTreeMap<Conn, Talk>,
+    jobs: BTreeMap<Conn, Job>,
+    queue: VecDeque<Conn>,
+    copies: BTreeMap<Rc<str>, Copy>,
+    fetches: BTreeMap<Conn, (Rc<str>, Talk)>,
+    pressed: VecDeque<(Micros, u64, Micros)>,
+    wakes: Vec<Option<Then>>,
+    life: u64,
+}
+
+impl Worker {
+    pub fn new(build: Build, script: Vec<(Micros, Turn)>, ledger: Ledger, rack: Rack) -> Self {
+        Worker {
+            rng: Rand64::new(u128::from(build.seed)),
+            build,
+            script,
+            ledger,
+            rack,
+            mood: Mood::Well,
+            up: None,
+            started: 0,
+            talks: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            queue: VecDeque::new(),
+            copies: BTreeMap::new(),
+            fetches: BTreeMap::new(),
+            pressed: VecDeque::new(),
+            wakes: Vec::new(),
+            life: 0,
+        }
+    }
+
+    fn wake(&mut self, wire: &mut dyn Wire, at: Micros, then: Then) {
+        self.wakes.push(Some(then));
+        wire.wake_at(at, Wake(self.wakes.len() as u64 - 1));
+    }
+
+    fn rise(&mut self, now: Micros, wire: &mut dyn Wire) {
+        self.started = now;
+        self.ledger.write(now, Saw::Rose { worker: self.build.name.clone() });
+        self.up = wire.listen(self.build.listen, 10_000).ok().map(|(l, _)| l);
+    }
+
+    fn die(&mut self, wire: &mut dyn Wire) {
+        if let Some(up) = self.up.take() {
+            wire.deafen(up, true);
+        }
+        self.talks.keys().chain(self.fetches.keys()).for_each(|c| wire.cut(*c));
+        self.life += 1;
+        self.talks.clear();
+        self.jobs.clear();
+        self.queue.clear();
+        self.copies.clear();
+        self.fetches.clear();
+        self.pressed.clear();
+    }
+
+    /// The part of its pace that it has now.
+    fn warmth(&self, now: Micros) -> f64 {
+        let age = (now - self.started) as f64 / self.build.warm_within.max(1) as f64;
+        if self.build.warm_within == 0 || age >= 1.0 {
+            return 1.0;
+        }
+        self.build.cold_share + (1.0 - self.build.cold_share) * age
+    }
+
+    /// Counts what a cold worker is sent; true where that was too much.
+    fn falls(&mut self, now: Micros, router: u64, work: Micros) -> bool {
+        let span = self.build.fall_span;
+        self.pressed.retain(|(at, _, _)| at + span > now);
+        self.pressed.push_back((now, router, work));
+        let warmth = self.warmth(now);
+        let sent: Micros = self.pressed.iter().map(|(_, _, work)| work).sum();
+        let bears = self.build.fall_multiple * warmth * self.build.cores as f64 * span as f64;
+        warmth < 1.0 && sent as f64 > bears
+    }
+
+    fn answer(
+        &mut self,
+        wire: &mut dyn Wire,
+        conn: Conn,
+        status: u16,
+        mark: &str,
+        note: &str,
+        company: usize,
+    ) {
+        let loads = self.copies.values().filter(|c| c.loading).count();
+        let running = self.jobs.values().filter(|j| j.running).count();
+        let mut head = encode::response(status)
+            .field("applepond-company", &company.min(30).to_string())
+            .field("applepond-held", &self.jobs.len().to_string())
+            .field("applepond-loads", &loads.to_string())
+            .field("applepond-busy", &format!("{:.2}", running as f64 / self.build.cores as f64));
+        for (name, value) in [("applepond-outcome", mark), ("applepond-copy", note)] {
+            if !value.is_empty() {
+                head = head.field(name, value);
+            }
+        }
+        let mut body = format!("{{\"worker\":\"{}\"}}", self.build.name);
+        if status == 200 {
+            let life = format!("{}-{}", self.build.name, conn.0);
+            let source = format!("/workers/{}", self.build.name);
+            for (name, value) in
+                [("specversion", "1.0"), ("type", "result"), ("id", &life), ("source", &source)]
+            {
+                head = head.field(&format!("ce-{name}"), value);
+            }
+            head = head.field("Content-Type", "application/json");
+            body = format!("{{\"price\":{},\"worker\":\"{}\"}}", 900 + company, self.build.name);
+        }
+        let bytes = head.body(body.as_bytes());
+        match self.mood {
+            Mood::CutAnswers => {
+                wire.write(conn, &bytes[..bytes.len() / 2]);
+                wire.finish(conn);
+            }
+            Mood::Garbage if conn.0.is_multiple_of(2) => {
+                wire.write(conn, b"\x16\x03\x01 certainly no HTTP\r\n\r\n")
+            }
+            Mood::Garbage => wire.write(conn, &encode::response(200).body(b"no event")),
+            Mood::TwoAnswers => wire.write(conn, &[bytes.clone(), bytes].concat()),
+            _ => wire.write(conn, &bytes),
+        }
+    }
+
+    fn came(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, asked: &Message) {
+        let event: Event = Rc::from(format!("{} {}", asked.field("ce-source"), asked.field("ce-id")));
+        let router = asked.number("applepond-router").unwrap_or(0);
+        let (worker, rack) = (self.build.name.clone(), self.build.rack);
+        self.ledger.write(now, Saw::Came { worker: worker.clone(), rack, router, event: event.clone() });
+        let work = asked.number("ce-workms").unwrap_or(20) * 1000;
+        if self.falls(now, router, work) {
+            let by = self.pressed.iter().map(|(_, router, _)| *router).collect();
+            self.ledger.write(now, Saw::Fell { worker, by });
+            return self.die(wire);
+        }
+        let away = |me: &mut Self, wire: &mut dyn Wire, company| {
+            me.ledger.write(now, Saw::TurnedAway { worker: me.build.name.clone(), event: event.clone() });
+            me.answer(wire, conn, 503, "full", "", company);
+        };
+        let customer = asked.field("ce-customer").bytes().fold(0u8, u8::wrapping_add);
+        match self.mood {
+            Mood::Hang => return,
+            Mood::FailFast(share) if self.rng.rand_float() < share => {
+                self.ledger.write(now, Saw::Began { worker, event });
+                return self.answer(wire, conn, 500, "", "", 0);
+            }
+            Mood::RefuseAll => return away(self, wire, 0),
+            Mood::RefuseCustomer(shut) if shut == customer => return away(self, wire, 0),
+            _ => {}
+        }
+        let marked = asked.field("ce-fingerprint") == "true";
+        if marked && self.rack.borrow().get(&event).is_some_and(|until| now < *until) {
+            self.ledger.write(now, Saw::Dropped { worker, event });
+            return self.answer(wire, conn, 200, "", "", 0);
+        }
+        let function: Rc<str> = Rc::from(asked.field("applepond-function"));
+        let company = self.jobs.values().filter(|j| j.function == function).count();
+        if self.queue.len() >= self.build.queue {
+            return away(self, wire, company);
+        }
+        let note = match self.copies.get(&function) {
+            Some(copy) if copy.loading => "awaited",
+            Some(_) => "stood",
+            None => {
+                let memory_mb = asked.number("applepond-memory-mb").unwrap_or(1);
+                if !self.make_room(now, memory_mb) {
+                    return away(self, wire, company);
+                }
+                let lanes = asked.number("applepond-lanes").unwrap_or(1) as usize;
+                let copy = Copy { memory_mb, lanes, running: 0, loading: true, last: now };
+                self.copies.insert(function.clone(), copy);
+                match self.build.store {
+                    Some(store) => {
+                        let fetch = wire.connect(store, 1_000_000);
+                        self.fetches.insert(fetch, (function.clone(), Talk::new(Side::Client)));
+                    }
+                    None => self.wake(wire, now + self.build.load, Then::Loaded(function.clone())),
+                }
+                "begun"
+            }
+        };
+        self.jobs.insert(conn, Job { event, function, work, marked, note, company, running: false });
+        self.queue.push_back(conn);
+        self.go_on(now, wire);
+    }
+
+    /// Unloads idle copies, the one idle longest first; those at work or loading stay.
+    fn make_room(&mut self, now: Micros, wanted: u64) -> bool {
+        let keep = self.build.keep;
+        self.copies.retain(|f, c| {
+            c.loading || c.running > 0 || c.last + keep > now || self.jobs.values().any(|j| j.function == *f)
+        });
+        while self.copies.values().map(|c| c.memory_mb).sum::<u64>() + wanted > self.build.memory_mb {
+            let idle = self.copies.iter().filter(|(f, c)| {
+                !c.loading && c.running == 0 && !self.jobs.values().any(|j| j.function == **f)
+            });
+            let Some(oldest) = idle.min_by_key(|(_, c)| c.last).map(|(f, _)| f.clone()) else { return false };
+            self.copies.remove(&oldest);
+        }
+        true
+    }
+
+    /// Begins what may begin: oldest first, where a copy has a lane and a core is free.
+    fn go_on(&mut self, now: Micros, wire: &mut dyn Wire) {
+        let mut free = self.build.cores.saturating_sub(self.jobs.values().filter(|j| j.running).count());
+        for conn in self.queue.iter().copied().collect::<Vec<_>>() {
+            let Some(job) = self.jobs.get_mut(&conn) else { continue };
+            let Some(copy) = self.copies.get_mut(&job.function) else { continue };
+            if free == 0 || copy.loading || copy.running >= copy.lanes {
+                continue;
+            }
+            free -= 1;
+            copy.running += 1;
+            job.running = true;
+            let (worker, event, work) = (self.build.name.clone(), job.event.clone(), job.work);
+            self.queue.retain(|c| *c != conn);
+            self.ledger.write(now, Saw::Began { worker, event });
+            let at = now + (work as f64 / self.warmth(now)) as Micros;
+            self.wake(wire, at, Then::Done(conn, self.life));
+        }
+    }
+
+    fn done(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        let Some(job) = self.jobs.remove(&conn) else { return };
+        if let Some(copy) = self.copies.get_mut(&job.function) {
+            copy.running -= 1;
+            copy.last = now;
+        }
+        if job.marked {
+            self.rack.borrow_mut().insert(job.event.clone(), now + self.build.window);
+        }
+        self.answer(wire, conn, 200, "", job.note, job.company);
+        self.go_on(now, wire);
+    }
+
+    fn load_failed(&mut self, now: Micros, wire: &mut dyn Wire, function: &Rc<str>) {
+        self.copies.remove(function);
+        let waits = |j: &Job| j.function == *function;
+        let jobs: Vec<Conn> = self.jobs.iter().filter(|(_, j)| waits(j)).map(|(c, _)| *c).collect();
+        for conn in jobs {
+            self.jobs.remove(&conn);
+            self.queue.retain(|c| *c != conn);
+            self.answer(wire, conn, 500, "", "load-failed", 0);
+        }
+        self.go_on(now, wire);
+    }
+
+    /// The caller has gone: that is a cancel. What waits is dropped, what runs is told to stop, and frees its
+    /// core.
+    fn gone(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        self.talks.remove(&conn);
+        if let Some(job) = self.jobs.remove(&conn) {
+            self.queue.retain(|c| *c != conn);
+            if let Some(copy) = self.copies.get_mut(&job.function).filter(|_| job.running) {
+                copy.running -= 1;
+            }
+            self.go_on(now, wire);
+        }
+        if let Some((function, _)) = self.fetches.remove(&conn) {
+            self.load_failed(now, wire, &function);
+        }
+    }
+}
+
+impl Machine for Worker {
+    fn start(&mut self, now: Micros, wire: &mut dyn Wire) {
+        for n in 0..self.script.len() {
+            let at = self.script[n].0;
+            self.wake(wire, at, Then::Turn(n));
+        }
+        // One whose script begins with its rise comes later.
+        if self.script.first().is_none_or(|(_, turn)| *turn != Turn::Rise) {
+            self.rise(now, wire);
+            self.started = now.saturating_sub(self.build.warm_within);
+        }
+    }
+    fn accepted(&mut self, _: Micros, _: &mut dyn Wire, conn: Conn, _: Listener) {
+        self.talks.insert(conn, Talk::new(Side::Server));
+    }
+    fn connected(&mut self, _: Micros, wire: &mut dyn Wire, conn: Conn) {
+        if let Some((function, _)) = self.fetches.get(&conn) {
+            wire.write(conn, &encode::request("GET", &format!("/model/{function}"), "store").empty());
+        }
+    }
+    fn bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        if let Some((function, talk)) = self.fetches.get_mut(&conn) {
+            let Some(answer) = talk.hear(bytes).unwrap_or_default().pop() else { return };
+            let function = function.clone();
+            self.fetches.remove(&conn);
+            wire.cut(conn);
+            match answer.status {
+                200 => self.wake(wire, now + self.build.load, Then::Loaded(function)),
+                _ => self.load_failed(now, wire, &function),
+            }
+        } else if let Some(talk) = self.talks.get_mut(&conn) {
+            match talk.hear(bytes) {
+                Some(asked) => asked.iter().for_each(|m| self.came(now, wire, conn, m)),
+                None => wire.cut(conn),
+            }
+        }
+    }
+    fn half_closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        wire.cut(conn);
+        self.gone(now, wire, conn);
+    }
+    fn closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, _: Closed, _: u64) {
+        self.gone(now, wire, conn);
+    }
+    fn flushed(&mut self, _: Micros, _: &mut dyn Wire, _: Conn) {}
+    fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
+        match self.wakes[wake.0 as usize].take() {
+            Some(Then::Turn(n)) => match self.script[n].1 {
+                Turn::Mood(mood) => {
+                    if let Some(up) = self.up {
+                        match mood {
+                            Mood::NoHandshakes => wire.deafen(up, false),
+                            _ => wire.hear(up),
+                        }
+                    }
+                    self.mood = mood;
+                }
+                Turn::Die => self.die(wire),
+                Turn::Rise => self.rise(now, wire),
+            },
+            Some(Then::Done(conn, life)) if life == self.life => {
+                if self.mood != Mood::Hang {
+                    self.done(now, wire, conn);
+                } else {
+                    self.wake(wire, now + 100_000, Then::Done(conn, life));
+                }
+            }
+            Some(Then::Loaded(function)) => {
+                if let Some(copy) = self.copies.get_mut(&function) {
+                    copy.loading = false;
+                }
+                self.go_on(now, wire);
+            }
+            _ => {}
+        }
+    }
+}
