--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,232 @@
+//! A wire on paper: what the gateway wrote, opened and cut, with time moved by hand.
+use applepond::interface::*;
+use applepond_gateway::deployment::{FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
+use applepond_gateway::{Deployment, Gateway};
+use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+
+#[derive(Default)]
+pub struct Paper {
+    next: u64,
+    pub connects: Vec<(Conn, SocketAddr)>,
+    pub written: BTreeMap<Conn, Vec<u8>>,
+    pub sent: BTreeMap<Conn, u64>,
+    /// Connections whose peer takes nothing.
+    pub stuck: BTreeSet<Conn>,
+    pub cut: BTreeSet<Conn>,
+    pub finished: BTreeSet<Conn>,
+    pub paused: BTreeSet<Conn>,
+    timers: BTreeSet<(Micros, u64, Wake)>,
+}
+
+impl Wire for Paper {
+    fn connect(&mut self, to: SocketAddr, _: Micros) -> Conn {
+        self.next += 1;
+        self.connects.push((Conn(self.next), to));
+        Conn(self.next)
+    }
+    fn write(&mut self, conn: Conn, bytes: &[u8]) {
+        self.written.entry(conn).or_default().extend_from_slice(bytes);
+        if !self.stuck.contains(&conn) {
+            *self.sent.entry(conn).or_default() += bytes.len() as u64;
+        }
+    }
+    fn unsent(&self, conn: Conn) -> usize {
+        let written = self.written.get(&conn).map_or(0, Vec::len);
+        written - self.sent(conn) as usize
+    }
+    fn sent(&self, conn: Conn) -> u64 {
+        self.sent.get(&conn).copied().unwrap_or(0)
+    }
+    fn reading(&mut self, conn: Conn, on: bool) {
+        if on {
+            self.paused.remove(&conn)
+        } else {
+            self.paused.insert(conn)
+        };
+    }
+    fn finish(&mut self, conn: Conn) {
+        self.finished.insert(conn);
+    }
+    fn cut(&mut self, conn: Conn) {
+        self.cut.insert(conn);
+    }
+    fn listen(&mut self, at: SocketAddr, _: usize) -> std::io::Result<(Listener, SocketAddr)> {
+        Ok((Listener(0), at))
+    }
+    fn deafen(&mut self, _: Listener, _: bool) {}
+    fn hear(&mut self, _: Listener) {}
+    fn wake_at(&mut self, at: Micros, wake: Wake) {
+        self.next += 1;
+        self.timers.insert((at, self.next, wake));
+    }
+}
+
+/// A gateway with its paper wire.
+pub struct Bench {
+    pub gateway: Gateway,
+    pub paper: Paper,
+    pub now: Micros,
+}
+
+/// `workers` static workers; workloads `quote` (restartable), `hold` (fingerprinted) and `confirm` (run-once),
+/// started within 500 ms, given up after 4 s, a load takes 100 ms.
+pub fn deployment(workers: u16) -> Deployment {
+    let effects = [
+        ("quote", Effect::Restartable),
+        ("hold", Effect::Fingerprinted { within: Within::Rack, window: 3 * S }),
+        ("confirm", Effect::RunOnce),
+    ];
+    let address = |n: u16| SocketAddr::from(([127, 0, 0, 1], 9000 + n));
+    Deployment {
+        rows: Startup {
+            seed: 7,
+            me: 0,
+            routers: 1,
+            workloads: effects
+                .iter()
+                .map(|(_, effect)| WorkloadRow {
+                    effect: *effect,
+                    start_target: 500 * MS,
+                    importance: 1.0,
+                    late_part: 0.2,
+                })
+                .collect(),
+            customers: vec![CustomerRow { jobs_per_s: 1000.0 }],
+            permits: Permits {
+                executions: 4,
+                cancel: true,
+                second_copies: true,
+                come_back: true,
+                come_back_max: S,
+            },
+            rules: RuleFigures { cold_share: 0.2, warm_within: 10 * S, fall_multiple: 2.0, fall_span: S },
+            over_share: 0.1,
+            keep: 10 * S,
+            tells_company: true,
+            weights_shared: true,
+            list_by_asking: false,
+        },
+        listen: address(0),
+        workloads: effects
+            .iter()
+            .map(|(name, _)| WorkloadNames {
+                name: name.to_string(),
+                types: vec![name.to_string()],
+                function_by: FunctionBy::Attribute("subject".into()),
+                time_limit: 4 * S,
+                function: FunctionRow { lanes: 2, memory_mb: 1, load_time: Some(100 * MS) },
+            })
+            .collect(),
+        customers: vec!["huts".into()],
+        customer_by: "customer".into(),
+        zones: vec!["hall-a".into()],
+        functions: BTreeMap::new(),
+        workers: (1..=workers)
+            .map(|n| NamedWorker {
+                name: format!("w{n}"),
+                address: address(n),
+                zone: Some(0),
+                rack: 0,
+                weight: 1.0,
+            })
+            .collect(),
+        hosts: None,
+        connect_limit: 250 * MS,
+        callers_most: 100,
+        body_most: 64 * 1024,
+        remember_for: 60 * S,
+        remember_most: 100,
+        remember_bytes: 1 << 20,
+    }
+}
+
+impl Bench {
+    pub fn new(deployment: Deployment) -> Self {
+        let now = 1_000 * S;
+        let mut bench =
+            Bench { gateway: Gateway::new(now, deployment, Box::new(|_| ())), paper: Paper::default(), now };
+        bench.gateway.start(now, &mut bench.paper);
+        bench
+    }
+
+    pub fn pass(&mut self, time: Micros) {
+        let until = self.now + time;
+        while let Some((at, order, wake)) =
+            self.paper.timers.first().copied().filter(|(at, _, _)| *at <= until)
+        {
+            self.paper.timers.remove(&(at, order, wake));
+            self.now = self.now.max(at);
+            self.gateway.woken(self.now, &mut self.paper, wake);
+        }
+        self.now = until;
+    }
+
+    pub fn caller(&mut self) -> Conn {
+        self.paper.next += 1;
+        let conn = Conn(self.paper.next);
+        self.gateway.accepted(self.now, &mut self.paper, conn, Listener(0));
+        conn
+    }
+
+    pub fn says(&mut self, conn: Conn, bytes: &[u8]) {
+        self.gateway.bytes(self.now, &mut self.paper, conn, bytes);
+    }
+
+    pub fn asks(&mut self, kind: &str, id: &str) -> Conn {
+        let conn = self.caller();
+        self.says(conn, event(kind, id).as_bytes());
+        conn
+    }
+
+    pub fn connected(&mut self, conn: Conn) {
+        self.gateway.connected(self.now, &mut self.paper, conn);
+    }
+
+    /// All connections to workers that were opened so far; each is let stand.
+    pub fn links(&mut self) -> Vec<Conn> {
+        let all: Vec<Conn> = self.paper.connects.iter().map(|(c, _)| *c).collect();
+        let new = all.iter().filter(|c| !self.paper.written.contains_key(c) && !self.paper.cut.contains(c));
+        for conn in new.copied().collect::<Vec<_>>() {
+            self.connected(conn);
+        }
+        all
+    }
+
+    pub fn breaks(&mut self, conn: Conn, why: Closed) {
+        let sent = self.paper.sent(conn);
+        self.gateway.closed(self.now, &mut self.paper, conn, why, sent);
+    }
+
+    pub fn told(&self, conn: Conn) -> String {
+        self.paper.written.get(&conn).map_or(String::new(), |b| String::from_utf8_lossy(b).into_owned())
+    }
+
+    /// Statuses of all answers on a client's connection.
+    pub fn statuses(&self, conn: Conn) -> Vec<u16> {
+        let told = self.told(conn);
+        told.split("HTTP/1.1 ").skip(1).filter_map(|a| a[..3].parse().ok()).collect()
+    }
+
+    /// Requests that workers were sent, over all connections.
+    pub fn requests(&self) -> usize {
+        let links: BTreeSet<Conn> = self.paper.connects.iter().map(|(c, _)| *c).collect();
+        links.iter().map(|c| self.told(*c).matches("POST /run").count()).sum()
+    }
+}
+
+pub fn event(kind: &str, id: &str) -> String {
+    format!(
+        "POST /events HTTP/1.1\r\nHost: a\r\nce-specversion: 1.0\r\nce-id: {id}\r\nce-source: /desk\r\n\
+         ce-type: {kind}\r\nce-subject: hut\r\nContent-Length: 2\r\n\r\n{{}}"
+    )
+}
+
+/// A worker's finished answer.
+pub const DONE: &str = "HTTP/1.1 200 OK\r\nce-specversion: 1.0\r\nce-id: r1\r\nce-source: /w\r\nce-type: result\r\n\
+    applepond-copy: stood\r\napplepond-company: 0\r\nContent-Type: application/json\r\nContent-Length: 9\r\n\r\n\
+    {\"ok\": 1}";
