--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -5,7 +5,7 @@
 //! could do harm, or could only repeat work; it is remembered for a time, and up to a number and a sum of
 //! bytes.
 use applepond::interface::{Effect, JobId, Micros};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
 /// `source` and `id` of an event.
@@ -38,8 +38,8 @@
 }
 
 pub struct Claims<A> {
-    running: BTreeMap<Name, JobId>,
-    kept: BTreeMap<Name, Kept<A>>,
+    running: HashMap<Name, JobId>,
+    kept: HashMap<Name, Kept<A>>,
     by_age: BTreeSet<(Micros, u64, Name)>,
     order: u64,
     bytes: usize,
@@ -62,8 +62,8 @@
     /// Answers are kept for `hold`, `most` of them, `bytes_most` bytes in all.
     pub fn new(hold: Micros, most: usize, bytes_most: usize) -> Self {
         Claims {
-            running: BTreeMap::new(),
-            kept: BTreeMap::new(),
+            running: HashMap::new(),
+            kept: HashMap::new(),
             by_age: BTreeSet::new(),
             order: 0,
             bytes: 0,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,8 +2,9 @@
 use crate::claims::Ending;
 use crate::limit::Asked;
 use applepond::interface::{JobId, Micros};
-use applepond_http::cloudevent::{EventSink, Reader};
+use applepond_http::cloudevent::{self, EventSink, Reader};
 use applepond_http::decode::{Decoder, Fields, Side, Sink, Step};
+use applepond_http::encode::Lines;
 use applepond_http::{Fault, encode};
 use applepond_reactor::{Conn, Wire};
 use std::rc::Rc;
@@ -28,16 +29,24 @@
     pub kind: String,
     pub asked: Asked,
     pub retry: bool,
-    /// All attributes, to pass on and to name function and customer by.
-    pub attributes: Vec<(String, String)>,
+    /// All attributes as the header lines that go on to the worker: one buffer, not a pair of texts for each.
+    pub lines: Lines,
+    /// Values of the attributes that name function and customer, in the order of `names`.
+    picked: Vec<Option<String>>,
+    names: Rc<[String]>,
     pub media: Option<String>,
     pub data: Vec<u8>,
     bad: Option<String>,
 }
 
 impl Draft {
-    pub fn attribute_named(&self, name: &str) -> Option<&str> {
-        self.attributes.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    fn new(names: &Rc<[String]>) -> Self {
+        Draft { names: names.clone(), picked: vec![None; names.len()], ..Draft::default() }
+    }
+
+    /// The value of an attribute that the deployment names.
+    pub fn picked(&self, name: &str) -> Option<&str> {
+        self.names.iter().zip(&self.picked).find(|(n, _)| *n == name).and_then(|(_, v)| v.as_deref())
     }
 }
 
@@ -53,7 +62,10 @@
         if let Err(why) = self.asked.attribute(name, value) {
             self.bad = Some(why);
         }
-        self.attributes.push((name.to_owned(), value.to_owned()));
+        if let Some(n) = self.names.iter().position(|n| n == name) {
+            self.picked[n] = Some(value.to_owned());
+        }
+        cloudevent::attribute(&mut self.lines, name, value);
     }
 
     fn data(&mut self, media: Option<&str>, bytes: Vec<u8>) {
@@ -63,8 +75,8 @@
 }
 
 /// One request while it comes in.
-#[derive(Default)]
 struct Incoming {
+    names: Rc<[String]>,
     draft: Draft,
     reader: Option<Reader>,
     body: Vec<u8>,
@@ -73,9 +85,23 @@
     keep: bool,
 }
 
+impl Incoming {
+    fn new(names: Rc<[String]>) -> Self {
+        Incoming {
+            draft: Draft::new(&names),
+            names,
+            reader: None,
+            body: Vec::new(),
+            state_page: false,
+            go_on: false,
+            keep: false,
+        }
+    }
+}
+
 impl Sink for Incoming {
     fn request(&mut self, method: &str, target: &str, fields: &Fields<'_>) -> Result<(), Fault> {
-        *self = Incoming::default();
+        *self = Incoming::new(self.names.clone());
         let path = target.split('?').next().unwrap_or(target);
         match (method, path) {
             ("GET", "/-/state") => self.state_page = true,
@@ -124,21 +150,19 @@
     pub status: u16,
     /// Reason code, in the log too.
     pub reason: &'static str,
-    pub fields: Vec<(String, String)>,
+    pub lines: Lines,
     pub body: Vec<u8>,
     pub come_back: Option<Micros>,
 }
 
 impl Told {
     pub fn bytes(&self) -> usize {
-        self.body.len() + self.fields.iter().map(|(n, v)| n.len() + v.len()).sum::<usize>()
+        self.body.len() + self.lines.len()
     }
 
     fn encode(&self, keep: bool) -> Vec<u8> {
         let mut head = encode::response(self.status);
-        for (name, value) in &self.fields {
-            head = head.field(name, value);
-        }
+        head = head.lines(&self.lines);
         if let Some(wait) = self.come_back {
             head = head.field("Retry-After", &wait.div_ceil(1_000_000).max(1).to_string());
         }
@@ -185,10 +209,11 @@
 }
 
 impl Caller {
-    pub fn new(now: Micros, body_most: u64) -> Self {
+    /// `names` are the attributes by which the deployment names functions and customers.
+    pub fn new(now: Micros, body_most: u64, names: Rc<[String]>) -> Self {
         Caller {
             decoder: Decoder::new(Side::Server, HEAD_MOST, body_most),
-            incoming: Incoming::default(),
+            incoming: Incoming::new(names),
             doing: Doing::Reading,
             job: None,
             keep: true,
@@ -219,7 +244,8 @@
             Ok(Step::Done) => {
                 self.doing = Doing::Waiting;
                 self.keep = self.incoming.keep;
-                let incoming = std::mem::take(&mut self.incoming);
+                let fresh = Incoming::new(self.incoming.names.clone());
+                let incoming = std::mem::replace(&mut self.incoming, fresh);
                 let page = incoming.state_page;
                 Some(Ok(if page { Ask::StatePage } else { Ask::Event(Box::new(incoming.draft)) }))
             }
@@ -312,6 +338,7 @@
 /// An answer that carries a problem (RFC 9457).
 pub fn problem(ending: Ending, fault: &Fault, id: Option<&str>, come_back: Option<Micros>) -> Rc<Told> {
     let body = encode::problem(fault, id, come_back.map(|us| us / 1000));
-    let fields = vec![("Content-Type".to_owned(), "application/problem+json".to_owned())];
-    Rc::new(Told { ending, status: fault.status, reason: fault.reason, fields, body, come_back })
+    let mut lines = Lines::default();
+    lines.field("Content-Type", "application/problem+json");
+    Rc::new(Told { ending, status: fault.status, reason: fault.reason, lines, body, come_back })
 }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -6,6 +6,7 @@
 use applepond::interface::{Copy, JobId, ServerId};
 use applepond_http::Fault;
 use applepond_http::cloudevent::{EventSink, Reader};
+use applepond_http::encode::Lines;
 use applepond_http::decode::{Decoder, Fields, Side, Sink};
 
 /// Bytes of an answer's head and body at most: an answer beyond it counts as broken.
@@ -24,7 +25,7 @@
     pub busy: Option<f64>,
     pub queued: Option<f64>,
     /// Fields that go on to the client: the result event's attributes and its media type.
-    pub fields: Vec<(String, String)>,
+    pub lines: Lines,
     pub body: Vec<u8>,
     pub event: bool,
     /// Set once the answer is whole: whether the connection stands for another one.
@@ -42,7 +43,7 @@
             loads: None,
             busy: None,
             queued: None,
-            fields: Vec::new(),
+            lines: Lines::default(),
             body: Vec::new(),
             event: false,
             whole: None,
@@ -82,7 +83,7 @@
             let passes = name.get(..3).is_some_and(|p| p.eq_ignore_ascii_case("ce-"))
                 || name.eq_ignore_ascii_case("content-type");
             if let Some(value) = std::str::from_utf8(value).ok().filter(|_| passes) {
-                self.fields.push((name.to_owned(), value.to_owned()));
+                self.lines.field(name, value);
             }
         }
         Ok(())
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -1,6 +1,6 @@
 //! The instance itself: connects the clients' side, the module, the workers' side and the host list.
 use crate::claims::{Claim, Claims, Ending, Name};
-use crate::deployment::{Deployment, FunctionBy, FunctionRow};
+use crate::deployment::{Deployment, FunctionBy, FunctionRow, WorkloadNames};
 use crate::front::{self, Ask, Caller, Draft, Patience, Told};
 use crate::links::{Answering, Link};
 use crate::members::{Entry, Members, Taken};
@@ -8,9 +8,11 @@
 use applepond::control::Control;
 use applepond::interface::*;
 use applepond_http::decode::{Decoder, Fields, Side, Sink, Step as Decoded};
-use applepond_http::{Fault, cloudevent, encode};
+use applepond_http::encode::{self, Lines};
+use applepond_http::Fault;
 use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
-use std::collections::{BTreeMap, VecDeque};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 /// Idle connections kept a worker: more than one router has jobs there at a time.
@@ -78,6 +80,8 @@
 struct Execution {
     server: ServerId,
     sent: Micros,
+    /// When its time is up.
+    until: Micros,
     /// Its connection, until it has closed.
     link: Option<Conn>,
     closed: bool,
@@ -94,7 +98,7 @@
     callers: Vec<Conn>,
     executions: Vec<Execution>,
     /// What every execution sends after its own head.
-    attributes: Vec<(String, String)>,
+    lines: Lines,
     media: Option<String>,
     data: Rc<Vec<u8>>,
     row: FunctionRow,
@@ -113,19 +117,19 @@
 struct Watch {
     conn: Option<Conn>,
     decoder: Option<Decoder>,
-    lines: Lines,
+    lines: ListLines,
     pause: Micros,
 }
 
 /// Lines of the list's body as they come in.
 #[derive(Default)]
-struct Lines {
+struct ListLines {
     status: u16,
     buffer: Vec<u8>,
     whole: VecDeque<Vec<u8>>,
 }
 
-impl Sink for Lines {
+impl Sink for ListLines {
     fn request(&mut self, _: &str, _: &str, _: &Fields<'_>) -> Result<(), Fault> {
         Err(Fault::new(400, "bad-head", "an answer is wanted"))
     }
@@ -165,13 +169,20 @@
 
 pub struct Gateway {
     deployment: Deployment,
+    /// Attributes by which functions and customers are named.
+    picks: Rc<[String]>,
     control: Control,
     acts: Acts,
-    callers: BTreeMap<Conn, Caller>,
-    links: BTreeMap<Conn, Link>,
+    callers: FxHashMap<Conn, Caller>,
+    links: FxHashMap<Conn, Link>,
     members: Members,
     tasks: BTreeMap<JobId, Task>,
     claims: Claims<Told>,
+    /// Executions that are out, by when their time is up. One timer serves all of them: a timer for each would
+    /// outlive most executions by seconds.
+    out: BTreeSet<(Micros, JobId, usize)>,
+    /// When that timer fires, where one is set.
+    armed: Option<Micros>,
     steps: BTreeMap<u64, Step>,
     next_step: u64,
     next_job: u64,
@@ -194,16 +205,24 @@
         let control = Control::new(now, deployment.rows.clone(), &mut acts);
         let claims =
             Claims::new(deployment.remember_for, deployment.remember_most, deployment.remember_bytes);
+        let by = |w: &WorkloadNames| match &w.function_by {
+            FunctionBy::Attribute(name) => Some(name.clone()),
+            FunctionBy::Named(_) => None,
+        };
+        let picks = deployment.workloads.iter().filter_map(by).chain([deployment.customer_by.clone()]);
         Gateway {
+            picks: picks.collect(),
             control,
             acts,
-            callers: BTreeMap::new(),
-            links: BTreeMap::new(),
+            callers: FxHashMap::default(),
+            links: FxHashMap::default(),
             members: Members::default(),
             tasks: BTreeMap::new(),
             claims,
+            out: BTreeSet::new(),
+            armed: None,
             steps: BTreeMap::new(),
-            next_step: 0,
+            next_step: 1,
             next_job: 0,
             watch: Watch { pause: WATCH_AGAIN, ..Watch::default() },
             ready: VecDeque::new(),
@@ -214,7 +233,7 @@
     }
 
     fn after(&mut self, now: Micros, wire: &mut dyn Wire, delay: Micros, step: Step) {
-        self.next_step += 1;
+        self.next_step += 2;
         self.steps.insert(self.next_step, step);
         wire.wake_at(now + delay, Wake(self.next_step));
     }
@@ -261,13 +280,8 @@
                     let told = front::problem(Ending::Killed, &fault, Some(&id), None);
                     self.end(now, wire, job, told);
                 }
-                Act::Wake(delay, token) => {
-                    let step: Step = Box::new(move |g, now, _| {
-                        g.control.clock(now);
-                        g.control.wake(&mut g.acts, token);
-                    });
-                    self.after(now, wire, delay, step);
-                }
+                // The module's timers are many and carry their own number: they travel as they are, ours are odd.
+                Act::Wake(delay, token) => wire.wake_at(now + delay, Wake(token.0 << 1)),
                 Act::Note(text) => tracing::info!(target: "module", "{text}"),
             }
         }
@@ -278,7 +292,7 @@
         let most = self.deployment.rows.permits.executions;
         let Some(task) = self.tasks.get_mut(&job) else { return };
         let n = task.executions.len();
-        task.executions.push(Execution { server, sent: now, link: None, closed: false });
+        task.executions.push(Execution { server, sent: now, until: now, link: None, closed: false });
         if task.ended || n >= most {
             self.close(now, job, n, Outcome::Moot, None);
             return;
@@ -287,15 +301,32 @@
         if let Some(worker) = self.members.get_mut(server) {
             worker.out += 1;
         }
-        self.after(
-            now,
-            wire,
-            patience,
-            Box::new(move |g, now, wire| g.drop_execution(now, wire, job, n, Outcome::TimedOut)),
-        );
+        task.executions[n].until = now + patience;
+        self.out.insert((now + patience, job, n));
+        self.arm(now, wire);
         self.connect(now, wire, job, n);
     }
 
+    /// Sets the timer for the execution whose time is up first, unless one fires earlier anyway.
+    fn arm(&mut self, now: Micros, wire: &mut dyn Wire) {
+        let Some((until, _, _)) = self.out.first().copied() else { return };
+        if self.armed.is_none_or(|at| until < at) {
+            self.armed = Some(until);
+            self.after(now, wire, until.saturating_sub(now), Box::new(|g, now, wire| g.times_up(now, wire)));
+        }
+    }
+
+    fn times_up(&mut self, now: Micros, wire: &mut dyn Wire) {
+        self.armed = self.armed.filter(|at| *at > now);
+        while let Some((until, job, n)) = self.out.first().copied()
+            && until <= now
+        {
+            self.out.remove(&(until, job, n));
+            self.drop_execution(now, wire, job, n, Outcome::TimedOut);
+        }
+        self.arm(now, wire);
+    }
+
     fn connect(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize) {
         let Some(task) = self.tasks.get_mut(&job) else { return };
         let server = task.executions[n].server;
@@ -338,9 +369,7 @@
         }
         let Some(task) = self.tasks.get(&job) else { return };
         let mut head = encode::request("POST", "/run", &worker.address.to_string());
-        for (name, value) in &task.attributes {
-            head = cloudevent::attribute(head, name, value);
-        }
+        head = head.lines(&task.lines);
         if let Some(media) = &task.media {
             head = head.field("Content-Type", media);
         }
@@ -348,11 +377,11 @@
         head = head
             .field("applepond-function", &task.function)
             .field("applepond-workload", &self.deployment.workloads[task.workload].name)
-            .field("applepond-lanes", &row.lanes.to_string())
-            .field("applepond-memory-mb", &row.memory_mb.to_string())
-            .field("applepond-router", &self.deployment.rows.me.to_string())
-            .field("applepond-execution", &n.to_string())
-            .field("applepond-time-left-ms", &(task.limit.saturating_sub(now) / 1000).to_string());
+            .number("applepond-lanes", u64::from(row.lanes))
+            .number("applepond-memory-mb", u64::from(row.memory_mb))
+            .number("applepond-router", self.deployment.rows.me)
+            .number("applepond-execution", n as u64)
+            .number("applepond-time-left-ms", task.limit.saturating_sub(now) / 1000);
         wire.write(conn, &head.body(&task.data));
     }
 
@@ -377,6 +406,7 @@
             return;
         }
         execution.link = None;
+        self.out.remove(&(execution.until, job, n));
         if let Some(worker) = self.members.get_mut(execution.server) {
             worker.out = worker.out.saturating_sub(1);
         }
@@ -485,7 +515,7 @@
         let names = &self.deployment.workloads[workload];
         let function = match &names.function_by {
             FunctionBy::Named(name) => Some(name.as_str()),
-            FunctionBy::Attribute(by) => draft.attribute_named(by).filter(|f| !f.is_empty()),
+            FunctionBy::Attribute(by) => draft.picked(by).filter(|f| !f.is_empty()),
         };
         let Some(function) = function.map(str::to_owned) else {
             return refuse(
@@ -494,7 +524,7 @@
                 format!("the event does not name its function: {:?}", names.function_by),
             );
         };
-        let customer = match draft.attribute_named(&self.deployment.customer_by) {
+        let customer = match draft.picked(&self.deployment.customer_by) {
             None => None,
             Some(named) => match self.deployment.customers.iter().position(|c| c == named) {
                 Some(n) => Some(CustomerId(n)),
@@ -550,7 +580,7 @@
             limit: now + left,
             callers: vec![conn],
             executions: Vec::new(),
-            attributes: draft.attributes,
+            lines: draft.lines,
             media: draft.media,
             data: Rc::new(draft.data),
             row,
@@ -599,13 +629,14 @@
             "workers": {"ready": standing(Standing::Ready), "draining": standing(Standing::Draining),
                 "gone": standing(Standing::Gone)},
         });
-        let fields = vec![("Content-Type".to_owned(), "application/json".to_owned())];
+        let mut lines = Lines::default();
+        lines.field("Content-Type", "application/json");
         let body = format!("{body}\n").into_bytes();
         Rc::new(Told {
             ending: Ending::Finished,
             status: 200,
             reason: "state",
-            fields,
+            lines,
             body,
             come_back: None,
         })
@@ -653,14 +684,14 @@
         if let Some(task) = self.tasks.get_mut(&job) {
             task.executions[n].link = None;
             if outcome == Outcome::Finished && !task.ended {
-                let mut fields = std::mem::take(&mut answering.fields);
-                fields.push(("applepond-executions".to_owned(), task.executions.len().to_string()));
+                let mut lines = std::mem::take(&mut answering.lines);
+                lines.field("applepond-executions", &task.executions.len().to_string());
                 let body = std::mem::take(&mut answering.body);
                 let told = Told {
                     ending: Ending::Finished,
                     status: 200,
                     reason: "finished",
-                    fields,
+                    lines,
                     body,
                     come_back: None,
                 };
@@ -733,7 +764,7 @@
         let conn = wire.connect(at, self.deployment.connect_limit);
         self.watch.conn = Some(conn);
         self.watch.decoder = Some(Decoder::new(Side::Client, LINE_MOST, u64::MAX));
-        self.watch.lines = Lines::default();
+        self.watch.lines = ListLines::default();
     }
 
     fn watch_gone(&mut self, now: Micros, wire: &mut dyn Wire) {
@@ -805,7 +836,7 @@
     }
 
     fn accepted(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, _: Listener) {
-        self.callers.insert(conn, Caller::new(now, self.deployment.body_most));
+        self.callers.insert(conn, Caller::new(now, self.deployment.body_most, self.picks.clone()));
         self.look_at_caller(now, wire, conn);
     }
 
@@ -867,7 +898,10 @@
     }
 
     fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
-        if let Some(step) = self.steps.remove(&wake.0) {
+        if wake.0 & 1 == 0 {
+            self.control.clock(now);
+            self.control.wake(&mut self.acts, Token(wake.0 >> 1));
+        } else if let Some(step) = self.steps.remove(&wake.0) {
             step(self, now, wire);
         }
         self.settle(now, wire);
--- a/crates/http/src/cloudevent.rs
+++ b/crates/http/src/cloudevent.rs
@@ -3,10 +3,11 @@
 //! Attributes come out one by one as calls; nothing here keeps an event. Batched mode is refused with 415.
 use crate::Fault;
 use crate::decode::Fields;
-use crate::encode::Message;
+use crate::encode::Lines;
 use base64::Engine;
 use percent_encoding::{AsciiSet, CONTROLS, percent_decode, utf8_percent_encode};
 use serde_json::Value;
+use std::borrow::Cow;
 
 /// Characters of an attribute's value that a header field carries encoded (HTTP binding, section 3.1.3.2).
 const ENCODED: &AsciiSet = &CONTROLS.add(b' ').add(b'"').add(b'%');
@@ -163,7 +164,7 @@
 }
 
 /// Writes one attribute as a header field of binary mode.
-pub fn attribute(message: Message, name: &str, value: &str) -> Message {
-    let value = utf8_percent_encode(value, ENCODED).to_string();
-    message.field(&format!("ce-{name}"), &value)
+pub fn attribute(lines: &mut Lines, name: &str, value: &str) {
+    let value: Cow<'_, str> = utf8_percent_encode(value, ENCODED).into();
+    lines.field(&["ce-", name].concat(), &value);
 }
--- a/crates/http/src/decode.rs
+++ b/crates/http/src/decode.rs
@@ -245,7 +245,7 @@
     /// Length of the next line with its end.
     fn line(&mut self, most: usize) -> Result<Option<usize>, Fault> {
         let from = self.searched;
-        let found = self.rest()[from..].iter().position(|b| *b == b'\n').map(|n| from + n + 1);
+        let found = memchr::memchr(b'\n', &self.rest()[from..]).map(|n| from + n + 1);
         self.searched = if found.is_some() { 0 } else { self.waiting() };
         if found.unwrap_or(self.waiting()) > most {
             return Err(Fault::new(
@@ -263,10 +263,9 @@
         // Empty lines before a request are passed over (RFC 9112, section 2.2).
         let lead = rest.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
         let from = self.searched.max(lead);
-        let ends = |n: &usize| {
-            rest[*n] == b'\n' && (rest[..*n].ends_with(b"\n") || rest[..*n].ends_with(b"\n\r")) && *n > lead
-        };
-        let found = (from..rest.len()).find(ends).map(|n| n + 1);
+        let ends = |n: &usize| rest[..*n].ends_with(b"\n") || rest[..*n].ends_with(b"\n\r");
+        let lines = memchr::memchr_iter(b'\n', &rest[from..]).map(|n| from + n);
+        let found = lines.filter(|n| *n > lead).find(ends).map(|n| n + 1);
         let length = found.unwrap_or(rest.len());
         self.searched = if found.is_some() { 0 } else { rest.len() };
         if length > self.head_most {
--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -1,9 +1,36 @@
 //! Encodes whole messages, and problem bodies (RFC 9457).
 use crate::Fault;
 use serde_json::json;
+use std::io::Write;
+
+/// Bytes set aside for a head: most fit without growing.
+const HEAD_USUAL: usize = 768;
 
 /// A message under construction: a head, then `body` or `empty` ends it.
-pub struct Message(Vec<u8>);
+pub struct Message(Lines);
+
+/// Header lines without a message yet, in one buffer.
+#[derive(Clone, Default)]
+pub struct Lines(Vec<u8>);
+
+impl Lines {
+    /// A header field. Bytes that would end the line are written as spaces, so that no value can add a field.
+    pub fn field(&mut self, name: &str, value: &str) {
+        self.0.reserve(name.len() + value.len() + 4);
+        self.0.extend_from_slice(name.as_bytes());
+        self.0.extend_from_slice(b": ");
+        self.0.extend(value.bytes().map(|b| if b < b' ' || b == 0x7f { b' ' } else { b }));
+        self.0.extend_from_slice(b"\r\n");
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
 
 /// The phrase of a status; clients are not to read it (RFC 9112, section 4).
 fn phrase(status: u16) -> &'static str {
@@ -36,41 +63,52 @@
 pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 pub fn request(method: &str, target: &str, host: &str) -> Message {
-    Message(format!("{method} {target} HTTP/1.1\r\nHost: {host}\r\n").into_bytes())
+    let mut head = Vec::with_capacity(HEAD_USUAL);
+    let _ = write!(head, "{method} {target} HTTP/1.1\r\nHost: {host}\r\n");
+    Message(Lines(head))
 }
 
 pub fn response(status: u16) -> Message {
-    Message(format!("HTTP/1.1 {status} {}\r\n", phrase(status)).into_bytes())
+    let mut head = Vec::with_capacity(HEAD_USUAL);
+    let _ = write!(head, "HTTP/1.1 {status} {}\r\n", phrase(status));
+    Message(Lines(head))
 }
 
 impl Message {
-    /// A header field. Bytes that would end the line are written as spaces, so that no value can add a field.
     pub fn field(mut self, name: &str, value: &str) -> Self {
-        self.0.extend_from_slice(name.as_bytes());
-        self.0.extend_from_slice(b": ");
-        self.0.extend(value.bytes().map(|b| if b < b' ' || b == 0x7f { b' ' } else { b }));
-        self.0.extend_from_slice(b"\r\n");
+        self.0.field(name, value);
+        self
+    }
+
+    /// A field whose value is a whole number.
+    pub fn number(mut self, name: &str, value: u64) -> Self {
+        let _ = write!(self.0.0, "{name}: {value}\r\n");
+        self
+    }
+
+    pub fn lines(mut self, lines: &Lines) -> Self {
+        self.0.0.extend_from_slice(&lines.0);
         self
     }
 
     pub fn body(mut self, bytes: &[u8]) -> Vec<u8> {
-        self = self.field("Content-Length", &bytes.len().to_string());
-        self.0.extend_from_slice(b"\r\n");
-        self.0.extend_from_slice(bytes);
-        self.0
+        self = self.number("Content-Length", bytes.len() as u64);
+        self.0.0.extend_from_slice(b"\r\n");
+        self.0.0.extend_from_slice(bytes);
+        self.0.0
     }
 
     /// A head whose body follows in chunks.
     pub fn chunked(mut self) -> Vec<u8> {
-        self = self.field("Transfer-Encoding", "chunked");
-        self.0.extend_from_slice(b"\r\n");
-        self.0
+        self.0.field("Transfer-Encoding", "chunked");
+        self.0.0.extend_from_slice(b"\r\n");
+        self.0.0
     }
 
     /// A request without a body.
     pub fn empty(mut self) -> Vec<u8> {
-        self.0.extend_from_slice(b"\r\n");
-        self.0
+        self.0.0.extend_from_slice(b"\r\n");
+        self.0.0
     }
 }
 
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -4,7 +4,8 @@
 use rustix::event::{Timespec, epoll};
 use rustix::io::Errno;
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType, ipproto, sockopt};
-use std::collections::{HashMap, VecDeque};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -72,8 +73,9 @@
 
 struct Core {
     poll: OwnedFd,
-    links: HashMap<u64, Link>,
-    ears: HashMap<u64, Ear>,
+    /// By numbers that this shell gave itself, so that a quick hash is no weakness.
+    links: FxHashMap<u64, Link>,
+    ears: FxHashMap<u64, Ear>,
     wheel: Wheel<Timer>,
     next: u64,
     dirty: Vec<Conn>,
@@ -327,8 +329,8 @@
         let epoch = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
         let core = Core {
             poll,
-            links: HashMap::new(),
-            ears: HashMap::new(),
+            links: FxHashMap::default(),
+            ears: FxHashMap::default(),
             wheel: Wheel::new(epoch),
             next: 0,
             dirty: Vec::new(),
