--- /dev/null
+++ b/benches/crowd.rs
@@ -0,0 +1,187 @@
+//! What a job costs in the module: workers in the list x jobs that wait. `cargo bench --bench crowd`.
+//!
+//! One router, 10 jobs a second a worker, answers after 100 ms, a function of its own for every worker; jobs
+//! that wait are of functions whose first load is never answered. µs of CPU a job, all events and beats
+//! included.
+use applepond::control::Control;
+use applepond::interface::*;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Instant;
+
+const MS: Micros = 1_000;
+const S: Micros = 1_000_000;
+/// Functions that the waiting jobs are of.
+const WAITING_FUNCTIONS: u64 = 100;
+/// Longest real time that one row may take.
+const PATIENCE_S: f64 = 4.0;
+
+#[derive(Default)]
+struct Bench {
+    now: Micros,
+    timers: BTreeSet<(Micros, Token)>,
+    answers: VecDeque<(Micros, JobId, usize)>,
+    executions: std::collections::HashMap<[u8; 36], usize>,
+    silent: bool,
+    ended: u64,
+}
+
+impl Orders for Bench {
+    fn send(&mut self, job: JobId, _: ServerId, _: Micros) {
+        let n = self.executions.entry(job.0).or_insert(0);
+        if !self.silent {
+            self.answers.push_back((self.now + 100 * MS, job, *n));
+        }
+        *n += 1;
+    }
+    fn cancel(&mut self, _: JobId, _: usize) {}
+    fn push_back(&mut self, _: JobId, _: Option<Micros>) {
+        self.ended += 1;
+    }
+    fn kill(&mut self, _: JobId) {
+        self.ended += 1;
+    }
+    fn wake_after(&mut self, delay: Micros, token: Token) {
+        self.timers.insert((self.now + delay, token));
+    }
+    fn note(&mut self, _: &str) {}
+    fn watch(&mut self) {}
+}
+
+fn id(n: u64) -> JobId {
+    let mut id = [b'0'; 36];
+    id[..20].copy_from_slice(format!("{n:020}").as_bytes());
+    JobId(id)
+}
+
+fn rows() -> Startup {
+    let row = |start_target| WorkloadRow {
+        effect: Effect::Restartable,
+        start_target,
+        importance: 1.0,
+        late_part: 0.2,
+    };
+    Startup {
+        seed: 1,
+        me: 0,
+        routers: 1,
+        workloads: vec![row(500 * MS), row(600 * S)],
+        customers: Vec::new(),
+        permits: Permits {
+            executions: 4,
+            cancel: true,
+            second_copies: true,
+            come_back: true,
+            come_back_max: S,
+        },
+        rules: RuleFigures { cold_share: 0.2, warm_within: 10 * S, fall_multiple: 2.0, fall_span: S },
+        over_share: 0.1,
+        keep: 60 * S,
+        tells_company: true,
+        weights_shared: true,
+        list_by_asking: false,
+    }
+}
+
+fn answer() -> Answer {
+    Answer {
+        outcome: Outcome::Finished,
+        closed: true,
+        elapsed: 100 * MS,
+        copy: Copy::Stood,
+        company: 0,
+        held: None,
+        loads: None,
+        busy: None,
+        queued: None,
+    }
+}
+
+/// Runs everything that is due until `until`.
+fn pass(control: &mut Control, bench: &mut Bench, until: Micros) {
+    loop {
+        let timer = bench.timers.first().map(|(at, _)| *at);
+        let answer_at = bench.answers.front().map(|(at, _, _)| *at);
+        let next = [timer, answer_at].into_iter().flatten().min().filter(|at| *at <= until);
+        let Some(at) = next else { break };
+        bench.now = bench.now.max(at);
+        control.clock(bench.now);
+        if answer_at == Some(at) {
+            let (_, job, n) = bench.answers.pop_front().expect("there is one");
+            control.answered(bench, job, n, &answer());
+        } else {
+            let (_, token) = bench.timers.pop_first().expect("there is one");
+            control.wake(bench, token);
+        }
+    }
+    bench.now = until;
+    control.clock(until);
+}
+
+fn arrival(n: u64, function: &str, workload: usize) -> Arrival {
+    Arrival {
+        job: id(n),
+        function: FunctionId::named(function),
+        workload: WorkloadId(workload),
+        customer: None,
+        left: if workload == 0 { 5 * S } else { 900 * S },
+        lanes: 64,
+        retry: false,
+        load_time: Some(if workload == 0 { 500 * MS } else { 200 * S }),
+    }
+}
+
+/// µs a job, and how many jobs waited at the end.
+fn cost(workers: u64, waiting: u64) -> (f64, u64) {
+    let mut bench = Bench { now: 1_000 * S, ..Bench::default() };
+    let mut control = Control::new(bench.now, rows(), &mut bench);
+    let listed = |n| Listed {
+        server: ServerId::named(&format!("w{n}")),
+        standing: Standing::Ready,
+        up_since: 0,
+        zone: None,
+        rack: RackId(0),
+        weight: 1.0,
+    };
+    control.clock(bench.now);
+    control.list(&mut bench, ListKind::Full, &(0..workers).map(listed).collect::<Vec<_>>());
+    let mut next = 0;
+    let mut ask = |control: &mut Control, bench: &mut Bench, function: &str, workload| {
+        next += 1;
+        control.job(bench, &arrival(next, function, workload));
+    };
+    // Every function is served once, a few at a time, as the bound on loads wants it.
+    for n in 0..workers {
+        ask(&mut control, &mut bench, &format!("f{n}"), 0);
+        if n % 8 == 7 {
+            let until = bench.now + 200 * MS;
+            pass(&mut control, &mut bench, until);
+        }
+    }
+    let until = bench.now + S;
+    pass(&mut control, &mut bench, until);
+    bench.silent = true;
+    let ended = bench.ended;
+    for n in 0..waiting {
+        ask(&mut control, &mut bench, &format!("held-{}", n % WAITING_FUNCTIONS.min(8)), 1);
+    }
+    bench.silent = false;
+    let gap = S / (10 * workers);
+    let (begun, mut jobs) = (Instant::now(), 0u64);
+    while jobs < 40 * workers && begun.elapsed().as_secs_f64() < PATIENCE_S {
+        ask(&mut control, &mut bench, &format!("f{}", jobs * 7 % workers), 0);
+        jobs += 1;
+        let until = bench.now + gap;
+        pass(&mut control, &mut bench, until);
+    }
+    (begun.elapsed().as_secs_f64() * 1e6 / jobs as f64, waiting - (bench.ended - ended))
+}
+
+fn main() {
+    println!("{:>8} {:>8} {:>12} {:>14}", "workers", "waiting", "µs a job", "still waiting");
+    for workers in [12, 120, 1000] {
+        for waiting in [0, 1_000, 10_000] {
+            let (us, still) = cost(workers, waiting);
+            println!("{workers:>8} {waiting:>8} {us:>12.1} {still:>14}");
+        }
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -31,6 +31,9 @@
         /// Breaks a rule on purpose, to prove the auditor of a drill.
         #[arg(long, hide = true)]
         plant: Option<String>,
+        /// Ends with the process that started it: a drill that is broken off leaves no router behind.
+        #[arg(long, hide = true)]
+        with_parent: bool,
     },
     /// Reads settings and reports every fault by line and column.
     Check { file: PathBuf },
@@ -48,7 +51,10 @@
 
 fn main() -> ExitCode {
     match Line::parse().what {
-        What::Serve { settings, listen, log, plant } => {
+        What::Serve { settings, listen, log, plant, with_parent } => {
+            if with_parent {
+                serve::end_with_parent();
+            }
             serve::serve(&settings, listen, log, plant.as_deref())
         }
         What::Check { file } => serve::check(&file),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -36,6 +36,14 @@
     })
 }
 
+/// Has the kernel end this process when its parent ends. A parent that is killed outright cannot do it.
+pub fn end_with_parent() {
+    let signal = rustix::process::Signal::KILL;
+    if let Err(error) = rustix::process::set_parent_process_death_signal(Some(signal)) {
+        eprintln!("cannot be tied to the parent process: {error}");
+    }
+}
+
 pub fn check(file: &Path) -> ExitCode {
     match read(file) {
         Ok(d) => {
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -67,7 +67,7 @@
 
 fn start(plan: &Plan, settings: PathBuf) -> Result<Router, String> {
     let mut command = Command::new(&plan.program);
-    command.arg("serve").arg("--settings").arg(&settings).arg("--log").arg("json");
+    command.arg("serve").arg("--settings").arg(&settings).args(["--log", "json", "--with-parent"]);
     if let Some(plant) = &plan.plant {
         command.arg("--plant").arg(plant);
     }
--- a/crates/gateway/benches/gateway.rs
+++ b/crates/gateway/benches/gateway.rs
@@ -1,8 +1,8 @@
 //! One instance on one core, beside a plain forwarder on the same reactor: `cargo bench --bench gateway`.
 //!
-//! Three threads: clients, the instance or the forwarder, workers that answer at once. Peak rate with 64 connections
-//! always asking; then latency from the time a job should have been sent, at half of the gateway's peak; then bytes
-//! of a connection that lies idle. CPU is that of the middle thread alone.
+//! Three threads: clients, the instance or the forwarder, workers that answer at once. Peak rate with 64
+//! connections always asking; then latency from the time a job should have been sent, at half of the
+//! gateway's peak; then bytes of a connection that lies idle. CPU is that of the middle thread alone.
 #[path = "../tests/common/mod.rs"]
 #[allow(dead_code)]
 mod common;
@@ -116,7 +116,8 @@
     }
     fn bytes(&mut self, _: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
         let talk = self.talks.get_mut(&conn).expect("accepted");
-        (0..whole(talk, bytes).expect("sound requests")).for_each(|_| wire.write(conn, common::DONE.as_bytes()));
+        (0..whole(talk, bytes).expect("sound requests"))
+            .for_each(|_| wire.write(conn, common::DONE.as_bytes()));
     }
     fn woken(&mut self, _: Micros, _: &mut dyn Wire, _: Wake) {}
 }
@@ -357,7 +358,8 @@
     text.split(' ').nth(1).and_then(|pages| pages.parse::<usize>().ok()).unwrap_or(0) * 4096
 }
 
-/// Bytes of this process a client connection that carried one job and lies idle; the clients' ends are bare sockets.
+/// Bytes of this process a client connection that carried one job and lies idle; the clients' ends are bare
+/// sockets.
 fn idle_bytes() -> usize {
     let stop = Arc::new(AtomicBool::new(false));
     let (addresses, worker_thread) = workers(&stop);
@@ -391,7 +393,10 @@
     };
     // First, while this process has freed nothing that would hide what connections take.
     println!("bytes an idle client connection: {}", idle_bytes());
-    println!("{:<26} {:>9} {:>10} {:>9} {:>9} {:>8}", "", "jobs/s", "CPU µs/job", "p50 µs", "p99 µs", "refused");
+    println!(
+        "{:<26} {:>9} {:>10} {:>9} {:>9} {:>8}",
+        "", "jobs/s", "CPU µs/job", "p50 µs", "p99 µs", "refused"
+    );
     let forwarder = run(Middle::Forwarder, 0.0);
     let gateway = run(Middle::Gateway, 0.0);
     line("forwarder, peak", &forwarder);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -6,8 +6,8 @@
 use applepond::interface::{Copy, JobId, ServerId};
 use applepond_http::Fault;
 use applepond_http::cloudevent::{EventSink, Reader};
-use applepond_http::encode::Lines;
 use applepond_http::decode::{Decoder, Fields, Side, Sink};
+use applepond_http::encode::Lines;
 
 /// Bytes of an answer's head and body at most: an answer beyond it counts as broken.
 const HEAD_MOST: usize = 16 * 1024;
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -7,9 +7,9 @@
 use crate::{fate, limit};
 use applepond::control::Control;
 use applepond::interface::*;
+use applepond_http::Fault;
 use applepond_http::decode::{Decoder, Fields, Side, Sink, Step as Decoded};
 use applepond_http::encode::{self, Lines};
-use applepond_http::Fault;
 use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -178,8 +178,8 @@
     members: Members,
     tasks: BTreeMap<JobId, Task>,
     claims: Claims<Told>,
-    /// Executions that are out, by when their time is up. One timer serves all of them: a timer for each would
-    /// outlive most executions by seconds.
+    /// Executions that are out, by when their time is up. One timer serves all of them: a timer for each
+    /// would outlive most executions by seconds.
     out: BTreeSet<(Micros, JobId, usize)>,
     /// When that timer fires, where one is set.
     armed: Option<Micros>,
@@ -280,7 +280,8 @@
                     let told = front::problem(Ending::Killed, &fault, Some(&id), None);
                     self.end(now, wire, job, told);
                 }
-                // The module's timers are many and carry their own number: they travel as they are, ours are odd.
+                // The module's timers are many and carry their own number: they travel as they are, ours are
+                // odd.
                 Act::Wake(delay, token) => wire.wake_at(now + delay, Wake(token.0 << 1)),
                 Act::Note(text) => tracing::info!(target: "module", "{text}"),
             }
@@ -632,14 +633,7 @@
         let mut lines = Lines::default();
         lines.field("Content-Type", "application/json");
         let body = format!("{body}\n").into_bytes();
-        Rc::new(Told {
-            ending: Ending::Finished,
-            status: 200,
-            reason: "state",
-            lines,
-            body,
-            come_back: None,
-        })
+        Rc::new(Told { ending: Ending::Finished, status: 200, reason: "state", lines, body, come_back: None })
     }
 
     // ---- The workers' side -------------------------------------------------------------------
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -73,8 +73,8 @@
     pub now: Micros,
 }
 
-/// `workers` static workers; workloads `quote` (restartable), `hold` (fingerprinted) and `confirm` (run-once),
-/// started within 500 ms, given up after 4 s, a load takes 100 ms.
+/// `workers` static workers; workloads `quote` (restartable), `hold` (fingerprinted) and `confirm`
+/// (run-once), started within 500 ms, given up after 4 s, a load takes 100 ms.
 pub fn deployment(workers: u16) -> Deployment {
     let effects = [
         ("quote", Effect::Restartable),
@@ -227,6 +227,6 @@
 }
 
 /// A worker's finished answer.
-pub const DONE: &str = "HTTP/1.1 200 OK\r\nce-specversion: 1.0\r\nce-id: r1\r\nce-source: /w\r\nce-type: result\r\n\
-    applepond-copy: stood\r\napplepond-company: 0\r\nContent-Type: application/json\r\nContent-Length: 9\r\n\r\n\
-    {\"ok\": 1}";
+pub const DONE: &str = "HTTP/1.1 200 OK\r\nce-specversion: 1.0\r\nce-id: r1\r\nce-source: /w\r\n\
+    ce-type: result\r\napplepond-copy: stood\r\napplepond-company: 0\r\n\
+    Content-Type: application/json\r\nContent-Length: 9\r\n\r\n{\"ok\": 1}";
--- a/crates/gateway/tests/machine.rs
+++ b/crates/gateway/tests/machine.rs
@@ -20,7 +20,8 @@
     assert!(b.told(client).ends_with("{\"ok\": 1}") && b.told(client).contains("ce-type: result"));
 }
 
-// A client's retry joins the running job: one execution, one answer to each exchange; after the end it is told again.
+// A client's retry joins the running job: one execution, one answer to each exchange; after the end it is
+// told again.
 #[test_case("quote"; "restartable")]
 #[test_case("confirm"; "run-once")]
 fn retries_join(kind: &str) {
--- /dev/null
+++ b/crates/gateway/tests/sockets.rs
@@ -0,0 +1,223 @@
+//! The instance on real loopback sockets, with stand-ins for workers and clients in the same reactor.
+#[allow(dead_code)]
+mod common;
+
+use applepond_gateway::Gateway;
+use applepond_reactor::{Micros, Reactor};
+use applepond_standins::client::{Client, Got, Planned, Results};
+use applepond_standins::ledger::{Ledger, Saw};
+use applepond_standins::worker::{Build, Mood, Turn, Worker};
+use common::{MS, S};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use test_case::test_case;
+
+/// Turns at most, of at most 10 ms each: an end for a test that waits for what never comes.
+const TURNS: usize = 3_000;
+
+struct Fleet {
+    reactor: Reactor,
+    front: SocketAddr,
+    ledger: Ledger,
+}
+
+fn build(n: u16, listen: SocketAddr) -> Build {
+    Build {
+        name: Rc::from(format!("w{n}")),
+        listen,
+        rack: 0,
+        cores: 64,
+        memory_mb: 1_000,
+        queue: 1_000,
+        store: None,
+        load: 20 * MS,
+        keep: 10 * S,
+        cold_share: 1.0,
+        warm_within: 0,
+        fall_multiple: f64::INFINITY,
+        fall_span: S,
+        window: 3 * S,
+        seed: 1,
+    }
+}
+
+fn fleet(workers: u16, turns: &[(Micros, Turn)]) -> Fleet {
+    let mut reactor = Reactor::new().expect("epoll");
+    let ledger = Ledger::default();
+    let mut deployment = common::deployment(workers);
+    deployment.listen = "127.0.0.1:0".parse().expect("an address");
+    deployment.callers_most = 5_000;
+    deployment.rows.customers[0].jobs_per_s = 100_000.0;
+    deployment.workloads.iter_mut().for_each(|w| w.function.lanes = 64);
+    let begin = reactor.now();
+    for (n, worker) in deployment.workers.iter_mut().enumerate() {
+        let probe = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr());
+        worker.address = probe.expect("a free port");
+        let script = turns.iter().map(|(at, turn)| (begin + at, *turn)).collect();
+        let build = build(n as u16, worker.address);
+        reactor.add(Box::new(Worker::new(build, script, ledger.clone(), Rc::default())));
+    }
+    let at = Rc::new(Cell::new(None));
+    let told = at.clone();
+    let gateway = Gateway::new(reactor.now(), deployment, Box::new(move |a| told.set(Some(a))));
+    reactor.add(Box::new(gateway));
+    Fleet { reactor, front: at.get().expect("it listens"), ledger }
+}
+
+fn until(reactor: &mut Reactor, mut done: impl FnMut() -> bool) {
+    for _ in 0..TURNS {
+        if done() {
+            return;
+        }
+        reactor.turn(Duration::from_millis(10)).expect("a turn");
+    }
+    panic!("what the test waits for did not come");
+}
+
+fn ends(results: &Results) -> BTreeMap<Got, usize> {
+    let mut ends = BTreeMap::new();
+    results.got.iter().for_each(|(got, _)| *ends.entry(*got).or_default() += 1);
+    ends
+}
+
+fn planned(at: Micros, n: usize, kind: &'static str) -> Planned {
+    Planned {
+        at,
+        source: "/desk".into(),
+        id: n.to_string(),
+        kind,
+        function: format!("hut-{}", n % 8),
+        customer: "huts",
+        work_ms: 1,
+        limit: 4 * S,
+        target: 2 * S,
+        restartable: kind == "quote",
+        fingerprint: kind == "hold",
+        structured: n.is_multiple_of(2),
+        router: 0,
+        tries: 1,
+        twin_after: None,
+        leaves_after: None,
+    }
+}
+
+// A thousand connections at the same moment, one job each: each gets exactly one answer, and none is left
+// over.
+#[test]
+fn a_thousand_clients_at_once() {
+    let mut fleet = fleet(8, &[]);
+    let at = fleet.reactor.now() + 50 * MS;
+    let plan = (0..1_000).map(|n| planned(at, n, "quote")).collect();
+    let routers = Rc::new(RefCell::new(vec![fleet.front]));
+    let (client, results) = Client::new(plan, routers, fleet.ledger.clone());
+    fleet.reactor.add(Box::new(client));
+    until(&mut fleet.reactor, || results.borrow().done == 1_000);
+    fleet.ledger.read(|seen| {
+        let count = |what: fn(&Saw) -> bool| seen.iter().filter(|(_, saw)| what(saw)).count();
+        assert_eq!(count(|s| matches!(s, Saw::Asked { .. })), 1_000);
+        assert_eq!(count(|s| matches!(s, Saw::Answered { .. })), 1_000);
+        assert_eq!(count(|s| matches!(s, Saw::Stray { .. } | Saw::Cut { .. } | Saw::GaveUp { .. })), 0);
+    });
+    let ends = ends(&results.borrow());
+    let ok = ends.get(&Got::Finished).unwrap_or(&0) + ends.get(&Got::Late).unwrap_or(&0);
+    assert!(ok >= 500 && ok + ends.get(&Got::PushedBack).unwrap_or(&0) == 1_000, "{ends:?}");
+}
+
+// Workers that break off, hang, talk nonsense: a run-once job begins at most once and has its one answer.
+#[test_case(Mood::CutAnswers, &[Got::Killed, Got::PushedBack]; "cut")]
+#[test_case(Mood::Garbage, &[Got::Killed, Got::PushedBack]; "garbage")]
+#[test_case(Mood::FailFast(1.0), &[Got::Killed, Got::PushedBack]; "fail")]
+#[test_case(Mood::Hang, &[Got::Killed, Got::PushedBack]; "hang")]
+#[test_case(Mood::TwoAnswers, &[Got::Finished, Got::PushedBack]; "two answers")]
+#[test_case(Mood::RefuseAll, &[Got::PushedBack, Got::PushedBack]; "full")]
+fn run_once_among_bad_workers(mood: Mood, wanted: &[Got]) {
+    let mut fleet = fleet(3, &[(0, Turn::Mood(mood))]);
+    let at = fleet.reactor.now() + 50 * MS;
+    let plan = (0..40).map(|n| planned(at + n as Micros * 5 * MS, n, "confirm")).collect();
+    let (client, results) = Client::new(plan, Rc::new(RefCell::new(vec![fleet.front])), fleet.ledger.clone());
+    fleet.reactor.add(Box::new(client));
+    until(&mut fleet.reactor, || results.borrow().done == 40);
+    fleet.ledger.read(|seen| {
+        for n in 0..40 {
+            let event = format!("/desk {n}");
+            let began = seen
+                .iter()
+                .filter(|(_, s)| matches!(s, Saw::Began { event: e, .. } if **e == *event))
+                .count();
+            assert!(began <= 1, "{event} began {began} times");
+        }
+    });
+    let ends = ends(&results.borrow());
+    assert!(ends.keys().all(|got| wanted.contains(got)), "{ends:?}");
+}
+
+// A worker dies while it runs jobs, and comes back: restartable ones are answered by another.
+#[test]
+fn a_worker_dies_with_its_jobs() {
+    let mut fleet = fleet(2, &[]);
+    let at = fleet.reactor.now() + 50 * MS;
+    let jobs = (0..20).map(|n| Planned { work_ms: 200, ..planned(at, n, "quote") }).collect();
+    let (client, results) = Client::new(jobs, Rc::new(RefCell::new(vec![fleet.front])), fleet.ledger.clone());
+    fleet.reactor.add(Box::new(client));
+    let ledger = fleet.ledger.clone();
+    until(&mut fleet.reactor, || ledger.read(|s| s.iter().any(|(_, s)| matches!(s, Saw::Began { .. }))));
+    // The first machine added is the first worker.
+    fleet.reactor.remove(0);
+    until(&mut fleet.reactor, || results.borrow().done == 20);
+    let ends = ends(&results.borrow());
+    let ok = ends.get(&Got::Finished).unwrap_or(&0) + ends.get(&Got::Late).unwrap_or(&0);
+    assert!(ok >= 15 && !ends.contains_key(&Got::Broken), "{ends:?}");
+}
+
+// Clients that send a byte at a time and clients that never read: the others are served as if they were not
+// there.
+#[test]
+fn slow_and_deaf_clients_slow_nobody() {
+    let mut fleet = fleet(2, &[]);
+    let mut slow: Vec<TcpStream> =
+        (0..50).map(|_| TcpStream::connect(fleet.front).expect("connects")).collect();
+    let mut deaf: Vec<TcpStream> =
+        (0..50).map(|_| TcpStream::connect(fleet.front).expect("connects")).collect();
+    for (n, stream) in deaf.iter_mut().enumerate() {
+        stream.write_all(common::event("quote", &format!("deaf-{n}")).as_bytes()).expect("written");
+    }
+    let at = fleet.reactor.now() + 50 * MS;
+    let plan = (0..100).map(|n| planned(at + n as Micros * 5 * MS, n, "quote")).collect();
+    let (client, results) = Client::new(plan, Rc::new(RefCell::new(vec![fleet.front])), fleet.ledger.clone());
+    fleet.reactor.add(Box::new(client));
+    let event = common::event("quote", "slow");
+    let mut bytes = event.bytes();
+    until(&mut fleet.reactor, || {
+        if let Some(byte) = bytes.next() {
+            slow.iter_mut().for_each(|s| s.write_all(&[byte]).expect("written"));
+        }
+        results.borrow().done == 100
+    });
+    assert_eq!(ends(&results.borrow()), [(Got::Finished, 100)].into());
+}
+
+#[test]
+fn one_event_in_plain_bytes() {
+    let mut fleet = fleet(1, &[]);
+    let mut stream = TcpStream::connect(fleet.front).expect("connects");
+    stream.set_nonblocking(true).expect("set");
+    stream
+        .write_all(common::event("quote", "1").replace("Host: a", "Host: a\r\nConnection: close").as_bytes())
+        .expect("written");
+    let mut answer = Vec::new();
+    let mut buffer = [0; 4096];
+    until(&mut fleet.reactor, || match stream.read(&mut buffer) {
+        Ok(0) => true,
+        Ok(n) => {
+            answer.extend_from_slice(&buffer[..n]);
+            false
+        }
+        Err(_) => false,
+    });
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 200 OK") && answer.contains("ce-source: /workers/w0"), "{answer}");
+}
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -1,10 +1,10 @@
 //! The shell on real sockets: one thread, epoll, no runtime.
 use crate::wheel::Wheel;
 use crate::{Closed, Conn, Listener, Machine, Micros, Wake, Wire};
+use rustc_hash::FxHashMap;
 use rustix::event::{Timespec, epoll};
 use rustix::io::Errno;
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType, ipproto, sockopt};
-use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -112,7 +112,9 @@
     fetches: BTreeMap<Conn, (Rc<str>, Talk)>,
     pressed: VecDeque<(Micros, u64, Micros)>,
     wakes: Vec<Option<Then>>,
+    /// Starts so far, and answers: together the name of a result.
     life: u64,
+    answered: u64,
 }
 
 impl Worker {
@@ -134,6 +136,7 @@
             pressed: VecDeque::new(),
             wakes: Vec::new(),
             life: 0,
+            answered: 0,
         }
     }
 
@@ -205,7 +208,8 @@
         }
         let mut body = format!("{{\"worker\":\"{}\"}}", self.build.name);
         if status == 200 {
-            let life = format!("{}-{}", self.build.name, conn.0);
+            self.answered += 1;
+            let life = format!("{}-{}-{}", self.build.name, self.life, self.answered);
             let source = format!("/workers/{}", self.build.name);
             for (name, value) in
                 [("specversion", "1.0"), ("type", "result"), ("id", &life), ("source", &source)]
