Stand-ins: stalls, a silent host list, and words that change them while they run

Need: each stand-in is to be told to misbehave while it runs, also by hand.

Change: worker POST /-/mood?NAME, store POST /-/stop?MS, list POST /-/standing?NAME=STANDING; a mood for a worker that stands still, a stretch in which the list says nothing.

--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -28,12 +28,12 @@
         /// The model store to fetch from; without it a load takes no fetch.
         #[arg(long)]
         store: Option<SocketAddr>,
-        /// Misbehaves from the start: fail-fast, hang, cut-answers, garbage, no-handshakes, refuse-all,
-        /// two-answers.
+        /// Misbehaves from the start: fail-fast, hang, stall, cut-answers, garbage, no-handshakes,
+        /// refuse-all, two-answers. While it runs, `POST /-/mood?NAME` changes it; `well` mends it.
         #[arg(long)]
         mood: Option<String>,
     },
-    /// A model store.
+    /// A model store. `POST /-/stop?MS` stops it for so many ms.
     Store {
         #[arg(long)]
         listen: SocketAddr,
@@ -43,7 +43,7 @@
         #[arg(long, default_value_t = 16)]
         most: usize,
     },
-    /// A host list that names the given workers ready.
+    /// A host list that names the given workers ready. `POST /-/standing?NAME=draining` changes one.
     Hosts {
         #[arg(long)]
         listen: SocketAddr,
@@ -53,19 +53,6 @@
     },
 }
 
-fn mood(name: &str) -> Option<Mood> {
-    Some(match name {
-        "fail-fast" => Mood::FailFast(1.0),
-        "hang" => Mood::Hang,
-        "cut-answers" => Mood::CutAnswers,
-        "garbage" => Mood::Garbage,
-        "no-handshakes" => Mood::NoHandshakes,
-        "refuse-all" => Mood::RefuseAll,
-        "two-answers" => Mood::TwoAnswers,
-        _ => return None,
-    })
-}
-
 pub fn run(which: Which) -> ExitCode {
     let machine = match machine(which) {
         Ok(machine) => machine,
@@ -105,7 +92,7 @@
             let script = match named {
                 None => Vec::new(),
                 Some(n) => {
-                    let mood = mood(&n).ok_or_else(|| format!("--mood {n}: no such mood"))?;
+                    let mood = Mood::named(&n).ok_or_else(|| format!("--mood {n}: no such mood"))?;
                     vec![(0, Turn::Mood(mood))]
                 }
             };
--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -48,6 +48,8 @@
     /// Which router is killed, when, and when it is started again.
     pub kill: (usize, Micros, Micros),
     pub late_list: (Micros, Micros),
+    /// When the list says nothing at all.
+    pub silence: (Micros, Micros),
     /// What happens when, for people.
     pub story: Vec<(Micros, String)>,
 }
@@ -91,6 +93,7 @@
     let failing = (about(18_500), about(21_000));
     let hanging = (about(19_500), about(22_000));
     let odd = (about(1_500), about(3_000));
+    let silence = (about(24_000), about(24_900));
     let kill = (about(21_500), about(23_000));
     let lost_hall = rng.rand_range(0..HALLS as u64) as usize;
     let killed = rng.rand_range(0..routers as u64) as usize;
@@ -133,6 +136,8 @@
         (odd.0, trouble(odd, Mood::CutAnswers)),
         (odd.0, trouble((odd.0, odd.1), Mood::Garbage)),
         (odd.1, trouble((odd.1, odd.1 + S), Mood::TwoAnswers)),
+        (wave, trouble((wave, wave + S), Mood::Stall)),
+        (silence.0, format!("the host list falls silent, for {} ms", (silence.1 - silence.0) / MS)),
         (jump.0, format!("{JUMP} times the jobs, for {} ms", (jump.1 - jump.0) / MS)),
         (late_list.0, format!("the host list runs {} ms late instead of {}", LAG_LATE / MS, LAG / MS)),
         (wave, "a quarter of the workers drains, successors come cold".to_owned()),
@@ -145,7 +150,7 @@
     story.sort();
     parts.iter_mut().for_each(|p| p.script.sort_by_key(|(at, _)| *at));
     let jobs = jobs(&mut rng, begin, workers, routers, jump);
-    Day { parts, jobs, store_stop, kill: (killed, kill.0, kill.1), late_list, story }
+    Day { parts, jobs, store_stop, kill: (killed, kill.0, kill.1), late_list, silence, story }
 }
 
 fn jobs(
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -108,7 +108,9 @@
         reactor.add(Box::new(worker));
     }
     let (rows, changes) = day.list();
-    reactor.add(Box::new(Hosts::new(hosts_at, rows, changes, ledger.clone())));
+    let mut hosts = Hosts::new(hosts_at, rows, changes, ledger.clone());
+    hosts.silence = day.silence;
+    reactor.add(Box::new(hosts));
     let mut routers = Vec::new();
     for me in 0..plan.routers {
         let text = Day::settings(me, plan.routers, plan.workers, plan.seed, hosts_at);
--- a/crates/standins/src/hosts.rs
+++ b/crates/standins/src/hosts.rs
@@ -9,6 +9,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// The timer at which it falls silent.
+const SILENT: Wake = Wake(u64::MAX);
+
 /// One worker as the list names it.
 #[derive(Clone)]
 pub struct Row {
@@ -34,13 +37,15 @@
     /// Rows at the start, and changes with the time at which they are told.
     pub rows: Vec<Row>,
     pub changes: Vec<(Micros, Row)>,
+    /// Says nothing and takes nobody from `.0` to `.1`; whoever asks after that is told all there is.
+    pub silence: (Micros, Micros),
     pub ledger: Ledger,
     talks: BTreeMap<Conn, (Talk, Option<u64>)>,
 }
 
 impl Hosts {
     pub fn new(listen: SocketAddr, rows: Vec<Row>, changes: Vec<(Micros, Row)>, ledger: Ledger) -> Self {
-        Hosts { listen, rows, changes, ledger, talks: BTreeMap::new() }
+        Hosts { listen, rows, changes, silence: (0, 0), ledger, talks: BTreeMap::new() }
     }
 
     fn tell(&self, now: Micros, wire: &mut dyn Wire, conn: Conn, router: u64, kind: &str, rows: &[&Row]) {
@@ -57,6 +62,7 @@
 impl Machine for Hosts {
     fn start(&mut self, _: Micros, wire: &mut dyn Wire) {
         wire.listen(self.listen, 10_000).expect("the host list's port is free");
+        wire.wake_at(self.silence.0, SILENT);
         for (n, (at, _)) in self.changes.iter().enumerate() {
             wire.wake_at(*at, Wake(n as u64));
         }
@@ -68,6 +74,23 @@
     fn bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
         let Some((talk, watches)) = self.talks.get_mut(&conn) else { return };
         let Some(asked) = talk.hear(bytes).and_then(|mut m| m.pop()) else { return };
+        if let Some((name, standing)) =
+            asked.target.strip_prefix("/-/standing?").and_then(|t| t.split_once('='))
+        {
+            let known = self.rows.iter().find(|r| *r.name == *name).cloned();
+            let standing = ["ready", "draining", "gone"].into_iter().find(|s| *s == standing);
+            let status = if known.is_some() && standing.is_some() { 200 } else { 404 };
+            wire.write(conn, &encode::response(status).body(b""));
+            if let (Some(row), Some(standing)) = (known, standing) {
+                self.changes.push((now, Row { standing, ..row }));
+                wire.wake_at(now, Wake(self.changes.len() as u64 - 1));
+            }
+            return;
+        }
+        if (self.silence.0..self.silence.1).contains(&now) {
+            self.talks.remove(&conn);
+            return wire.cut(conn);
+        }
         let router = asked.target.rsplit("router=").next().and_then(|r| r.parse().ok()).unwrap_or(0);
         *watches = Some(router);
         wire.write(conn, &encode::response(200).field("Content-Type", "application/jsonl").chunked());
@@ -82,6 +105,11 @@
     }
     fn flushed(&mut self, _: Micros, _: &mut dyn Wire, _: Conn) {}
     fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
+        if wake == SILENT {
+            // Whoever watched finds out by the end of its connection, and asks again.
+            std::mem::take(&mut self.talks).keys().for_each(|conn| wire.cut(*conn));
+            return;
+        }
         let row = self.changes[wake.0 as usize].1.clone();
         match self.rows.iter_mut().find(|r| r.name == row.name) {
             Some(known) => *known = row.clone(),
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -47,8 +47,11 @@
         let fetching = self.talks.values().filter(|(_, f)| *f).count();
         let stopped = self.stopped(now);
         let Some((talk, fetches)) = self.talks.get_mut(&conn) else { return };
-        if talk.hear(bytes).is_none_or(|asked| asked.is_empty()) {
-            return;
+        let Some(asked) = talk.hear(bytes).and_then(|mut asked| asked.pop()) else { return };
+        if let Some(ms) = asked.target.strip_prefix("/-/stop?").and_then(|ms| ms.parse::<Micros>().ok()) {
+            self.stops.push((now, now + ms * 1000));
+            wire.write(conn, &encode::response(200).body(b""));
+            return wire.wake_at(now, Wake(u64::MAX));
         }
         let taken = fetching < self.most && !stopped;
         self.ledger.write(now, Saw::Fetch { taken });
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -46,8 +46,10 @@
     Well,
     /// This share of the jobs fails at once.
     FailFast(f64),
-    /// Takes jobs and answers none.
+    /// Takes jobs and answers none, those that run included.
     Hang,
+    /// Stands still: takes jobs, and ends none before it is over.
+    Stall,
     /// Answers only the first half of an answer, then ends the connection.
     CutAnswers,
     /// Answers with bytes that are no HTTP, or HTTP that is no event.
@@ -62,6 +64,24 @@
     TwoAnswers,
 }
 
+impl Mood {
+    /// By its name on command lines and in `POST /-/mood?NAME`.
+    pub fn named(name: &str) -> Option<Mood> {
+        Some(match name {
+            "well" => Mood::Well,
+            "fail-fast" => Mood::FailFast(1.0),
+            "hang" => Mood::Hang,
+            "stall" => Mood::Stall,
+            "cut-answers" => Mood::CutAnswers,
+            "garbage" => Mood::Garbage,
+            "no-handshakes" => Mood::NoHandshakes,
+            "refuse-all" => Mood::RefuseAll,
+            "two-answers" => Mood::TwoAnswers,
+            _ => return None,
+        })
+    }
+}
+
 /// A turn of its script.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Turn {
@@ -234,7 +254,23 @@
         }
     }
 
+    fn turn_to(&mut self, wire: &mut dyn Wire, mood: Mood) {
+        if let Some(up) = self.up {
+            match mood {
+                Mood::NoHandshakes => wire.deafen(up, false),
+                _ => wire.hear(up),
+            }
+        }
+        self.mood = mood;
+    }
+
     fn came(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, asked: &Message) {
+        if let Some(name) = asked.target.strip_prefix("/-/mood?") {
+            let mood = Mood::named(name);
+            mood.into_iter().for_each(|mood| self.turn_to(wire, mood));
+            let status = if mood.is_some() { 200 } else { 404 };
+            return wire.write(conn, &encode::response(status).body(b""));
+        }
         let event: Event = Rc::from(format!("{} {}", asked.field("ce-source"), asked.field("ce-id")));
         let router = asked.number("applepond-router").unwrap_or(0);
         let (worker, rack) = (self.build.name.clone(), self.build.rack);
@@ -422,20 +458,12 @@
     fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
         match self.wakes[wake.0 as usize].take() {
             Some(Then::Turn(n)) => match self.script[n].1 {
-                Turn::Mood(mood) => {
-                    if let Some(up) = self.up {
-                        match mood {
-                            Mood::NoHandshakes => wire.deafen(up, false),
-                            _ => wire.hear(up),
-                        }
-                    }
-                    self.mood = mood;
-                }
+                Turn::Mood(mood) => self.turn_to(wire, mood),
                 Turn::Die => self.die(wire),
                 Turn::Rise => self.rise(now, wire),
             },
             Some(Then::Done(conn, life)) if life == self.life => {
-                if self.mood != Mood::Hang {
+                if !matches!(self.mood, Mood::Hang | Mood::Stall) {
                     self.done(now, wire, conn);
                 } else {
                     self.wake(wire, now + 100_000, Then::Done(conn, life));
