--- /dev/null
+++ b/crates/waiting/benches/waiting.rs
@@ -0,0 +1,47 @@
+//! One event's look at what waits, in the indexes and in a plain set: the first job of each function, one in
+//! and out.
+use applepond_waiting::{Key, Row, Waiting};
+use criterion::{Criterion, criterion_group, criterion_main};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::hint::black_box;
+
+const FUNCTIONS: u64 = 8;
+
+fn key(n: u64) -> Key<u64> {
+    (Reverse(n % 3), n, n)
+}
+
+fn row(n: u64) -> Row<u64, u64> {
+    Row { function: n % FUNCTIONS, workload: 0, limit: n + 1_000_000, bare: true, late: false }
+}
+
+fn benches(c: &mut Criterion) {
+    for jobs in [10u64, 1_000, 10_000] {
+        let mut group = c.benchmark_group(format!("waiting/{jobs}"));
+        let mut waiting = Waiting::default();
+        (0..jobs).for_each(|n| waiting.insert(key(n), row(n)));
+        group.bench_function("indexes", |b| {
+            b.iter(|| {
+                waiting.insert(key(jobs), row(jobs));
+                black_box(waiting.highest(1));
+                black_box(waiting.heads());
+                waiting.remove(&key(jobs));
+            });
+        });
+        let mut plain: BTreeMap<Key<u64>, Row<u64, u64>> = (0..jobs).map(|n| (key(n), row(n))).collect();
+        group.bench_function("plain", |b| {
+            b.iter(|| {
+                plain.insert(key(jobs), row(jobs));
+                black_box(plain.iter().any(|(_, row)| row.function == FUNCTIONS));
+                let mut seen = BTreeSet::new();
+                black_box(plain.iter().filter(|(_, row)| seen.insert(row.function)).count());
+                plain.remove(&key(jobs));
+            });
+        });
+        group.finish();
+    }
+}
+
+criterion_group!(all, benches);
+criterion_main!(all);
--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,9 @@
 //! 6. Loads: a bound on own loads under way.
 
 use crate::interface::*;
+use applepond_waiting::{Row, Waiting};
 use oorandom::Rand64;
+use std::cell::LazyCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -161,6 +163,8 @@
     rate: f64,
     order: Vec<ServerId>,
     order_of: u64,
+    /// Workers that may hold it, so that nobody has to ask all of them.
+    at: BTreeSet<ServerId>,
 }
 
 /// What this router knows of one function at one worker.
@@ -258,7 +262,9 @@
     functions: BTreeMap<FunctionId, Function>,
     jobs: BTreeMap<JobId, Job>,
     /// Jobs that wait here: most valuable first, then oldest.
-    held: BTreeSet<(Reverse<u64>, Micros, JobId)>,
+    held: Waiting<JobId, FunctionId, WorkloadId>,
+    /// Where own loads may be under way; whether one is, the worker's record tells.
+    loading: BTreeSet<(FunctionId, ServerId)>,
     out: BTreeMap<(JobId, usize), Out>,
     steps: BTreeMap<Token, Step>,
     next_token: u64,
@@ -273,6 +279,7 @@
     job_at: Micros,
     /// Sum of the ready workers' weights now and at the most, and jobs there a weight.
     weight: f64,
+    weight_least: f64,
     weight_most: f64,
     busy_per_weight: f64,
     mean_service: f64,
@@ -317,7 +324,8 @@
             servers: BTreeMap::new(),
             functions: BTreeMap::new(),
             jobs: BTreeMap::new(),
-            held: BTreeSet::new(),
+            held: Waiting::default(),
+            loading: BTreeSet::new(),
             out: BTreeMap::new(),
             steps: BTreeMap::new(),
             next_token: 0,
@@ -329,6 +337,7 @@
             rate: 0.0,
             job_at: now,
             weight: 1e-9,
+            weight_least: 0.0,
             weight_most: 0.0,
             busy_per_weight: 0.0,
             mean_service: mean_target * SERVICE_START,
@@ -379,6 +388,7 @@
             }
         }
         self.servers.retain(|_, s| s.open || s.out > 0);
+        self.functions.values_mut().for_each(|f| f.at.retain(|id| self.servers.contains_key(id)));
         self.list_of += 1;
         self.weigh();
         self.dispatch(orders);
@@ -387,6 +397,7 @@
     fn weigh(&mut self) {
         let open = || self.servers.values().filter(|s| s.open);
         self.weight = open().map(|s| s.weight).sum::<f64>().max(1e-9);
+        self.weight_least = open().map(|s| s.weight).fold(f64::MAX, f64::min);
         self.weight_most = self.weight_most.max(self.weight);
         self.busy_per_weight = open().map(Server::busy).sum::<f64>() / self.weight;
         let pace = self.capacity_per_weight();
@@ -438,12 +449,9 @@
             streaming: false,
             late: arrival.retry,
         };
-        let waits = self.held.iter().any(|(_, _, id)| {
-            let other = &self.jobs[id];
-            other.function == job.function && other.tried.is_empty() && other.value >= job.value
-        });
-        self.held.insert((Reverse(job.value), now, arrival.job));
+        let waits = self.held.highest(job.function).is_some_and(|value| value >= job.value);
         self.jobs.insert(arrival.job, job);
+        self.hold(arrival.job);
         let place = if waits { None } else { self.place(arrival.job) };
         if let Some(server) = place {
             self.held.remove(&(Reverse(self.jobs[&arrival.job].value), now, arrival.job));
@@ -479,23 +487,31 @@
 
     /// Sends what waits here, most valuable and oldest first, as far as there is room.
     fn dispatch(&mut self, orders: &mut dyn Orders) {
-        let mut stuck = BTreeSet::new();
-        for key in self.held.iter().copied().collect::<Vec<_>>() {
-            let Some(job) = self.jobs.get(&key.2) else { continue };
-            let bare = job.tried.is_empty();
-            let function = job.function;
-            if bare && stuck.contains(&function) {
-                continue;
-            }
-            if let Some(server) = self.place(key.2) {
-                self.held.remove(&key);
-                self.send(orders, key.2, server, false);
-            } else if bare {
-                stuck.insert(function);
+        let mut heads = self.held.heads();
+        while let Some(key) = heads.pop_first() {
+            // Where the first job of a function finds no place, the others of it need not look.
+            let Some(server) = self.place(key.2) else { continue };
+            if let Some(row) = self.held.remove(&key).filter(|row| row.bare) {
+                heads.extend(self.held.after(row.function, &key));
             }
+            self.send(orders, key.2, server, false);
         }
     }
 
+    /// Lets a job wait here.
+    fn hold(&mut self, id: JobId) {
+        let job = &self.jobs[&id];
+        let (bare, late) = (job.tried.is_empty(), job.late);
+        let row = Row { function: job.function, workload: job.workload, limit: job.limit, bare, late };
+        self.held.insert((Reverse(job.value), job.came, id), row);
+    }
+
+    /// Whether a load of the function that this router waits for is under way there.
+    fn loads_at(&self, function: FunctionId, id: ServerId) -> bool {
+        let server = self.servers.get(&id);
+        server.and_then(|s| s.holds.get(&function)).is_some_and(|h| h.loading.is_some())
+    }
+
     /// The worker for a job's next execution, or None where it has to wait here.
     fn place(&mut self, id: JobId) -> Option<ServerId> {
         let now = self.now;
@@ -509,7 +525,29 @@
         let before = (self.functions[&function].rate - 1.0).max(0.0);
         let mut beyond = self.per_us(before) * (self.rows.routers - 1) as f64;
         let takes = self.capacity_per_weight() * FUNCTION_PART;
-        for (place, id) in self.functions[&function].order.iter().enumerate() {
+        // What overflow may do is the same at all workers, and asked only where the home does not take the
+        // job.
+        let own = (function, ServerId(0))..=(function, ServerId(u64::MAX));
+        let loads = |(f, id): &&(FunctionId, ServerId)| self.loads_at(*f, *id);
+        let pending =
+            LazyCell::new(|| self.loading.range(own).filter(loads).any(|(_, id)| self.servers[id].open));
+        let gate = LazyCell::new(|| (self.loading.iter().filter(loads).count() as f64) < self.loads);
+        // Nor while loads jam everywhere: each further one makes the others late, and moves no job in time.
+        let jam = self.under_way > LOADS_CALM;
+        let order = &self.functions[&function].order;
+        let mut walk = order.iter().enumerate().peekable();
+        let mut tail = Vec::new().into_iter();
+        loop {
+            // With the home known, and a next one or none wanted, only those that serve matter: those are
+            // few.
+            let settled = beyond <= takes * self.weight_least
+                && home.is_some()
+                && (next.is_some() || jam || *pending || !*gate);
+            if let Some((_, from)) = walk.peek().filter(|_| settled) {
+                tail = self.serving_from(function, **from).into_iter();
+                walk = order[..0].iter().enumerate().peekable();
+            }
+            let Some((place, id)) = walk.next().or_else(|| tail.next().map(|id| (0, id))) else { break };
             let server = &self.servers[id];
             if server.aside(now) {
                 continue;
@@ -558,13 +596,8 @@
         if warm == Some(home) {
             return warm;
         }
-        let loading =
-            |s: &ServerId| self.servers[s].holds.get(&function).is_some_and(|h| h.loading.is_some());
-        let pending = self.functions[&function].order.iter().any(loading);
-        let loads = self.servers.values().flat_map(|s| s.holds.values()).filter(|h| h.loading.is_some());
-        let gate = (loads.count() as f64) < self.loads;
-        let joins = warm.is_none() && loading(&home);
-        if !home_serves && home_room && (joins || !pending && gate) {
+        let joins = warm.is_none() && self.loads_at(function, home);
+        if !home_serves && home_room && (joins || !*pending && *gate) {
             return Some(home);
         }
         if warm.is_some() {
@@ -573,9 +606,27 @@
         // Overflow: it begins a load at the next worker only when no answer is awaited from a cold one,
         // and not for a crowd that is gone in a moment.
         let patient = !lasting && now < job.came + (row.start_target as f64 * SPREAD_PART) as Micros;
-        // Nor while loads jam everywhere: each further one makes the others late, and moves no job in time.
-        let jam = self.under_way > LOADS_CALM;
-        if pending || !gate || jam || (home_serves && patient) { None } else { next }
+        if *pending || !*gate || jam || (home_serves && patient) { None } else { next }
+    }
+
+    /// A worker's draw in a function's order; the lowest comes first.
+    fn draw(function: FunctionId, id: ServerId, weight: f64) -> f64 {
+        let draw = ((mix(function.0, id.0) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+        -draw.ln() / weight
+    }
+
+    /// Workers that serve the function, in its order, from this one on.
+    fn serving_from(&self, function: FunctionId, from: ServerId) -> Vec<&ServerId> {
+        let place = |id: &ServerId| (Self::draw(function, *id, self.servers[id].weight), *id);
+        let order = |a: &(f64, ServerId), b: &(f64, ServerId)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
+        let first = place(&from);
+        let serves = |id: &&ServerId| {
+            self.servers.get(*id).is_some_and(|s| s.open && s.serving(self.now, function))
+                && order(&place(id), &first).is_ge()
+        };
+        let mut serving: Vec<&ServerId> = self.functions[&function].at.iter().filter(serves).collect();
+        serving.sort_by(|a, b| order(&place(a), &place(b)));
+        serving
     }
 
     /// The function's hash order over the workers that the list holds ready: weighted rendezvous.
@@ -588,10 +639,7 @@
             .servers
             .iter()
             .filter(|(_, s)| s.open)
-            .map(|(id, s)| {
-                let draw = ((mix(function.0, id.0) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-                (-draw.ln() / s.weight, *id)
-            })
+            .map(|(id, s)| (Self::draw(function, *id, s.weight), *id))
             .collect();
         scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         entry.order = scored.into_iter().map(|(_, id)| id).collect();
@@ -610,7 +658,9 @@
         hold.out += 1;
         if !serving && hold.loading.is_none() {
             hold.loading = Some(now);
+            self.loading.insert((function, server));
         }
+        self.functions.get_mut(&function).expect("placed before").at.insert(server);
         s.out += 1;
         s.waiting += u32::from(!serving);
         if now < s.up_since + self.rows.rules.warm_within && s.up_since > 0 {
@@ -667,7 +717,7 @@
             return;
         }
         self.budget -= f64::from(u8::from(costs));
-        self.held.insert((Reverse(job.value), job.came, id));
+        self.hold(id);
     }
 
     // ---- Rules 1 and 2: one final answer, no effect twice ----------------------------------
@@ -743,6 +793,8 @@
         let others = (self.rows.routers - 1) as f64;
         let Some(s) = self.servers.get_mut(&out.server) else { return };
         let row = &mut self.workloads[out.workload.0];
+        let function = self.functions.get_mut(&out.function);
+        function.into_iter().for_each(|f| _ = f.at.insert(out.server));
         let hold = s.holds.entry(out.function).or_default();
         // Rare answers weigh more each: with many routers the one before is long past.
         let age = 1.0 - (-((now - s.heard) as f64) / SPAN).exp();
@@ -939,19 +991,25 @@
         self.wake_then(orders, BEAT, Box::new(|c, o, _| c.beat(o)));
         let span = self.rows.rules.fall_span;
         let fade = 1.0 - BEAT as f64 / SPAN;
-        for s in self.servers.values_mut() {
+        for (id, s) in &mut self.servers {
             s.others *= fade;
             s.cold_sent.retain(|(at, _)| at + span > now);
-            // The design's hold ends here, or a worker that died while loading would block the function.
-            for (f, h) in &mut s.holds {
-                let usual = self.functions.get(f).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD);
-                h.loading = h.loading.filter(|since| now < since + HOLD_LOADS * usual);
+            s.holds.retain(|f, h| {
+                // The design's hold ends here, or a worker that died while loading would block the function.
+                if let Some(since) = h.loading {
+                    let usual = self.functions.get(f).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD);
+                    h.loading = Some(since).filter(|since| now < since + HOLD_LOADS * usual);
+                }
                 h.others *= fade;
-            }
-            s.holds.retain(|_, h| {
-                h.out > 0 || h.full_until > now || h.loading.is_some() || h.serving_until > now
+                let known = h.out > 0 || h.full_until > now || h.loading.is_some() || h.serving_until > now;
+                if !known && let Some(f) = self.functions.get_mut(f) {
+                    f.at.remove(id);
+                }
+                known
             });
         }
+        let loads = std::mem::take(&mut self.loading);
+        self.loading = loads.into_iter().filter(|(f, id)| self.loads_at(*f, *id)).collect();
         self.weigh();
         self.silent_workers(orders);
         if !self.held.is_empty() {
@@ -963,10 +1021,17 @@
     /// Jobs that have lost their start target wait behind those that can keep it, or are pushed back.
     fn look_at_held(&mut self, orders: &mut dyn Orders) {
         let now = self.now;
-        let holds = self.servers.values().flat_map(|s| &s.holds);
-        let loading: BTreeSet<FunctionId> =
-            holds.filter(|(_, h)| h.loading.is_some()).map(|(f, _)| *f).collect();
-        for key in self.held.iter().copied().collect::<Vec<_>>() {
+        let loads = self.loading.iter().filter(|(f, id)| self.loads_at(*f, *id));
+        let loading: BTreeSet<FunctionId> = loads.map(|(f, _)| *f).collect();
+        // Only those for which something may have changed are looked at, in the order of all.
+        let overdue = self.held.late_until(now.saturating_sub(2 * BEAT), |f| !loading.contains(&f));
+        let mut due: BTreeSet<_> = overdue.collect();
+        for (n, row) in self.workloads.iter().enumerate() {
+            let done = now + row.service as Micros;
+            due.extend(self.held.leaving(WorkloadId(n), done.max(now + LAST_CALL)));
+            due.extend(self.held.fresh_before(WorkloadId(n), done.saturating_sub(row.start_target)));
+        }
+        for key in due {
             let job = self.jobs.get_mut(&key.2).expect("held jobs are kept");
             let row = &self.workloads[job.workload.0];
             let done = now + row.service as Micros;
@@ -978,7 +1043,7 @@
                 job.value = (job.value as f64 * row.late_part) as u64;
                 job.late = true;
                 self.held.remove(&key);
-                self.held.insert((Reverse(job.value), key.1, key.2));
+                self.hold(key.2);
             }
         }
     }
@@ -989,8 +1054,11 @@
         for out in self.out.values() {
             let row = &self.workloads[out.workload.0];
             let loads = if out.serving { 2 } else { 4 };
-            let due = out.sent + row.start_target + loads * self.load_time(out.function);
-            if self.now > due && self.servers.get(&out.server).is_some_and(|s| s.heard <= out.sent) {
+            let due = || out.sent + row.start_target + loads * self.load_time(out.function);
+            if self.now > out.sent + row.start_target
+                && self.now > due()
+                && self.servers.get(&out.server).is_some_and(|s| s.heard <= out.sent)
+            {
                 *owed.entry(out.server).or_default() += 1;
             }
         }
