--- a/crates/gateway/tests/machine.rs
+++ b/crates/gateway/tests/machine.rs
@@ -215,6 +215,25 @@
     assert_eq!((b.requests(), b.statuses(client)), (0, vec![503]));
 }
 
+// The list cut in two pieces at every byte says the same.
+#[test]
+fn a_list_cut_at_every_byte() {
+    let worker = "{\"name\":\"w\",\"address\":\"127.0.0.1:9\",\"standing\":\"ready\"}";
+    let line = format!("{{\"kind\":\"full\",\"workers\":[{worker}]}}\n");
+    let all = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n", line.len());
+    for n in 0..all.len() {
+        let mut deployment = deployment(0);
+        deployment.hosts = Some("127.0.0.1:8999".parse().expect("an address"));
+        let mut b = Bench::new(deployment);
+        let list = b.links()[0];
+        b.says(list, &all.as_bytes()[..n]);
+        b.says(list, &all.as_bytes()[n..]);
+        b.asks("quote", "1");
+        b.links();
+        assert_eq!(b.requests(), 1, "cut at {n}");
+    }
+}
+
 // The list breaks off or talks nonsense: what was known holds, and it is asked for again.
 #[test_case("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"; "refused")]
 #[test_case("\x00\x01\r\n\r\n"; "no HTTP")]
