storm: retry storms told from real work, damped before the module, advised one by one

Need: when a hall comes back all retry at once, and each retry is work like a first try.

Change: crates/storm, without I/O: quick rates against the usual for the hour, retries told or known by name, a count-min sketch for budgets a client, admission at the pace the fleet showed, and a line of times to come back. The gateway hands it each new job before the module and each end; the state page shows what it sees.

On the paper wire 2,000 retries in 4 s are called a storm and over half sent back, each with a time of its own.

--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -63,6 +63,8 @@
     pub hosts: Option<SocketAddr>,
     /// A connection that does not stand within this time was none.
     pub connect_limit: Micros,
+    /// Whether retry storms are damped before the module; told and shown they are in any case.
+    pub damping: bool,
     /// Client connections at a time.
     pub callers_most: usize,
     /// Bytes of one event at most.
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -11,6 +11,8 @@
 use applepond_http::decode::{Decoder, Fields, Side, Sink, Step as Decoded};
 use applepond_http::encode::{self, Lines};
 use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
+use applepond_storm::watch::Called;
+use applepond_storm::{Gate, Passage};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -90,6 +92,8 @@
 /// One job, from its arrival until its last execution has closed.
 struct Task {
     name: Name,
+    /// Digest of who asked first.
+    client: u64,
     workload: usize,
     function: String,
     came: Micros,
@@ -165,6 +169,8 @@
     killed: u64,
     executions: u64,
     refused: u64,
+    /// Pushed back before the module.
+    damped: u64,
 }
 
 pub struct Gateway {
@@ -178,6 +184,8 @@
     members: Members,
     tasks: BTreeMap<JobId, Task>,
     claims: Claims<Told>,
+    /// Tells storms of retries, and stands before the module while one lasts.
+    gate: Gate,
     /// Executions that are out, by when their time is up. One timer serves all of them: a timer for each
     /// would outlive most executions by seconds.
     out: BTreeSet<(Micros, JobId, usize)>,
@@ -210,7 +218,9 @@
             FunctionBy::Named(_) => None,
         };
         let picks = deployment.workloads.iter().filter_map(by).chain([deployment.customer_by.clone()]);
+        let gate = Gate::new(now, deployment.rows.seed);
         Gateway {
+            gate,
             picks: picks.collect(),
             control,
             acts,
@@ -262,6 +272,14 @@
                     self.drop_execution(now, wire, job, n, Outcome::Cancelled);
                 }
                 Act::PushBack(job, come_back) => {
+                    // In a storm the module's word stands, but all its pushbacks together would be a second
+                    // wave.
+                    let advised = self.damps().then(|| self.tasks.get(&job)).flatten();
+                    let advised = advised.map(|t| (t.client, t.limit.saturating_sub(now)));
+                    let come_back = match advised {
+                        Some((client, left)) => self.gate.come_back(now, client, left),
+                        None => come_back,
+                    };
                     let fault =
                         Fault::new(503, "pushed-back", "there is no room in time; a retry does no harm");
                     let id = self.tasks.get(&job).map(|t| t.name.1.clone());
@@ -442,6 +460,7 @@
             Ending::Killed => &mut self.counts.killed,
         };
         *count += 1;
+        self.gate.ended(now, told.ending == Ending::Finished, told.ending == Ending::PushedBack);
         let effect = self.deployment.rows.workloads[task.workload].effect;
         self.claims.end(now, &task.name, told.ending, effect, told.clone(), told.bytes());
         tracing::info!(
@@ -560,6 +579,29 @@
         }
         let row = self.deployment.functions.get(&function);
         let row = row.unwrap_or(&names.function).clone();
+        let client = FunctionId::named(&draft.source).0;
+        let passage = self.gate.arrive(
+            now,
+            &applepond_storm::Arrival {
+                client,
+                name: FunctionId::named(&draft.id).0 ^ client.rotate_left(1),
+                retry: draft.retry,
+                importance: self.deployment.rows.workloads[workload].importance,
+                left,
+            },
+        );
+        let retry = match passage {
+            Passage::In { retry } => retry,
+            Passage::Back { .. } if !self.deployment.damping => draft.retry,
+            Passage::Back { wait, why } => {
+                self.counts.damped += 1;
+                tracing::debug!(id, reason = why, "pushed back before the module");
+                let status = if why == "retry-budget" { 429 } else { 503 };
+                let fault =
+                    Fault::new(status, why, "many ask again at once; a retry does no harm at the time told");
+                return Err(front::problem(Ending::PushedBack, &fault, Some(&id), wait));
+            }
+        };
         self.next_job += 1;
         self.counts.jobs += 1;
         let job = job_id(self.deployment.rows.seed, self.next_job);
@@ -570,11 +612,12 @@
             customer,
             left,
             lanes: row.lanes,
-            retry: draft.retry,
+            retry,
             load_time: row.load_time,
         };
         let task = Task {
             name: name.clone(),
+            client,
             workload,
             function,
             came: now,
@@ -613,6 +656,25 @@
         }
     }
 
+    /// Whether a storm or a client's loop is under way, and damped.
+    fn damps(&self) -> bool {
+        self.deployment.damping && matches!(self.gate.watch().called(), Called::Storm | Called::Loop)
+    }
+
+    /// What is seen of storms: what it is called and since when, by which figures, what is let in and
+    /// advised.
+    fn storm_state(&self, now: Micros) -> serde_json::Value {
+        let watch = self.gate.watch();
+        let (firsts, retries) = watch.rates(now);
+        let (let_in, sent_back, line) = self.gate.sums(now);
+        serde_json::json!({
+            "called": format!("{:?}", watch.called()).to_lowercase(), "since-us": watch.since(),
+            "damped": self.damps(), "first-tries-per-s": firsts, "retries-per-s": retries,
+            "usual-per-s": watch.usual(now), "pace-per-s": self.gate.pace(now),
+            "let-in": let_in, "would-send-back": sent_back, "line-us": line,
+        })
+    }
+
     fn state_page(&self, now: Micros) -> Rc<Told> {
         let standing = |wanted| self.members.iter().filter(|(_, w)| w.standing == wanted).count();
         let out: usize = self.tasks.values().map(Task::out).sum();
@@ -625,6 +687,7 @@
                 "pushed-back": c.pushed_back, "killed": c.killed, "requests-refused": c.refused},
             "executions": {"out": out, "begun": c.executions},
             "remembered": self.claims.remembered(),
+            "storm": self.storm_state(now),
             "connections": {"clients": self.callers.len(), "workers": self.links.len(),
                 "list": self.watch.conn.is_some()},
             "workers": {"ready": standing(Standing::Ready), "draining": standing(Standing::Draining),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -137,6 +137,7 @@
             .collect(),
         hosts: None,
         connect_limit: 250 * MS,
+        damping: true,
         callers_most: 100,
         body_most: 64 * 1024,
         remember_for: 60 * S,
--- a/crates/gateway/tests/machine.rs
+++ b/crates/gateway/tests/machine.rs
@@ -1,5 +1,6 @@
 //! The instance on a paper wire: hard cases, each by the outcome that its peers see.
 mod common;
+use applepond_gateway::Deployment;
 use applepond_reactor::{Closed, Machine};
 use common::*;
 use proptest::prelude::*;
@@ -379,6 +380,39 @@
     assert_eq!((b.statuses(neighbour), b.requests()), (vec![200], 1));
 }
 
+// Two thousand retries of different clients within four seconds, to an instance that has seen nothing before:
+// told from work, most are sent back before the module, each with a time of its own; the state page says why.
+// Undamped all go in.
+#[test_case(true; "damped")]
+#[test_case(false; "not damped")]
+fn a_storm(damping: bool) {
+    let mut b = Bench::new(Deployment { damping, ..deployment(0) });
+    let mut clients = Vec::new();
+    for n in 0..2_000 {
+        let client = b.caller();
+        let retry = event("quote", &n.to_string()).replace("/desk", &format!("/desk/{}", n % 900));
+        b.says(client, retry.replace("ce-id", "ce-retry: true\r\nce-id").as_bytes());
+        clients.push(client);
+        b.pass(2 * MS);
+    }
+    let page = b.caller();
+    b.says(page, b"GET /-/state HTTP/1.1\r\nHost: a\r\n\r\n");
+    let state = b.told(page);
+    assert!(
+        state.contains("\"called\":\"storm\"") && state.contains(&format!("\"damped\":{damping}")),
+        "{state}"
+    );
+    let reasons = |b: &Bench, reason: &str| clients.iter().filter(|c| b.told(**c).contains(reason)).count();
+    assert_eq!(reasons(&b, "\"reason\":\"storm\"") > 1_000, damping);
+    b.pass(5 * S);
+    assert!(clients.iter().all(|c| b.statuses(*c).len() == 1), "one answer each in any case");
+    let waits: std::collections::BTreeSet<String> = clients
+        .iter()
+        .filter_map(|c| b.told(*c).split("retry-after-ms\":").nth(1).map(|w| w[..4].to_owned()))
+        .collect();
+    assert!(waits.len() > 200, "{} different times", waits.len());
+}
+
 #[test]
 fn the_state_page() {
     let mut b = Bench::new(deployment(2));
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -117,6 +117,7 @@
     let keep = file.time("keep", Some(10 * S));
     let tells_company = file.mark("tells_company", Some(false));
     let weights_shared = file.mark("weights_shared", Some(true));
+    let damping = file.mark("damping", Some(true));
     let connect_limit = file.time("connect_limit", Some(S / 4));
     let customer_by = file.text("customer_by", Some("customer"));
     let workloads = workloads.into_iter().collect::<Option<Vec<_>>>()?;
@@ -148,6 +149,7 @@
         workers: workers.into_iter().collect::<Option<_>>()?,
         hosts,
         connect_limit: connect_limit?,
+        damping: damping?,
         callers_most,
         body_most,
         remember_for,
--- /dev/null
+++ b/crates/storm/tests/days.rs
@@ -0,0 +1,155 @@
+//! Short days as one router sees them, and what they are called; who goes in.
+use applepond_storm::watch::Called;
+use applepond_storm::{Arrival, Gate, Micros, Passage};
+use test_case::test_case;
+
+const S: Micros = 1_000_000;
+
+/// A gate and how the day went so far.
+struct Day {
+    gate: Gate,
+    now: Micros,
+    next: u64,
+    let_in: u64,
+    back: u64,
+    waits: Vec<Option<Micros>>,
+}
+
+impl Day {
+    fn new() -> Self {
+        let now = 1_000 * S;
+        Day { gate: Gate::new(now, 7), now, next: 0, let_in: 0, back: 0, waits: Vec::new() }
+    }
+
+    /// One job of a client; a retry carries the name of an earlier one.
+    fn ask(&mut self, client: u64, name: u64, told: bool) -> Passage {
+        let arrival = Arrival { client, name, retry: told, importance: 1.0, left: 60 * S };
+        let passage = self.gate.arrive(self.now, &arrival);
+        match passage {
+            Passage::In { .. } => self.let_in += 1,
+            Passage::Back { wait, .. } => {
+                self.back += 1;
+                self.waits.push(wait);
+            }
+        }
+        passage
+    }
+
+    /// For `seconds`, `firsts` and `retries` a second spread over `clients`; `well` of what goes in finishes.
+    fn run(&mut self, seconds: u64, firsts: u64, retries: u64, clients: u64, well: f64) {
+        let all = (firsts + retries).max(1);
+        let gap = S / all;
+        for n in 0..seconds * all {
+            self.now += gap;
+            self.next += 1;
+            let retry = n % all >= firsts;
+            let name = if retry { self.next % 50 } else { 1_000_000 + self.next };
+            let went = self.ask(self.next * 7919 % clients, name, false);
+            let good = (n as f64 * well).fract() + well >= 1.0;
+            if matches!(went, Passage::In { .. }) {
+                self.gate.ended(self.now, good, !good);
+            }
+        }
+    }
+
+    fn called(&self) -> Called {
+        self.gate.watch().called()
+    }
+}
+
+#[test_case(100, 1, 1000, 1.0, Called::Calm; "an ordinary day")]
+#[test_case(1000, 10, 1000, 1.0, Called::Jump; "ten times the work, no more retries than usual")]
+#[test_case(100, 300, 1000, 0.2, Called::Storm; "three retries for each first try")]
+#[test_case(1000, 600, 1000, 0.2, Called::Storm; "a storm hidden in a jump")]
+#[test_case(100, 100, 1, 1.0, Called::Loop; "one client's loop")]
+#[test_case(100, 3, 1000, 0.3, Called::Slow; "usual work, most of it not ending well")]
+fn called(firsts: u64, retries: u64, clients: u64, well: f64, want: Called) {
+    let mut day = Day::new();
+    day.run(30, 100, 1, 1000, 1.0);
+    day.run(6, firsts, retries, clients, well);
+    assert_eq!(day.called(), want);
+}
+
+#[test]
+fn a_true_jump_goes_in_whole() {
+    let mut day = Day::new();
+    day.run(30, 100, 1, 1000, 1.0);
+    day.run(20, 1000, 5, 5000, 1.0);
+    assert_eq!(day.back, 0);
+}
+
+// A router that was restarted in the middle knows no usual rate: the share of retries is enough. Here clients
+// say so.
+#[test]
+fn a_storm_met_without_any_past() {
+    let mut day = Day::new();
+    for n in 0..2_000 {
+        day.now += S / 500;
+        day.ask(n % 700, 5_000_000 + n, true);
+    }
+    assert_eq!(day.called(), Called::Storm);
+    assert!(day.back > 500);
+}
+
+#[test]
+fn a_storm_ends_when_its_retries_do_and_not_between_two_waves() {
+    let mut day = Day::new();
+    day.run(30, 100, 1, 1000, 1.0);
+    day.run(5, 100, 300, 1000, 0.2);
+    day.run(2, 100, 1, 1000, 1.0);
+    assert_eq!(day.called(), Called::Storm, "it may be between two waves");
+    day.run(14, 100, 1, 1000, 1.0);
+    assert_eq!(day.called(), Called::Calm);
+    let back = day.back;
+    day.run(5, 100, 1, 1000, 1.0);
+    assert_eq!(day.back, back);
+}
+
+// In a storm about as many go in as the fleet finished before it, and first tries come before retries.
+#[test]
+fn admission() {
+    let mut day = Day::new();
+    day.run(30, 200, 1, 1000, 1.0);
+    day.run(4, 150, 600, 5000, 0.25);
+    let (before, mut firsts, mut retries) = (day.let_in, 0, 0);
+    for n in 0..3_750u64 {
+        day.now += S / 750;
+        let retry = n % 5 != 0;
+        let name = if retry { n % 50 } else { 9_000_000 + n };
+        if matches!(day.ask(n * 7919 % 5000, name, false), Passage::In { .. }) {
+            *(if retry { &mut retries } else { &mut firsts }) += 1;
+        }
+    }
+    let rate = (day.let_in - before) / 5;
+    assert!((150..=260).contains(&rate), "{rate} a second");
+    assert!(firsts >= 700, "{firsts} of 750 first tries");
+    assert!(retries < 700, "{retries} of 3000 retries");
+}
+
+// One client asks ten times a second for ever: it is held to its budget, the others are not touched.
+#[test]
+fn one_loop_costs_nobody_else() {
+    let mut day = Day::new();
+    day.run(30, 100, 1, 1000, 1.0);
+    let (mut loops, mut others) = (0, 0);
+    for n in 0..4_000u64 {
+        day.now += S / 200;
+        let passage =
+            if n % 2 == 0 { day.ask(424_242, 7, true) } else { day.ask(n % 900, 8_000_000 + n, false) };
+        if matches!(passage, Passage::Back { .. }) {
+            *(if n % 2 == 0 { &mut loops } else { &mut others }) += 1;
+        }
+    }
+    assert!(loops > 1_500 && others == 0, "{loops} of the loop, {others} of the others");
+}
+
+#[test]
+fn the_same_events_have_the_same_passages() {
+    let run = || {
+        let mut day = Day::new();
+        day.run(20, 100, 1, 1000, 1.0);
+        day.run(5, 100, 300, 1000, 0.2);
+        day.waits
+    };
+    assert_eq!(run(), run());
+}
