Second tries earn no copies: in a storm copies and further executions shrink

Copies and further executions share a budget that every arrival filled, so that a storm of retries paid for more of them.

--- a/src/control.rs
+++ b/src/control.rs
@@ -29,7 +29,7 @@
 const BEAT: Micros = 20_000;
 /// µs assumed for a load where none was told or seen: the design's two seconds stand for twice this.
 const LOAD_UNTOLD: Micros = 1_000_000;
-/// Copies and further executions earned by one job: doubling of the load by them is out of the question.
+/// Copies and further executions earned by one first try: they must not double the load.
 const BUDGET_PER_JOB: f64 = 0.05;
 /// Copies and further executions saved up at most: a short trouble's worth.
 const BUDGET_MOST: f64 = 20.0;
@@ -428,7 +428,9 @@
 
     pub fn job(&mut self, orders: &mut dyn Orders, arrival: &Arrival) {
         let now = self.now;
-        self.budget = (self.budget + BUDGET_PER_JOB).min(BUDGET_MOST);
+        // Second tries earn nothing: in a storm of them copies and further executions would grow with it.
+        let earned = if arrival.retry { 0.0 } else { BUDGET_PER_JOB };
+        self.budget = (self.budget + earned).min(BUDGET_MOST);
         self.rate = self.rate * (-((now - self.job_at) as f64) / SPAN).exp() + 1.0;
         self.job_at = now;
         let function = self.functions.entry(arrival.function).or_default();
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -145,6 +145,26 @@
 }
 
 // Only what a customer asks beyond its share waits last; what is within it keeps its place.
+// In a storm of retries copies and further executions shrink: only first tries earn them.
+#[test_case(false, true; "first tries")]
+#[test_case(true, false; "second tries")]
+fn further_executions_are_earned(retry: bool, earned: bool) {
+    let mut bench = Bench::new(rows(Effect::Restartable), 200);
+    let fails = |bench: &mut Bench, n: u8| {
+        bench.arrive(n, &format!("hut-{n}"), 5000 * MS);
+        bench.close(n, 0, &answer(Outcome::Error));
+        bench.ends(n).is_empty()
+    };
+    let goes_on = (1..=14).filter(|n| fails(&mut bench, *n)).count();
+    assert!((5..14).contains(&goes_on), "{goes_on} went on until the budget was spent");
+    bench.retry = retry;
+    for n in 100..160 {
+        bench.arrive(n, &format!("hut-{n}"), 5000 * MS);
+        bench.close(n, 0, &answer(Outcome::Finished));
+    }
+    assert_eq!(fails(&mut bench, 200), earned);
+}
+
 #[test_case(1000.0, 3; "all within the share: oldest first")]
 #[test_case(1.0, 4; "the third job is beyond the share")]
 fn shares(jobs_per_s: f64, first: u8) {
