storm: a pace at the door, signs beside the share, times kept or not, room found by steps

Connections opened anew and times not kept lower the share from which it is a storm; times are kept by job in a bounded table. What may go in rises and falls by steps with what the module pushes back. The log tells when what the traffic is called changes. Tests fail without each.

--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -92,8 +92,9 @@
 /// One job, from its arrival until its last execution has closed.
 struct Task {
     name: Name,
-    /// Digest of who asked first.
+    /// Digests of who asked first, and of the job's name.
     client: u64,
+    digest: u64,
     workload: usize,
     function: String,
     came: Micros,
@@ -186,6 +187,8 @@
     claims: Claims<Told>,
     /// Tells storms of retries, and stands before the module while one lasts.
     gate: Gate,
+    /// What the log was last told that the traffic is called.
+    said: Called,
     /// Executions that are out, by when their time is up. One timer serves all of them: a timer for each
     /// would outlive most executions by seconds.
     out: BTreeSet<(Micros, JobId, usize)>,
@@ -221,6 +224,7 @@
         let gate = Gate::new(now, deployment.rows.seed);
         Gateway {
             gate,
+            said: Called::Calm,
             picks: picks.collect(),
             control,
             acts,
@@ -275,10 +279,16 @@
                     // In a storm the module's word stands, but all its pushbacks together would be a second
                     // wave.
                     let advised = self.damps().then(|| self.tasks.get(&job)).flatten();
-                    let advised = advised.map(|t| (t.client, t.limit.saturating_sub(now)));
-                    let come_back = match advised.filter(|_| come_back.is_some()) {
-                        Some((client, left)) => self.gate.come_back(now, client, left),
-                        None => come_back,
+                    let advised = advised.map(|t| (t.client, t.digest, t.limit.saturating_sub(now)));
+                    let come_back = match (advised, come_back) {
+                        (Some((client, name, left)), Some(_)) => self.gate.come_back(now, client, name, left),
+                        (None, Some(wait)) => {
+                            if let Some(task) = self.tasks.get(&job) {
+                                self.gate.told(task.digest, now + wait);
+                            }
+                            come_back
+                        }
+                        (_, None) => None,
                     };
                     let fault =
                         Fault::new(503, "pushed-back", "there is no room in time; a retry does no harm");
@@ -580,16 +590,18 @@
         let row = self.deployment.functions.get(&function);
         let row = row.unwrap_or(&names.function).clone();
         let client = FunctionId::named(&draft.source).0;
+        let digest = FunctionId::named(&draft.id).0 ^ client.rotate_left(1);
         let passage = self.gate.arrive(
             now,
             &applepond_storm::Arrival {
                 client,
-                name: FunctionId::named(&draft.id).0 ^ client.rotate_left(1),
+                name: digest,
                 retry: draft.retry,
                 importance: self.deployment.rows.workloads[workload].importance,
                 left,
             },
         );
+        self.say_called(now);
         let retry = match passage {
             Passage::In { retry } => retry,
             Passage::Back { .. } if !self.deployment.damping => draft.retry,
@@ -618,6 +630,7 @@
         let task = Task {
             name: name.clone(),
             client,
+            digest,
             workload,
             function,
             came: now,
@@ -661,17 +674,32 @@
         self.deployment.damping && matches!(self.gate.watch().called(), Called::Storm | Called::Loop)
     }
 
+    /// The log's line when what the traffic is called changes.
+    fn say_called(&mut self, now: Micros) {
+        let called = self.gate.watch().called();
+        if std::mem::replace(&mut self.said, called) != called {
+            let storm = self.storm_state(now);
+            tracing::info!(reason = "called", ?called, damped = self.damps(), %storm, "traffic");
+        }
+    }
+
     /// What is seen of storms: what it is called and since when, by which figures, what is let in and
     /// advised.
     fn storm_state(&self, now: Micros) -> serde_json::Value {
         let watch = self.gate.watch();
         let (firsts, retries) = watch.rates(now);
         let (let_in, sent_back, line) = self.gate.sums(now);
+        let (opened, early) = watch.speaks(now);
         serde_json::json!({
             "called": format!("{:?}", watch.called()).to_lowercase(), "since-us": watch.since(),
             "damped": self.damps(), "first-tries-per-s": firsts, "retries-per-s": retries,
-            "usual-per-s": watch.usual(now), "pace-per-s": self.gate.pace(now),
+            "usual-per-s": watch.usual(now).map(|u| u.0), "pace-per-s": self.gate.pace(now),
             "let-in": let_in, "would-send-back": sent_back, "line-us": line,
+            "connections": {"opened-per-s": watch.opened.per_s(now),
+                "usual-per-s": watch.usual(now).map(|u| u.1), "speak-for-a-storm": opened,
+                "door-closed": self.gate.doors().closings()},
+            "advice": {"followed-per-s": watch.followed.per_s(now), "not-kept-per-s": watch.early.per_s(now),
+                "speaks-for-a-storm": early},
         })
     }
 
@@ -892,7 +920,11 @@
         self.settle(now, wire);
     }
 
-    fn accepted(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, _: Listener) {
+    fn accepted(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, listener: Listener) {
+        if let Some(pause) = self.gate.connection(now).filter(|_| self.deployment.damping) {
+            wire.deafen(listener, false);
+            self.after(now, wire, pause, Box::new(move |_, _, wire| wire.hear(listener)));
+        }
         self.callers.insert(conn, Caller::new(now, self.deployment.body_most, self.picks.clone()));
         self.look_at_caller(now, wire, conn);
     }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -20,6 +20,7 @@
     pub cut: BTreeSet<Conn>,
     pub finished: BTreeSet<Conn>,
     pub paused: BTreeSet<Conn>,
+    pub deaf: BTreeSet<Listener>,
     timers: BTreeSet<(Micros, u64, Wake)>,
 }
 
@@ -58,8 +59,12 @@
     fn listen(&mut self, at: SocketAddr, _: usize) -> std::io::Result<(Listener, SocketAddr)> {
         Ok((Listener(0), at))
     }
-    fn deafen(&mut self, _: Listener, _: bool) {}
-    fn hear(&mut self, _: Listener) {}
+    fn deafen(&mut self, listener: Listener, _: bool) {
+        self.deaf.insert(listener);
+    }
+    fn hear(&mut self, listener: Listener) {
+        self.deaf.remove(&listener);
+    }
     fn wake_at(&mut self, at: Micros, wake: Wake) {
         self.next += 1;
         self.timers.insert((at, self.next, wake));
--- a/crates/gateway/tests/machine.rs
+++ b/crates/gateway/tests/machine.rs
@@ -415,6 +415,47 @@
     assert!(waits.len() > 200, "{} different times", waits.len());
 }
 
+// A crowd at the door: all of it is taken, at a pace, and the door is open again soon after.
+#[test_case(true; "damped")]
+#[test_case(false; "not damped")]
+fn a_crowd_at_the_door(damping: bool) {
+    let mut b = Bench::new(Deployment { damping, ..deployment(1) });
+    let (begun, mut closings) = (b.now, 0);
+    for _ in 0..4_000 {
+        b.caller();
+        while !b.paper.deaf.is_empty() {
+            closings += 1;
+            b.pass(5 * MS);
+            assert!(b.now < begun + 3 * S, "the door stays closed");
+        }
+    }
+    assert_eq!(closings > 0, damping);
+    assert_eq!(b.now > begun + S, damping, "4,000 do not come in at once");
+}
+
+// A time that the module named while all was calm is remembered: whoever comes before it did not follow.
+#[test]
+fn times_of_the_module_are_kept_or_not() {
+    let mut b = Bench::new(deployment(0));
+    let ask = |b: &mut Bench, n: u32| {
+        let client = b.asks("quote", &n.to_string());
+        b.pass(MS);
+        client
+    };
+    let first: Vec<_> = (0..40).map(|n| ask(&mut b, n)).collect();
+    b.pass(S);
+    assert!(first.iter().all(|c| b.told(*c).contains("retry-after-ms")), "{}", b.told(first[0]));
+    (0..40).for_each(|n| _ = ask(&mut b, n));
+    let page = b.caller();
+    b.says(page, b"GET /-/state HTTP/1.1\r\nHost: a\r\n\r\n");
+    let told = b.told(page);
+    let page: serde_json::Value =
+        serde_json::from_str(told.split("\r\n\r\n").nth(1).expect("a body")).expect("JSON");
+    let advice = &page["storm"]["advice"];
+    let rates = ["followed-per-s", "not-kept-per-s"].map(|n| advice[n].as_f64().expect("a rate"));
+    assert!(rates[0] + rates[1] > 10.0, "{advice}");
+}
+
 #[test]
 fn the_state_page() {
     let mut b = Bench::new(deployment(2));
--- a/crates/storm/src/advice.rs
+++ b/crates/storm/src/advice.rs
@@ -19,9 +19,8 @@
 
 impl Advice {
     /// µs to wait. `pace` is how many returns a second there is room for, `left` how long the client stays in
-    /// all,
-    /// `ignored` how often it came before its time lately, `chance` a number from 0 to 1. None where it has
-    /// not the time to come back at all.
+    /// all, `ignored` how often it came before its time lately, `chance` a number from 0 to 1. None where it
+    /// has not the time to come back at all.
     pub fn wait(
         &mut self,
         now: Micros,
@@ -49,6 +48,11 @@
         Some(LEAST + ((last - LEAST) as f64 * (0.5 + chance / 2.0)) as Micros)
     }
 
+    /// One that was given a turn came before it: its place is for the next.
+    pub fn given_up(&mut self, now: Micros, pace: f64) {
+        self.line = (self.line - 1e6 / pace.max(0.1)).max((now + LEAST) as f64);
+    }
+
     /// µs from now to the end of the line.
     pub fn line(&self, now: Micros) -> Micros {
         (self.line - now as f64).max(0.0) as Micros
--- a/crates/storm/src/gate.rs
+++ b/crates/storm/src/gate.rs
@@ -1,6 +1,8 @@
 //! What stands before the module while a storm lasts: who goes in, who is told to come back, and when.
 use crate::Micros;
 use crate::advice::Advice;
+use crate::doors::Doors;
+use crate::promise::{Kept, Promises};
 use crate::sketch::{Counts, Marks};
 use crate::watch::{Called, Watch};
 use oorandom::Rand64;
@@ -16,15 +18,34 @@
 const BURST: f64 = 500_000.0;
 /// Part of that which retries leave to first tries, and little importance to the rest.
 const FOR_FIRSTS: f64 = 0.5;
+/// The same for a retry that comes when it was told to: it was promised its turn.
+const FOR_FIRSTS_TOLD: f64 = 0.25;
 const FOR_IMPORTANT: f64 = 0.2;
-/// Part that a client over its budget leaves to all others. It is let in behind them rather than never: a job
-/// that could be done and is not keeps coming back, and the storm lasts (measured: 29 s instead of 11).
+/// Part that a client over its budget, or before its time, leaves to all others. It is let in behind them
+/// rather than never: a job that could be done and is not keeps coming back, and the storm lasts (measured:
+/// 29 s instead of 11).
 const FOR_FOLLOWERS: f64 = 0.3;
 /// Part of the pace that a storm's advice hands out: the rest is for those who come of themselves.
 const ADVISED: f64 = 0.7;
-/// Times the pace that goes in: the module pushes back what has no room, and would find out that there is
-/// more.
+/// Times the pace that goes in when a storm begins: what was finished before it was what was asked for, and
+/// the fleet may bear more. The module pushes back what has no room, and so tells how much.
 const PROBES: f64 = 1.5;
+/// µs between two steps of that: about what the module takes to tell that it has no room. Factors on it where
+/// it pushed back little, and much, of what went in, beside what finished.
+const STEP: Micros = 500_000;
+const STEP_UP: f64 = 1.2;
+const STEP_DOWN: f64 = 0.85;
+const LITTLE: f64 = 0.05;
+const MUCH: f64 = 0.15;
+/// Times what finishes that may go in at most: it would grow without end where nobody uses it.
+const PROBES_MOST: f64 = 2.0;
+/// Steps after which the last storm's figure is not taken up again.
+const STALE: Micros = 6;
+/// Part of what may go in that is open to those behind all others: what they would probe with is taken from
+/// those that follow.
+const FOR_ALL: f64 = 0.7;
+/// µs of that which may be saved up: they come at once whenever they can, and all of it would be a burst.
+const BURST_FOR_ALL: f64 = 50_000.0;
 /// Part a second by which the best pace seen is forgotten: what the fleet did before the storm is what it can
 /// do.
 const FORGETS: f64 = 0.005;
@@ -62,12 +83,20 @@
     retries: Counts,
     /// Clients that came before their time.
     early: Counts,
-    /// Until when a client was told to stay away, as marks of its promised seconds would be too coarse: a
-    /// count of pushbacks that have not been followed yet.
-    told: Counts,
+    /// Times told, by job.
+    promises: Promises,
+    doors: Doors,
     advice: Advice,
     tokens: f64,
+    /// What the others leave of the pace itself, without what goes in beyond it to probe.
+    spare: f64,
     filled: Micros,
+    /// Jobs a second that may go in, when that was last looked at, and whether more was wanted since.
+    allowed: f64,
+    stepped: Micros,
+    wanted: bool,
+    /// Finished, and pushed back by the module, since then.
+    ends: (f64, f64),
     pace: f64,
     paced: Micros,
     importance: f64,
@@ -85,10 +114,16 @@
             firsts: counts(),
             retries: counts(),
             early: counts(),
-            told: counts(),
+            promises: Promises::default(),
+            doors: Doors::new(now),
             advice: Advice::default(),
             tokens: 0.0,
+            spare: 0.0,
             filled: now,
+            allowed: 0.0,
+            stepped: 0,
+            wanted: false,
+            ends: (0.0, 0.0),
             pace: 0.0,
             paced: now,
             importance: 0.0,
@@ -109,6 +144,19 @@
         let retry = arrival.retry || known;
         let client = arrival.client;
         let tries = if retry { self.retries.add(now, client) } else { self.firsts.add(now, client) };
+        let kept = self.promises.came(now, arrival.name);
+        match kept {
+            Kept::Untold => {}
+            Kept::Followed => self.watch.followed.add(now),
+            Kept::Early => {
+                self.watch.early.add(now);
+                // Its first time only: later ones were given no turn.
+                if self.early.add(now, client) < 2.0 {
+                    let pace = self.advised(now);
+                    self.advice.given_up(now, pace);
+                }
+            }
+        }
         self.watch.arrival(now, retry, if retry { f64::from(tries) } else { 0.0 });
         self.importance += 0.01 * (arrival.importance - self.importance);
         let over = retry && tries > RETRIES_FREE + RETRIES_EARNED * self.firsts.of(now, client);
@@ -116,7 +164,7 @@
             Called::Calm | Called::Jump | Called::Slow => Passage::In { retry },
             Called::Loop if over => self.back(now, arrival, "retry-budget"),
             Called::Loop => Passage::In { retry },
-            Called::Storm => self.admit(now, arrival, retry, over),
+            Called::Storm => self.admit(now, arrival, retry, over, kept),
         };
         match passage {
             Passage::In { .. } => self.let_in += 1,
@@ -125,37 +173,87 @@
         passage
     }
 
-    /// In a storm as many go in as the fleet finishes; first tries before retries, importance before the
-    /// rest.
-    fn admit(&mut self, now: Micros, arrival: &Arrival, retry: bool, over: bool) -> Passage {
-        let pace = self.pace(now) * PROBES;
+    /// Jobs a second that may go in, in a storm: from half as much again as was finished before it up, by
+    /// steps, as long as more is wanted and the module has room for it, and down when it has none.
+    fn allowed(&mut self, now: Micros) -> f64 {
+        let pace = self.pace(now);
+        if self.stepped + STALE * STEP < now {
+            (self.allowed, self.stepped, self.ends) = (pace * PROBES, now, (0.0, 0.0));
+        }
+        if self.stepped + STEP <= now {
+            self.stepped = now;
+            let (done, back) = std::mem::take(&mut self.ends);
+            if back > MUCH * done {
+                self.allowed *= STEP_DOWN;
+            } else if back <= LITTLE * done && std::mem::take(&mut self.wanted) {
+                self.allowed *= STEP_UP;
+            }
+            self.allowed = self.allowed.min(PROBES_MOST * pace);
+            self.allowed = self.allowed.max(pace);
+        }
+        self.allowed
+    }
+
+    /// What times are given out for.
+    fn advised(&self, now: Micros) -> f64 {
+        let storm = self.stepped + STALE * STEP >= now;
+        (if storm { self.allowed / PROBES } else { 0.0 }).max(self.pace(now)) * ADVISED
+    }
+
+    /// In a storm as many go in as the fleet finishes; first tries before retries, those that keep their time
+    /// before those that do not, importance before the rest.
+    fn admit(&mut self, now: Micros, arrival: &Arrival, retry: bool, over: bool, kept: Kept) -> Passage {
+        let (pace, since) = (self.allowed(now), (now - self.filled) as f64 / 1e6);
         let most = (pace * BURST / 1e6).max(1.0);
-        self.tokens = (self.tokens + pace * (now - self.filled) as f64 / 1e6).min(most);
+        self.tokens = (self.tokens + pace * since).min(most);
+        let spare_most = (pace * BURST_FOR_ALL / 1e6).max(1.0);
+        self.spare = (self.spare + FOR_ALL * pace * since).clamp(-spare_most, spare_most);
         self.filled = now;
         let less = arrival.importance < self.importance;
         let part = |when: bool, part: f64| if when { part } else { 0.0 };
-        let kept = part(retry, FOR_FIRSTS) + part(less, FOR_IMPORTANT) + part(over, FOR_FOLLOWERS);
-        if self.tokens >= (1.0 + most * kept).min(most) {
+        // Who comes when told to is within any budget.
+        let (for_firsts, behind) = match kept {
+            Kept::Followed => (FOR_FIRSTS_TOLD, false),
+            Kept::Untold => (FOR_FIRSTS, over),
+            Kept::Early => (FOR_FIRSTS, true),
+        };
+        let left = part(retry, for_firsts) + part(less, FOR_IMPORTANT) + part(behind, FOR_FOLLOWERS);
+        if self.tokens >= (1.0 + most * left).min(most) && (!behind || self.spare >= 1.0) {
             self.tokens -= 1.0;
+            self.spare -= 1.0;
             return Passage::In { retry };
         }
+        self.wanted = true;
         self.back(now, arrival, if over { "retry-budget" } else { "storm" })
     }
 
     fn back(&mut self, now: Micros, arrival: &Arrival, why: &'static str) -> Passage {
-        Passage::Back { wait: self.come_back(now, arrival.client, arrival.left), why }
+        Passage::Back { wait: self.come_back(now, arrival.client, arrival.name, arrival.left), why }
     }
 
-    /// When a client that is pushed back, here or by the module, should come back.
-    pub fn come_back(&mut self, now: Micros, client: u64, left: Micros) -> Option<Micros> {
-        // One that has been told and is here again within a moment did not follow.
-        if self.told.add(now, client) > 2.0 {
-            self.early.add(now, client);
-        }
+    /// When the job `name` of a client, pushed back here or by the module, should come back.
+    pub fn come_back(&mut self, now: Micros, client: u64, name: u64, left: Micros) -> Option<Micros> {
         let ignored = self.early.of(now, client).floor() as u32;
-        let pace = self.pace(now) * ADVISED;
+        let pace = self.advised(now);
         let chance = self.rng.rand_float();
-        self.advice.wait(now, pace, left, ignored, chance)
+        let wait = self.advice.wait(now, pace, left, ignored, chance)?;
+        self.promises.told(name, now + wait);
+        Some(wait)
+    }
+
+    /// The module itself named a time to a job that it pushed back.
+    pub fn told(&mut self, name: u64, until: Micros) {
+        self.promises.told(name, until);
+    }
+
+    /// A connection was taken: for how long none is to be taken now, if so.
+    pub fn connection(&mut self, now: Micros) -> Option<Micros> {
+        self.watch.opened.add(now);
+        self.doors.taken(now)
+    }
+
+    pub fn doors(&self) -> &Doors {
+        &self.doors
     }
 
     /// A job's end: `finished`, or pushed back by the module; a kill is neither.
@@ -166,6 +264,8 @@
             self.pace = aged.max(self.watch.finished.per_s(now));
             self.paced = now;
         }
+        self.ends.0 += f64::from(u8::from(finished));
+        self.ends.1 += f64::from(u8::from(pushed_back));
         if pushed_back {
             self.watch.pushed_back.add(now);
         }
--- a/crates/storm/src/lib.rs
+++ b/crates/storm/src/lib.rs
@@ -5,7 +5,9 @@
 //! between routers; each keeps to what its own clients and its own answers show. `docs/storms.md` weighs the
 //! ways.
 pub mod advice;
+pub mod doors;
 pub mod gate;
+pub mod promise;
 pub mod sketch;
 pub mod watch;
 
--- a/crates/storm/src/watch.rs
+++ b/crates/storm/src/watch.rs
@@ -12,6 +12,11 @@
 /// lost answer in a hundred are far below; when a hall is cut each job comes back at least once.
 const SHARE_HIGH: f64 = 0.3;
 const SHARE_LOW: f64 = 0.1;
+/// Times the usual number of connections opened anew from which on that speaks for a storm; alone it says
+/// nothing, as a jump in work opens connections too. Each sign that speaks for one lowers the share.
+const OPENED: f64 = 4.0;
+/// Share of the times told that are not kept which speaks for one as well.
+const NOT_KEPT: f64 = 0.5;
 /// Arrivals, as times of the usual, from which on it is a jump.
 const JUMP: f64 = 2.0;
 /// Retries a second at least: with fewer, chance decides.
@@ -65,8 +70,14 @@
     heaviest: f64,
     pub finished: Rate,
     pub pushed_back: Rate,
-    /// Arrivals a second by hour of the day, as learned while nothing was wrong, and for how long (µs).
-    usual: [(f64, f64); HOURS],
+    /// Connections opened anew.
+    pub opened: Rate,
+    /// Times to come back: kept, and not kept.
+    pub followed: Rate,
+    pub early: Rate,
+    /// Arrivals and connections opened a second by hour of the day, as learned while nothing was wrong, and
+    /// for how long (µs).
+    usual: [(f64, f64, f64); HOURS],
     learned: Micros,
     called: Option<(Called, Micros)>,
     quiet_since: Option<Micros>,
@@ -81,11 +92,21 @@
         (now / HOUR) as usize % HOURS
     }
 
-    /// Arrivals a second that are usual now; none where this router has not seen enough of this hour, or any.
-    pub fn usual(&self, now: Micros) -> Option<f64> {
+    /// Arrivals and connections opened a second that are usual now; none where this router has not seen
+    /// enough of this hour, or the one before.
+    pub fn usual(&self, now: Micros) -> Option<(f64, f64)> {
         let hour = Self::hour(now);
-        let known = |n: usize| Some(self.usual[n % HOURS]).filter(|(_, time)| *time >= QUICK * 5.0);
-        known(hour).or_else(|| known(hour + HOURS - 1)).map(|(rate, _)| rate)
+        let known = |n: usize| Some(self.usual[n % HOURS]).filter(|(_, _, time)| *time >= QUICK * 5.0);
+        known(hour).or_else(|| known(hour + HOURS - 1)).map(|(rate, opened, _)| (rate, opened))
+    }
+
+    /// What speaks for a storm beside the share of retries: connections opened anew far above the usual, and
+    /// times to come back that are not kept.
+    pub fn speaks(&self, now: Micros) -> (bool, bool) {
+        let opened = self.opened.per_s(now);
+        let usual = self.usual(now).is_some_and(|(_, usual)| opened >= OPENED * usual);
+        let (early, followed) = (self.early.per_s(now), self.followed.per_s(now));
+        (usual && opened >= LEAST, early >= LEAST && early >= NOT_KEPT * (early + followed))
     }
 
     /// One arrival; `of_client` is how many retries its client has had lately.
@@ -116,13 +137,15 @@
         let (firsts, retries) = self.rates(now);
         let all = firsts + retries;
         let held = matches!(self.called(), Called::Storm | Called::Loop);
-        let share = if held { SHARE_LOW } else { SHARE_HIGH };
+        let (opened, early) = self.speaks(now);
+        let signs = 1.0 + f64::from(u8::from(opened)) + f64::from(u8::from(early));
+        let share = if held { SHARE_LOW } else { SHARE_HIGH / signs };
         if retries >= LEAST && retries >= share * all {
             // The quick rate holds about two seconds of retries.
             let one = self.heaviest >= ONE_CLIENT * retries * QUICK / 1e6;
             return if one { Called::Loop } else { Called::Storm };
         }
-        let Some(usual) = self.usual(now) else { return Called::Calm };
+        let Some((usual, _)) = self.usual(now) else { return Called::Calm };
         if all >= JUMP * usual && all >= LEAST {
             return Called::Jump;
         }
@@ -163,10 +186,12 @@
         }
         self.learned = now;
         let (firsts, retries) = self.rates(now);
-        let (rate, known) = &mut self.usual[Self::hour(now)];
+        let opened_now = self.opened.per_s(now);
+        let (rate, opened, known) = &mut self.usual[Self::hour(now)];
         // At first a plain mean over the time seen, later a slow one.
         let weight = (time / (*known + time)).max(1.0 - (-time / SLOW).exp()).min(1.0);
         *rate += weight * (firsts + retries - *rate);
+        *opened += weight * (opened_now - *opened);
         *known += time;
     }
 }
--- a/crates/storm/tests/days.rs
+++ b/crates/storm/tests/days.rs
@@ -105,6 +105,140 @@
     assert_eq!(day.back, back);
 }
 
+// The same where clients do not say that they ask again: their names are known from the second time on.
+#[test]
+fn a_storm_met_without_any_past_by_names_alone() {
+    let mut day = Day::new();
+    for n in 0..2_000 {
+        day.now += S / 500;
+        day.ask(n % 700, 5_000_000 + n % 700, false);
+    }
+    assert_eq!(day.called(), Called::Storm);
+    assert!(day.back > 300, "{}", day.back);
+}
+
+// A fifth of what comes are retries: no storm by itself. It is one with a sign beside it: connections opened
+// anew far above the usual, or times to come back that are not kept.
+#[test_case(1, false, Called::Calm; "no other sign")]
+#[test_case(10, false, Called::Storm; "connections")]
+#[test_case(1, true, Called::Storm; "times not kept")]
+fn signs_beside_the_share(connections: u64, early: bool, want: Called) {
+    let mut day = Day::new();
+    for n in 0..6_000u64 {
+        day.now += S / 200;
+        day.ask(n * 7919 % 1_000, 2_000_000 + n, false);
+        day.gate.ended(day.now, true, false);
+        if n % 20 == 0 {
+            day.gate.connection(day.now);
+        }
+    }
+    for n in 0..600u64 {
+        day.now += S / 200;
+        let retry = n % 5 == 0;
+        let name = if retry { 3_000_000 + n / 100 } else { 4_000_000 + n };
+        if retry && early {
+            day.gate.told(name, day.now + 20 * S);
+        }
+        day.ask(n * 7919 % 1_000, name, retry);
+        day.gate.ended(day.now, true, false);
+        if n % 20 == 0 {
+            (0..connections).for_each(|_| _ = day.gate.connection(day.now));
+        }
+    }
+    assert_eq!(day.called(), want);
+}
+
+// Half of the clients ask ten times a second whatever they are told. Those that come when they are told to
+// are through about as soon as if the others were not there.
+#[test]
+fn followers_are_not_slowed_by_those_that_ignore() {
+    let through = |ignoring: u64| {
+        const PACE: u64 = 100;
+        let mut day = Day::new();
+        day.run(30, PACE, 1, 1000, 1.0);
+        // (when it asks, client, follows)
+        let mut asks: std::collections::BTreeSet<(Micros, u64, bool)> =
+            (0..400).map(|c| (day.now + c * 2_000, 10_000 + c, true)).collect();
+        asks.extend((0..ignoring).map(|c| (day.now + c * 2_000, 20_000 + c, false)));
+        let (begin, mut slots, mut waits) = (day.now, 0.0f64, Vec::new());
+        while let Some((at, client, follows)) = asks.pop_first().filter(|(at, ..)| *at < begin + 60 * S) {
+            // The fleet finishes so many a second, and the module pushes back what has no room.
+            slots = (slots + (at - day.now) as f64 * PACE as f64 / 1e6).min(10.0);
+            day.now = at;
+            let wait = match day.ask(client, client, true) {
+                Passage::In { .. } if slots >= 1.0 => {
+                    slots -= 1.0;
+                    day.gate.ended(at, true, false);
+                    if follows {
+                        waits.push(at - begin);
+                    }
+                    continue;
+                }
+                Passage::In { .. } => {
+                    day.gate.ended(at, false, true);
+                    day.gate.come_back(at, client, client, 60 * S)
+                }
+                Passage::Back { wait, .. } => wait,
+            };
+            asks.insert((at + if follows { wait.expect("there is time") } else { S / 10 }, client, follows));
+        }
+        assert_eq!(waits.len(), 400, "all followers are through");
+        waits.sort_unstable();
+        (waits[200], waits[399])
+    };
+    let (alone, beside) = (through(0), through(400));
+    assert!(beside.0 < 2 * alone.0 && beside.1 < 2 * alone.1, "{alone:?} alone, {beside:?} beside 400");
+}
+
+/// A storm of clients that ask ten times a second until they are through, over ordinary work, against a fleet
+/// that finishes so many a second and has its pushbacks told half a second later: seconds until all are
+/// through (60 at most), and the share of what went in that had no room.
+fn against(fleet: f64, ignoring: u64) -> (u64, f64) {
+    let mut day = Day::new();
+    day.run(30, 100, 1, 1000, 1.0);
+    let (begin, mut slots) = (day.now, 0.0f64);
+    let mut asks: std::collections::BTreeSet<(Micros, u64)> =
+        (0..ignoring).map(|c| (day.now + c * 300, 10_000 + c)).collect();
+    asks.extend((0..6_000).map(|n| (day.now + n * 10_000, 1_000_000 + n)));
+    let (mut left, mut back, mut late) = (ignoring, 0u64, std::collections::VecDeque::new());
+    let before = day.let_in;
+    while let Some((at, client)) = asks.pop_first().filter(|_| left > 0) {
+        slots = (slots + (at - day.now) as f64 * fleet / 1e6).min(fleet / 10.0);
+        day.now = at;
+        while late.front().is_some_and(|told| *told <= at) {
+            late.pop_front();
+            day.gate.ended(at, false, true);
+        }
+        let ignores = client < 1_000_000;
+        let went = matches!(day.ask(client, client, ignores), Passage::In { .. });
+        if went && slots >= 1.0 {
+            slots -= 1.0;
+            day.gate.ended(at, true, false);
+            left -= u64::from(ignores);
+            continue;
+        }
+        back += u64::from(went);
+        if went {
+            late.push_back(at + S / 2);
+        }
+        if ignores {
+            asks.insert((at + S / 10, client));
+        }
+    }
+    ((day.now - begin) / S, back as f64 / (day.let_in - before) as f64)
+}
+
+// What was finished before a storm is what was asked for; the fleet may bear more, and it is found out.
+#[test_case(120.0, 50, 0.45; "hardly more than before: few go in for nothing")]
+#[test_case(300.0, 12, 0.45; "three times as much: it is used")]
+fn room_is_found(fleet: f64, seconds: u64, wasted: f64) {
+    let (took, back) = against(fleet, 1_000);
+    assert!(
+        took <= seconds && back <= wasted,
+        "through after {took} s, {back:.2} of what went in for nothing"
+    );
+}
+
 // In a storm about as many go in as the fleet finished before it, and first tries come before retries.
 #[test]
 fn admission() {
