chain: plans looked at whole, one clock, what a chain does next; without I/O

A plan's steps lead on by results, fork to all or the first of several, may be left out, may be undone; its faults are named by step and part before any chain is taken. A run is told how steps ended and says what to begin, refuse, cancel and take back; one that was cut off goes on from what is on record.

--- /dev/null
+++ b/crates/chain/tests/common/mod.rs
@@ -0,0 +1,139 @@
+//! Plans in a few words, and a run with its clock.
+#![allow(dead_code)] // each table of cases uses its own part
+use applepond::interface::{Effect, Micros, Within};
+use applepond_chain::*;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+pub const MARKED: Effect = Effect::Fingerprinted { within: Within::Rack, window: 3 * S };
+
+/// A step of 100 ms at the least that leads nowhere.
+pub fn step(name: &str, effect: Effect) -> Step {
+    let workload = match effect {
+        Effect::Restartable => 0,
+        Effect::Fingerprinted { .. } => 1,
+        Effect::RunOnce => 2,
+    };
+    Step {
+        name: name.to_owned(),
+        workload,
+        effect,
+        function: Function::Named(name.to_owned()),
+        at_least: 100 * MS,
+        optional: false,
+        undo: None,
+        next: Vec::new(),
+        or_else: Vec::new(),
+    }
+}
+
+pub fn free(step: &str) -> Step {
+    self::step(step, Effect::Restartable)
+}
+
+pub fn id(n: usize) -> StepId {
+    StepId(n)
+}
+
+pub fn to(n: usize) -> Branch {
+    Branch { test: None, go: Go::One(id(n)) }
+}
+
+pub fn when(field: &str, is: &str, n: usize) -> Branch {
+    Branch { test: Some(Test { field: field.into(), is: is.into() }), go: Go::One(id(n)) }
+}
+
+pub fn all(arms: &[usize], join: Option<usize>) -> Branch {
+    Branch { test: None, go: Go::All(arms.iter().map(|n| id(*n)).collect(), join.map(id)) }
+}
+
+pub fn first(arms: &[usize], join: Option<usize>) -> Branch {
+    Branch { test: None, go: Go::First(arms.iter().map(|n| id(*n)).collect(), join.map(id)) }
+}
+
+/// Short ways to change a step.
+pub trait With {
+    fn next(self, branches: &[Branch]) -> Self;
+    fn or_else(self, branches: &[Branch]) -> Self;
+    fn undone_by(self, n: usize) -> Self;
+    fn optional(self) -> Self;
+    fn function_from(self, n: usize, field: &str) -> Self;
+}
+
+impl With for Step {
+    fn next(self, branches: &[Branch]) -> Self {
+        Step { next: branches.to_vec(), ..self }
+    }
+    fn or_else(self, branches: &[Branch]) -> Self {
+        Step { or_else: branches.to_vec(), ..self }
+    }
+    fn undone_by(self, n: usize) -> Self {
+        Step { undo: Some(id(n)), ..self }
+    }
+    fn optional(self) -> Self {
+        Step { optional: true, ..self }
+    }
+    fn function_from(self, n: usize, field: &str) -> Self {
+        Step { function: Function::From(id(n), field.into()), ..self }
+    }
+}
+
+pub fn plan(steps: Vec<Step>) -> Plan {
+    Plan { name: "book".into(), limit: 4 * S, steps }
+}
+
+/// A chain of 4 s that began at 100 s; functions take what the plan says unless `needs` says otherwise.
+pub struct Bench {
+    pub run: Run,
+    pub now: Micros,
+    pub needs: BTreeMap<&'static str, Micros>,
+}
+
+impl Bench {
+    pub fn new(steps: Vec<Step>) -> Self {
+        Self::resumed(steps, BTreeMap::new())
+    }
+
+    pub fn resumed(steps: Vec<Step>, recorded: run::Recorded) -> Self {
+        let (plan, now) = (plan(steps), 100 * S);
+        assert_eq!(plan.check(), Vec::new(), "a sound plan");
+        let run = Run::new(now, Rc::new(plan), Some("of-event".into()), now + 4 * S, recorded);
+        Bench { run, now, needs: BTreeMap::new() }
+    }
+
+    pub fn begin(&mut self) -> Vec<String> {
+        let needs = self.needs.clone();
+        let todo = self.run.begin(self.now, &|f, told, _| needs.get(f).copied().unwrap_or(told));
+        self.words(&todo)
+    }
+
+    /// After `ms` more a step ends, with fields of its result; what is to be done, in words.
+    pub fn ends(&mut self, ms: Micros, n: usize, how: How, fields: &[(&str, &str)]) -> Vec<String> {
+        self.now += ms * MS;
+        let needs = self.needs.clone();
+        let field = |name: &str| fields.iter().find(|(n, _)| *n == name).map(|(_, v)| (*v).to_owned());
+        let needs = |f: &str, told: Micros, _: Micros| needs.get(f).copied().unwrap_or(told);
+        let todo = self.run.ended(self.now, id(n), how, &field, &needs);
+        self.words(&todo)
+    }
+
+    pub fn finishes(&mut self, ms: Micros, n: usize) -> Vec<String> {
+        self.ends(ms, n, How::Finished, &[])
+    }
+
+    fn words(&self, todo: &[Do]) -> Vec<String> {
+        let name = |s: &StepId| self.run.plan().step(*s).name.clone();
+        let word = |what: &Do| match what {
+            Do::Begin { step, function, .. } if *function == name(step) => format!("begin {function}"),
+            Do::Begin { step, function, .. } => format!("begin {} of {function}", name(step)),
+            Do::Cancel(step) => format!("cancel {}", name(step)),
+            Do::Undo { step, .. } => format!("undo by {}", name(step)),
+            Do::End(Ended::Finished(step)) => format!("finished by {}", name(step)),
+            Do::End(Ended::PushedBack(step, why)) => format!("pushed back at {}: {why:?}", name(step)),
+            Do::End(Ended::Failed(step, why)) => format!("failed at {}: {why:?}", name(step)),
+        };
+        todo.iter().map(word).collect()
+    }
+}
--- /dev/null
+++ b/crates/chain/tests/runs.rs
@@ -0,0 +1,194 @@
+//! Chains step by step: what is begun, left out, refused, cancelled and taken back.
+mod common;
+
+use applepond::interface::Effect::RunOnce;
+use applepond_chain::*;
+use common::*;
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+/// Price, then free beds at the hut that the price names, then, if there are none, at the second hut; then
+/// confirm. Beds are released when the confirmation fails.
+fn booking() -> Vec<Step> {
+    vec![
+        free("price").next(&[to(1)]),
+        step("beds", MARKED)
+            .function_from(0, "hut")
+            .undone_by(4)
+            .next(&[when("free", "yes", 3), to(2)])
+            .or_else(&[to(2)]),
+        step("beds-2", MARKED).undone_by(5).next(&[to(3)]),
+        step("confirm", RunOnce),
+        step("release", MARKED).function_from(0, "hut"),
+        step("release-2", MARKED),
+    ]
+}
+
+#[test]
+fn a_booking_from_beginning_to_end() {
+    let mut b = Bench::new(booking());
+    assert_eq!(b.begin(), ["begin price"]);
+    assert_eq!(b.ends(50, 0, How::Finished, &[("hut", "luční")]), ["begin beds of luční"]);
+    assert_eq!(b.ends(50, 1, How::Finished, &[("free", "yes")]), ["begin confirm"]);
+    assert_eq!(b.finishes(50, 3), ["finished by confirm"]);
+    assert_eq!(b.finishes(50, 3), Vec::<String>::new(), "an end told twice");
+}
+
+#[test_case(How::Finished, "no"; "the first hut is full")]
+#[test_case(How::NeverRan, ""; "it could not be asked")]
+#[test_case(How::MayHaveRun, ""; "it may have been asked")]
+fn the_second_hut(how: How, free: &str) {
+    let mut b = Bench::new(booking());
+    b.begin();
+    b.ends(50, 0, How::Finished, &[("hut", "luční")]);
+    assert_eq!(b.ends(50, 1, how, &[("free", free)]), ["begin beds-2"]);
+    assert_eq!(b.finishes(50, 2), ["begin confirm"]);
+}
+
+// What has been done is taken back, the last first, also what only may have been done.
+#[test_case(How::NeverRan, &["failed at confirm: StepFailed", "undo by release-2", "undo by release"];
+    "pushed back")]
+#[test_case(How::MayHaveRun, &["failed at confirm: StepFailed", "undo by release-2", "undo by release"];
+    "killed")]
+fn undo(how: How, want: &[&str]) {
+    let mut b = Bench::new(booking());
+    b.begin();
+    b.ends(50, 0, How::Finished, &[("hut", "luční")]);
+    b.ends(50, 1, How::MayHaveRun, &[]);
+    b.finishes(50, 2);
+    assert_eq!(b.ends(50, 3, how, &[]), want);
+}
+
+// As long as nothing can have had an effect that lasts, the client may ask again.
+#[test_case(0, How::MayHaveRun, "pushed back at price: StepFailed"; "a restartable step may have run")]
+#[test_case(0, How::NeverRan, "pushed back at price: StepFailed"; "it never ran")]
+fn pushed_back(n: usize, how: How, want: &str) {
+    let mut b = Bench::new(booking());
+    b.begin();
+    assert_eq!(b.ends(50, n, how, &[]), [want]);
+}
+
+#[test]
+fn a_result_that_does_not_name_the_function() {
+    let mut b = Bench::new(booking());
+    b.begin();
+    assert_eq!(b.finishes(50, 0), ["begin beds-2"], "it never ran, so the other way is taken");
+    let mut b = Bench::new(vec![free("a").next(&[to(1)]), free("b").function_from(0, "x")]);
+    b.begin();
+    assert_eq!(b.finishes(50, 0), ["pushed back at b: NoFunction"]);
+}
+
+// The second hut's model is cold and takes 2 s.
+#[test_case(2_500, "pushed back at beds-2: NoTime"; "1.5 s left")]
+#[test_case(1_500, "begin beds-2"; "2.5 s left")]
+fn a_cold_model(spent_ms: u64, want: &str) {
+    let steps = vec![free("price").next(&[to(1)]), free("beds-2")];
+    let mut b = Bench::new(steps);
+    b.begin();
+    b.needs.insert("beds-2", 2_100 * MS);
+    assert_eq!(b.finishes(spent_ms, 0), [want]);
+}
+
+// What a later step needs is seen before the first begins: nothing is done in vain.
+#[test]
+fn a_chain_that_cannot_finish_is_refused_before_its_first_step() {
+    let mut b = Bench::new(vec![free("price").next(&[to(1)]), free("beds")]);
+    b.needs.insert("beds", 3_950 * MS);
+    assert_eq!(b.begin(), ["pushed back at price: NoTime"]);
+}
+
+#[test_case(1_000, "begin photos"; "time enough")]
+#[test_case(3_850, "begin confirm"; "time is short")]
+fn optional_steps_go_first(spent_ms: u64, want: &str) {
+    let steps = vec![
+        free("price").next(&[to(1)]),
+        free("photos").optional().next(&[to(2)]),
+        step("confirm", RunOnce),
+    ];
+    let mut b = Bench::new(steps);
+    b.begin();
+    assert_eq!(b.finishes(spent_ms, 0), [want]);
+}
+
+#[test]
+fn an_optional_step_may_fail() {
+    let steps = vec![
+        free("price").next(&[to(1)]),
+        free("photos").optional().next(&[to(2)]),
+        step("confirm", RunOnce),
+    ];
+    let mut b = Bench::new(steps);
+    b.begin();
+    b.finishes(50, 0);
+    assert_eq!(b.ends(50, 1, How::MayHaveRun, &[]), ["begin confirm"]);
+}
+
+// A step's job is told the time left, less what those after it need and the way back.
+#[test]
+fn one_clock() {
+    let mut b = Bench::new(vec![free("price").next(&[to(1)]), free("beds")]);
+    let until = |todo: &[Do]| match todo {
+        [Do::Begin { until, .. }] => *until,
+        other => panic!("{other:?}"),
+    };
+    let needs = |_: &str, told: u64, _: u64| told;
+    let first = until(&b.run.begin(b.now, &needs));
+    assert_eq!(first, 104 * S - 5 * MS - 100 * MS);
+    let second = b.run.ended(b.now + 10 * MS, id(0), How::Finished, &|_| None, &needs);
+    assert_eq!(until(&second), 104 * S - 5 * MS, "what the first did not use is there for the second");
+}
+
+#[test]
+fn all_of_several() {
+    let steps = vec![free("a").next(&[all(&[1, 2], Some(3))]), free("b"), free("c"), free("d")];
+    let mut b = Bench::new(steps.clone());
+    b.begin();
+    assert_eq!(b.finishes(50, 0), ["begin b", "begin c"]);
+    assert_eq!(b.finishes(50, 2), Vec::<String>::new());
+    assert_eq!(b.finishes(50, 1), ["begin d"]);
+    assert_eq!(b.finishes(50, 3), ["finished by d"]);
+    let mut b = Bench::new(steps);
+    b.begin();
+    b.finishes(50, 0);
+    assert_eq!(b.ends(50, 1, How::NeverRan, &[]), ["cancel c", "pushed back at b: StepFailed"]);
+}
+
+#[test]
+fn the_first_of_several() {
+    let steps = vec![free("a").next(&[first(&[1, 2], Some(3))]), free("b"), free("c"), free("d")];
+    let mut b = Bench::new(steps.clone());
+    b.begin();
+    b.finishes(50, 0);
+    assert_eq!(b.finishes(50, 2), ["cancel b", "begin d"]);
+    let mut b = Bench::new(steps);
+    b.begin();
+    b.finishes(50, 0);
+    assert_eq!(b.ends(50, 2, How::NeverRan, &[]), Vec::<String>::new(), "the other may still");
+    assert_eq!(b.ends(50, 1, How::NeverRan, &[]), ["pushed back at b: StepFailed"]);
+}
+
+// Cut off in the middle: what is on record is not begun again.
+#[test]
+fn resumed() {
+    let field = |n: &str, v: &str| BTreeMap::from([(n.to_owned(), v.to_owned())]);
+    let mut recorded = BTreeMap::from([
+        (id(0), (How::Finished, field("hut", "luční"))),
+        (id(1), (How::Finished, field("free", "yes"))),
+    ]);
+    assert_eq!(Bench::resumed(booking(), recorded.clone()).begin(), ["begin confirm"]);
+    recorded.insert(id(3), (How::MayHaveRun, BTreeMap::new()));
+    let mut b = Bench::resumed(booking(), recorded);
+    assert_eq!(b.begin(), ["failed at confirm: StepFailed", "undo by release"], "never a second time");
+}
+
+#[test]
+fn worth_grows_with_what_is_paid_for() {
+    let mut b = Bench::new(booking());
+    let needs = |_: &str, told: u64, _: u64| told;
+    b.begin();
+    let fresh = b.run.worth(b.now, &needs);
+    b.ends(300, 0, How::Finished, &[("hut", "luční")]);
+    b.ends(300, 1, How::Finished, &[("free", "yes")]);
+    let near = b.run.worth(b.now, &needs);
+    assert!(fresh < 1.1 && near > 3.0, "{fresh} {near}");
+}
