settings: chain blocks as plans, each fault by line and column

Plans are given in the settings; a fault of a plan is named at the line and column of its step's part. One sound file and twelve faults as cases. The gateway does not run them yet.

--- a/crates/chain/src/plan.rs
+++ b/crates/chain/src/plan.rs
@@ -279,8 +279,9 @@
                 let found = format!("undo \"{}\" that leads on", step.name);
                 fault(Some(n), Part::Next, found, "an undo without next, else or undo");
             }
-            if let Some(undo) = step.undo
-                && matches!(self.step(undo).function, Function::From(of, _) if of != id && !before[n].contains(&of))
+            let known = |of: StepId| of == id || before[n].contains(&of);
+            if let Some(Function::From(of, _)) = step.undo.map(|undo| &self.step(undo).function)
+                && !known(*of)
             {
                 let found = format!("undo of \"{}\" named by a result that may not be there", step.name);
                 fault(Some(n), Part::Undo, found, "a result of this step or of one always before it");
--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -1,7 +1,9 @@
 //! What an instance is given at its start: the module's rows, and the names and addresses around them.
 use applepond::interface::{Micros, Startup};
+use applepond_chain::Plan;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// Where the name of a job's function comes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,6 +36,17 @@
     pub function: FunctionRow,
 }
 
+/// A chain of functions: which events ask for it, and its plan.
+#[derive(Clone, Debug)]
+pub struct ChainRow {
+    /// Values of the event attribute `type`.
+    pub types: Vec<String>,
+    /// The attribute that names the function of steps that name none themselves.
+    pub function_by: String,
+    /// Looked at as a whole: it has no faults.
+    pub plan: Rc<Plan>,
+}
+
 /// One worker as the settings name it.
 #[derive(Clone, Debug)]
 pub struct NamedWorker {
@@ -51,6 +64,7 @@
     pub listen: SocketAddr,
     /// In the order of `rows.workloads`.
     pub workloads: Vec<WorkloadNames>,
+    pub chains: Vec<ChainRow>,
     /// In the order of `rows.customers`.
     pub customers: Vec<String>,
     /// The attribute that names the customer.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -127,6 +127,7 @@
                 function: FunctionRow { lanes: 2, memory_mb: 1, load_time: Some(100 * MS) },
             })
             .collect(),
+        chains: Vec::new(),
         customers: vec!["huts".into()],
         customer_by: "customer".into(),
         zones: vec!["hall-a".into()],
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -90,6 +90,27 @@
     if workloads.is_empty() {
         file.fault(&file.place.clone(), "no workload", "at least one workload \"NAME\" { ... }");
     }
+    let (workload_rows, workloads): (Vec<_>, Vec<_>) = match workloads.into_iter().collect::<Option<Vec<_>>>()
+    {
+        Some(all) => all.into_iter().unzip(),
+        // A plan cannot be looked at where a workload has faults.
+        None => {
+            file.named("chain");
+            (Vec::new(), Vec::new())
+        }
+    };
+    let mut chains = Vec::new();
+    for (name, part) in file.named("chain").into_iter().filter(|_| !workloads.is_empty()) {
+        let row = crate::chains::chain(&name, &part, &workload_rows, &workloads);
+        for kind in row.iter().flat_map(|row| &row.types) {
+            if let Some(other) = types.insert(kind.clone(), name.clone()) {
+                let found = format!("type \"{kind}\" again, it is \"{other}\"'s");
+                part.fault(&part.place_of("types"), found, "each type in one workload or chain");
+            }
+        }
+        chains.push(row);
+        part.done();
+    }
     let customers = file.named("customer").into_iter().map(|(name, part)| {
         let rate = part.number("jobs_per_s", 0.001..1e9, None);
         part.done();
@@ -120,8 +141,6 @@
     let damping = file.mark("damping", Some(true));
     let connect_limit = file.time("connect_limit", Some(S / 4));
     let customer_by = file.text("customer_by", Some("customer"));
-    let workloads = workloads.into_iter().collect::<Option<Vec<_>>>()?;
-    let (workload_rows, workloads) = workloads.into_iter().unzip();
     let (customers, customer_rows) = customers.into_iter().collect::<Option<Vec<_>>>()?.into_iter().unzip();
     let (callers_most, body_most, remember_for, remember_most, remember_bytes) = bounds?;
     let rows = Startup {
@@ -142,6 +161,7 @@
         rows,
         listen: listen?,
         workloads,
+        chains: chains.into_iter().collect::<Option<_>>()?,
         customers,
         customer_by: customer_by?,
         zones: zones?,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,6 @@
 //! Reads an instance's settings, in HCL, and names every fault by line and column: what was found, what is
 //! wanted.
+mod chains;
 pub mod instance;
 pub mod sheet;
 
--- a/crates/settings/src/sheet.rs
+++ b/crates/settings/src/sheet.rs
@@ -195,6 +195,17 @@
         Some(Part::of_block(self.sheet, first))
     }
 
+    /// All blocks of this name, which have no label, in their order.
+    pub fn blocks(&self, name: &'static str) -> Vec<Part<'a>> {
+        self.read.borrow_mut().insert(name.to_owned());
+        let all: Vec<&Block> = self.body.get_blocks(name).collect();
+        for block in all.iter().filter(|b| !b.labels.is_empty()) {
+            let place = block.labels[0].span().unwrap_or(0..0);
+            self.fault(&place, format!("{name} with a label"), format!("{name} {{ ... }}"));
+        }
+        all.into_iter().map(|block| Part::of_block(self.sheet, block)).collect()
+    }
+
     /// All blocks of this name, each by its one label; two of the same label are a fault.
     pub fn named(&self, name: &'static str) -> Vec<(String, Part<'a>)> {
         self.read.borrow_mut().insert(name.to_owned());
--- /dev/null
+++ b/crates/settings/tests/chains.rs
@@ -0,0 +1,99 @@
+//! `chain` blocks: a sound one as its plan, and each fault by its place.
+use applepond_chain::{Function, Go, StepId};
+use applepond_settings::deployment;
+use test_case::test_case;
+
+const GOOD: &str = r#"listen = "127.0.0.1:0"
+rules {
+  cold_share = 0.2
+  warm_within = "10s"
+  fall_multiple = 2.5
+  fall_span = "1s"
+}
+workload "quote" {
+  types = ["quote"]
+  effect = "restartable"
+  start_target = "500ms"
+  time_limit = "5s"
+}
+workload "confirm" {
+  types = ["confirm"]
+  effect = "run-once"
+  start_target = "500ms"
+  time_limit = "5s"
+}
+worker "w1" {
+  address = "127.0.0.1:9001"
+}
+chain "book" {
+  types = ["book"]
+  time_limit = "4s"
+  step "price" {
+    workload = "quote"
+    at_least = "20ms"
+    next { go = "beds" }
+  }
+  step "beds" {
+    workload = "quote"
+    function_from = "price.hut"
+    next {
+      when = "free"
+      is = "yes"
+      go = "confirm"
+    }
+    next {
+      all = ["second", "third"]
+      join = "confirm"
+    }
+    else { go = "confirm" }
+  }
+  step "second" { workload = "quote" }
+  step "third" { workload = "quote" }
+  step "confirm" {
+    workload = "confirm"
+    function = "confirm-hut"
+  }
+}
+"#;
+
+#[test]
+fn a_sound_chain() {
+    let d = deployment(GOOD).expect("no fault");
+    let (chain, plan) = (&d.chains[0], &d.chains[0].plan);
+    assert_eq!((chain.types.as_slice(), chain.function_by.as_str()), (&["book".to_owned()][..], "subject"));
+    assert_eq!((plan.limit, plan.steps.len(), plan.steps[0].at_least), (4_000_000, 5, 20_000));
+    assert_eq!(plan.steps[0].function, Function::OfEvent);
+    assert_eq!(plan.steps[1].function, Function::From(StepId(0), "hut".into()));
+    let go: Vec<&Go> = plan.steps[1].next.iter().map(|b| &b.go).collect();
+    let fork = Go::All(vec![StepId(2), StepId(3)], Some(StepId(4)));
+    assert_eq!(go, [&Go::One(StepId(4)), &fork]);
+}
+
+#[test_case("go = \"beds\"", "go = \"bed\"", "29:17: found step \"bed\"; wanted: one of price, beds";
+    "no such step")]
+#[test_case("\"price.hut\"", "\"price\"",
+    "33:21: found function_from = \"price\"; wanted: a step and a field";
+    "no field")]
+#[test_case("\"price.hut\"", "\"second.hut\"", "33:21: found in chain \"book\": function from \"second.hut\"";
+    "a result that may not be there")]
+#[test_case("workload = \"confirm\"", "workload = \"confrm\"", "48:16: found workload \"confrm\"";
+    "workload")]
+#[test_case("      is = \"yes\"\n", "", "34:5: found when without is"; "half a test")]
+#[test_case("join = \"confirm\"", "join = \"confirm\"\n      end = true", "39:5: found 2 ways to go on";
+    "two ways")]
+#[test_case("  step \"third\"", "  step \"fourth\" { workload = \"quote\" }\n  step \"third\"",
+    "46:3: found in chain \"book\": step \"fourth\" that nothing leads to"; "not reached")]
+#[test_case("step \"third\" { workload = \"quote\" }",
+    "step \"third\" {\n workload = \"quote\"\n next { go = \"price\" }\n}",
+    "leads back to one before it"; "a loop")]
+#[test_case("\"4s\"", "\"10ms\"", "25:16: found in chain \"book\": 2"; "too long for its limit")]
+#[test_case("types = [\"book\"]", "types = [\"quote\"]",
+    "24:11: found type \"quote\" again, it is \"quote\"'s"; "type twice")]
+#[test_case("at_least", "at_last", "28:5: found 'at_last' in block 'step'"; "misspelt")]
+#[test_case("go = \"beds\"", "goes = \"beds\"", "found 'goes' in block 'next'"; "misspelt in a branch")]
+fn faults(old: &str, new: &str, told: &str) {
+    assert!(GOOD.contains(old), "nothing replaced");
+    let faults = deployment(&GOOD.replacen(old, new, 1)).expect_err("a fault");
+    let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    assert!(all.iter().any(|f| f.contains(told)), "{all:#?}");
+}
