gateway: chains run, each step a job that no client waits for

A chain's event is taken under its name like a job's: a retry joins it, its answer is told again. A failed chain is answered at once and taken back afterwards, until its undos have finished. Eight cases on the paper wire.

--- a/benches/crowd.rs
+++ b/benches/crowd.rs
@@ -127,6 +127,7 @@
         lanes: 64,
         retry: false,
         load_time: Some(if workload == 0 { 500 * MS } else { 200 * S }),
+        paid: 1.0,
     }
 }
 
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -159,6 +159,7 @@
                     retry: mark(event, "retry")?,
                     lanes: number_or(event, "at-once", 1.0)? as u32,
                     load_time: maybe(event, "start-ms").map(|_| time(event, "start-ms")).transpose()?,
+                    paid: 1.0,
                 };
                 control.job(reply, &arrival);
             }
--- a/crates/chain/src/run.rs
+++ b/crates/chain/src/run.rs
@@ -3,10 +3,10 @@
 //! A chain that was cut off in the middle runs again from its beginning with what is on record: a step
 //! whose end
 //! is known is not begun again, it ends at once as it ended then.
-use crate::plan::{Branch, Function, Go, Plan, StepId};
+use crate::plan::{Branch, Function, Go, Plan, Step, StepId};
 use applepond::interface::{Effect, Micros};
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// µs that the chain's answer takes on its way back to the client; a step that ends later is in vain.
 const WAY_BACK: Micros = 5_000;
@@ -78,16 +78,14 @@
     first: bool,
 }
 
-/// What a step of a function needs: its name, µs told in the plan, and µs for which its load could begin
-/// before
-/// the step does.
-pub type Needs<'a> = &'a dyn Fn(&str, Micros, Micros) -> Micros;
+/// µs that a step needs: which one, its function, and µs for which a load could begin before it does.
+pub type Needs<'a> = &'a dyn Fn(&Step, &str, Micros) -> Micros;
 
 /// What is on record of a step: how it ended, and the fields of its result that the plan asks for.
 pub type Recorded = BTreeMap<StepId, (How, BTreeMap<String, String>)>;
 
 pub struct Run {
-    plan: Rc<Plan>,
+    plan: Arc<Plan>,
     /// The function that the event names.
     named: Option<String>,
     begun: Micros,
@@ -105,7 +103,7 @@
     /// A chain that has until `deadline`; `named` is the function that its event names.
     pub fn new(
         now: Micros,
-        plan: Rc<Plan>,
+        plan: Arc<Plan>,
         named: Option<String>,
         deadline: Micros,
         recorded: Recorded,
@@ -124,7 +122,7 @@
         }
     }
 
-    pub fn plan(&self) -> &Rc<Plan> {
+    pub fn plan(&self) -> &Arc<Plan> {
         &self.plan
     }
 
@@ -155,20 +153,22 @@
         }
     }
 
+    /// µs that a step needs; what its plan says where its function is not known yet.
+    fn need(&self, id: StepId, needs: Needs<'_>, ahead: Micros) -> Micros {
+        let step = self.plan.step(id);
+        self.function(id).map_or(step.at_least, |function| needs(step, &function, ahead))
+    }
+
     /// µs that the shortest way from this step's end to the chain's takes, loads begun `ahead` of it.
     fn rest(&self, step: StepId, needs: Needs<'_>, ahead: Micros) -> Micros {
-        let time = |id: StepId| {
-            let told = self.plan.step(id).at_least;
-            self.function(id).map_or(told, |f| needs(&f, told, ahead))
-        };
+        let time = |id: StepId| self.need(id, needs, ahead);
         self.plan.shortest_after(step, &time)
     }
 
     /// How much more the chain is worth than a fresh one, by what of its time is spent: 1 at its beginning.
-    pub fn worth(&self, now: Micros, needs: Needs<'_>) -> f64 {
+    pub fn paid(&self, now: Micros, needs: Needs<'_>) -> f64 {
         let Some(at) = self.order.last() else { return 1.0 };
-        let told = self.plan.step(*at).at_least;
-        let own = self.function(*at).map_or(told, |f| needs(&f, told, 0));
+        let own = self.need(*at, needs, 0);
         let spent = now.saturating_sub(self.begun) as f64;
         1.0 + PAID * spent / (spent + (own + self.rest(*at, needs, own)) as f64).max(1.0)
     }
@@ -213,12 +213,11 @@
             self.order.push(step);
             return self.close(now, step, how, &|n| fields.get(n).cloned(), Why::StepFailed, needs, todo);
         }
-        let row = self.plan.step(step);
-        let (optional, told) = (row.optional, row.at_least);
+        let optional = self.plan.step(step).optional;
         let Some(function) = self.function(step) else {
             return self.close(now, step, How::NeverRan, &|_| None, Why::NoFunction, needs, todo);
         };
-        let own = needs(&function, told, 0);
+        let own = self.need(step, needs, 0);
         let rest = self.rest(step, needs, own);
         let until = self.deadline.saturating_sub(WAY_BACK + rest);
         if now + own > until {
--- a/crates/chain/tests/common/mod.rs
+++ b/crates/chain/tests/common/mod.rs
@@ -3,7 +3,7 @@
 use applepond::interface::{Effect, Micros, Within};
 use applepond_chain::*;
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::sync::Arc;
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
@@ -99,13 +99,13 @@
     pub fn resumed(steps: Vec<Step>, recorded: run::Recorded) -> Self {
         let (plan, now) = (plan(steps), 100 * S);
         assert_eq!(plan.check(), Vec::new(), "a sound plan");
-        let run = Run::new(now, Rc::new(plan), Some("of-event".into()), now + 4 * S, recorded);
+        let run = Run::new(now, Arc::new(plan), Some("of-event".into()), now + 4 * S, recorded);
         Bench { run, now, needs: BTreeMap::new() }
     }
 
     pub fn begin(&mut self) -> Vec<String> {
         let needs = self.needs.clone();
-        let todo = self.run.begin(self.now, &|f, told, _| needs.get(f).copied().unwrap_or(told));
+        let todo = self.run.begin(self.now, &|step, f, _| needs.get(f).copied().unwrap_or(step.at_least));
         self.words(&todo)
     }
 
@@ -114,7 +114,7 @@
         self.now += ms * MS;
         let needs = self.needs.clone();
         let field = |name: &str| fields.iter().find(|(n, _)| *n == name).map(|(_, v)| (*v).to_owned());
-        let needs = |f: &str, told: Micros, _: Micros| needs.get(f).copied().unwrap_or(told);
+        let needs = |step: &Step, f: &str, _: Micros| needs.get(f).copied().unwrap_or(step.at_least);
         let todo = self.run.ended(self.now, id(n), how, &field, &needs);
         self.words(&todo)
     }
--- a/crates/chain/tests/runs.rs
+++ b/crates/chain/tests/runs.rs
@@ -131,7 +131,7 @@
         [Do::Begin { until, .. }] => *until,
         other => panic!("{other:?}"),
     };
-    let needs = |_: &str, told: u64, _: u64| told;
+    let needs = |step: &Step, _: &str, _: u64| step.at_least;
     let first = until(&b.run.begin(b.now, &needs));
     assert_eq!(first, 104 * S - 5 * MS - 100 * MS);
     let second = b.run.ended(b.now + 10 * MS, id(0), How::Finished, &|_| None, &needs);
@@ -182,13 +182,13 @@
 }
 
 #[test]
-fn worth_grows_with_what_is_paid_for() {
+fn importance_grows_with_what_is_paid_for() {
     let mut b = Bench::new(booking());
-    let needs = |_: &str, told: u64, _: u64| told;
+    let needs = |step: &Step, _: &str, _: u64| step.at_least;
     b.begin();
-    let fresh = b.run.worth(b.now, &needs);
+    let fresh = b.run.paid(b.now, &needs);
     b.ends(300, 0, How::Finished, &[("hut", "luční")]);
     b.ends(300, 1, How::Finished, &[("free", "yes")]);
-    let near = b.run.worth(b.now, &needs);
+    let near = b.run.paid(b.now, &needs);
     assert!(fresh < 1.1 && near > 3.0, "{fresh} {near}");
 }
--- a/crates/gateway/benches/gateway.rs
+++ b/crates/gateway/benches/gateway.rs
@@ -4,7 +4,6 @@
 //! connections always asking; then latency from the time a job should have been sent, at half of the
 //! gateway's peak; then bytes of a connection that lies idle. CPU is that of the middle thread alone.
 #[path = "../tests/common/mod.rs"]
-#[allow(dead_code)]
 mod common;
 
 use applepond_gateway::Gateway;
--- a/crates/gateway/benches/pushback.rs
+++ b/crates/gateway/benches/pushback.rs
@@ -4,7 +4,6 @@
 //! clients that all ask again: over connections that stand, and over a new one each time. CPU is that of the
 //! gateway's thread alone, the kernel's part with it.
 #[path = "../tests/common/mod.rs"]
-#[allow(dead_code)]
 mod common;
 
 use applepond_gateway::Gateway;
--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -3,7 +3,7 @@
 use applepond_chain::Plan;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// Where the name of a job's function comes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -44,7 +44,7 @@
     /// The attribute that names the function of steps that name none themselves.
     pub function_by: String,
     /// Looked at as a whole: it has no faults.
-    pub plan: Rc<Plan>,
+    pub plan: Arc<Plan>,
 }
 
 /// One worker as the settings name it.
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -17,6 +17,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
+mod chained;
+
 /// Idle connections kept a worker: more than one router has jobs there at a time.
 const IDLE_MOST: usize = 64;
 /// µs after which an idle connection is not used any more: shorter than a worker keeps it, so that the
@@ -109,6 +111,28 @@
     row: FunctionRow,
     ended: bool,
     timed_out: bool,
+    /// Its answer came from a copy that stood loaded.
+    stood: bool,
+    /// What to do with its end, where it is a step of a chain: no client waits for it.
+    then: Option<chained::Then>,
+}
+
+/// A job as it is begun, for a client or for a chain.
+struct Wanted {
+    name: Name,
+    client: u64,
+    digest: u64,
+    workload: usize,
+    function: String,
+    customer: Option<CustomerId>,
+    left: Micros,
+    retry: bool,
+    paid: f64,
+    lines: Lines,
+    media: Option<String>,
+    data: Rc<Vec<u8>>,
+    callers: Vec<Conn>,
+    then: Option<chained::Then>,
 }
 
 impl Task {
@@ -187,6 +211,7 @@
     claims: Claims<Told>,
     /// Tells storms of retries, and stands before the module while one lasts.
     gate: Gate,
+    chains: chained::Chains,
     /// What the log was last told that the traffic is called.
     said: Called,
     /// Executions that are out, by when their time is up. One timer serves all of them: a timer for each
@@ -224,6 +249,7 @@
         let gate = Gate::new(now, deployment.rows.seed);
         Gateway {
             gate,
+            chains: chained::Chains::new(deployment.rows.keep),
             said: Called::Calm,
             picks: picks.collect(),
             control,
@@ -260,6 +286,14 @@
     fn settle(&mut self, now: Micros, wire: &mut dyn Wire) {
         loop {
             self.carry_out(now, wire);
+            if let Some((job, todo)) = self.chains.begun.pop_front() {
+                self.chain_goes_on(now, wire, job, todo);
+                continue;
+            }
+            if let Some((then, end)) = self.chains.ends.pop_front() {
+                then(self, now, wire, end);
+                continue;
+            }
             match self.ready.pop_front() {
                 Some(conn) => self.read_on(now, wire, conn),
                 None if self.acts.0.is_empty() => return,
@@ -464,6 +498,14 @@
     fn end(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, told: Rc<Told>) {
         let Some(task) = self.tasks.get_mut(&job).filter(|t| !t.ended) else { return };
         task.ended = true;
+        if let Some(then) = task.then.take() {
+            let end = chained::StepEnd { told, took: now - task.came, stood: task.stood };
+            if task.out() == 0 {
+                self.tasks.remove(&job);
+            }
+            self.chains.ends.push_back((then, end));
+            return;
+        }
         let count = match told.ending {
             Ending::Finished => &mut self.counts.finished,
             Ending::PushedBack => &mut self.counts.pushed_back,
@@ -537,11 +579,15 @@
             tracing::info!(id, reason, status, "event refused");
             Err(front::problem(Ending::PushedBack, &fault, Some(&id), None))
         };
+        if let Some(row) = self.deployment.chains.iter().position(|c| c.types.contains(&draft.kind)) {
+            return self.take_chain(now, conn, row, draft);
+        }
         let Some(workload) = self.deployment.workloads.iter().position(|w| w.types.contains(&draft.kind))
         else {
             let shown: String = draft.kind.escape_default().take(80).collect();
             return refuse(422, "unknown-workload", format!("no workload takes events of type '{shown}'"));
         };
+        let time_limit = self.deployment.workloads[workload].time_limit;
         let names = &self.deployment.workloads[workload];
         let function = match &names.function_by {
             FunctionBy::Named(name) => Some(name.as_str()),
@@ -554,41 +600,55 @@
                 format!("the event does not name its function: {:?}", names.function_by),
             );
         };
-        let customer = match draft.picked(&self.deployment.customer_by) {
-            None => None,
-            Some(named) => match self.deployment.customers.iter().position(|c| c == named) {
-                Some(n) => Some(CustomerId(n)),
-                None => {
-                    return refuse(422, "unknown-customer", "no such customer has a share here".to_owned());
-                }
-            },
+        let Ok(customer) = self.customer(&draft) else {
+            return refuse(422, "unknown-customer", "no such customer has a share here".to_owned());
         };
         let name: Name = (Rc::from(draft.source.as_str()), Rc::from(draft.id.as_str()));
-        match self.claims.claim(now, &name) {
-            Claim::Join(job) => {
-                self.counts.joined += 1;
-                let task = self.tasks.get_mut(&job).expect("running jobs are known");
-                task.callers.push(conn);
-                if let Some(caller) = self.callers.get_mut(&conn) {
-                    caller.job = Some(job);
-                }
-                return Ok(());
-            }
-            Claim::Again(told) => {
-                self.counts.again += 1;
-                return Err(told);
-            }
-            Claim::New => {}
+        if let Some(taken) = self.taken(now, conn, &name) {
+            return taken;
         }
-        let Some(left) = limit::left(now, names.time_limit, draft.asked) else {
+        let Some(left) = limit::left(now, time_limit, draft.asked) else {
             return refuse(504, "expired", "the event's time was up when it came".to_owned());
         };
-        if self.tasks.len() >= JOBS_MOST {
+        if self.tasks.len() + self.chains.open.len() >= JOBS_MOST {
             let fault = Fault::new(503, "too-many-jobs", "this router holds as many jobs as it may");
             return Err(front::problem(Ending::PushedBack, &fault, Some(&id), Some(JOBS_MOST_WAIT)));
         }
-        let row = self.deployment.functions.get(&function);
-        let row = row.unwrap_or(&names.function).clone();
+        let (client, digest, retry) = self.admit(now, &draft, workload, left)?;
+        self.counts.jobs += 1;
+        let wanted = Wanted {
+            name: name.clone(),
+            client,
+            digest,
+            workload,
+            function,
+            customer,
+            left,
+            retry,
+            paid: 1.0,
+            lines: draft.lines,
+            media: draft.media,
+            data: Rc::new(draft.data),
+            callers: vec![conn],
+            then: None,
+        };
+        let job = self.begin(now, wanted);
+        self.claims.begin(name, job);
+        if let Some(caller) = self.callers.get_mut(&conn) {
+            caller.job = Some(job);
+        }
+        Ok(())
+    }
+
+    /// Asks the gate; the digests of the client and the job's name, and whether it is a retry. An error is
+    /// the answer of a job that is pushed back before the module.
+    fn admit(
+        &mut self,
+        now: Micros,
+        draft: &Draft,
+        workload: usize,
+        left: Micros,
+    ) -> Result<(u64, u64, bool), Rc<Told>> {
         let client = FunctionId::named(&draft.source).0;
         let digest = FunctionId::named(&draft.id).0 ^ client.rotate_left(1);
         let passage = self.gate.arrive(
@@ -602,62 +662,104 @@
             },
         );
         self.say_called(now);
-        let retry = match passage {
-            Passage::In { retry } => retry,
-            Passage::Back { .. } if !self.deployment.damping => draft.retry,
+        match passage {
+            Passage::In { retry } => Ok((client, digest, retry)),
+            Passage::Back { .. } if !self.deployment.damping => Ok((client, digest, draft.retry)),
             Passage::Back { wait, why } => {
                 self.counts.damped += 1;
-                tracing::debug!(id, reason = why, "pushed back before the module");
+                tracing::debug!(id = draft.id, reason = why, "pushed back before the module");
                 let status = if why == "retry-budget" { 429 } else { 503 };
                 let fault =
                     Fault::new(status, why, "many ask again at once; a retry does no harm at the time told");
-                return Err(front::problem(Ending::PushedBack, &fault, Some(&id), wait));
+                Err(front::problem(Ending::PushedBack, &fault, Some(&draft.id), wait))
             }
-        };
+        }
+    }
+
+    /// The customer that an event names; an error is one that is not known.
+    fn customer(&self, draft: &Draft) -> Result<Option<CustomerId>, ()> {
+        match draft.picked(&self.deployment.customer_by) {
+            None => Ok(None),
+            Some(named) => {
+                let found = self.deployment.customers.iter().position(|c| c == named);
+                found.map(|n| Some(CustomerId(n))).ok_or(())
+            }
+        }
+    }
+
+    /// Has an exchange join what runs under its name, or be told what came of it. None: the name is new.
+    fn taken(&mut self, now: Micros, conn: Conn, name: &Name) -> Option<Result<(), Rc<Told>>> {
+        match self.claims.claim(now, name) {
+            Claim::Join(job) => {
+                self.counts.joined += 1;
+                match (self.tasks.get_mut(&job), self.chains.open.get_mut(&job)) {
+                    (Some(task), _) => task.callers.push(conn),
+                    (_, Some(chain)) => chain.callers.push(conn),
+                    _ => unreachable!("what runs is known"),
+                }
+                if let Some(caller) = self.callers.get_mut(&conn) {
+                    caller.job = Some(job);
+                }
+                Some(Ok(()))
+            }
+            Claim::Again(told) => {
+                self.counts.again += 1;
+                Some(Err(told))
+            }
+            Claim::New => None,
+        }
+    }
+
+    /// Hands a job to the module.
+    fn begin(&mut self, now: Micros, wanted: Wanted) -> JobId {
+        let names = &self.deployment.workloads[wanted.workload];
+        let row = self.deployment.functions.get(&wanted.function).unwrap_or(&names.function).clone();
         self.next_job += 1;
-        self.counts.jobs += 1;
         let job = job_id(self.deployment.rows.seed, self.next_job);
         let arrival = Arrival {
             job,
-            function: FunctionId::named(&function),
-            workload: WorkloadId(workload),
-            customer,
-            left,
+            function: FunctionId::named(&wanted.function),
+            workload: WorkloadId(wanted.workload),
+            customer: wanted.customer,
+            left: wanted.left,
             lanes: row.lanes,
-            retry,
+            retry: wanted.retry,
             load_time: row.load_time,
+            paid: wanted.paid,
         };
         let task = Task {
-            name: name.clone(),
-            client,
-            digest,
-            workload,
-            function,
+            name: wanted.name,
+            client: wanted.client,
+            digest: wanted.digest,
+            workload: wanted.workload,
+            function: wanted.function,
             came: now,
-            limit: now + left,
-            callers: vec![conn],
+            limit: now + wanted.left,
+            callers: wanted.callers,
             executions: Vec::new(),
-            lines: draft.lines,
-            media: draft.media,
-            data: Rc::new(draft.data),
+            lines: wanted.lines,
+            media: wanted.media,
+            data: wanted.data,
             row,
             ended: false,
             timed_out: false,
+            stood: false,
+            then: wanted.then,
         };
-        self.claims.begin(name, job);
         self.tasks.insert(job, task);
-        if let Some(caller) = self.callers.get_mut(&conn) {
-            caller.job = Some(job);
-        }
         self.control.clock(now);
         self.control.job(&mut self.acts, &arrival);
-        Ok(())
+        job
     }
 
     /// A client has gone. A job that never left for a worker ends with the last that waited for it; one that
     /// did goes on, for the client may come back for its answer and must not make it run twice.
     fn caller_gone(&mut self, now: Micros, conn: Conn) {
         let Some(job) = self.callers.remove(&conn).and_then(|c| c.job) else { return };
+        // A chain goes on: its client may come back for the answer.
+        if let Some(chain) = self.chains.open.get_mut(&job) {
+            chain.callers.retain(|c| *c != conn);
+        }
         let Some(task) = self.tasks.get_mut(&job) else { return };
         task.callers.retain(|c| *c != conn);
         if task.callers.is_empty() && task.executions.is_empty() && !task.ended {
@@ -715,6 +817,7 @@
                 "pushed-back": c.pushed_back, "killed": c.killed, "requests-refused": c.refused},
             "executions": {"out": out, "begun": c.executions},
             "remembered": self.claims.remembered(),
+            "chains": self.chains.state(),
             "storm": self.storm_state(now),
             "connections": {"clients": self.callers.len(), "workers": self.links.len(),
                 "list": self.watch.conn.is_some()},
@@ -769,6 +872,7 @@
         if let Some(task) = self.tasks.get_mut(&job) {
             task.executions[n].link = None;
             if outcome == Outcome::Finished && !task.ended {
+                task.stood = answering.copy != Copy::Begun && answering.copy != Copy::Awaited;
                 let mut lines = std::mem::take(&mut answering.lines);
                 lines.field("applepond-executions", &task.executions.len().to_string());
                 let body = std::mem::take(&mut answering.body);
--- /dev/null
+++ b/crates/gateway/tests/chains.rs
@@ -0,0 +1,184 @@
+//! Chains through the gateway on a paper wire: what workers are sent, what clients are told.
+mod common;
+
+use applepond_chain::{Branch, Function, Go, Plan, Step, StepId, Test};
+use applepond_gateway::Deployment;
+use applepond_gateway::deployment::ChainRow;
+use applepond_reactor::Conn;
+use common::{Bench, MS, S, deployment, event, result};
+use std::sync::Arc;
+use test_case::test_case;
+
+fn step(name: &str, workload: usize) -> Step {
+    Step {
+        name: name.into(),
+        workload,
+        effect: deployment(0).rows.workloads[workload].effect,
+        function: Function::Named(format!("{name}-fn")),
+        at_least: 20 * MS,
+        optional: false,
+        undo: None,
+        next: Vec::new(),
+        or_else: Vec::new(),
+    }
+}
+
+fn to(n: usize) -> Branch {
+    Branch { test: None, go: Go::One(StepId(n)) }
+}
+
+/// Price; beds at the hut that the price names, released when it fails later; if they are not free, the
+/// second
+/// hut; then confirm, once.
+fn booking() -> Plan {
+    let free = Test { field: "free".into(), is: "true".into() };
+    let steps = vec![
+        Step { next: vec![to(1)], function: Function::OfEvent, ..step("price", 0) },
+        Step {
+            next: vec![Branch { test: Some(free), go: Go::One(StepId(3)) }, to(2)],
+            function: Function::From(StepId(0), "hut".into()),
+            undo: Some(StepId(4)),
+            ..step("beds", 1)
+        },
+        Step { next: vec![to(3)], ..step("second", 1) },
+        step("confirm", 2),
+        Step { function: Function::From(StepId(0), "hut".into()), ..step("release", 1) },
+    ];
+    Plan { name: "book".into(), limit: 4 * S, steps }
+}
+
+fn bench() -> Bench {
+    let plan = booking();
+    assert_eq!(plan.check(), Vec::new());
+    let row = ChainRow { types: vec!["book".into()], function_by: "subject".into(), plan: Arc::new(plan) };
+    Bench::new(Deployment { chains: vec![row], ..deployment(2) })
+}
+
+/// The latest request that a worker was sent, with its connection.
+fn latest(b: &mut Bench) -> (Conn, String) {
+    b.links();
+    let sent = |c: &Conn| b.told(*c).split("POST /run").last().unwrap_or_default().to_owned();
+    let open: Vec<Conn> =
+        b.paper.connects.iter().map(|(c, _)| *c).filter(|c| !b.paper.cut.contains(c)).collect();
+    let newest =
+        open.into_iter().max_by_key(|c| (b.requests_at(*c).1, *c)).expect("a worker was sent something");
+    (newest, sent(&newest))
+}
+
+/// A worker answers the latest request; what the next one is about.
+fn answers(b: &mut Bench, body: &str) -> String {
+    let (conn, _) = latest(b);
+    b.pass(20 * MS);
+    b.says(conn, result(body).as_bytes());
+    latest(b).1
+}
+
+#[test]
+fn a_booking_from_beginning_to_end() {
+    let mut b = bench();
+    let client = b.asks("book", "7");
+    let (_, price) = latest(&mut b);
+    assert!(price.contains("applepond-function: hut\r\n") && price.contains("ce-id: 7/price"), "{price}");
+    assert!(price.contains("ce-type: quote\r\n") && !price.contains("ce-type: book"), "{price}");
+    let beds = answers(&mut b, "{\"hut\":\"lucni\"}");
+    assert!(beds.contains("applepond-function: lucni\r\n") && beds.contains("ce-id: 7/beds"), "{beds}");
+    let confirm = answers(&mut b, "{\"free\":true}");
+    assert!(confirm.contains("applepond-function: confirm-fn\r\n"), "{confirm}");
+    assert_eq!(b.told(client), "", "one answer, at the end");
+    answers(&mut b, "{\"booked\":4711}");
+    let told = b.told(client);
+    assert!(told.starts_with("HTTP/1.1 200") && told.contains("4711"), "{told}");
+    assert!(told.contains("applepond-steps: 3"), "{told}");
+    assert_eq!(b.requests(), 3);
+}
+
+// A retry joins the chain that runs, and is told its answer afterwards: one run, counted at the workers.
+#[test]
+fn a_retried_chain_is_one() {
+    let mut b = bench();
+    let client = b.asks("book", "7");
+    answers(&mut b, "{\"hut\":\"lucni\"}");
+    b.breaks(client, applepond_reactor::Closed::Reset);
+    let again = b.asks("book", "7");
+    answers(&mut b, "{\"free\":true}");
+    answers(&mut b, "{\"booked\":4711}");
+    let later = b.asks("book", "7");
+    for client in [again, later] {
+        assert!(b.told(client).contains("4711"), "{}", b.told(client));
+    }
+    assert_eq!(b.requests(), 3);
+}
+
+#[test_case("{\"free\":false}"; "no beds")]
+#[test_case("no JSON at all"; "garbage")]
+#[test_case("{\"free\":{}}"; "a field that is no word")]
+fn the_second_hut(beds: &str) {
+    let mut b = bench();
+    b.asks("book", "7");
+    answers(&mut b, "{\"hut\":\"lucni\"}");
+    assert!(answers(&mut b, beds).contains("applepond-function: second-fn"));
+}
+
+// The confirmation may have run: the client is told so and no more, and the beds are released, until that has
+// finished.
+#[test]
+fn a_failed_chain_is_taken_back() {
+    let mut b = bench();
+    let client = b.asks("book", "7");
+    answers(&mut b, "{\"hut\":\"lucni\"}");
+    answers(&mut b, "{\"free\":true}");
+    let (conn, _) = latest(&mut b);
+    b.breaks(conn, applepond_reactor::Closed::Reset);
+    b.pass(MS);
+    let told = b.told(client);
+    assert!(told.starts_with("HTTP/1.1 502") && told.contains("step-failed"), "{told}");
+    let (conn, release) = latest(&mut b);
+    assert!(
+        release.contains("ce-id: 7/release") && release.contains("applepond-function: lucni"),
+        "{release}"
+    );
+    b.says(conn, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    b.pass(8 * S);
+    let (conn, again) = latest(&mut b);
+    assert!(again.contains("ce-id: 7/release"), "{again}");
+    b.says(conn, result("{}").as_bytes());
+    b.pass(20 * S);
+    let page = b.caller();
+    b.says(page, b"GET /-/state HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(
+        b.told(page).contains("\"chains\":{\"failed\":1") && b.told(page).contains("\"open\":0"),
+        "{}",
+        b.told(page)
+    );
+    let again = b.asks("book", "7");
+    assert!(b.told(again).starts_with("HTTP/1.1 502"), "it is told again, not run again");
+}
+
+// Nothing has had an effect: the client is told when to come back, and may.
+#[test]
+fn a_chain_without_room_is_pushed_back() {
+    let mut b = Bench::new(Deployment {
+        chains: vec![ChainRow {
+            types: vec!["book".into()],
+            function_by: "subject".into(),
+            plan: Arc::new(booking()),
+        }],
+        ..deployment(0)
+    });
+    let client = b.asks("book", "7");
+    b.pass(5 * S);
+    let told = b.told(client);
+    assert!(told.starts_with("HTTP/1.1 503") && told.contains("retry-after-ms"), "{told}");
+    assert_eq!(b.statuses(client).len(), 1);
+}
+
+#[test]
+fn a_chain_that_cannot_finish_is_refused_at_once() {
+    let mut b = bench();
+    let event = event("book", "7").replace("ce-id", "ce-timelimit: 60\r\nce-id");
+    let client = b.caller();
+    b.says(client, event.as_bytes());
+    let told = b.told(client);
+    assert!(told.starts_with("HTTP/1.1 503") && told.contains("no-time"), "{told}");
+    assert_eq!(b.requests(), 0);
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A wire on paper: what the gateway wrote, opened and cut, with time moved by hand.
+#![allow(dead_code)] // each table of cases uses its own part
 use applepond::interface::*;
 use applepond_gateway::deployment::{FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
 use applepond_gateway::{Deployment, Gateway};
@@ -14,6 +15,8 @@
     next: u64,
     pub connects: Vec<(Conn, SocketAddr)>,
     pub written: BTreeMap<Conn, Vec<u8>>,
+    /// Number of each connection's last write.
+    pub wrote: BTreeMap<Conn, u64>,
     pub sent: BTreeMap<Conn, u64>,
     /// Connections whose peer takes nothing.
     pub stuck: BTreeSet<Conn>,
@@ -32,6 +35,8 @@
     }
     fn write(&mut self, conn: Conn, bytes: &[u8]) {
         self.written.entry(conn).or_default().extend_from_slice(bytes);
+        self.next += 1;
+        self.wrote.insert(conn, self.next);
         if !self.stuck.contains(&conn) {
             *self.sent.entry(conn).or_default() += bytes.len() as u64;
         }
@@ -219,6 +224,11 @@
         told.split("HTTP/1.1 ").skip(1).filter_map(|a| a[..3].parse().ok()).collect()
     }
 
+    /// Requests that a connection carried, and when the last of them was written, as a count of all writes.
+    pub fn requests_at(&self, conn: Conn) -> (usize, u64) {
+        (self.told(conn).matches("POST /run").count(), self.paper.wrote.get(&conn).copied().unwrap_or(0))
+    }
+
     /// Requests that workers were sent, over all connections.
     pub fn requests(&self) -> usize {
         let links: BTreeSet<Conn> = self.paper.connects.iter().map(|(c, _)| *c).collect();
@@ -237,3 +247,8 @@
 pub const DONE: &str = "HTTP/1.1 200 OK\r\nce-specversion: 1.0\r\nce-id: r1\r\nce-source: /w\r\n\
     ce-type: result\r\napplepond-copy: stood\r\napplepond-company: 0\r\n\
     Content-Type: application/json\r\nContent-Length: 9\r\n\r\n{\"ok\": 1}";
+
+/// A worker's finished answer with this result.
+pub fn result(body: &str) -> String {
+    DONE.replace("Content-Length: 9", &format!("Content-Length: {}", body.len())).replace("{\"ok\": 1}", body)
+}
--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -23,6 +23,19 @@
         self.0.extend_from_slice(b"\r\n");
     }
 
+    /// The same lines but those of the fields named, which are given as they were written.
+    pub fn without(&self, names: &[&str]) -> Lines {
+        let lines = self.0.split_inclusive(|b| *b == b'\n');
+        let named = |line: &&[u8]| {
+            !names.iter().any(|n| line.strip_prefix(n.as_bytes()).is_some_and(|rest| rest.starts_with(b": ")))
+        };
+        Lines(lines.filter(named).flatten().copied().collect())
+    }
+
+    pub fn append(&mut self, more: &Lines) {
+        self.0.extend_from_slice(&more.0);
+    }
+
     pub fn len(&self) -> usize {
         self.0.len()
     }
--- a/crates/settings/src/chains.rs
+++ b/crates/settings/src/chains.rs
@@ -4,7 +4,7 @@
 use applepond_chain as chain;
 use applepond_chain::{Branch, Function, Go, Plan, Step, StepId, Test};
 use applepond_gateway::deployment::{ChainRow, WorkloadNames};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// What a step is told of when it names no time.
 const AT_LEAST: Micros = 1_000;
@@ -70,7 +70,7 @@
         raw.next.into_iter().chain(raw.or_else).for_each(Part::done);
         raw.part.done();
     }
-    Some(ChainRow { types: types?, function_by: function_by?, plan: Rc::new(plan?) })
+    Some(ChainRow { types: types?, function_by: function_by?, plan: Arc::new(plan?) })
 }
 
 fn step(raw: &Raw<'_>, names: &[String], rows: &[WorkloadRow], workloads: &[WorkloadNames]) -> Option<Step> {
--- a/src/control.rs
+++ b/src/control.rs
@@ -448,7 +448,7 @@
             customer: arrival.customer,
             came: now,
             limit: now + arrival.left,
-            value: (self.workloads[arrival.workload.0].importance * share * 1000.0) as u64,
+            value: (self.workloads[arrival.workload.0].importance * share * arrival.paid * 1000.0) as u64,
             chance: self.rng.rand_u64(),
             tried: Vec::new(),
             streaming: false,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -162,6 +162,8 @@
     /// The client has tried before, where clients say so.
     pub retry: bool,
     pub load_time: Option<Micros>,
+    /// Times its workload's importance: 1, or more where work before it has been paid for.
+    pub paid: f64,
 }
 
 /// How one execution closed.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -133,6 +133,7 @@
             lanes: 2,
             retry: self.retry,
             load_time: Some(1000 * MS),
+            paid: 1.0,
         };
         self.control.job(&mut self.record, &arrival);
     }
