--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -1,5 +1,4 @@
 //! The instance on real loopback sockets, with stand-ins for workers and clients in the same reactor.
-#[allow(dead_code)]
 mod common;
 
 use applepond_gateway::Gateway;
--- /dev/null
+++ b/crates/record/src/kept.rs
@@ -0,0 +1,137 @@
+//! What is kept of a chain, and what that means for one that goes on after a kill.
+use crate::Micros;
+use applepond::interface::{Effect, Within};
+use applepond_chain::run::Recorded;
+use applepond_chain::{How, Plan, StepId};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Bytes of one step's answer at most that are kept; the answer of a chain whose last step said more cannot
+/// be
+/// told again after a kill.
+pub const ANSWER_MOST: usize = 64 * 1024;
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    /// Which chain, and a digest of its plan: after a change of the plan nothing goes on by it.
+    pub chain: String,
+    pub plan: u64,
+    /// The function that the event named.
+    pub named: Option<String>,
+    pub deadline: Micros,
+    /// When the record may be dropped.
+    pub until: Micros,
+    /// The chain has come to its end, undos and all.
+    pub closed: bool,
+    /// By the step's place in the plan.
+    pub steps: BTreeMap<u32, KeptStep>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct KeptStep {
+    /// When it was sent, or was about to be.
+    pub sent: Micros,
+    pub end: Option<KeptEnd>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KeptEnd {
+    pub how: u8,
+    /// Fields of its result that the plan asks for.
+    pub fields: BTreeMap<String, String>,
+    pub answer: Option<KeptAnswer>,
+}
+
+/// Header lines and body of a step's answer, as the client would get them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KeptAnswer {
+    pub lines: Vec<u8>,
+    pub body: Vec<u8>,
+}
+
+/// As a number on disk: these never change their meaning.
+pub fn number(how: How) -> u8 {
+    match how {
+        How::Finished => 0,
+        How::NeverRan => 1,
+        How::MayHaveRun => 2,
+    }
+}
+
+fn how(number: u8) -> How {
+    match number {
+        0 => How::Finished,
+        1 => How::NeverRan,
+        // Also what a later version wrote: the careful reading.
+        _ => How::MayHaveRun,
+    }
+}
+
+/// Whether a step that was sent, and whose end is not known, may be sent once more. A fingerprint helps
+/// only where
+/// the repeat is known by whoever gets it: after a kill nobody here knows which rack or zone got the first.
+fn again(effect: Effect, sent: Micros, now: Micros) -> bool {
+    match effect {
+        Effect::Restartable => true,
+        Effect::Fingerprinted { within: Within::Everywhere, window } => now < sent + window,
+        Effect::Fingerprinted { .. } | Effect::RunOnce => false,
+    }
+}
+
+/// What a chain that goes on is to know of its steps: those that ended, and those that may have run.
+pub fn resumed(kept: &Kept, plan: &Plan, now: Micros) -> Recorded {
+    let mut recorded = Recorded::new();
+    for (n, step) in &kept.steps {
+        let Some(row) = plan.steps.get(*n as usize) else { continue };
+        let known = match &step.end {
+            Some(end) => (how(end.how), end.fields.clone()),
+            None if again(row.effect, step.sent, now) => continue,
+            None => (How::MayHaveRun, BTreeMap::new()),
+        };
+        recorded.insert(StepId(*n as usize), known);
+    }
+    recorded
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use applepond_chain::{Function, Step};
+    use test_case::test_case;
+
+    const S: Micros = 1_000_000;
+    const EVERYWHERE: Effect = Effect::Fingerprinted { within: Within::Everywhere, window: 3 * S };
+    const RACK: Effect = Effect::Fingerprinted { within: Within::Rack, window: 3 * S };
+
+    #[test_case(Effect::Restartable, 9, None; "restartable: begun again")]
+    #[test_case(EVERYWHERE, 2, None; "fingerprinted everywhere, in its window: begun again")]
+    #[test_case(EVERYWHERE, 3, Some(How::MayHaveRun); "past its window")]
+    #[test_case(RACK, 2, Some(How::MayHaveRun); "fingerprinted by rack: which one is not known")]
+    #[test_case(Effect::RunOnce, 0, Some(How::MayHaveRun); "run-once")]
+    fn sent_without_an_end(effect: Effect, later_s: u64, want: Option<How>) {
+        let step = Step {
+            name: "a".into(),
+            workload: 0,
+            effect,
+            function: Function::OfEvent,
+            at_least: 1,
+            optional: false,
+            undo: None,
+            next: Vec::new(),
+            or_else: Vec::new(),
+        };
+        let plan = Plan { name: "p".into(), limit: S, steps: vec![step] };
+        let sent = KeptStep { sent: 100 * S, end: None };
+        let kept = Kept { steps: BTreeMap::from([(0, sent)]), ..Kept::default() };
+        let got = resumed(&kept, &plan, (100 + later_s) * S);
+        assert_eq!(got.get(&StepId(0)).map(|(how, _)| *how), want);
+    }
+
+    #[test]
+    fn ends_are_read_as_they_were_written() {
+        for want in [How::Finished, How::NeverRan, How::MayHaveRun] {
+            assert_eq!(how(number(want)), want);
+        }
+        assert_eq!(how(77), How::MayHaveRun);
+    }
+}
--- /dev/null
+++ b/crates/record/src/lib.rs
@@ -0,0 +1,59 @@
+//! What chains came to, step by step, kept on disk over the end of the process.
+//!
+//! A step with an effect is written down before it is sent, in the same transaction as what is known of the
+//! steps
+//! before it; ends are written with the next such step, or a moment later. So a step on record without an end
+//! may have run, and one that is not on record has not. `docs/chains.md` weighs the ways.
+pub mod disk;
+pub mod kept;
+
+pub use disk::Disk;
+pub use kept::{Kept, KeptAnswer, KeptEnd, KeptStep, resumed};
+
+/// Whole microseconds.
+pub type Micros = u64;
+
+/// A chain's name: `source` and `id` of its event.
+pub type Name<'a> = (&'a str, &'a str);
+
+/// Where records lie. An error is told in words that name the file; nothing that it was asked to keep is kept
+/// then, and nothing that stood there before is lost.
+pub trait Record {
+    /// Keeps these chains as they stand now, durably, all or none of them.
+    fn keep(&mut self, chains: &[(Name<'_>, &Kept)]) -> Result<(), String>;
+    /// What is on record of a chain.
+    fn read(&mut self, name: Name<'_>) -> Result<Option<Kept>, String>;
+    /// Names of the chains that had not come to their end when they were last kept.
+    fn open(&mut self) -> Result<Vec<(String, String)>, String>;
+    /// Drops what need not be known any more; how many chains.
+    fn clear(&mut self, now: Micros) -> Result<usize, String>;
+    /// Chains on record.
+    fn chains(&mut self) -> Result<u64, String>;
+}
+
+/// Records of an instance that was told no file: kept as long as it lives.
+#[derive(Default)]
+pub struct Memory(std::collections::BTreeMap<(String, String), Kept>);
+
+impl Record for Memory {
+    fn keep(&mut self, chains: &[(Name<'_>, &Kept)]) -> Result<(), String> {
+        for ((source, id), kept) in chains {
+            self.0.insert(((*source).to_owned(), (*id).to_owned()), (*kept).clone());
+        }
+        Ok(())
+    }
+    fn read(&mut self, (source, id): Name<'_>) -> Result<Option<Kept>, String> {
+        Ok(self.0.get(&(source.to_owned(), id.to_owned())).cloned())
+    }
+    fn open(&mut self) -> Result<Vec<(String, String)>, String> {
+        Ok(self.0.iter().filter(|(_, kept)| !kept.closed).map(|(name, _)| name.clone()).collect())
+    }
+    fn clear(&mut self, now: Micros) -> Result<usize, String> {
+        let before = self.0.len();
+        self.0.retain(|_, kept| kept.until > now);
+        Ok(before - self.0.len())
+    }
+    fn chains(&mut self) -> Result<u64, String> {
+        Ok(self.0.len() as u64)
+    }
+}
