gateway: chains are written down before a step with an effect; they go on after a kill

Steps with an effect wait for one transaction of all chains of a turn; where it fails they are not sent and end as never run. A retry after a kill goes on from what is on record: steps that ended are not begun again, a step that was sent without an end fails the chain, which is taken back. Without a retry that happens once the chain's time is up. On paper: kills after every step, each of eight writes failing times each step, no step with an effect twice. Settings: record = FILE.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,7 +1,9 @@
 //! `serve` and `check`.
+use applepond::interface::Effect;
 use applepond_drill::saboteur::{PLANTS, Saboteur};
 use applepond_gateway::{Deployment, Gateway};
 use applepond_reactor::{Machine, Reactor};
+use applepond_record::Disk;
 use clap::ValueEnum;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -48,8 +50,12 @@
     match read(file) {
         Ok(d) => {
             let (workloads, workers) = (d.workloads.len(), d.workers.len());
+            let chains = d.chains.len();
             let hosts = d.hosts.map_or("no host list".to_owned(), |at| format!("the host list at {at}"));
-            println!("{}: good; {workloads} workload(s), {workers} worker(s), {hosts}", file.display());
+            let file = file.display();
+            println!(
+                "{file}: good; {workloads} workload(s), {chains} chain(s), {workers} worker(s), {hosts}"
+            );
             ExitCode::SUCCESS
         }
         Err(status) => ExitCode::from(status),
@@ -83,7 +89,27 @@
         println!("listening {at}");
         let _ = std::io::stdout().flush();
     });
-    let gateway = Box::new(Gateway::new(reactor.now(), deployment, told));
+    let lasts =
+        |d: &Deployment| d.chains.iter().flat_map(|c| &c.plan.steps).any(|s| s.effect != Effect::Restartable);
+    let record = match &deployment.record {
+        Some(file) => match Disk::open(file) {
+            Ok(disk) => Some(Box::new(disk)),
+            Err(why) => {
+                eprintln!("the record of chains cannot be used: {why}");
+                return ExitCode::from(WRONG);
+            }
+        },
+        None if lasts(&deployment) => {
+            tracing::warn!(reason = "no-record", "chains with effects are not recorded: a kill forgets them");
+            None
+        }
+        None => None,
+    };
+    let gateway = Gateway::new(reactor.now(), deployment, told);
+    let gateway = match record {
+        Some(record) => Box::new(gateway.with_record(record)),
+        None => Box::new(gateway),
+    };
     let machine: Box<dyn Machine> = match plant {
         None => gateway,
         Some(name) => match PLANTS.iter().find(|(known, _, _)| *known == name) {
--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -3,6 +3,7 @@
 use applepond_chain::Plan;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 /// Where the name of a job's function comes from.
@@ -65,6 +66,8 @@
     /// In the order of `rows.workloads`.
     pub workloads: Vec<WorkloadNames>,
     pub chains: Vec<ChainRow>,
+    /// The file in which chains are recorded; without one they are known as long as the instance lives.
+    pub record: Option<PathBuf>,
     /// In the order of `rows.customers`.
     pub customers: Vec<String>,
     /// The attribute that names the customer.
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -11,6 +11,7 @@
 use applepond_http::decode::{Decoder, Fields, Side, Sink, Step as Decoded};
 use applepond_http::encode::{self, Lines};
 use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
+use applepond_record::Record;
 use applepond_storm::watch::Called;
 use applepond_storm::{Gate, Passage};
 use rustc_hash::FxHashMap;
@@ -272,6 +273,12 @@
         }
     }
 
+    /// Where chains are recorded; without it they are known as long as this instance lives.
+    pub fn with_record(mut self, record: Box<dyn Record>) -> Self {
+        self.chains.record = record;
+        self
+    }
+
     fn after(&mut self, now: Micros, wire: &mut dyn Wire, delay: Micros, step: Step) {
         self.next_step += 2;
         self.steps.insert(self.next_step, step);
@@ -296,7 +303,8 @@
             }
             match self.ready.pop_front() {
                 Some(conn) => self.read_on(now, wire, conn),
-                None if self.acts.0.is_empty() => return,
+                None if self.write_down(now, wire) => {}
+                None if self.acts.0.is_empty() && self.chains.ends.is_empty() => return,
                 None => {}
             }
         }
@@ -1019,6 +1027,7 @@
             let taken = self.members.take(ListKind::Full, named);
             self.listed(now, wire, &taken);
         }
+        self.resume_chains(now, wire);
         self.watch(wire);
         self.sweep(now, wire);
         self.settle(now, wire);
--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -1,17 +1,20 @@
 //! Chains on their way: each step is a job of its own that no client waits for; what it leaves to do is a
 //! closure, which is handed its end.
 use super::{Gateway, Wanted};
-use crate::claims::{Ending, Name};
+use crate::claims::{Claim, Ending, Name};
 use crate::front::{self, Draft, Told};
 use crate::limit;
 use applepond::interface::*;
 use applepond_chain::run::Needs;
-use applepond_chain::{Do, Ended, How, Run, Step, StepId, Times, Why};
+use applepond_chain::{Do, Ended, How, Plan, Run, Step, StepId, Times, Why};
 use applepond_http::Fault;
 use applepond_http::encode::Lines;
 use applepond_reactor::{Conn, Wire};
-use std::collections::{BTreeMap, VecDeque};
+use applepond_record::kept::{ANSWER_MOST, number};
+use applepond_record::{Kept, KeptAnswer, KeptEnd, KeptStep, Memory, Record, resumed};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// µs after which an undo that did not finish is begun again, and µs for which that is done: longer than a
 /// rollout takes.
@@ -19,6 +22,10 @@
 const UNDO_FOR: Micros = 300_000_000;
 /// µs named as a time to come back to a chain whose time was too short here: what was not loaded may be then.
 const COME_BACK: Micros = 1_000_000;
+/// µs after which ends of steps are written that no other write took along.
+const WRITTEN_SOON: Micros = 20_000;
+/// µs between two looks for records that may be dropped.
+const CLEARS: Micros = 5_000_000;
 /// Fields of a chain's event that its steps' events do not take over.
 const OWN: [&str; 4] = ["ce-id", "ce-type", "ce-timelimit", "ce-expirytime"];
 
@@ -54,6 +61,18 @@
     data: Rc<Vec<u8>>,
     undos: usize,
     steps: u64,
+    /// What is on record of it, or will be with the next write.
+    kept: Kept,
+    /// A step with an effect was sent: from then on it is on record.
+    on_record: bool,
+}
+
+/// A step with an effect that waits to be written down before it is sent.
+struct Waiting {
+    job: JobId,
+    step: StepId,
+    function: String,
+    until: Micros,
 }
 
 #[derive(Default)]
@@ -65,6 +84,9 @@
     refused_for_time: u64,
     steps: u64,
     undos: u64,
+    resumed: u64,
+    writes: u64,
+    not_written: u64,
 }
 
 pub struct Chains {
@@ -76,6 +98,11 @@
     pub begun: VecDeque<(JobId, Vec<Do>)>,
     times: Times,
     counts: Counts,
+    pub record: Box<dyn Record>,
+    unwritten: Vec<Waiting>,
+    /// Chains whose record is behind; a timer is set for them.
+    behind: BTreeSet<JobId>,
+    timer: bool,
 }
 
 impl Chains {
@@ -86,6 +113,19 @@
             begun: VecDeque::new(),
             times: Times::new(keep),
             counts: Counts::default(),
+            record: Box::new(Memory::default()),
+            unwritten: Vec::new(),
+            behind: BTreeSet::new(),
+            timer: false,
+        }
+    }
+
+    /// Chains that have come to their end, and whose record says so.
+    fn drop_closed(&mut self, jobs: &BTreeSet<JobId>) {
+        for job in jobs {
+            if self.open.get(job).is_some_and(|c| c.kept.closed) {
+                self.open.remove(job);
+            }
         }
     }
 
@@ -93,7 +133,8 @@
         let c = &self.counts;
         serde_json::json!({"open": self.open.len(), "taken": c.taken, "finished": c.finished,
             "pushed-back": c.pushed_back, "failed": c.failed, "refused-for-time": c.refused_for_time,
-            "steps": c.steps, "undos": c.undos, "functions-known": self.times.known()})
+            "steps": c.steps, "undos": c.undos, "functions-known": self.times.known(),
+            "record": {"resumed": c.resumed, "writes": c.writes, "not-written": c.not_written}})
     }
 }
 
@@ -108,6 +149,11 @@
     }
 }
 
+/// Tells a changed plan from the one that a record was written by.
+fn digest(plan: &Plan) -> u64 {
+    FunctionId::named(&format!("{plan:?}")).0
+}
+
 fn how(ending: Ending) -> How {
     match ending {
         Ending::Finished => How::Finished,
@@ -143,37 +189,238 @@
             return refuse(504, "expired", "the event's time was up when it came");
         };
         let named = draft.picked(&chain_row.function_by).filter(|f| !f.is_empty()).map(str::to_owned);
+        let digest_of_plan = digest(&plan);
+        let lasts = plan.steps.iter().any(|s| s.effect != Effect::Restartable);
+        if lasts && draft.data.len() > ANSWER_MOST {
+            return refuse(413, "large-chain", "the data of a chain with effects must fit its record");
+        }
+        let before = match self.chains.record.read((&name.0, &name.1)) {
+            Ok(before) => before.filter(|kept| kept.until > now),
+            Err(why) if lasts => {
+                tracing::error!(%why, reason = "no-record", "the record cannot be read");
+                return refuse(503, "no-record", "what ran before cannot be known here");
+            }
+            Err(_) => None,
+        };
+        if before.as_ref().is_some_and(|k| (&k.chain, k.plan) != (&plan.name, digest_of_plan)) {
+            return refuse(502, "plan-changed", "it began by another plan; steps of it may have run");
+        }
         let (client, digest, retry) = self.admit(now, &draft, plan.steps[0].workload, left)?;
         self.counts.jobs += 1;
         self.chains.counts.taken += 1;
         self.next_job += 1;
         let job = super::job_id(self.deployment.rows.seed, self.next_job);
-        let chain = Chain {
-            name: name.clone(),
-            client,
-            digest,
+        let customer_name = customer.map(|c| self.deployment.customers[c.0].clone());
+        let on_record = before.is_some();
+        let kept = before.unwrap_or_else(|| Kept {
+            chain: plan.name.clone(),
+            plan: digest_of_plan,
+            named,
+            customer: customer_name,
+            lines: draft.lines.without(&OWN).bytes().to_vec(),
+            media: draft.media,
+            data: draft.data,
+            ..Kept::default()
+        });
+        let until = now + left + self.deployment.remember_for;
+        let kept = Kept { deadline: now + left, until, closed: false, ..kept };
+        let chain =
+            Chain { callers: vec![conn], retry, ..self.chain(now, name.clone(), plan, kept, customer) };
+        let chain = Chain { client, digest, on_record, ..chain };
+        self.claims.begin(name, job);
+        if let Some(caller) = self.callers.get_mut(&conn) {
+            caller.job = Some(job);
+        }
+        self.open_chain(now, job, chain);
+        Ok(())
+    }
+
+    /// A chain with what is on record of it.
+    fn chain(
+        &mut self,
+        now: Micros,
+        name: Name,
+        plan: Arc<Plan>,
+        kept: Kept,
+        customer: Option<CustomerId>,
+    ) -> Chain {
+        let recorded = resumed(&kept, &plan, now);
+        self.chains.counts.resumed += u64::from(!kept.steps.is_empty());
+        let answer = |step: &KeptStep| {
+            let answer = step.end.as_ref()?.answer.as_ref()?;
+            let (lines, body) = (Lines::of(answer.lines.clone()), answer.body.clone());
+            Some(Rc::new(Told {
+                ending: Ending::Finished,
+                status: 200,
+                reason: "finished",
+                lines,
+                body,
+                come_back: None,
+            }))
+        };
+        let answers = kept.steps.iter().filter_map(|(n, s)| Some((StepId(*n as usize), answer(s)?)));
+        Chain {
+            name,
+            client: 0,
+            digest: 0,
             customer,
             came: now,
-            retry,
-            run: Run::new(now, plan, named, now + left, BTreeMap::new()),
-            callers: vec![conn],
+            retry: false,
+            answers: answers.collect(),
+            run: Run::new(now, plan, kept.named.clone(), kept.deadline, recorded),
+            callers: Vec::new(),
             out: BTreeMap::new(),
-            answers: BTreeMap::new(),
-            lines: draft.lines.without(&OWN),
-            media: draft.media,
-            data: Rc::new(draft.data),
+            lines: Lines::of(kept.lines.clone()),
+            media: kept.media.clone(),
+            data: Rc::new(kept.data.clone()),
             undos: 0,
             steps: 0,
-        };
-        self.claims.begin(name, job);
-        self.chains.open.insert(job, chain);
-        if let Some(caller) = self.callers.get_mut(&conn) {
-            caller.job = Some(job);
+            on_record: true,
+            kept,
         }
+    }
+
+    fn open_chain(&mut self, now: Micros, job: JobId, chain: Chain) {
+        self.chains.open.insert(job, chain);
         let todo = self.with_run(now, job, |run, needs| run.begin(now, needs));
         // From the end of this turn on: a chain that is refused at once is answered like any other.
         self.chains.begun.push_back((job, todo));
-        Ok(())
+    }
+
+    /// Chains on record that had not come to their end: whoever asked for one may ask again until its time
+    /// is up;
+    /// then it goes on without anybody, which takes back what must be taken back.
+    pub(super) fn resume_chains(&mut self, now: Micros, wire: &mut dyn Wire) {
+        let open = match self.chains.record.open() {
+            Ok(open) => open,
+            Err(why) => return tracing::error!(%why, reason = "no-record", "the record cannot be read"),
+        };
+        for (source, id) in open {
+            let name: Name = (Rc::from(source), Rc::from(id));
+            let kept = self.chains.record.read((&name.0, &name.1));
+            let Ok(Some(kept)) = kept else { continue };
+            let wait = kept.deadline.saturating_sub(now);
+            let (source, id) = &name;
+            tracing::info!(%id, %source, reason = "open-chain", wait, "a chain was cut off");
+            self.after(now, wire, wait, Box::new(move |g, now, _| g.resume_alone(now, name)));
+        }
+        self.clear_record(now, wire);
+    }
+
+    fn clear_record(&mut self, now: Micros, wire: &mut dyn Wire) {
+        if let Err(why) = self.chains.record.clear(now) {
+            tracing::error!(%why, reason = "no-record", "the record cannot be cleared");
+        }
+        self.after(now, wire, CLEARS, Box::new(|g, now, wire| g.clear_record(now, wire)));
+    }
+
+    fn resume_alone(&mut self, now: Micros, name: Name) {
+        if !matches!(self.claims.claim(now, &name), Claim::New) {
+            return;
+        }
+        let Ok(Some(kept)) = self.chains.record.read((&name.0, &name.1)) else { return };
+        let mut rows = self.deployment.chains.iter().map(|row| row.plan.clone());
+        let plan = rows.find(|plan| (&plan.name, digest(plan)) == (&kept.chain, kept.plan));
+        let Some(plan) = plan.filter(|_| !kept.closed) else { return };
+        let customer = kept.customer.as_ref();
+        let customer = customer.and_then(|c| self.deployment.customers.iter().position(|known| known == c));
+        self.next_job += 1;
+        let job = super::job_id(self.deployment.rows.seed, self.next_job);
+        let until = now + self.deployment.remember_for;
+        let chain = self.chain(now, name.clone(), plan, Kept { until, ..kept }, customer.map(CustomerId));
+        self.claims.begin(name, job);
+        self.open_chain(now, job, chain);
+    }
+
+    // ---- The record ----------------------------------------------------------------------------
+
+    /// Writes down what waits for it, in one transaction for all chains of this turn, and sends what was
+    /// waiting.
+    /// Where that fails nothing is sent: the steps end as ones that never ran.
+    pub(super) fn write_down(&mut self, now: Micros, wire: &mut dyn Wire) -> bool {
+        let waiting = std::mem::take(&mut self.chains.unwritten);
+        if waiting.is_empty() {
+            return false;
+        }
+        for w in &waiting {
+            if let Some(chain) = self.chains.open.get_mut(&w.job) {
+                chain.on_record = true;
+                chain.kept.steps.insert(w.step.0 as u32, KeptStep { sent: now, end: None });
+            }
+        }
+        let written = self.write_chains(waiting.iter().map(|w| w.job).collect());
+        for w in waiting {
+            if written {
+                self.begin_step(now, w.job, w.step, w.function, w.until);
+                continue;
+            }
+            if let Some(chain) = self.chains.open.get_mut(&w.job) {
+                chain.kept.steps.remove(&(w.step.0 as u32));
+            }
+            let (step, none) = (w.step, |_: &str| None);
+            let todo =
+                self.with_run(now, w.job, |run, needs| run.ended(now, step, How::NeverRan, &none, needs));
+            self.chain_goes_on(now, wire, w.job, todo);
+        }
+        true
+    }
+
+    /// Writes these chains and all that are behind.
+    fn write_chains(&mut self, mut jobs: BTreeSet<JobId>) -> bool {
+        jobs.append(&mut self.chains.behind);
+        let chains = jobs.iter().filter_map(|job| self.chains.open.get(job));
+        let rows: Vec<_> = chains.map(|c| ((&*c.name.0, &*c.name.1), &c.kept)).collect();
+        self.chains.counts.writes += 1;
+        let written = self.chains.record.keep(&rows);
+        if let Err(why) = &written {
+            self.chains.counts.not_written += 1;
+            tracing::error!(%why, reason = "no-record", "chains were not written down");
+            self.chains.behind.extend(jobs);
+        } else {
+            self.chains.drop_closed(&jobs);
+        }
+        written.is_ok()
+    }
+
+    /// The end of a step, for the record; written soon.
+    fn keep_end(
+        &mut self,
+        now: Micros,
+        wire: &mut dyn Wire,
+        job: JobId,
+        step: StepId,
+        how: How,
+        told: &Told,
+    ) {
+        let Some(chain) = self.chains.open.get_mut(&job) else { return };
+        let fields = chain.run.asked(step).into_iter();
+        let fields = fields.filter_map(|name| Some((name.to_owned(), field(&told.body, name)?)));
+        let small = how == How::Finished && told.body.len() <= ANSWER_MOST;
+        let answer =
+            small.then(|| KeptAnswer { lines: told.lines.bytes().to_vec(), body: told.body.clone() });
+        let end = KeptEnd { how: number(how), fields: fields.collect(), answer };
+        chain.kept.steps.entry(step.0 as u32).or_default().end = Some(end);
+        self.behind(now, wire, job);
+    }
+
+    fn behind(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId) {
+        if self.chains.open.get(&job).is_none_or(|c| !c.on_record) {
+            return;
+        }
+        self.chains.behind.insert(job);
+        if !std::mem::replace(&mut self.chains.timer, true) {
+            self.after(
+                now,
+                wire,
+                WRITTEN_SOON,
+                Box::new(|g, _, _| {
+                    g.chains.timer = false;
+                    if !g.chains.behind.is_empty() {
+                        g.write_chains(BTreeSet::new());
+                    }
+                }),
+            );
+        }
     }
 
     /// Lets a chain's run decide, with what its steps need now.
@@ -198,22 +445,37 @@
     pub(super) fn chain_goes_on(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, todo: Vec<Do>) {
         for what in todo {
             match what {
-                Do::Begin { step, function, until } => self.begin_step(now, job, step, function, until),
+                Do::Begin { step, function, until } => {
+                    let effect = self.chains.open.get(&job).map(|c| c.run.plan().step(step).effect);
+                    match effect {
+                        Some(Effect::Restartable) | None => self.begin_step(now, job, step, function, until),
+                        _ => self.chains.unwritten.push(Waiting { job, step, function, until }),
+                    }
+                }
                 Do::Cancel(step) => {
                     let out = self.chains.open.get_mut(&job).and_then(|c| c.out.remove(&step));
                     out.into_iter().for_each(|of_step| self.abandon(now, wire, of_step));
                 }
                 Do::End(ended) => self.end_chain(now, wire, job, ended),
                 Do::Undo { step, function } => {
-                    if let Some(chain) = self.chains.open.get_mut(&job) {
+                    let done = |c: &Chain| {
+                        let kept = c.kept.steps.get(&(step.0 as u32)).and_then(|s| s.end.as_ref());
+                        kept.is_some_and(|end| end.how == number(How::Finished))
+                    };
+                    if let Some(chain) = self.chains.open.get_mut(&job).filter(|c| !done(c)) {
                         chain.undos += 1;
                         self.undo(now, job, step, function, now + UNDO_FOR);
                     }
                 }
             }
         }
-        let done = |c: &Chain| c.run.has_ended().is_some() && c.undos == 0 && c.out.is_empty();
-        if self.chains.open.get(&job).is_some_and(done) {
+        let done = |c: &&mut Chain| c.run.has_ended().is_some() && c.undos == 0 && c.out.is_empty();
+        if let Some(chain) = self.chains.open.get_mut(&job).filter(done) {
+            chain.kept.closed = true;
+            if chain.on_record {
+                // It stays until that is written.
+                return self.behind(now, wire, job);
+            }
             self.chains.open.remove(&job);
         }
     }
@@ -277,6 +539,7 @@
         let told = end.told.clone();
         let read = move |name: &str| field(&told.body, name);
         let ending = how(end.told.ending);
+        self.keep_end(now, wire, job, step, ending, &end.told);
         let todo = self.with_run(now, job, |run, needs| run.ended(now, step, ending, &read, needs));
         self.chain_goes_on(now, wire, job, todo);
     }
@@ -316,6 +579,7 @@
             if let Some(chain) = g.chains.open.get_mut(&job) {
                 chain.undos -= 1;
             }
+            g.keep_end(now, wire, job, step, how(end.told.ending), &end.told);
             g.chain_goes_on(now, wire, job, Vec::new());
         });
         self.chains.counts.undos += 1;
@@ -354,6 +618,8 @@
                 Rc::new(told)
             }
             Ended::PushedBack(step, why) => {
+                // The next try begins anew.
+                chain.kept.steps.clear();
                 counts.pushed_back += 1;
                 counts.refused_for_time += u64::from(why == Why::NoTime);
                 let (reason, detail) = failed(step, why);
@@ -363,6 +629,7 @@
                 front::problem(Ending::PushedBack, &fault, Some(&id), wait)
             }
             Ended::Failed(step, why) => {
+                chain.kept.failed = true;
                 counts.failed += 1;
                 let (reason, detail) = failed(step, why);
                 let status = if why == Why::NoTime { 504 } else { 502 };
--- a/crates/gateway/tests/chains.rs
+++ b/crates/gateway/tests/chains.rs
@@ -5,7 +5,7 @@
 use applepond_gateway::Deployment;
 use applepond_gateway::deployment::ChainRow;
 use applepond_reactor::Conn;
-use common::{Bench, MS, S, deployment, event, result};
+use common::{Bench, MS, S, Shared, deployment, event, result};
 use std::sync::Arc;
 use test_case::test_case;
 
@@ -182,3 +182,145 @@
     assert!(told.starts_with("HTTP/1.1 503") && told.contains("no-time"), "{told}");
     assert_eq!(b.requests(), 0);
 }
+
+// ---- Over a kill ---------------------------------------------------------------------------------------
+
+/// One instance after the other on the same record, and how often each step was sent by all of them.
+struct Lives {
+    shared: Shared,
+    bench: Bench,
+    sent: std::collections::BTreeMap<String, usize>,
+}
+
+impl Lives {
+    fn new(fails: Option<usize>) -> Self {
+        let shared = Shared { fails, ..Shared::default() };
+        let bench = Bench::with(with_chain(), 1_000 * S, Box::new(shared.clone()));
+        Lives { shared, bench, sent: Default::default() }
+    }
+
+    /// Counts what this instance sent, and starts another one.
+    fn kill(&mut self) {
+        let links: Vec<Conn> = self.bench.paper.connects.iter().map(|(c, _)| *c).collect();
+        for told in links.iter().map(|c| self.bench.told(*c)) {
+            for id in told.split("ce-id: ").skip(1) {
+                *self.sent.entry(id.split("\r\n").next().unwrap_or_default().to_owned()).or_default() += 1;
+            }
+        }
+        let now = self.bench.now + MS;
+        self.bench = Bench::with(with_chain(), now, Box::new(self.shared.clone()));
+    }
+
+    /// Asks, and has workers answer what the steps want to hear, for so many steps; the status that was told.
+    fn ask(&mut self, steps: usize) -> Option<u16> {
+        let client = self.bench.asks("book", "7");
+        self.go_on(steps);
+        self.bench.statuses(client).first().copied()
+    }
+
+    fn go_on(&mut self, steps: usize) {
+        let b = &mut self.bench;
+        for _ in 0..steps {
+            b.links();
+            if b.requests() == 0 {
+                return;
+            }
+            let (conn, sent) = latest(b);
+            if b.paper.answered.contains(&b.requests_at(conn).1) {
+                return;
+            }
+            b.paper.answered.insert(b.requests_at(conn).1);
+            b.pass(25 * MS);
+            let body = match sent {
+                _ if sent.contains("/price") => "{\"hut\":\"lucni\"}",
+                _ if sent.contains("/beds") => "{\"free\":true}",
+                _ => "{\"booked\":4711}",
+            };
+            b.says(conn, result(body).as_bytes());
+            b.pass(25 * MS);
+        }
+    }
+}
+
+fn with_chain() -> Deployment {
+    let row =
+        ChainRow { types: vec!["book".into()], function_by: "subject".into(), plan: Arc::new(booking()) };
+    Deployment { chains: vec![row], ..deployment(2) }
+}
+
+// Killed after so many steps were answered, with the next one out; the client asks again at the next
+// instance.
+#[test_case(0, 200, &[("7/price", 2), ("7/beds", 1), ("7/confirm", 1)]; "the price is out: asked again")]
+#[test_case(1, 502, &[("7/price", 1), ("7/beds", 1), ("7/release", 1)]; "beds are out: they may be taken")]
+#[test_case(2, 502, &[("7/price", 1), ("7/beds", 1), ("7/confirm", 1), ("7/release", 1)];
+    "the confirmation is out")]
+#[test_case(3, 200, &[("7/price", 1), ("7/beds", 1), ("7/confirm", 1)]; "the answer was lost")]
+fn killed_after(steps: usize, status: u16, sent: &[(&str, usize)]) {
+    let mut lives = Lives::new(None);
+    lives.ask(steps);
+    lives.bench.links();
+    lives.kill();
+    let told = lives.ask(9);
+    lives.go_on(9);
+    lives.kill();
+    assert_eq!(told, Some(status));
+    let want: std::collections::BTreeMap<String, usize> =
+        sent.iter().map(|(id, n)| ((*id).to_owned(), *n)).collect();
+    assert_eq!(lives.sent, want);
+}
+
+// Nobody asks again: once the chain's time is up, what was done is taken back.
+#[test]
+fn a_chain_that_nobody_asks_for_again_is_taken_back() {
+    let mut lives = Lives::new(None);
+    lives.ask(2);
+    lives.bench.links();
+    lives.kill();
+    lives.bench.pass(3 * S);
+    assert_eq!(lives.bench.requests(), 0, "its client may still come");
+    lives.bench.pass(S);
+    lives.go_on(1);
+    lives.kill();
+    assert_eq!(lives.sent.get("7/release"), Some(&1));
+    lives.bench.pass(9 * S);
+    assert_eq!(lives.bench.requests(), 0, "once is enough");
+}
+
+// Whichever write fails, and wherever the instance is killed after that: no step with an effect is sent
+// twice, and
+// each exchange gets one answer.
+#[test]
+fn whichever_write_fails_and_wherever_it_is_killed() {
+    let mut outcomes = std::collections::BTreeSet::new();
+    for fails in 1..=8 {
+        for steps in 0..=4 {
+            let mut lives = Lives::new(Some(fails));
+            lives.ask(steps);
+            lives.bench.links();
+            lives.kill();
+            let mut told = lives.ask(9);
+            lives.go_on(9);
+            if told == Some(503) {
+                lives.bench.pass(2 * S);
+                told = lives.ask(9);
+            }
+            lives.kill();
+            outcomes.insert(told);
+            assert!(matches!(told, Some(200 | 502)), "write {fails}, {steps} steps: {told:?}");
+            for (id, n) in &lives.sent {
+                let once = ["7/beds", "7/confirm"].contains(&id.as_str());
+                assert!(!once || *n == 1, "write {fails}, {steps} steps: {id} was sent {n} times");
+            }
+        }
+    }
+    assert_eq!(outcomes.len(), 2, "some went on, some could not");
+}
+
+// The disk is full: the step is not sent, and the client is told that another try does no harm.
+#[test]
+fn what_cannot_be_written_down_is_not_sent() {
+    let mut lives = Lives::new(Some(1));
+    assert_eq!(lives.ask(9), Some(503));
+    lives.kill();
+    assert_eq!(lives.sent.keys().collect::<Vec<_>>(), ["7/price"]);
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -4,8 +4,11 @@
 use applepond_gateway::deployment::{FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
 use applepond_gateway::{Deployment, Gateway};
 use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
+use applepond_record::{Kept, Memory, Name, Record};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
@@ -24,6 +27,8 @@
     pub finished: BTreeSet<Conn>,
     pub paused: BTreeSet<Conn>,
     pub deaf: BTreeSet<Listener>,
+    /// Writes that a test has had a worker answer.
+    pub answered: BTreeSet<u64>,
     timers: BTreeSet<(Micros, u64, Wake)>,
 }
 
@@ -133,6 +138,7 @@
             })
             .collect(),
         chains: Vec::new(),
+        record: None,
         customers: vec!["huts".into()],
         customer_by: "customer".into(),
         zones: vec!["hall-a".into()],
@@ -159,9 +165,13 @@
 
 impl Bench {
     pub fn new(deployment: Deployment) -> Self {
-        let now = 1_000 * S;
-        let mut bench =
-            Bench { gateway: Gateway::new(now, deployment, Box::new(|_| ())), paper: Paper::default(), now };
+        Self::with(deployment, 1_000 * S, Box::new(Memory::default()))
+    }
+
+    /// One that finds this record when it starts.
+    pub fn with(deployment: Deployment, now: Micros, record: Box<dyn Record>) -> Self {
+        let gateway = Gateway::new(now, deployment, Box::new(|_| ())).with_record(record);
+        let mut bench = Bench { gateway, paper: Paper::default(), now };
         bench.gateway.start(now, &mut bench.paper);
         bench
     }
@@ -252,3 +262,33 @@
 pub fn result(body: &str) -> String {
     DONE.replace("Content-Length: 9", &format!("Content-Length: {}", body.len())).replace("{\"ok\": 1}", body)
 }
+
+/// A record that outlives its instance; the write of this number fails, where one is named.
+#[derive(Clone, Default)]
+pub struct Shared {
+    pub inner: Rc<RefCell<Memory>>,
+    pub writes: Rc<RefCell<usize>>,
+    pub fails: Option<usize>,
+}
+
+impl Record for Shared {
+    fn keep(&mut self, chains: &[(Name<'_>, &Kept)]) -> Result<(), String> {
+        *self.writes.borrow_mut() += 1;
+        if self.fails == Some(*self.writes.borrow()) {
+            return Err("no space left".into());
+        }
+        self.inner.borrow_mut().keep(chains)
+    }
+    fn read(&mut self, name: Name<'_>) -> Result<Option<Kept>, String> {
+        self.inner.borrow_mut().read(name)
+    }
+    fn open(&mut self) -> Result<Vec<(String, String)>, String> {
+        self.inner.borrow_mut().open()
+    }
+    fn clear(&mut self, now: Micros) -> Result<usize, String> {
+        self.inner.borrow_mut().clear(now)
+    }
+    fn chains(&mut self) -> Result<u64, String> {
+        self.inner.borrow_mut().chains()
+    }
+}
--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -32,6 +32,15 @@
         Lines(lines.filter(named).flatten().copied().collect())
     }
 
+    /// The lines as they are written, and back.
+    pub fn bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    pub fn of(bytes: Vec<u8>) -> Lines {
+        Lines(bytes)
+    }
+
     pub fn append(&mut self, more: &Lines) {
         self.0.extend_from_slice(&more.0);
     }
--- a/crates/record/src/kept.rs
+++ b/crates/record/src/kept.rs
@@ -6,9 +6,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Bytes of one step's answer at most that are kept; the answer of a chain whose last step said more cannot
-/// be
-/// told again after a kill.
+/// Bytes of one step's answer, and of an event's data, at most that are kept; the answer of a chain whose
+/// last step said more cannot be told again after a kill.
 pub const ANSWER_MOST: usize = 64 * 1024;
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -16,12 +15,18 @@
     /// Which chain, and a digest of its plan: after a change of the plan nothing goes on by it.
     pub chain: String,
     pub plan: u64,
-    /// The function that the event named.
+    /// The function that the event named, its customer, and what its steps take over from it.
     pub named: Option<String>,
+    pub customer: Option<String>,
+    pub lines: Vec<u8>,
+    pub media: Option<String>,
+    pub data: Vec<u8>,
     pub deadline: Micros,
     /// When the record may be dropped.
     pub until: Micros,
-    /// The chain has come to its end, undos and all.
+    /// It failed, with steps before that are taken back: it is not to go on, whoever asks.
+    pub failed: bool,
+    /// It has come to its end, undos and all.
     pub closed: bool,
     /// By the step's place in the plan.
     pub steps: BTreeMap<u32, KeptStep>,
@@ -84,6 +89,8 @@
     for (n, step) in &kept.steps {
         let Some(row) = plan.steps.get(*n as usize) else { continue };
         let known = match &step.end {
+            // Another try is welcome to run it, unless what was before it has been taken back.
+            Some(end) if how(end.how) == How::NeverRan && !kept.failed => continue,
             Some(end) => (how(end.how), end.fields.clone()),
             None if again(row.effect, step.sent, now) => continue,
             None => (How::MayHaveRun, BTreeMap::new()),
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -5,6 +5,7 @@
 use applepond_gateway::deployment::{FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// µs in a second, for defaults below.
 const S: Micros = 1_000_000;
@@ -99,6 +100,7 @@
             (Vec::new(), Vec::new())
         }
     };
+    let record = file.text("record", Some("")).filter(|_| file.has("record")).map(PathBuf::from);
     let mut chains = Vec::new();
     for (name, part) in file.named("chain").into_iter().filter(|_| !workloads.is_empty()) {
         let row = crate::chains::chain(&name, &part, &workload_rows, &workloads);
@@ -162,6 +164,7 @@
         listen: listen?,
         workloads,
         chains: chains.into_iter().collect::<Option<_>>()?,
+        record,
         customers,
         customer_by: customer_by?,
         zones: zones?,
