drill chains: chains by routers beside the same steps one by one, judged by six rules

From the sockets: whole chains finished in time, no step begun or running past its chain's time (rule 6), no run-once step twice; plants late-step and chain-twice.

--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -1,6 +1,7 @@
 //! `drill`: plays a day, prints what came of it, and exits 0 only if all rules held and no job went
 //! unanswered.
 use applepond_drill::audit::Verdict;
+use applepond_drill::chains::{self, PLAN};
 use applepond_drill::run::{Plan, Report, bad_day};
 use applepond_drill::saboteur::PLANTS;
 use applepond_drill::storm::{self, Cut, Order, retry_storm};
@@ -39,6 +40,23 @@
         #[arg(long)]
         keep: Option<std::path::PathBuf>,
     },
+    /// Chains on one clock, beside desks that call the same steps one by one with fixed limits.
+    Chains {
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+        /// Times what the fleet can do; several may be given.
+        #[arg(long, default_value = "2")]
+        load: Vec<f64>,
+        /// `chain` blocks to play instead of the drill's own; desks ask for type `book`.
+        #[arg(long)]
+        plan: Option<std::path::PathBuf>,
+        /// Breaks a rule on purpose: late-step, chain-twice, or one of the bad day's.
+        #[arg(long)]
+        plant: Option<String>,
+        /// Prints each play as one JSON object.
+        #[arg(long)]
+        json: bool,
+    },
     /// One hall of three is cut, its clients keep asking, it comes back.
     RetryStorm {
         #[arg(long, default_value_t = 7)]
@@ -82,6 +100,9 @@
             (seed, routers, workers, plant, json, keep)
         }
         Which::RetryStorm { .. } => return storm_drill(which),
+        Which::Chains { seed, load, plan, plant, json } => {
+            return chains_drill(seed, &load, plan.as_deref(), plant, json);
+        }
     };
     if let Some(name) = plant.as_deref().filter(|p| PLANTS.iter().all(|(known, _, _)| known != p)) {
         let known: Vec<&str> = PLANTS.iter().map(|(known, _, _)| *known).collect();
@@ -123,6 +144,92 @@
     ExitCode::from(u8::from(!report.holds()))
 }
 
+/// Plays each load twice: chains run by the routers, and step by step by the desks.
+fn chains_drill(
+    seed: u64,
+    loads: &[f64],
+    file: Option<&std::path::Path>,
+    plant: Option<String>,
+    json: bool,
+) -> ExitCode {
+    let wrong = ExitCode::from(crate::serve::WRONG);
+    if let Some(load) = loads.iter().find(|l| !(0.05..=20.0).contains(*l)) {
+        eprintln!("--load {load}: a number from 0.05 to 20 is wanted");
+        return wrong;
+    }
+    if let Some(name) = plant.as_deref().filter(|p| PLANTS.iter().all(|(known, _, _)| known != p)) {
+        eprintln!("--plant {name}: no such fault");
+        return wrong;
+    }
+    let text = match file.map(std::fs::read_to_string) {
+        None => PLAN.to_owned(),
+        Some(Ok(text)) => text,
+        Some(Err(error)) => {
+            eprintln!("{}: {error}", file.map(|f| f.display().to_string()).unwrap_or_default());
+            return wrong;
+        }
+    };
+    let Ok(program) = std::env::current_exe() else { return wrong };
+    let plan = Plan { program, seed, routers: 2, workers: 6, plant };
+    let folder = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
+    let mut broken = false;
+    for load in loads {
+        let mut finished = [0usize; 2];
+        for (n, name) in ["by routers", "step by step"].into_iter().enumerate() {
+            let order = chains::Order { plan: &plan, load: *load, chains: &text, plain: n == 1 };
+            let mut progress = |line: &str| {
+                if !json {
+                    eprintln!("load {load}, {name}: {line}");
+                }
+            };
+            let played = chains::chains(&order, &folder, &mut progress);
+            let _ = std::fs::remove_dir_all(&folder);
+            let report = match played {
+                Ok(report) => report,
+                Err(why) => {
+                    eprintln!("the drill could not be played: {why}");
+                    return wrong;
+                }
+            };
+            finished[n] = report.finished;
+            let got: serde_json::Map<String, serde_json::Value> =
+                report.got.iter().map(|(got, n)| (format!("{got:?}"), json!(n))).collect();
+            let v = &report.verdict;
+            broken |= !v.broken.is_empty();
+            if json {
+                let row = |(rule, (n, f)): (&u8, &(usize, Vec<String>))| json!({"rule": rule, "times": n, "faults": f});
+                let faults: Vec<_> = v.broken.iter().map(row).collect();
+                let all = json!({"seed": seed, "load": load, "play": name, "chains": report.chains,
+                    "finished": report.finished, "steps": report.steps, "got": got, "broken": faults});
+                println!("{all}");
+                continue;
+            }
+            println!("chains, seed {seed}, load {load}, {name}");
+            println!(
+                "  {} of {} chains finished in time; {} steps begun at workers",
+                report.finished, report.chains, report.steps
+            );
+            let got: Vec<String> = report.got.iter().map(|(got, n)| format!("{n} {got:?}")).collect();
+            println!("  ends as the desks saw them: {}", got.join(", "));
+            print_rules(v);
+            if let Some((times, faults)) = v.broken.get(&6) {
+                println!("  rule 6: BROKEN {times} time(s): no step begun or running past its chain's time");
+                faults.iter().for_each(|f| println!("    {f}"));
+            } else {
+                println!("  rule 6: held: no step begun or running past its chain's time");
+            }
+            if plan.plant.is_some() {
+                break;
+            }
+        }
+        if !json && plan.plant.is_none() {
+            let times = finished[0] as f64 / finished[1].max(1) as f64;
+            println!("load {load}: {times:.2} times as many whole chains by routers as step by step");
+        }
+    }
+    ExitCode::from(u8::from(broken))
+}
+
 fn storm_drill(which: Which) -> ExitCode {
     let wrong = ExitCode::from(crate::serve::WRONG);
     let Which::RetryStorm {
--- /dev/null
+++ b/crates/drill/plans/booking.hcl
@@ -0,0 +1,45 @@
+# A price, then free beds at the hut that the price names, then, if there are none, at a second hut; then the booking,
+# which is done once. Beds that are held are released when the booking fails.
+chain "book" {
+  types      = ["book"]
+  time_limit = "2s"
+
+  step "price" {
+    workload = "quote"
+    at_least = "40ms"
+    next { go = "beds" }
+  }
+  step "beds" {
+    workload      = "hold"
+    function_from = "price.hut"
+    at_least      = "40ms"
+    undo          = "release"
+    next {
+      when = "free"
+      is   = "true"
+      go   = "confirm"
+    }
+    next { go = "second" }
+    else { go = "second" }
+  }
+  step "second" {
+    workload = "hold"
+    function = "hold-second"
+    at_least = "40ms"
+    undo     = "release-second"
+    next { go = "confirm" }
+  }
+  step "confirm" {
+    workload = "confirm"
+    function = "confirm-hut"
+    at_least = "40ms"
+  }
+  step "release" {
+    workload      = "hold"
+    function_from = "price.hut"
+  }
+  step "release-second" {
+    workload = "hold"
+    function = "hold-second"
+  }
+}
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -44,7 +44,7 @@
 }
 
 impl Verdict {
-    fn fault(&mut self, rule: u8, what: String) {
+    pub(crate) fn fault(&mut self, rule: u8, what: String) {
         let (count, told) = self.broken.entry(rule).or_default();
         *count += 1;
         if told.len() < TOLD {
--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -197,6 +197,7 @@
             ignores: false,
             twin_after: chance(rng, 0.05).then(|| rng.rand_range(1..60) * MS),
             leaves_after: chance(rng, 0.01).then(|| rng.rand_range(5..300) * MS),
+            follow: None,
         });
     }
     jobs
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -1,6 +1,7 @@
 //! Drills: a day of troubles from one seed, played by stand-ins against routers that run as processes of
 //! their own; the auditor judges the five rules from what the stand-ins saw on their sockets.
 pub mod audit;
+pub mod chains;
 pub mod chart;
 pub mod day;
 pub mod run;
--- a/crates/drill/src/saboteur.rs
+++ b/crates/drill/src/saboteur.rs
@@ -8,6 +8,9 @@
 const EVERY: u64 = 40;
 /// Copies of each request that are sent to a cold worker.
 const FLOOD: usize = 8;
+/// Every so many last steps of chains one is held back, and for so many µs: past any chain's time.
+const LATE_EVERY: u64 = 10;
+const LATE_BY: Micros = 6_000_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Plant {
@@ -16,14 +19,18 @@
     EffectTwice,
     SendToDrained,
     PushColdOver,
+    LateStep,
+    ChainTwice,
 }
 
-pub const PLANTS: [(&str, Plant, u8); 5] = [
+pub const PLANTS: [(&str, Plant, u8); 7] = [
     ("lost-answer", Plant::LostAnswer, 1),
     ("double-answer", Plant::DoubleAnswer, 1),
     ("effect-twice", Plant::EffectTwice, 2),
     ("send-to-drained", Plant::SendToDrained, 3),
     ("push-cold-over", Plant::PushColdOver, 4),
+    ("late-step", Plant::LateStep, 6),
+    ("chain-twice", Plant::ChainTwice, 2),
 ];
 
 #[derive(Default)]
@@ -34,6 +41,9 @@
     /// Connections of the saboteur's own, with what they are to send.
     own: BTreeMap<Conn, Vec<u8>>,
     answers: u64,
+    last_steps: u64,
+    /// Requests held back, until when and for whom.
+    held: Vec<(Micros, SocketAddr, Vec<u8>)>,
 }
 
 pub struct Saboteur {
@@ -47,13 +57,19 @@
         Saboteur { inside, plant, state: State::default() }
     }
 
-    fn with(&mut self, wire: &mut dyn Wire, call: impl FnOnce(&mut dyn Machine, &mut dyn Wire)) {
-        let mut bent = Bent { wire, plant: self.plant, state: &mut self.state };
+    fn with(&mut self, now: Micros, wire: &mut dyn Wire, call: impl FnOnce(&mut dyn Machine, &mut dyn Wire)) {
+        let due = self.state.held.iter().position(|(at, _, _)| *at <= now);
+        if let Some((_, to, bytes)) = due.map(|n| self.state.held.remove(n)) {
+            let own = wire.connect(to, 1_000_000);
+            self.state.own.insert(own, bytes);
+        }
+        let mut bent = Bent { now, wire, plant: self.plant, state: &mut self.state };
         call(self.inside.as_mut(), &mut bent);
     }
 }
 
 struct Bent<'a> {
+    now: Micros,
     wire: &'a mut dyn Wire,
     plant: Plant,
     state: &'a mut State,
@@ -85,6 +101,7 @@
         let to = self.state.links.get(&conn).copied();
         let times = match self.plant {
             Plant::EffectTwice if holds(bytes, "ce-type: confirm") => 1,
+            Plant::ChainTwice if holds(bytes, "/price\r\n") || holds(bytes, "/confirm\r\n") => 1,
             Plant::PushColdOver if to.is_some_and(|to| self.state.cold.contains(&to)) => FLOOD,
             _ => 0,
         };
@@ -94,6 +111,12 @@
                 self.state.own.insert(own, bytes.to_vec());
             }
         }
+        if self.plant == Plant::LateStep && holds(bytes, "/confirm\r\n") && to.is_some() {
+            self.state.last_steps += 1;
+            if let Some(to) = to.filter(|_| self.state.last_steps.is_multiple_of(LATE_EVERY)) {
+                return self.state.held.push((self.now + LATE_BY, to, bytes.to_vec()));
+            }
+        }
         match self.plant {
             Plant::LostAnswer if turn => {}
             Plant::DoubleAnswer if turn => self.wire.write(conn, &[bytes, bytes].concat()),
@@ -131,16 +154,16 @@
 
 impl Machine for Saboteur {
     fn start(&mut self, now: Micros, wire: &mut dyn Wire) {
-        self.with(wire, |m, w| m.start(now, w));
+        self.with(now, wire, |m, w| m.start(now, w));
     }
     fn accepted(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, listener: Listener) {
         self.state.callers.insert(conn);
-        self.with(wire, |m, w| m.accepted(now, w, conn, listener));
+        self.with(now, wire, |m, w| m.accepted(now, w, conn, listener));
     }
     fn connected(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         match self.state.own.get(&conn) {
             Some(bytes) => wire.write(conn, bytes),
-            None => self.with(wire, |m, w| m.connected(now, w, conn)),
+            None => self.with(now, wire, |m, w| m.connected(now, w, conn)),
         }
     }
     fn bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
@@ -167,27 +190,27 @@
                 bytes[at + 10] = b'0';
             }
         }
-        self.with(wire, |m, w| m.bytes(now, w, conn, &bytes));
+        self.with(now, wire, |m, w| m.bytes(now, w, conn, &bytes));
     }
     fn half_closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         match self.state.own.remove(&conn) {
             Some(_) => wire.cut(conn),
-            None => self.with(wire, |m, w| m.half_closed(now, w, conn)),
+            None => self.with(now, wire, |m, w| m.half_closed(now, w, conn)),
         }
     }
     fn closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, why: Closed, sent: u64) {
         self.state.callers.remove(&conn);
         self.state.links.remove(&conn);
         if self.state.own.remove(&conn).is_none() {
-            self.with(wire, |m, w| m.closed(now, w, conn, why, sent));
+            self.with(now, wire, |m, w| m.closed(now, w, conn, why, sent));
         }
     }
     fn flushed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         if !self.state.own.contains_key(&conn) {
-            self.with(wire, |m, w| m.flushed(now, w, conn));
+            self.with(now, wire, |m, w| m.flushed(now, w, conn));
         }
     }
     fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
-        self.with(wire, |m, w| m.woken(now, w, wake));
+        self.with(now, wire, |m, w| m.woken(now, w, wake));
     }
 }
--- a/crates/drill/src/storm.rs
+++ b/crates/drill/src/storm.rs
@@ -122,6 +122,7 @@
             ignores: (client as f64) < order.ignore * order.clients as f64,
             twin_after: None,
             leaves_after: None,
+            follow: None,
         });
     }
     jobs
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -103,6 +103,7 @@
         ignores: false,
         twin_after: None,
         leaves_after: None,
+        follow: None,
     }
 }
 
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -19,8 +19,11 @@
 /// µs beyond its limit for which a client still listens, to see answers that come too late.
 const LISTENS: Micros = 300_000;
 
+/// What a client asks next, once it has been answered after so many µs: none when it has all that it wants.
+pub type Follow = Rc<dyn Fn(&Planned, Micros, &Message) -> Option<Planned>>;
+
 /// One job as the script has it.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Planned {
     pub at: Micros,
     pub source: String,
@@ -45,6 +48,8 @@
     pub twin_after: Option<Micros>,
     /// Leaves without waiting for the answer.
     pub leaves_after: Option<Micros>,
+    /// Asks for something else once this is finished.
+    pub follow: Option<Follow>,
 }
 
 /// How a job ended for its client.
@@ -208,7 +213,18 @@
         }
         let late = now > self.plan[job].at + self.plan[job].target;
         match answer.status {
-            200 => self.settle(now, job, if late { Got::Late } else { Got::Finished }),
+            200 => {
+                let p = &self.plan[job];
+                let next = p.follow.as_ref().and_then(|follow| follow(p, now - p.at, answer));
+                match next.filter(|_| !late) {
+                    Some(next) => {
+                        self.plan[job] = next;
+                        self.tries[job] = 1;
+                        self.ask(now, wire, job, router, false);
+                    }
+                    None => self.settle(now, job, if late { Got::Late } else { Got::Finished }),
+                }
+            }
             503 | 429 if !twin => {
                 let seconds = answer.number("retry-after").unwrap_or(1) * 1_000_000;
                 let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -16,6 +16,8 @@
     TurnedAway { worker: Rc<str>, event: Event },
     /// Its work began: the effect counts from here.
     Began { worker: Rc<str>, event: Event },
+    /// Its work ended by itself: one that was cancelled does not.
+    Done { worker: Rc<str>, event: Event },
     /// A repeat that the worker's rack dropped.
     Dropped { worker: Rc<str>, event: Event },
     /// Its process started.
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -11,6 +11,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Huts that results name, and how many of ten have free beds.
+const HUTS: u64 = 12;
+const FREE: u64 = 7;
+
 /// What fingerprints a rack has seen end well, and until when it drops their repeats.
 pub type Rack = Rc<RefCell<BTreeMap<Event, Micros>>>;
 
@@ -110,6 +114,12 @@
     running: bool,
 }
 
+/// What a result says beside its price, by its event: which hut, and whether it has free beds.
+fn facts(event: &str) -> (u64, bool) {
+    let sum = event.bytes().fold(7u64, |sum, b| sum.wrapping_mul(31).wrapping_add(u64::from(b)));
+    (sum % HUTS + 1, sum / HUTS % 10 < FREE)
+}
+
 enum Then {
     Turn(usize),
     Done(Conn, u64),
@@ -135,6 +145,8 @@
     /// Starts so far, and answers: together the name of a result.
     life: u64,
     answered: u64,
+    /// What the result being written says.
+    facts: (u64, bool),
 }
 
 impl Worker {
@@ -157,6 +169,7 @@
             wakes: Vec::new(),
             life: 0,
             answered: 0,
+            facts: (1, true),
         }
     }
 
@@ -237,7 +250,12 @@
                 head = head.field(&format!("ce-{name}"), value);
             }
             head = head.field("Content-Type", "application/json");
-            body = format!("{{\"price\":{},\"worker\":\"{}\"}}", 900 + company, self.build.name);
+            let (hut, free) = self.facts;
+            body = format!(
+                "{{\"price\":{},\"worker\":\"{}\",\"hut\":\"hold-hut-{hut}\",\"free\":{free}}}",
+                900 + company,
+                self.build.name
+            );
         }
         let bytes = head.body(body.as_bytes());
         match self.mood {
@@ -374,6 +392,9 @@
             copy.running -= 1;
             copy.last = now;
         }
+        let (worker, event) = (self.build.name.clone(), job.event.clone());
+        self.ledger.write(now, Saw::Done { worker, event: event.clone() });
+        self.facts = facts(&event);
         if job.marked {
             self.rack.borrow_mut().insert(job.event.clone(), now + self.build.window);
         }
