--- a/crates/chain/src/run.rs
+++ b/crates/chain/src/run.rs
@@ -13,6 +13,13 @@
 /// How much more a chain is worth when all of its time is spent than when it begins: three steps paid for are
 /// lost with the fourth, and a fresh chain can still be pushed back at no cost.
 const PAID: f64 = 3.0;
+/// µs after which a step that was pushed back is begun again at the least, and where no time was told.
+const AGAIN_LEAST: Micros = 30_000;
+const AGAIN: Micros = 100_000;
+/// Part of the time to spare that is waited at most: what was told is for clients, who have not paid for
+/// steps
+/// before.
+const AGAIN_PART: u64 = 4;
 
 /// How a step ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -33,6 +40,8 @@
     NoFunction,
     /// A step failed, and the plan has no other way.
     StepFailed,
+    /// A step could not be written down, and so was not sent.
+    NotWritten,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +63,11 @@
         function: String,
         until: Micros,
     },
+    /// The step was pushed back and there is time: `again` is to be told at this time.
+    Wait {
+        step: StepId,
+        until: Micros,
+    },
     Cancel(StepId),
     End(Ended),
     /// After the end: run this undo until it has finished.
@@ -67,6 +81,8 @@
 enum State {
     Unbegun,
     Out,
+    /// Pushed back, and to be begun again.
+    Waiting,
     Ended(How),
     /// Left out, as time ran short.
     Skipped,
@@ -180,12 +196,13 @@
         todo
     }
 
-    /// A step has ended; `field` reads its result.
+    /// A step has ended; `field` reads its result, `told` is the time that a pushback named.
     pub fn ended(
         &mut self,
         now: Micros,
         step: StepId,
         how: How,
+        told: Option<Micros>,
         field: &dyn Fn(&str) -> Option<String>,
         needs: Needs<'_>,
     ) -> Vec<Do> {
@@ -193,10 +210,52 @@
         if self.states[step.0] != State::Out {
             return todo;
         }
+        if how == How::NeverRan
+            && let Some(until) = self.again_at(now, step, told, needs)
+        {
+            self.states[step.0] = State::Waiting;
+            return vec![Do::Wait { step, until }];
+        }
         self.close(now, step, how, field, Why::StepFailed, needs, &mut todo);
         todo
     }
 
+    /// A step that was to begin could not be written down: it is not tried again, a full disk stays full.
+    pub fn not_written(&mut self, now: Micros, step: StepId, needs: Needs<'_>) -> Vec<Do> {
+        let mut todo = Vec::new();
+        if self.states[step.0] == State::Out {
+            self.close(now, step, How::NeverRan, &|_| None, Why::NotWritten, needs, &mut todo);
+        }
+        todo
+    }
+
+    /// When a step that was pushed back is worth another try: where the plan has no other way, and time to
+    /// spare.
+    fn again_at(&self, now: Micros, step: StepId, told: Option<Micros>, needs: Needs<'_>) -> Option<Micros> {
+        let row = self.plan.step(step);
+        // A chain that has done nothing yet is pushed back as a whole: its client knows when to come.
+        let paid = self.order.iter().any(|s| self.states[s.0] == State::Ended(How::Finished));
+        if row.optional || !row.or_else.is_empty() || !paid {
+            return None;
+        }
+        let own = self.need(step, needs, 0);
+        let until = self.deadline.saturating_sub(WAY_BACK + self.rest(step, needs, own));
+        let spare = until.checked_sub(now + own)?;
+        let most = (spare / AGAIN_PART).max(AGAIN_LEAST);
+        let wait = told.unwrap_or(AGAIN).clamp(AGAIN_LEAST, most);
+        (wait <= spare).then_some(now + wait)
+    }
+
+    /// A step that was pushed back has waited.
+    pub fn again(&mut self, now: Micros, step: StepId, needs: Needs<'_>) -> Vec<Do> {
+        let mut todo = Vec::new();
+        if self.states[step.0] == State::Waiting {
+            self.states[step.0] = State::Unbegun;
+            self.enter(now, step, needs, &mut todo);
+        }
+        todo
+    }
+
     /// The chain's time is up, whatever is out.
     pub fn time_up(&mut self) -> Vec<Do> {
         let mut todo = Vec::new();
@@ -228,7 +287,9 @@
             return self.close(now, step, How::NeverRan, &|_| None, Why::NoTime, needs, todo);
         }
         self.states[step.0] = State::Out;
-        self.order.push(step);
+        if !self.order.contains(&step) {
+            self.order.push(step);
+        }
         todo.push(Do::Begin { step, function, until });
     }
 
@@ -304,7 +365,7 @@
     /// An arm has finished or was left out.
     fn arm_ended(&mut self, now: Micros, step: StepId, n: usize, needs: Needs<'_>, todo: &mut Vec<Do>) {
         let fork = &self.forks[n];
-        let open = |s: &&StepId| matches!(self.states[s.0], State::Out | State::Unbegun);
+        let open = |s: &&StepId| matches!(self.states[s.0], State::Out | State::Unbegun | State::Waiting);
         let left: Vec<StepId> = fork.arms.iter().filter(open).copied().collect();
         // One that was left out, or failed and may, is not the first that finishes, unless it is the last.
         let won = self.states[step.0] == State::Ended(How::Finished);
@@ -333,7 +394,7 @@
     /// An arm that is needed has failed: all of several need it, the first of several has others.
     fn arm_failed(&mut self, step: StepId, why: Why, todo: &mut Vec<Do>) {
         let n = self.forks.iter().position(|f| f.arms.contains(&step)).expect("looked at by the caller");
-        let open = |s: &StepId| matches!(self.states[s.0], State::Out | State::Unbegun);
+        let open = |s: &StepId| matches!(self.states[s.0], State::Out | State::Unbegun | State::Waiting);
         if self.forks[n].first && self.forks[n].arms.iter().any(open) {
             return;
         }
@@ -349,9 +410,15 @@
     }
 
     fn cancel_rest(&mut self, todo: &mut Vec<Do>) {
-        for (n, state) in self.states.iter_mut().enumerate().filter(|(_, s)| **s == State::Out) {
-            todo.push(Do::Cancel(StepId(n)));
-            *state = State::Ended(How::MayHaveRun);
+        for (n, state) in self.states.iter_mut().enumerate() {
+            match state {
+                State::Out => {
+                    todo.push(Do::Cancel(StepId(n)));
+                    *state = State::Ended(How::MayHaveRun);
+                }
+                State::Waiting => *state = State::Ended(How::NeverRan),
+                _ => {}
+            }
         }
     }
 
--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -22,7 +22,8 @@
 const LOADS: Micros = 3 * S;
 /// µs that a chain has in all.
 const LIMIT: Micros = 2 * S;
-/// µs past a chain's time up to which a step may still be seen running: the end of its connection travels, and
+/// µs past a chain's time up to which a step may still be seen running: the end of its connection travels,
+/// and
 /// the machine pauses.
 const GRACE: Micros = 150 * MS;
 /// Steps that a chain takes on average, and µs of one: what the fleet can do at load 1.
--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -357,9 +357,7 @@
             if let Some(chain) = self.chains.open.get_mut(&w.job) {
                 chain.kept.steps.remove(&(w.step.0 as u32));
             }
-            let (step, none) = (w.step, |_: &str| None);
-            let todo =
-                self.with_run(now, w.job, |run, needs| run.ended(now, step, How::NeverRan, &none, needs));
+            let todo = self.with_run(now, w.job, |run, needs| run.not_written(now, w.step, needs));
             self.chain_goes_on(now, wire, w.job, todo);
         }
         true
@@ -452,6 +450,18 @@
                         _ => self.chains.unwritten.push(Waiting { job, step, function, until }),
                     }
                 }
+                Do::Wait { step, until } => {
+                    let wait = until.saturating_sub(now);
+                    self.after(
+                        now,
+                        wire,
+                        wait,
+                        Box::new(move |g, now, wire| {
+                            let todo = g.with_run(now, job, |run, needs| run.again(now, step, needs));
+                            g.chain_goes_on(now, wire, job, todo);
+                        }),
+                    );
+                }
                 Do::Cancel(step) => {
                     let out = self.chains.open.get_mut(&job).and_then(|c| c.out.remove(&step));
                     out.into_iter().for_each(|of_step| self.abandon(now, wire, of_step));
@@ -540,7 +550,9 @@
         let read = move |name: &str| field(&told.body, name);
         let ending = how(end.told.ending);
         self.keep_end(now, wire, job, step, ending, &end.told);
-        let todo = self.with_run(now, job, |run, needs| run.ended(now, step, ending, &read, needs));
+        let come_back = end.told.come_back;
+        let todo =
+            self.with_run(now, job, |run, needs| run.ended(now, step, ending, come_back, &read, needs));
         self.chain_goes_on(now, wire, job, todo);
     }
 
@@ -596,6 +608,7 @@
             match why {
                 Why::NoTime => ("no-time", format!("step '{name}' cannot finish in the time left")),
                 Why::NoFunction => ("no-function", format!("no result names the function of step '{name}'")),
+                Why::NotWritten => ("no-record", format!("step '{name}' could not be written down")),
                 Why::StepFailed => ("step-failed", format!("step '{name}' did not finish")),
             }
         };
