--- a/crates/cli/tests/drill.rs
+++ b/crates/cli/tests/drill.rs
@@ -25,6 +25,23 @@
     assert!((1..=5).all(|rule| told.contains(&format!("rule {rule}: held"))), "{told}");
 }
 
+#[test]
+fn chains_keep_all_rules() {
+    let out = drill(&["chains", "--seed", "7", "--load", "1.5"]);
+    let told = String::from_utf8_lossy(&out.stdout);
+    assert_eq!(out.status.code(), Some(0), "{told}");
+    assert!((1..=6).all(|rule| told.contains(&format!("rule {rule}: held"))), "{told}");
+}
+
+#[test_case("late-step", "rule 6: BROKEN")]
+#[test_case("chain-twice", "rule 2: BROKEN")]
+fn a_planted_fault_of_chains_is_named(plant: &str, rule: &str) {
+    let out = drill(&["chains", "--seed", "7", "--load", "0.5", "--plant", plant]);
+    let told = String::from_utf8_lossy(&out.stdout);
+    assert_eq!(out.status.code(), Some(1), "{told}");
+    assert!(told.contains(rule), "{told}");
+}
+
 #[test_case("lost-answer", "rule 1: BROKEN")]
 #[test_case("double-answer", "rule 1: BROKEN")]
 #[test_case("effect-twice", "rule 2: BROKEN")]
@@ -41,6 +58,8 @@
 #[test_case(&["bad-day", "--routers", "0"], "0 is not in 1..=40"; "no router")]
 #[test_case(&["retry-storm", "--cut", "tea"], "[possible values: hang, refuse]"; "unknown cut")]
 #[test_case(&["retry-storm", "--ignore", "1.5"], "a share from 0 to 1 is wanted"; "more than all")]
+#[test_case(&["chains", "--load", "0"], "--load 0: a number from 0.05 to 20"; "no load")]
+#[test_case(&["chains", "--plan", "/no/such.hcl"], "/no/such.hcl: "; "no plan")]
 #[test_case(&["bad-day", "--sead", "7"], "unexpected argument '--sead'"; "misspelt")]
 fn wrong_usage(words: &[&str], told: &str) {
     let out = drill(words);
