--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -53,6 +53,9 @@
         /// Importance of quote, hold and confirm: alike, as one chain pays for all of them, unless told.
         #[arg(long, value_delimiter = ',', num_args = 3, default_values_t = [1, 1, 1])]
         importance: Vec<u64>,
+        /// Kills a router this often, at moments of chance, and starts it again; plays no step-by-step desks.
+        #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u64).range(0..=2000))]
+        kills: u64,
         /// Breaks a rule on purpose: late-step, chain-twice, or one of the bad day's.
         #[arg(long)]
         plant: Option<String>,
@@ -103,10 +106,7 @@
             (seed, routers, workers, plant, json, keep)
         }
         Which::RetryStorm { .. } => return storm_drill(which),
-        Which::Chains { seed, load, plan, importance, plant, json } => {
-            let importance = [importance[0], importance[1], importance[2]];
-            return chains_drill(seed, &load, plan.as_deref(), importance, plant, json);
-        }
+        Which::Chains { .. } => return chains_drill(which),
     };
     if let Some(name) = plant.as_deref().filter(|p| PLANTS.iter().all(|(known, _, _)| known != p)) {
         let known: Vec<&str> = PLANTS.iter().map(|(known, _, _)| *known).collect();
@@ -149,15 +149,12 @@
 }
 
 /// Plays each load twice: chains run by the routers, and step by step by the desks.
-fn chains_drill(
-    seed: u64,
-    loads: &[f64],
-    file: Option<&std::path::Path>,
-    importance: [u64; 3],
-    plant: Option<String>,
-    json: bool,
-) -> ExitCode {
+fn chains_drill(which: Which) -> ExitCode {
     let wrong = ExitCode::from(crate::serve::WRONG);
+    let Which::Chains { seed, load: loads, plan: file, importance, kills, plant, json } = which else {
+        return wrong;
+    };
+    let (file, importance) = (file.as_deref(), [importance[0], importance[1], importance[2]]);
     if let Some(load) = loads.iter().find(|l| !(0.05..=20.0).contains(*l)) {
         eprintln!("--load {load}: a number from 0.05 to 20 is wanted");
         return wrong;
@@ -178,11 +175,12 @@
     let plan = Plan { program, seed, routers: 2, workers: 6, plant };
     let folder = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
     let mut broken = false;
-    for load in loads {
+    for load in &loads {
         let mut finished = [0usize; 2];
         for (n, name) in ["by routers", "step by step"].into_iter().enumerate() {
             let (load, plain, chains) = (*load, n == 1, text.as_str());
-            let order = chains::Order { plan: &plan, load, chains, plain, importance };
+            let kills = kills as usize;
+            let order = chains::Order { plan: &plan, load, chains, plain, kills, importance };
             let mut progress = |line: &str| {
                 if !json {
                     eprintln!("load {load}, {name}: {line}");
@@ -201,12 +199,17 @@
             let got: serde_json::Map<String, serde_json::Value> =
                 report.got.iter().map(|(got, n)| (format!("{got:?}"), json!(n))).collect();
             let v = &report.verdict;
-            broken |= !v.broken.is_empty();
+            let (open, on_record) = report.unanswered;
+            broken |= !v.broken.is_empty() || on_record < open;
             if json {
                 let faults = faults(v);
                 let all = json!({"seed": seed, "load": load, "play": name, "chains": report.chains,
-                    "finished": report.finished, "steps": report.steps, "got": got, "broken": faults});
+                    "finished": report.finished, "steps": report.steps, "got": got, "broken": faults,
+                    "unanswered": {"begun": open, "on-record": on_record}});
                 println!("{all}");
+                if plan.plant.is_some() || kills > 0 {
+                    break;
+                }
                 continue;
             }
             println!("chains, seed {seed}, load {load}, {name}");
@@ -223,11 +226,16 @@
             } else {
                 println!("  rule 6: held: no step begun or running past its chain's time");
             }
-            if plan.plant.is_some() {
+            if kills > 0 {
+                println!(
+                    "  {open} chains without an answer with a step begun, {on_record} of them on record"
+                );
+            }
+            if plan.plant.is_some() || kills > 0 {
                 break;
             }
         }
-        if !json && plan.plant.is_none() {
+        if !json && plan.plant.is_none() && kills == 0 {
             let times = finished[0] as f64 / finished[1].max(1) as f64;
             println!("load {load}: {times:.2} times as many whole chains by routers as step by step");
         }
--- a/crates/cli/tests/drill.rs
+++ b/crates/cli/tests/drill.rs
@@ -33,6 +33,15 @@
     assert!((1..=6).all(|rule| told.contains(&format!("rule {rule}: held"))), "{told}");
 }
 
+// Nothing that runs once runs twice over kills, and each chain has its answer or is on record.
+#[test]
+fn chains_over_kills() {
+    let out = drill(&["chains", "--seed", "7", "--load", "0.5", "--kills", "10"]);
+    let told = String::from_utf8_lossy(&out.stdout);
+    assert_eq!(out.status.code(), Some(0), "{told}");
+    assert!(told.contains("rule 2: held"), "{told}");
+}
+
 #[test_case("late-step", "rule 6: BROKEN")]
 #[test_case("chain-twice", "rule 2: BROKEN")]
 fn a_planted_fault_of_chains_is_named(plant: &str, rule: &str) {
--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -4,13 +4,14 @@
 use crate::day::{self, Day, HALLS, Part};
 use crate::run::{Plan, start};
 use applepond_reactor::{Micros, Reactor};
+use applepond_record::{Disk, Record};
 use applepond_standins::client::{Client, Follow, Got, Planned};
 use applepond_standins::hosts::Hosts;
 use applepond_standins::ledger::{Event, Ledger, Saw};
 use applepond_standins::store::Store;
 use oorandom::Rand64;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +32,9 @@
 const WORK: u64 = 60;
 /// µs after which a desk that was told nothing better asks again.
 const AGAIN: Micros = 500 * MS;
+/// µs between two kills on average, and from a kill until the router is started again.
+const KILL_EVERY: Micros = 800 * MS;
+const DEAD: Micros = 200 * MS;
 /// The plan that is played where no other is given.
 pub const PLAN: &str = include_str!("../plans/booking.hcl");
 
@@ -42,6 +46,8 @@
     pub chains: &'a str,
     /// Whether the desks call the steps one by one instead.
     pub plain: bool,
+    /// How often a router is killed, one after the other, at moments of chance, and started again.
+    pub kills: usize,
     /// Of the workloads of the three kinds of steps.
     pub importance: [u64; 3],
 }
@@ -55,6 +61,8 @@
     /// Steps begun at workers.
     pub steps: usize,
     pub got: BTreeMap<Got, usize>,
+    /// Chains without an answer of which a step with an effect began, and those of them that are on record.
+    pub unanswered: (usize, usize),
 }
 
 /// The next step of a desk that calls them one by one: a third of the time each, unused time is lost.
@@ -79,6 +87,11 @@
     }
 }
 
+/// µs of arrivals.
+fn length(order: &Order<'_>) -> Micros {
+    LENGTH.max(order.kills as Micros * KILL_EVERY)
+}
+
 fn desks(order: &Order<'_>, begin: Micros) -> Vec<Planned> {
     let mut rng = Rand64::new(u128::from(order.plan.seed));
     // Two cores a worker, see `day::build`.
@@ -92,7 +105,7 @@
         next(p, spent, &said, price)
     });
     let (mut at, mut desks) = (begin, Vec::new());
-    while at < begin + LENGTH {
+    while at < begin + length(order) {
         at += (-(1.0 - rng.rand_float()).ln() / rate * S as f64) as Micros + 1;
         let n = desks.len();
         desks.push(Planned {
@@ -105,7 +118,9 @@
             work_ms: rng.rand_range(WORK - 20..WORK + 20),
             limit: if order.plain { LIMIT / 3 } else { LIMIT },
             target: LIMIT,
-            restartable: order.plain,
+            // A chain may be asked for again where it may have begun: there it joins, or goes on by its
+            // record.
+            restartable: true,
             fingerprint: false,
             structured: false,
             router: rng.rand_range(0..order.plan.routers as u64) as usize,
@@ -128,7 +143,7 @@
     let plan = order.plan;
     let mut reactor = Reactor::new().map_err(epoll)?;
     let begin = reactor.now() + 1_500 * MS;
-    let end = begin + LENGTH + LIMIT + S + if plan.plant.is_some() { 6 * S } else { 0 };
+    let end = begin + length(order) + LIMIT + S + if plan.plant.is_some() { 6 * S } else { 0 };
     let (store_at, hosts_at) = (day::address(0, 250), day::address(0, 251));
     let ledger = Ledger::default();
     reactor.add(Box::new(Store::new(store_at, 150 * MS, 24, ledger.clone())));
@@ -170,19 +185,37 @@
         );
         let file = folder.join(format!("router-{me}.hcl"));
         std::fs::write(&file, text + order.chains).map_err(told)?;
-        routers.push(start(plan, file)?);
+        routers.push(Some(start(plan, file)?));
     }
-    let addresses = Rc::new(RefCell::new(routers.iter().map(|r| r.at).collect()));
+    let addresses = Rc::new(RefCell::new(routers.iter().flatten().map(|r| r.at).collect()));
     let (client, results) = Client::new(day.jobs.clone(), addresses, ledger.clone());
     reactor.add(Box::new(client));
+    let mut rng = Rand64::new(u128::from(plan.seed) << 32);
+    let mut kills: Vec<(u64, Micros, Micros)> = Vec::new();
+    let mut next_kill = begin + S;
     let mut told_at = 0;
     while reactor.now() < end {
         reactor.turn(Duration::from_millis(20)).map_err(epoll)?;
         let now = reactor.now();
+        for (n, router) in routers.iter_mut().enumerate().filter(|(_, r)| r.is_none()) {
+            let kill = kills.iter_mut().rev().find(|(r, _, _)| *r == n as u64);
+            if let Some(kill) = kill.filter(|(_, at, _)| now >= at + DEAD) {
+                *router = Some(start(plan, folder.join(format!("router-{n}.hcl")))?);
+                kill.2 = reactor.now();
+            }
+        }
+        if kills.len() < order.kills && now >= next_kill {
+            let n = rng.rand_range(0..routers.len() as u64) as usize;
+            if routers[n].take().is_some() {
+                kills.push((n as u64, now, Micros::MAX));
+            }
+            next_kill = now + KILL_EVERY / 2 + rng.rand_range(0..KILL_EVERY);
+        }
         if now >= told_at + 5 * S {
             told_at = now;
             let at = now.saturating_sub(begin) / S;
-            progress(&format!("{at:>4} s  {} of {} chains", results.borrow().done, day.jobs.len()));
+            let done = results.borrow().done;
+            progress(&format!("{at:>4} s  {done} of {} chains, {} kills", day.jobs.len(), kills.len()));
         }
     }
     drop(routers);
@@ -201,7 +234,7 @@
         }
         until.insert(chain, job.at + LIMIT);
     }
-    let terms = Terms { grace: day::GRACE, window: day::WINDOW, effects, kills: Vec::new(), end };
+    let terms = Terms { grace: day::GRACE, window: day::WINDOW, effects, kills, end };
     let mut report = Report::default();
     report.verdict = ledger.read(|seen| {
         let mut verdict = judge(seen, &terms);
@@ -216,6 +249,30 @@
         }
         *report.got.entry(*got).or_default() += 1;
     }
+    let mut records = Vec::new();
+    for me in (0..plan.routers).filter(|_| order.kills > 0) {
+        records.push(Disk::open(&folder.join(format!("record-{me}")))?);
+    }
+    let mut lasting = BTreeSet::new();
+    ledger.read(|seen| {
+        for (_, saw) in seen {
+            if let Saw::Began { event, .. } = saw
+                && let Some((chain, step)) = event.rsplit_once('/')
+                && step != "price"
+            {
+                lasting.insert(chain.to_owned());
+            }
+        }
+    });
+    for (job, (got, _)) in day.jobs.iter().zip(&results.borrow().got) {
+        let answered = !matches!(got, Got::Nothing | Got::Broken);
+        if order.plain || answered || !lasting.contains(&format!("{} {}", job.source, job.id)) {
+            continue;
+        }
+        report.unanswered.0 += 1;
+        let on_record = records.iter_mut().any(|r| matches!(r.read((&job.source, &job.id)), Ok(Some(_))));
+        report.unanswered.1 += usize::from(on_record);
+    }
     Ok(report)
 }
 
