--- /dev/null
+++ b/crates/record/benches/record.rs
@@ -0,0 +1,36 @@
+//! What it costs to write chains down, durably: one a transaction, and ten: `cargo bench -p applepond-record`.
+use applepond_record::{Disk, Kept, KeptAnswer, KeptEnd, KeptStep, Memory, Record};
+use criterion::{Criterion, criterion_group, criterion_main};
+use std::collections::BTreeMap;
+
+/// A chain of three steps as the drill's: some 600 bytes.
+fn kept() -> Kept {
+    let answer = KeptAnswer { lines: vec![b'x'; 100], body: vec![b'y'; 100] };
+    let fields = BTreeMap::from([("hut".to_owned(), "hold-hut-7".to_owned())]);
+    let end = KeptEnd { how: 0, fields, answer: Some(answer) };
+    let step = |n| (n, KeptStep { sent: 1, end: Some(end.clone()) });
+    Kept { chain: "book".into(), until: u64::MAX, steps: (0..3).map(step).collect(), ..Kept::default() }
+}
+
+fn benches(c: &mut Criterion) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut disk = Disk::open(&folder.path().join("record")).expect("a new file");
+    let (kept, mut n) = (kept(), 0u64);
+    let mut keep = |record: &mut dyn Record, chains: u64| {
+        let names: Vec<String> = (0..chains).map(|i| ((n + i) % 10_000).to_string()).collect();
+        n += chains;
+        let rows: Vec<_> = names.iter().map(|id| (("/desk", id.as_str()), &kept)).collect();
+        record.keep(&rows).expect("kept");
+    };
+    let mut group = c.benchmark_group("keep");
+    group.sample_size(30);
+    group.bench_function("disk/1", |b| b.iter(|| keep(&mut disk, 1)));
+    group.bench_function("disk/10", |b| b.iter(|| keep(&mut disk, 10)));
+    let mut memory = Memory::default();
+    group.bench_function("memory/1", |b| b.iter(|| keep(&mut memory, 1)));
+    group.finish();
+    c.bench_function("read/none", |b| b.iter(|| disk.read(("/desk", "none")).expect("read")));
+}
+
+criterion_group!(all, benches);
+criterion_main!(all);
