--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -171,8 +171,9 @@
     let mut routers = Vec::new();
     for me in 0..plan.routers {
         let record = folder.join(format!("record-{me}"));
-        // The rows of the drill's workloads follow; chains name them.
-        let more = format!("record = \"{}\"\n", record.display());
+        // The rows of the drill's workloads follow; chains name them. Records outlive the drill: it looks at
+        // them.
+        let more = format!("record = \"{}\"\nbounds {{\n  remember_for = \"600s\"\n}}\n", record.display());
         let text = Day::settings(
             me,
             plan.routers,
