chains: finished only once on record; a cancelled step that waits to be written is not sent

Read over: a chain answered as finished could be taken back after a kill within 20 ms, its end not being on record yet; an arm of a fork that was cancelled before it was written down was sent all the same; a record was dropped before its undos had their five minutes. Two cases, which failed without.

--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -65,6 +65,7 @@
     kept: Kept,
     /// A step with an effect was sent: from then on it is on record.
     on_record: bool,
+    answered: bool,
 }
 
 /// A step with an effect that waits to be written down before it is sent.
@@ -102,6 +103,8 @@
     counts: Counts,
     pub record: Box<dyn Record>,
     unwritten: Vec<Waiting>,
+    /// Chains that have finished, to be written down before they are answered.
+    unanswered: Vec<(JobId, Ended)>,
     /// Chains whose record is behind; a timer is set for them.
     behind: BTreeSet<JobId>,
     timer: bool,
@@ -118,6 +121,7 @@
             counts: Counts::default(),
             record: Box::new(Memory::default()),
             unwritten: Vec::new(),
+            unanswered: Vec::new(),
             behind: BTreeSet::new(),
             timer: false,
         }
@@ -126,7 +130,7 @@
     /// Chains that have come to their end, and whose record says so.
     fn drop_closed(&mut self, jobs: &BTreeSet<JobId>) {
         for job in jobs {
-            if self.open.get(job).is_some_and(|c| c.kept.closed) {
+            if self.open.get(job).is_some_and(|c| c.kept.closed && c.answered) {
                 self.open.remove(job);
             }
         }
@@ -289,6 +293,7 @@
             undos: 0,
             steps: 0,
             on_record: true,
+            answered: false,
             kept,
         }
     }
@@ -300,9 +305,8 @@
         self.chains.begun.push_back((job, todo));
     }
 
-    /// Chains on record that had not come to their end: whoever asked for one may ask again until its time
-    /// is up;
-    /// then it goes on without anybody, which takes back what must be taken back.
+    /// Chains on record that had not come to their end: whoever asked for one may ask again until its time is
+    /// up; then it goes on without anybody, which takes back what must be taken back.
     pub(super) fn resume_chains(&mut self, now: Micros, wire: &mut dyn Wire) {
         let open = match self.chains.record.open() {
             Ok(open) => open,
@@ -347,12 +351,12 @@
 
     // ---- The record ----------------------------------------------------------------------------
 
-    /// Writes down what waits for it, in one transaction for all chains of this turn, and sends what was
-    /// waiting.
-    /// Where that fails nothing is sent: the steps end as ones that never ran.
+    /// Writes down what waits for it, in one transaction for all chains of this turn; then sends and answers
+    /// what was waiting. Where that fails nothing is sent: the steps end as ones that never ran.
     pub(super) fn write_down(&mut self, now: Micros, wire: &mut dyn Wire) -> bool {
         let waiting = std::mem::take(&mut self.chains.unwritten);
-        if waiting.is_empty() {
+        let finished = std::mem::take(&mut self.chains.unanswered);
+        if waiting.is_empty() && finished.is_empty() {
             return false;
         }
         for w in &waiting {
@@ -361,7 +365,13 @@
                 chain.kept.steps.insert(w.step.0 as u32, KeptStep { sent: now, end: None });
             }
         }
-        let written = self.write_chains(waiting.iter().map(|w| w.job).collect());
+        let jobs = waiting.iter().map(|w| w.job).chain(finished.iter().map(|(job, _)| *job));
+        let written = self.write_chains(jobs.collect());
+        // Their work is done, whether that could be written down or not.
+        for (job, ended) in finished {
+            self.end_chain(now, wire, job, ended);
+            self.chain_goes_on(now, wire, job, Vec::new());
+        }
         for w in waiting {
             if written {
                 self.begin_step(now, w.job, w.step, w.function, w.until);
@@ -476,10 +486,19 @@
                     );
                 }
                 Do::Cancel(step) => {
+                    // It may not have been sent yet.
+                    self.chains.unwritten.retain(|w| (w.job, w.step) != (job, step));
                     let out = self.chains.open.get_mut(&job).and_then(|c| c.out.remove(&step));
                     out.into_iter().for_each(|of_step| self.abandon(now, wire, of_step));
                 }
-                Do::End(ended) => self.end_chain(now, wire, job, ended),
+                Do::End(ended) => match self.chains.open.get_mut(&job) {
+                    // Once it is told as finished nothing may take it back, also not after a kill.
+                    Some(chain) if chain.on_record && matches!(ended, Ended::Finished(_)) => {
+                        chain.kept.closed = true;
+                        self.chains.unanswered.push((job, ended));
+                    }
+                    _ => self.end_chain(now, wire, job, ended),
+                },
                 Do::Undo { step, function } => {
                     let done = |c: &Chain| {
                         let kept = c.kept.steps.get(&(step.0 as u32)).and_then(|s| s.end.as_ref());
@@ -659,6 +678,8 @@
             }
             Ended::Failed(step, why) => {
                 chain.kept.failed = true;
+                // On record for as long as it may be taken back.
+                chain.kept.until = now + UNDO_FOR + self.deployment.remember_for;
                 counts.failed += 1;
                 let (reason, detail) = failed(step, why);
                 let status = if why == Why::NoTime { 504 } else { 502 };
@@ -690,6 +711,7 @@
             left_us = chain.run.deadline().saturating_sub(now),
             "chain ended"
         );
+        chain.answered = true;
         for conn in std::mem::take(&mut chain.callers) {
             if let Some(caller) = self.callers.get_mut(&conn) {
                 caller.answer(now, wire, conn, &told);
--- a/crates/gateway/tests/chains.rs
+++ b/crates/gateway/tests/chains.rs
@@ -282,6 +282,42 @@
     assert_eq!(lives.bench.requests(), 0, "once is enough");
 }
 
+// Told as finished, it is never taken back: that is on record before the answer goes out.
+#[test]
+fn what_was_told_as_finished_stays() {
+    let mut lives = Lives::new(None);
+    let client = lives.bench.asks("book", "7");
+    lives.go_on(2);
+    let (conn, _) = latest(&mut lives.bench);
+    lives.bench.says(conn, result("{\"booked\":4711}").as_bytes());
+    assert_eq!(lives.bench.statuses(client), [200], "in the same turn");
+    lives.kill();
+    lives.bench.pass(9 * S);
+    assert_eq!(lives.bench.requests(), 0, "nothing is taken back");
+    lives.kill();
+    assert_eq!(lives.sent.get("7/release"), None);
+}
+
+// One of two arms waits to be written down when the other fails at once: it is not sent.
+#[test]
+fn an_arm_cancelled_before_it_was_written_down_is_not_sent() {
+    let fork = Branch { test: None, go: Go::All(vec![StepId(1), StepId(2)], None) };
+    let steps = vec![
+        Step { next: vec![fork], ..step("price", 0) },
+        step("beds", 1),
+        Step { function: Function::From(StepId(0), "nowhere".into()), ..step("meals", 1) },
+    ];
+    let plan = Plan { name: "book".into(), limit: 4 * S, steps };
+    assert_eq!(plan.check(), Vec::new());
+    let row = ChainRow { types: vec!["book".into()], function_by: "subject".into(), plan: Arc::new(plan) };
+    let mut b = Bench::new(Deployment { chains: vec![row], ..deployment(2) });
+    let client = b.asks("book", "7");
+    let (conn, _) = latest(&mut b);
+    b.says(conn, result("{}").as_bytes());
+    b.pass(S);
+    assert_eq!((b.requests(), b.statuses(client)), (1, vec![502]));
+}
+
 // Whichever write fails, and wherever the instance is killed after that: no step with an effect is sent
 // twice, and
 // each exchange gets one answer.
