--- a/crates/storm/tests/days.rs
+++ b/crates/storm/tests/days.rs
@@ -239,6 +239,20 @@
     );
 }
 
+// Ten times the work, and a storm hidden in it: once the retries are gone it is over, and the work goes in.
+#[test]
+fn a_storm_in_a_jump_ends_though_the_jump_does_not() {
+    let mut day = Day::new();
+    day.run(30, 100, 1, 1000, 1.0);
+    day.run(6, 1000, 600, 5000, 0.3);
+    assert_eq!(day.called(), Called::Storm);
+    day.run(14, 1000, 5, 5000, 1.0);
+    assert_eq!(day.called(), Called::Jump);
+    let back = day.back;
+    day.run(5, 1000, 5, 5000, 1.0);
+    assert_eq!(day.back, back);
+}
+
 // In a storm about as many go in as the fleet finished before it, and first tries come before retries.
 #[test]
 fn admission() {
