Chains are counted in the jobs' bound, answered by the last finish, and keep one answer

Read over: the bound on jobs not ended was looked at for jobs alone; a chain whose last step was optional and left out, or failed, was answered 200 without an event; each open chain held the answers of all its steps (8 MB each at most) though what is on record has them; a failed write of the record was tried again only with the next event, now every second. Where an answer was too long for the record and was lost with a kill the client is told so. Two cases, which failed without.

--- a/crates/chain/src/run.rs
+++ b/crates/chain/src/run.rs
@@ -111,6 +111,8 @@
     order: Vec<StepId>,
     results: BTreeMap<(StepId, String), String>,
     forks: Vec<Fork>,
+    /// The step that finished last.
+    last: Option<StepId>,
     recorded: Recorded,
     ended: Option<Ended>,
 }
@@ -133,6 +135,7 @@
             order: Vec::new(),
             results: BTreeMap::new(),
             forks: Vec::new(),
+            last: None,
             recorded,
             ended: None,
         }
@@ -306,6 +309,7 @@
     ) {
         self.states[step.0] = State::Ended(how);
         if how == How::Finished {
+            self.last = Some(step);
             let asked: Vec<String> = self.asked(step).into_iter().map(str::to_owned).collect();
             for name in asked {
                 if let Some(value) = field(&name) {
@@ -401,7 +405,10 @@
         self.fail(step, why, todo);
     }
 
+    /// The chain is finished by the step that finished last: the one that led here may have been left out, or
+    /// have failed and been free to.
     fn finish(&mut self, step: StepId, todo: &mut Vec<Do>) {
+        let Some(step) = self.last else { return self.fail(step, Why::StepFailed, todo) };
         if self.ended.is_none() {
             self.cancel_rest(todo);
             self.ended = Some(Ended::Finished(step));
--- a/crates/chain/tests/runs.rs
+++ b/crates/chain/tests/runs.rs
@@ -215,3 +215,21 @@
         assert_eq!(b.finishes(50, 1), ["begin confirm"]);
     }
 }
+
+// The last step may be left out, or fail: the answer is that of the one that finished last. Where none did
+// there
+// is none.
+#[test]
+fn an_optional_last_step() {
+    let steps = vec![free("price").next(&[to(1)]), free("photos").optional()];
+    let mut b = Bench::new(steps.clone());
+    b.begin();
+    assert_eq!(b.finishes(3_950, 0), ["finished by price"], "left out");
+    let mut b = Bench::new(steps);
+    b.begin();
+    b.finishes(50, 0);
+    assert_eq!(b.ends(50, 1, How::MayHaveRun, &[]), ["finished by price"], "failed");
+    let mut b = Bench::new(vec![free("photos").optional()]);
+    b.begin();
+    assert_eq!(b.ends(50, 0, How::NeverRan, &[]), ["pushed back at photos: StepFailed"]);
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -156,6 +156,11 @@
 }
 
 impl Told {
+    /// The answer of a job that finished.
+    pub fn finished(lines: Lines, body: Vec<u8>) -> Self {
+        Told { ending: Ending::Finished, status: 200, reason: "finished", lines, body, come_back: None }
+    }
+
     pub fn bytes(&self) -> usize {
         self.body.len() + self.lines.len()
     }
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -618,10 +618,6 @@
         let Some(left) = limit::left(now, time_limit, draft.asked) else {
             return refuse(504, "expired", "the event's time was up when it came".to_owned());
         };
-        if self.tasks.len() + self.chains.open.len() >= JOBS_MOST {
-            let fault = Fault::new(503, "too-many-jobs", "this router holds as many jobs as it may");
-            return Err(front::problem(Ending::PushedBack, &fault, Some(&id), Some(JOBS_MOST_WAIT)));
-        }
         let (client, digest, retry) = self.admit(now, &draft, workload, left)?;
         self.counts.jobs += 1;
         let wanted = Wanted {
@@ -648,8 +644,8 @@
         Ok(())
     }
 
-    /// Asks the gate; the digests of the client and the job's name, and whether it is a retry. An error is
-    /// the answer of a job that is pushed back before the module.
+    /// Whether there is room for one more, by number and by the gate; the digests of the client and the job's
+    /// name, and whether it is a retry. An error is the answer of a job pushed back before the module.
     fn admit(
         &mut self,
         now: Micros,
@@ -657,6 +653,10 @@
         workload: usize,
         left: Micros,
     ) -> Result<(u64, u64, bool), Rc<Told>> {
+        if self.tasks.len() + self.chains.open.len() >= JOBS_MOST {
+            let fault = Fault::new(503, "too-many-jobs", "this router holds as many jobs as it may");
+            return Err(front::problem(Ending::PushedBack, &fault, Some(&draft.id), Some(JOBS_MOST_WAIT)));
+        }
         let client = FunctionId::named(&draft.source).0;
         let digest = FunctionId::named(&draft.id).0 ^ client.rotate_left(1);
         let passage = self.gate.arrive(
@@ -884,14 +884,7 @@
                 let mut lines = std::mem::take(&mut answering.lines);
                 lines.field("applepond-executions", &task.executions.len().to_string());
                 let body = std::mem::take(&mut answering.body);
-                let told = Told {
-                    ending: Ending::Finished,
-                    status: 200,
-                    reason: "finished",
-                    lines,
-                    body,
-                    come_back: None,
-                };
+                let told = Told::finished(lines, body);
                 self.end(now, wire, job, Rc::new(told));
             }
         }
--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -24,6 +24,8 @@
 const COME_BACK: Micros = 1_000_000;
 /// µs after which ends of steps are written that no other write took along.
 const WRITTEN_SOON: Micros = 20_000;
+/// µs after which what could not be written is tried again: a disk is not mended within a moment.
+const WRITTEN_AGAIN: Micros = 1_000_000;
 /// µs between two looks for records that may be dropped.
 const CLEARS: Micros = 5_000_000;
 /// Fields of a chain's event that its steps' events do not take over.
@@ -53,8 +55,10 @@
     pub callers: Vec<Conn>,
     /// Jobs of the steps that are out.
     out: BTreeMap<StepId, JobId>,
-    /// Answers of steps: one of them is the chain's.
-    answers: BTreeMap<StepId, Rc<Told>>,
+    /// The answer of the step that finished last, and the time that the last pushback named. What other steps
+    /// said is kept for the record.
+    finished: Option<(StepId, Rc<Told>)>,
+    come_back: Option<Micros>,
     /// Attributes, media type and data that each step's event takes over.
     lines: Lines,
     media: Option<String>,
@@ -68,6 +72,17 @@
     answered: bool,
 }
 
+impl Chain {
+    /// What a step that finished said: as it was told, or as it is on record.
+    fn answer(&self, step: StepId) -> Option<(Lines, Vec<u8>)> {
+        if let Some((_, told)) = self.finished.as_ref().filter(|(of, _)| *of == step) {
+            return Some((told.lines.clone(), told.body.clone()));
+        }
+        let end = self.kept.steps.get(&(step.0 as u32))?.end.as_ref()?;
+        end.answer.as_ref().map(|a| (Lines::of(a.lines.clone()), a.body.clone()))
+    }
+}
+
 /// A step with an effect that waits to be written down before it is sent.
 struct Waiting {
     job: JobId,
@@ -263,19 +278,6 @@
     ) -> Chain {
         let recorded = resumed(&kept, &plan, now);
         self.chains.counts.resumed += u64::from(!kept.steps.is_empty());
-        let answer = |step: &KeptStep| {
-            let answer = step.end.as_ref()?.answer.as_ref()?;
-            let (lines, body) = (Lines::of(answer.lines.clone()), answer.body.clone());
-            Some(Rc::new(Told {
-                ending: Ending::Finished,
-                status: 200,
-                reason: "finished",
-                lines,
-                body,
-                come_back: None,
-            }))
-        };
-        let answers = kept.steps.iter().filter_map(|(n, s)| Some((StepId(*n as usize), answer(s)?)));
         Chain {
             name,
             client: 0,
@@ -283,7 +285,8 @@
             customer,
             came: now,
             retry: false,
-            answers: answers.collect(),
+            finished: None,
+            come_back: None,
             run: Run::new(now, plan, kept.named.clone(), kept.deadline, recorded),
             callers: Vec::new(),
             out: BTreeMap::new(),
@@ -366,7 +369,7 @@
             }
         }
         let jobs = waiting.iter().map(|w| w.job).chain(finished.iter().map(|(job, _)| *job));
-        let written = self.write_chains(jobs.collect());
+        let written = self.write_chains(now, wire, jobs.collect());
         // Their work is done, whether that could be written down or not.
         for (job, ended) in finished {
             self.end_chain(now, wire, job, ended);
@@ -391,7 +394,7 @@
     }
 
     /// Writes these chains and all that are behind.
-    fn write_chains(&mut self, mut jobs: BTreeSet<JobId>) -> bool {
+    fn write_chains(&mut self, now: Micros, wire: &mut dyn Wire, mut jobs: BTreeSet<JobId>) -> bool {
         jobs.append(&mut self.chains.behind);
         let chains = jobs.iter().filter_map(|job| self.chains.open.get(job));
         let rows: Vec<_> = chains.map(|c| ((&*c.name.0, &*c.name.1), &c.kept)).collect();
@@ -401,6 +404,7 @@
             self.chains.counts.not_written += 1;
             tracing::error!(%why, reason = "no-record", "chains were not written down");
             self.chains.behind.extend(jobs);
+            self.write_behind(now, wire, WRITTEN_AGAIN);
         } else {
             self.chains.drop_closed(&jobs);
         }
@@ -433,19 +437,21 @@
             return;
         }
         self.chains.behind.insert(job);
-        if !std::mem::replace(&mut self.chains.timer, true) {
-            self.after(
-                now,
-                wire,
-                WRITTEN_SOON,
-                Box::new(|g, _, _| {
-                    g.chains.timer = false;
-                    if !g.chains.behind.is_empty() {
-                        g.write_chains(BTreeSet::new());
-                    }
-                }),
-            );
+        self.write_behind(now, wire, WRITTEN_SOON);
+    }
+
+    /// Has chains that are behind written after a while, unless that is to be done anyway.
+    fn write_behind(&mut self, now: Micros, wire: &mut dyn Wire, wait: Micros) {
+        if std::mem::replace(&mut self.chains.timer, true) {
+            return;
         }
+        let step = |g: &mut Gateway, now: Micros, wire: &mut dyn Wire| {
+            g.chains.timer = false;
+            if !g.chains.behind.is_empty() {
+                g.write_chains(now, wire, BTreeSet::new());
+            }
+        };
+        self.after(now, wire, wait, Box::new(step));
     }
 
     /// Lets a chain's run decide, with what its steps need now.
@@ -581,7 +587,10 @@
         }
         let Some(chain) = self.chains.open.get_mut(&job) else { return };
         chain.out.remove(&step);
-        chain.answers.insert(step, end.told.clone());
+        chain.come_back = end.told.come_back;
+        if end.told.ending == Ending::Finished {
+            chain.finished = Some((step, end.told.clone()));
+        }
         let told = end.told.clone();
         let read = move |name: &str| field(&told.body, name);
         let ending = how(end.told.ending);
@@ -655,19 +664,17 @@
         let told = match ended {
             Ended::Finished(step) => {
                 counts.finished += 1;
-                let answer = chain.answers.get(&step);
-                let (lines, body) =
-                    answer.map_or_else(Default::default, |a| (a.lines.clone(), a.body.clone()));
-                let mut told = Told {
-                    ending: Ending::Finished,
-                    status: 200,
-                    reason: "finished",
-                    lines,
-                    body,
-                    come_back: None,
-                };
-                told.lines.field("applepond-steps", &chain.steps.to_string());
-                Rc::new(told)
+                match chain.answer(step) {
+                    Some((mut lines, body)) => {
+                        lines.field("applepond-steps", &chain.steps.to_string());
+                        Rc::new(Told::finished(lines, body))
+                    }
+                    None => {
+                        let detail = "it finished; its answer was too long to be kept over a kill";
+                        let fault = Fault::new(502, "answer-lost", detail);
+                        front::problem(Ending::Killed, &fault, Some(&id), None)
+                    }
+                }
             }
             Ended::PushedBack(step, why) => {
                 // The next try begins anew.
@@ -675,8 +682,8 @@
                 counts.pushed_back += 1;
                 counts.refused_for_time += u64::from(why == Why::NoTime);
                 let (reason, detail) = failed(step, why);
-                let wait = chain.answers.get(&step).and_then(|a| a.come_back);
-                let wait = wait.or(Some(COME_BACK)).filter(|_| self.deployment.rows.permits.come_back);
+                let wait =
+                    chain.come_back.or(Some(COME_BACK)).filter(|_| self.deployment.rows.permits.come_back);
                 let fault = Fault::new(503, reason, format!("{detail}; a retry does no harm"));
                 front::problem(Ending::PushedBack, &fault, Some(&id), wait)
             }
@@ -691,8 +698,8 @@
                 front::problem(Ending::Killed, &fault, Some(&id), None)
             }
         };
-        let paid = chain.answers.values().any(|a| a.ending == Ending::Finished);
-        let finished = told.ending == Ending::Finished;
+        let paid = chain.finished.is_some() || chain.on_record;
+        let finished = matches!(ended, Ended::Finished(_));
         self.chains.pace.ended(now, finished, paid && !finished);
         match told.ending {
             Ending::Finished => self.counts.finished += 1,
--- a/crates/gateway/tests/chains.rs
+++ b/crates/gateway/tests/chains.rs
@@ -356,3 +356,13 @@
     lives.kill();
     assert_eq!(lives.sent.keys().collect::<Vec<_>>(), ["7/price"]);
 }
+
+// Chains count among what a router holds.
+#[test]
+fn as_many_chains_as_jobs() {
+    let row =
+        ChainRow { types: vec!["book".into()], function_by: "subject".into(), plan: Arc::new(booking()) };
+    let mut b = Bench::new(Deployment { chains: vec![row], callers_most: 100_000, ..deployment(0) });
+    let told: Vec<Conn> = (0..20_001).map(|n| b.asks("book", &n.to_string())).collect();
+    assert!(b.told(told[20_000]).contains("too-many-jobs"), "{}", b.told(told[20_000]));
+}
