--- a/crates/chain/src/pace.rs
+++ b/crates/chain/src/pace.rs
@@ -1,6 +1,5 @@
 //! Fresh chains under load: as many are begun as come to their end, so that work is spent on whole chains
-//! and not
-//! on many first steps.
+//! and not on many first steps.
 use applepond::interface::Micros;
 use applepond_storm::room::Room;
 use applepond_storm::watch::Rate;
@@ -8,15 +7,12 @@
 /// Chains a second that are begun at the least.
 const LEAST: f64 = 2.0;
 /// Chains that failed with steps paid for, as a part of those that finished, from which on fresh ones are
-/// held to a
-/// pace; and how many at least, as one or two say nothing.
+/// held to a pace; and how many at least, as one or two say nothing.
 const MUCH: f64 = 0.1;
 const SOME: f64 = 3.0;
 /// Times what finishes that are begun when the pace sets in, and at the least: a little less than goes out
-/// drains
-/// what waits at workers and makes each step late. With 0.6 workers stood idle (drill, load 2: 506 whole
-/// chains
-/// instead of 588), without any bound a fifth of the work went into chains that failed (543).
+/// drains what waits at workers and makes each step late. With 0.6 workers stood idle (drill, load 2: 506
+/// whole chains instead of 588), without any bound a fifth of the work went into chains that failed (543).
 const BEGINS: f64 = 1.2;
 const DRAINS: f64 = 0.9;
 /// µs without anybody turned away after which they are not any more.
--- a/crates/chain/src/plan.rs
+++ b/crates/chain/src/plan.rs
@@ -203,8 +203,7 @@
     }
 
     /// µs from a step's beginning to the end of the chain on the shortest way, each step taking `time`;
-    /// optional
-    /// steps take none. The plan has no loops.
+    /// optional steps take none. The plan has no loops.
     pub fn shortest(&self, from: StepId, time: &dyn Fn(StepId) -> Micros) -> Micros {
         let own = |id: StepId| if self.step(id).optional { 0 } else { time(id) };
         own(from) + self.shortest_after(from, time)
--- a/crates/chain/src/run.rs
+++ b/crates/chain/src/run.rs
@@ -1,8 +1,7 @@
 //! One chain while it runs: told how its steps ended, it says what comes next.
 //!
 //! A chain that was cut off in the middle runs again from its beginning with what is on record: a step
-//! whose end
-//! is known is not begun again, it ends at once as it ended then.
+//! whose end is known is not begun again, it ends at once as it ended then.
 use crate::plan::{Branch, Function, Go, Plan, Step, StepId};
 use applepond::interface::{Effect, Micros};
 use std::collections::BTreeMap;
@@ -17,8 +16,7 @@
 const AGAIN_LEAST: Micros = 30_000;
 const AGAIN: Micros = 100_000;
 /// Part of the time to spare that is waited at most: what was told is for clients, who have not paid for
-/// steps
-/// before.
+/// steps before.
 const AGAIN_PART: u64 = 4;
 
 /// How a step ended.
--- a/crates/chain/tests/runs.rs
+++ b/crates/chain/tests/runs.rs
@@ -195,8 +195,7 @@
 }
 
 // A step that was pushed back is begun again while there is time: what was before it is paid for. A chain
-// that
-// has done nothing yet is pushed back as a whole.
+// that has done nothing yet is pushed back as a whole.
 #[test_case(50, Some(200), "wait 200 ms for beds-2"; "as told")]
 #[test_case(50, None, "wait 100 ms for beds-2"; "nothing told")]
 #[test_case(50, Some(1), "wait 30 ms for beds-2"; "told hardly anything")]
@@ -217,8 +216,7 @@
 }
 
 // The last step may be left out, or fail: the answer is that of the one that finished last. Where none did
-// there
-// is none.
+// there is none.
 #[test]
 fn an_optional_last_step() {
     let steps = vec![free("price").next(&[to(1)]), free("photos").optional()];
--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -24,8 +24,7 @@
 /// µs that a chain has in all.
 const LIMIT: Micros = 2 * S;
 /// µs past a chain's time up to which a step may still be seen running: the end of its connection travels,
-/// and
-/// the machine pauses.
+/// and the machine pauses.
 const GRACE: Micros = 150 * MS;
 /// Steps that a chain takes on average, and µs of one: what the fleet can do at load 1.
 const STEPS: f64 = 3.3;
@@ -66,8 +65,7 @@
 }
 
 /// The next step of a desk that calls them one by one: a third of the time each, unused time is lost.
-/// `price` is
-/// what the first step said.
+/// `price` is what the first step said.
 fn next(p: &Planned, spent: Micros, said: &serde_json::Value, price: &serde_json::Value) -> Option<Planned> {
     let (id, step) = p.id.rsplit_once('/')?;
     let then = |step: &str, kind: &'static str, function: &str| Planned {
--- a/crates/gateway/tests/chains.rs
+++ b/crates/gateway/tests/chains.rs
@@ -28,8 +28,7 @@
 }
 
 /// Price; beds at the hut that the price names, released when it fails later; if they are not free, the
-/// second
-/// hut; then confirm, once.
+/// second hut; then confirm, once.
 fn booking() -> Plan {
     let free = Test { field: "free".into(), is: "true".into() };
     let steps = vec![
@@ -319,8 +318,7 @@
 }
 
 // Whichever write fails, and wherever the instance is killed after that: no step with an effect is sent
-// twice, and
-// each exchange gets one answer.
+// twice, and each exchange gets one answer.
 #[test]
 fn whichever_write_fails_and_wherever_it_is_killed() {
     let mut outcomes = std::collections::BTreeSet::new();
--- a/crates/record/src/disk.rs
+++ b/crates/record/src/disk.rs
@@ -1,6 +1,5 @@
 //! The record on disk, in one `redb` file: a transaction is there as a whole or not at all, and a file that
-//! was cut or
-//! written over is found out when it is opened or read.
+//! was cut or written over is found out when it is opened or read.
 use crate::{Kept, Micros, Name, Record};
 use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
 use std::path::{Path, PathBuf};
@@ -25,8 +24,7 @@
 
 impl Disk {
     /// Opens the file, or makes it. An error names the file and the reason: it can't be read or written, is
-    /// not a
-    /// record, or was damaged.
+    /// not a record, or was damaged.
     pub fn open(file: &Path) -> Result<Self, String> {
         let database = Database::create(file).map_err(|e| format!("{}: {e}", file.display()))?;
         Self::with(file, database)
--- a/crates/record/src/kept.rs
+++ b/crates/record/src/kept.rs
@@ -73,8 +73,8 @@
 }
 
 /// Whether a step that was sent, and whose end is not known, may be sent once more. A fingerprint helps
-/// only where
-/// the repeat is known by whoever gets it: after a kill nobody here knows which rack or zone got the first.
+/// only where the repeat is known by whoever gets it: after a kill nobody here knows which rack or zone got
+/// the first.
 fn again(effect: Effect, sent: Micros, now: Micros) -> bool {
     match effect {
         Effect::Restartable => true,
--- a/crates/storm/src/gate.rs
+++ b/crates/storm/src/gate.rs
@@ -29,8 +29,7 @@
 /// Part of the pace that a storm's advice hands out: the rest is for those who come of themselves.
 const ADVISED: f64 = 0.7;
 /// Times the pace that goes in at first: what was finished before was what was asked for, and there may be
-/// room for
-/// more.
+/// room for more.
 const PROBES: f64 = 1.5;
 /// Part of what may go in that is open to those behind all others: what they would probe with is taken from
 /// those that follow.
--- a/crates/storm/src/room.rs
+++ b/crates/storm/src/room.rs
@@ -1,6 +1,5 @@
 //! How much may go in where more is wanted than there is room for: found by steps, up while next to nothing
-//! of what
-//! went in had no room, down while much of it had none.
+//! of what went in had no room, down while much of it had none.
 use crate::Micros;
 
 /// µs between two steps: about what it takes until it is told that there was no room. Factors of a step where
@@ -36,8 +35,7 @@
     }
 
     /// What may go in a second, where `pace` finishes: from `begin` times that on, and never under `least`
-    /// times
-    /// that.
+    /// times that.
     pub fn allowed(&mut self, now: Micros, pace: f64, begin: f64, least: f64) -> f64 {
         if !self.in_use(now) {
             (self.allowed, self.stepped, self.ends) = (pace * begin, now, (0.0, 0.0));
