A restartable step takes no undo; records in memory are bounded too

Read over: a pushed-back chain invites another try at once, which an undo of a restartable step could have taken back; nothing of such a step lasts, so a plan with one is a fault now. The record in memory had no bound, the one on disk 200,000 chains; both have it now.

--- a/crates/chain/src/plan.rs
+++ b/crates/chain/src/plan.rs
@@ -278,6 +278,10 @@
                 let found = format!("undo \"{}\" that leads on", step.name);
                 fault(Some(n), Part::Next, found, "an undo without next, else or undo");
             }
+            if step.undo.is_some() && step.effect == Effect::Restartable {
+                let found = format!("an undo of the restartable \"{}\"", step.name);
+                fault(Some(n), Part::Undo, found, "an undo of a step whose effect lasts");
+            }
             let known = |of: StepId| of == id || before[n].contains(&of);
             if let Some(Function::From(of, _)) = step.undo.map(|undo| &self.step(undo).function)
                 && !known(*of)
--- a/crates/record/src/disk.rs
+++ b/crates/record/src/disk.rs
@@ -1,6 +1,6 @@
 //! The record on disk, in one `redb` file: a transaction is there as a whole or not at all, and a file that
 //! was cut or written over is found out when it is opened or read.
-use crate::{Kept, Micros, Name, Record};
+use crate::{CHAINS_MOST, Kept, Micros, Name, Record};
 use redb::{Database, ReadableDatabase, ReadableTable, ReadableTableMetadata, TableDefinition};
 use std::path::{Path, PathBuf};
 
@@ -10,8 +10,6 @@
 const UNTIL: TableDefinition<'_, (u64, &[u8]), ()> = TableDefinition::new("until");
 /// Chains dropped in one transaction at most: clearing must not hold up a step.
 const CLEARED: usize = 1_000;
-/// Chains on record at most: beyond it no chain with an effect is begun. At 2 kB each it is a file of 400 MB.
-const CHAINS_MOST: u64 = 200_000;
 
 pub struct Disk {
     file: PathBuf,
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -9,6 +9,9 @@
 pub use disk::Disk;
 pub use kept::{Kept, KeptAnswer, KeptEnd, KeptStep, resumed};
 
+/// Chains on record at most: beyond it no chain with an effect is begun. At 2 kB each it is 400 MB.
+pub const CHAINS_MOST: u64 = 200_000;
+
 /// Whole microseconds.
 pub type Micros = u64;
 
@@ -37,7 +40,11 @@
 impl Record for Memory {
     fn keep(&mut self, chains: &[(Name<'_>, &Kept)]) -> Result<(), String> {
         for ((source, id), kept) in chains {
-            self.0.insert(((*source).to_owned(), (*id).to_owned()), (*kept).clone());
+            let name = ((*source).to_owned(), (*id).to_owned());
+            if self.0.len() as u64 >= CHAINS_MOST && !self.0.contains_key(&name) {
+                return Err(format!("{CHAINS_MOST} chains are on record, as many as may be"));
+            }
+            self.0.insert(name, (*kept).clone());
         }
         Ok(())
     }
