--- a/src/control.rs
+++ b/src/control.rs
@@ -673,7 +673,7 @@
         orders.send(id, server, job.limit - now);
         let then: Step = Box::new(move |c, o, answer| c.closed(o, id, n, answer.expect("what it ends with")));
         self.out.insert((id, n), Out { server, function, workload, customer, sent: now, serving, then });
-        if !copy && self.rows.permits.second_copies && row.effect != Effect::RunOnce {
+        if !copy && row.effect != Effect::RunOnce {
             // The design's delay: twice the load time and the start target.
             let delay = 2 * self.load_time(function) + row.start_target;
             self.wake_then(orders, delay, Box::new(move |c, o, _| c.hedge(o, id, n)));
@@ -691,8 +691,13 @@
         if self.budget >= 1.0
             && let Some(server) = self.place(id)
         {
-            self.budget -= 1.0;
-            self.send(orders, id, server, true);
+            if self.rows.permits.second_copies {
+                self.budget -= 1.0;
+                self.send(orders, id, server, true);
+            } else if self.rows.permits.cancel {
+                // Stand-in where no copy may run beside it: `closed` sends the job on once this one is off.
+                orders.cancel(id, n);
+            }
             return;
         }
         self.wake_then(orders, 2 * BEAT, Box::new(move |c, o, _| c.hedge(o, id, n)));
