A time-out that later answers of the same worker overtook does not shrink its room

Ruled out: loads (fetches at 0.70 of the store), full answers (116 of 1434). A worker that has since answered a job sent later is not slow; the answer is lost or the job long by itself. Guards against heavy jobs as well; does harm where a worker stops some of its lanes only.

--- a/src/control.rs
+++ b/src/control.rs
@@ -196,6 +196,8 @@
     lag: f64,
     cut_at: Micros,
     heard: Micros,
+    /// When the latest sent of the jobs that it has answered was sent.
+    proved: Micros,
     errors: f64,
     aside: Option<Micros>,
     backoff: Micros,
@@ -815,6 +817,7 @@
         }
         if matches!(answer.outcome, Outcome::Finished | Outcome::Missing | Outcome::Full | Outcome::Error) {
             s.heard = now;
+            s.proved = s.proved.max(out.sent);
         }
         if self.rows.tells_company && matches!(answer.outcome, Outcome::Finished | Outcome::Full) {
             let told = f64::from(answer.company) * others / (others + 1.0);
@@ -888,7 +891,10 @@
                 self.set_aside(orders, out.server);
             }
             // No answer is one too: the worker took at least this long, and nothing faster says otherwise.
-            Outcome::TimedOut | Outcome::Cancelled if answer.elapsed > row.start_target => {
+            // Where later ones were answered meanwhile, the answer was lost or the job was long by itself.
+            Outcome::TimedOut | Outcome::Cancelled
+                if answer.elapsed > row.start_target && s.proved <= out.sent =>
+            {
                 s.lag += age.max(FRESH) * (answer.elapsed as f64 / row.start_target as f64 - s.lag);
                 s.others += if answer.held.is_some() { 0.0 } else { others * answer.elapsed as f64 / SPAN };
                 Self::cut_room(s, now, row.start_target);
