A home that the others keep loaded counts as serving; a function may take 0.8 of a worker's pace

What the others are taken to bring within 'keep' now counts as serving at the home (two jobs or more, warm workers only). Spreading a function at 0.4 of a pace made 3.2 times the homes needed and half of the loads needless.

--- a/src/control.rs
+++ b/src/control.rs
@@ -92,7 +92,9 @@
 /// Times the usual load time at which a load counts as slow.
 const LOAD_SLOW: f64 = 2.5;
 /// Part of a worker's pace that one function's jobs of all routers may take before they move on.
-const FUNCTION_PART: f64 = 0.4;
+const FUNCTION_PART: f64 = 0.8;
+/// Jobs of the other routers within the time that an idle copy is kept from which on it is taken to stand.
+const KEPT_JOBS: f64 = 2.0;
 /// Part of the mean of jobs a worker up to which one is idle enough to spread to.
 const SPREAD_IDLE: f64 = 0.5;
 /// Loads under way or waiting a worker, on average, from which on the store and the workers choke on them.
@@ -526,7 +528,7 @@
         self.order(function);
         let job = &self.jobs[&id];
         let row = &self.workloads[job.workload.0];
-        let (mut home, mut warm, mut next) = (None, None, None);
+        let (mut home, mut warm, mut next, mut presumed) = (None, None, None, false);
         // Jobs a µs that the other routers are taken to have of this function: as many as this one had before
         // this job, or a rare function's only job would look like one of many.
         let before = (self.functions[&function].rate - 1.0).max(0.0);
@@ -568,7 +570,10 @@
                 continue;
             }
             let hold = server.holds.get(&function);
-            let serving = hold.is_some_and(|h| h.serving_until > now);
+            // What the other routers are taken to keep loaded at the function's home stands there for this one too.
+            let kept = home.is_none() && beyond.min(part) * self.rows.keep as f64 >= KEPT_JOBS;
+            let known = hold.is_some_and(|h| h.serving_until > now);
+            let serving = known || kept && self.warmth(server) >= 1.0;
             if !serving && (settled || next.is_some()) {
                 continue;
             }
@@ -589,6 +594,7 @@
             // What the other routers alone fill is no crowd that is gone in a moment.
             let lasting =
                 || small == 1.0 && server.others >= server.room.min(crowd) || others >= lanes || !open();
+            presumed |= home.is_none() && serving && !known;
             home = home.or_else(|| Some((*id, serving, room, lasting())));
             if serving && room {
                 warm = Some(*id);
@@ -601,6 +607,11 @@
         }
         let (home, home_serves, home_room, lasting) = home?;
         if warm == Some(home) {
+            if presumed {
+                let until = now + self.load_time(function);
+                let hold = self.servers.get_mut(&home).expect("listed").holds.entry(function).or_default();
+                hold.serving_until = until;
+            }
             return warm;
         }
         let joins = warm.is_none() && self.loads_at(function, home);
