--- a/src/control.rs
+++ b/src/control.rs
@@ -686,7 +686,7 @@
         orders.send(id, server, job.limit - now);
         let then: Step = Box::new(move |c, o, answer| c.closed(o, id, n, answer.expect("what it ends with")));
         self.out.insert((id, n), Out { server, function, workload, customer, sent: now, serving, then });
-        if !copy && row.effect != Effect::RunOnce {
+        if !copy && self.rows.permits.second_copies && row.effect != Effect::RunOnce {
             // The design's delay: twice the load time and the start target.
             let delay = 2 * self.load_time(function) + row.start_target;
             self.wake_then(orders, delay, Box::new(move |c, o, _| c.hedge(o, id, n)));
