--- a/src/control.rs
+++ b/src/control.rs
@@ -845,8 +845,11 @@
                 s.errors *= 1.0 - age.max(FRESH);
                 if stood {
                     let part = answer.elapsed as f64 / row.start_target as f64;
-                    row.service += SERVICE_FRESH * (answer.elapsed as f64 - row.service);
-                    self.mean_service += SERVICE_FRESH * (row.service - self.mean_service);
+                    // Where answers lag they tell of the queue, and a longer usual time would lengthen it.
+                    if s.lag <= LAG_HIGH {
+                        row.service += SERVICE_FRESH * (answer.elapsed as f64 - row.service);
+                        self.mean_service += SERVICE_FRESH * (row.service - self.mean_service);
+                    }
                     // Each other router is taken to have as many there, on average, as this one.
                     let mean = others * answer.elapsed as f64 / SPAN;
                     hold.others += if self.rows.tells_company { 0.0 } else { mean };
