--- a/src/control.rs
+++ b/src/control.rs
@@ -281,9 +281,11 @@
     loads_cut: Micros,
     /// Loads under way at a worker, as told by answers of all of them.
     under_way: f64,
-    /// Faded count of own jobs until `job_at`.
+    /// Faded count of own jobs until `job_at`, and of own answers until `done_at`.
     rate: f64,
     job_at: Micros,
+    done: f64,
+    done_at: Micros,
     /// Sum of the ready workers' weights now and at the most, and jobs there a weight.
     weight: f64,
     weight_least: f64,
@@ -343,6 +345,8 @@
             under_way: 0.0,
             rate: 0.0,
             job_at: now,
+            done: 0.0,
+            done_at: now,
             weight: 1e-9,
             weight_least: 0.0,
             weight_most: 0.0,
@@ -425,7 +429,9 @@
     /// Jobs a µs that a weight of warm workers can do, erring low: the customers' shares, else what is seen.
     fn capacity_per_weight(&self) -> f64 {
         let shares = self.customers.iter().map(|c| c.jobs_per_s).sum::<f64>() / 1e6;
-        let seen = self.per_us(self.rate) * self.rows.routers as f64;
+        // What is asked beyond what comes to an end is no pace.
+        let taken = self.rate.min(self.done + (self.out.len() + self.held.len()) as f64);
+        let seen = self.per_us(taken) * self.rows.routers as f64;
         let all = if shares > 0.0 { shares } else { seen };
         all / self.weight_most.max(1e-9)
     }
@@ -842,6 +848,8 @@
         match answer.outcome {
             Outcome::Finished => {
                 (hold.loading, hold.serving_until) = (None, now + self.rows.keep);
+                self.done = self.done * (-((now - self.done_at) as f64) / SPAN).exp() + 1.0;
+                self.done_at = now;
                 s.errors *= 1.0 - age.max(FRESH);
                 if stood {
                     let part = answer.elapsed as f64 / row.start_target as f64;
