A job with less time left than a first try has waited elsewhere, and may have lost its start target

Two assumptions fell at both new deployments: that clients mark second tries (they don't), and that a router takes jobs when they come (stalled routers find seconds of them at once). The row keeps the longest time left of its workload; what is missing counts as waited. New start-up row limits_shared (a fact of the wire; HCL key of the same name, off by default: real clients may name limits).

--- a/benches/crowd.rs
+++ b/benches/crowd.rs
@@ -78,6 +78,7 @@
         keep: 60 * S,
         tells_company: true,
         weights_shared: true,
+        limits_shared: false,
         list_by_asking: false,
     }
 }
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -283,6 +283,7 @@
         over_share: number_or(setup, "over-share-worth", 1.0)?,
         keep: time_or_none(own, "keep")?,
         tells_company: mark(own, "says-company")?,
+        limits_shared: true,
         list_by_asking: maybe(setup, "discovery").and_then(Value::as_str) == Some("ask"),
         weights_shared: maybe(setup, "weights").and_then(Value::as_str) != Some("live"),
     })
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -124,6 +124,7 @@
             keep: 10 * S,
             tells_company: true,
             weights_shared: true,
+            limits_shared: false,
             list_by_asking: false,
         },
         listen: address(0),
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -140,6 +140,7 @@
     let keep = file.time("keep", Some(10 * S));
     let tells_company = file.mark("tells_company", Some(false));
     let weights_shared = file.mark("weights_shared", Some(true));
+    let limits_shared = file.mark("limits_shared", Some(false));
     let damping = file.mark("damping", Some(true));
     let connect_limit = file.time("connect_limit", Some(S / 4));
     let customer_by = file.text("customer_by", Some("customer"));
@@ -157,6 +158,7 @@
         keep: keep?,
         tells_company: tells_company?,
         weights_shared: weights_shared?,
+        limits_shared: limits_shared?,
         list_by_asking: false,
     };
     let deployment = Deployment {
--- a/src/control.rs
+++ b/src/control.rs
@@ -251,6 +251,8 @@
     importance: f64,
     late_part: f64,
     service: f64,
+    /// The longest time left that a job came with: what clients give a first try.
+    longest: Micros,
 }
 
 struct Customer {
@@ -319,6 +321,7 @@
             importance: row.importance,
             late_part: row.late_part,
             service: row.start_target as f64 * SERVICE_START,
+            longest: 0,
         });
         let full = |row: &CustomerRow| Customer { jobs_per_s: row.jobs_per_s, tokens: f64::MAX, at: now };
         let customers = rows.customers.iter().map(full);
@@ -449,27 +452,33 @@
         function.rate = function.rate * (-((now - function.last) as f64) / SPAN).exp() + 1.0;
         function.last = now;
         let over = arrival.customer.is_some_and(|customer| self.over_share(customer));
+        // Where all clients give a first try the same time, one with less left has waited elsewhere for the rest:
+        // for another try, or for this router while it stood still. Only its start target tells what it is worth.
+        let row = &mut self.workloads[arrival.workload.0];
+        row.longest = row.longest.max(arrival.left);
+        let waited = if self.rows.limits_shared { row.longest - arrival.left } else { 0 };
         // A client's second try has lost its start target with the first one.
-        let late = if arrival.retry { self.workloads[arrival.workload.0].late_part } else { 1.0 };
-        let share = if over { self.rows.over_share } else { 1.0 } * late;
+        let late = arrival.retry || waited as f64 + row.service > row.start_target as f64;
+        let share = if over { self.rows.over_share } else { 1.0 } * if late { row.late_part } else { 1.0 };
         let job = Job {
             function: arrival.function,
             workload: arrival.workload,
             customer: arrival.customer,
-            came: now,
+            came: now.saturating_sub(waited),
             limit: now + arrival.left,
             value: (self.workloads[arrival.workload.0].importance * share * arrival.paid * 1000.0) as u64,
             chance: self.rng.rand_u64(),
             tried: Vec::new(),
             streaming: false,
-            late: arrival.retry,
+            late,
         };
+        let came = job.came;
         let waits = self.held.highest(job.function).is_some_and(|value| value >= job.value);
         self.jobs.insert(arrival.job, job);
         self.hold(arrival.job);
         let place = if waits { None } else { self.place(arrival.job) };
         if let Some(server) = place {
-            self.held.remove(&(Reverse(self.jobs[&arrival.job].value), now, arrival.job));
+            self.held.remove(&(Reverse(self.jobs[&arrival.job].value), came, arrival.job));
             self.send(orders, arrival.job, server, false);
         } else if arrival.left <= LAST_CALL + BEAT {
             // A client about to leave: no beat would come in time to end the job.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -119,6 +119,8 @@
     pub tells_company: bool,
     /// The weights in the list are the same for every router and do not follow the load.
     pub weights_shared: bool,
+    /// Clients give every first try of a workload the same time; less left means that it was spent elsewhere.
+    pub limits_shared: bool,
     /// The list of model servers comes only to those that ask.
     pub list_by_asking: bool,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -66,6 +66,7 @@
         keep: 10_000 * MS,
         tells_company: false,
         weights_shared: true,
+        limits_shared: false,
         list_by_asking: false,
     }
 }
