--- a/src/control.rs
+++ b/src/control.rs
@@ -76,7 +76,7 @@
 /// Jobs at once at which the doubling trickle ends: more than a worker usually has from one router.
 const TRICKLE_END: u32 = 16;
 /// Part of the allowed work that a cold worker is sent: figures for its capacity are guesses.
-const COLD_CARE: f64 = 0.5;
+const COLD_CARE: f64 = 0.7;
 /// Times its even part of the jobs for which a cold worker is expected to be wanted: hot functions,
 /// others full.
 const COLD_WANTED: f64 = 2.0;
