--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,7 +1,7 @@
 //! `serve` and `check`.
 use applepond::interface::Effect;
 use applepond_drill::saboteur::{PLANTS, Saboteur};
-use applepond_gateway::{Deployment, Gateway};
+use applepond_gateway::{Deployment, Gateway, News};
 use applepond_reactor::{Machine, Reactor};
 use applepond_record::Disk;
 use clap::ValueEnum;
@@ -9,6 +9,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Longest wait of one turn: nothing but events ends it earlier.
@@ -62,6 +64,20 @@
     }
 }
 
+/// Reads the settings file again after a SIGHUP; a file with faults is told and changes nothing.
+fn asked_for_news(file: &Path, listen: Option<SocketAddr>) -> std::io::Result<News> {
+    let asked = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, asked.clone())?;
+    let file = file.to_owned();
+    Ok(Box::new(move || {
+        if !asked.swap(false, Ordering::Relaxed) {
+            return None;
+        }
+        let new = read(&file).map_err(|_| "the file has faults".to_owned());
+        Some(new.map(|new| Deployment { listen: listen.unwrap_or(new.listen), ..new }))
+    }))
+}
+
 pub fn serve(file: &Path, listen: Option<SocketAddr>, log: LogForm, plant: Option<&str>) -> ExitCode {
     let mut deployment = match read(file) {
         Ok(deployment) => deployment,
@@ -105,7 +121,14 @@
         }
         None => None,
     };
-    let gateway = Gateway::new(reactor.now(), deployment, told);
+    let news = match asked_for_news(file, listen) {
+        Ok(news) => news,
+        Err(error) => {
+            tracing::error!(%error, "SIGHUP cannot be waited for");
+            return ExitCode::FAILURE;
+        }
+    };
+    let gateway = Gateway::new(reactor.now(), deployment, told).with_news(news);
     let gateway = match record {
         Some(record) => Box::new(gateway.with_record(record)),
         None => Box::new(gateway),
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -227,6 +227,14 @@
         }
     }
 
+    /// Other names from the next request on; one that is half read keeps those that it began with.
+    pub fn rename(&mut self, names: &Rc<[String]>) {
+        self.incoming.names = names.clone();
+        if self.doing == Doing::Waiting || self.decoder.idle() {
+            self.incoming = Incoming::new(names.clone());
+        }
+    }
+
     pub fn feed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
         if self.doing == Doing::Leaving {
             return;
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -1,10 +1,10 @@
 //! The instance itself: connects the clients' side, the module, the workers' side and the host list.
 use crate::claims::{Claim, Claims, Ending, Name};
-use crate::deployment::{Deployment, FunctionBy, FunctionRow, WorkloadNames};
+use crate::deployment::{Deployment, FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
 use crate::front::{self, Ask, Caller, Draft, Patience, Told};
 use crate::links::{Answering, Link};
 use crate::members::{Entry, Members, Taken};
-use crate::{fate, limit};
+use crate::{fate, limit, switch};
 use applepond::control::Control;
 use applepond::interface::*;
 use applepond_http::Fault;
@@ -112,6 +112,8 @@
     row: FunctionRow,
     ended: bool,
     timed_out: bool,
+    /// By the terms that it was taken under.
+    effect: Effect,
     /// Its answer came from a copy that stood loaded.
     stood: bool,
     /// What to do with its end, where it is a step of a chain: no client waits for it.
@@ -197,8 +199,14 @@
     refused: u64,
     /// Pushed back before the module.
     damped: u64,
+    /// New settings taken, and refused.
+    switched: u64,
+    kept: u64,
 }
 
+/// Asked once a `SWEEP` for new settings; an error where there are some that cannot be read.
+pub type News = Box<dyn FnMut() -> Option<Result<Deployment, String>>>;
+
 pub struct Gateway {
     deployment: Deployment,
     /// Attributes by which functions and customers are named.
@@ -229,6 +237,7 @@
     counts: Counts,
     /// Told where it listens, once it does.
     on_listening: Box<dyn FnMut(std::net::SocketAddr)>,
+    news: News,
 }
 
 impl Gateway {
@@ -242,17 +251,12 @@
         let control = Control::new(now, deployment.rows.clone(), &mut acts);
         let claims =
             Claims::new(deployment.remember_for, deployment.remember_most, deployment.remember_bytes);
-        let by = |w: &WorkloadNames| match &w.function_by {
-            FunctionBy::Attribute(name) => Some(name.clone()),
-            FunctionBy::Named(_) => None,
-        };
-        let picks = deployment.workloads.iter().filter_map(by).chain([deployment.customer_by.clone()]);
         let gate = Gate::new(now, deployment.rows.seed);
         Gateway {
             gate,
             chains: chained::Chains::new(deployment.rows.keep),
             said: Called::Calm,
-            picks: picks.collect(),
+            picks: picks(&deployment),
             control,
             acts,
             callers: FxHashMap::default(),
@@ -270,9 +274,53 @@
             counts: Counts::default(),
             deployment,
             on_listening,
+            news: Box::new(|| None),
+        }
+    }
+
+    /// Who is asked now and then for new settings; they are taken without a restart.
+    pub fn with_news(mut self, news: News) -> Self {
+        self.news = news;
+        self
+    }
+
+    /// Takes new settings, or keeps the old ones whole. What was taken in goes on under its old terms.
+    fn switch(&mut self, now: Micros, wire: &mut dyn Wire, new: Result<Deployment, String>) {
+        let only = |keys: switch::Refused| format!("only a restart can change: {}", keys.join(", "));
+        let merged = match new.and_then(|new| switch::merge(&self.deployment, new).map_err(only)) {
+            Ok(merged) => merged,
+            Err(why) => {
+                self.counts.kept += 1;
+                tracing::warn!(reason = "settings-kept", why, "the old settings hold");
+                return;
+            }
+        };
+        self.counts.switched += 1;
+        tracing::info!(reason = "settings-switched", switches = self.counts.switched, "new settings hold");
+        self.deployment = merged;
+        self.picks = picks(&self.deployment);
+        self.callers.values_mut().for_each(|caller| caller.rename(&self.picks));
+        self.control.clock(now);
+        self.control.switch(&mut self.acts, self.deployment.rows.clone());
+        if self.deployment.hosts.is_none() {
+            self.named_workers(now, wire);
         }
     }
 
+    fn named_workers(&mut self, now: Micros, wire: &mut dyn Wire) {
+        let entry = |w: &NamedWorker| Entry {
+            server: ServerId::named(&w.name),
+            standing: Standing::Ready,
+            up_since: 0,
+            zone: w.zone.map(ZoneId),
+            rack: RackId(w.rack),
+            weight: w.weight,
+        };
+        let named = self.deployment.workers.iter().map(|w| (w.name.clone(), w.address, entry(w)));
+        let taken = self.members.take(ListKind::Full, named.collect());
+        self.listed(now, wire, &taken);
+    }
+
     /// Where chains are recorded; without it they are known as long as this instance lives.
     pub fn with_record(mut self, record: Box<dyn Record>) -> Self {
         self.chains.record = record;
@@ -401,7 +449,7 @@
     fn connect(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize) {
         let Some(task) = self.tasks.get_mut(&job) else { return };
         let server = task.executions[n].server;
-        let run_once = self.deployment.rows.workloads[task.workload].effect == Effect::RunOnce;
+        let run_once = task.effect == Effect::RunOnce;
         let Some(worker) = self.members.get_mut(server).filter(|w| w.standing == Standing::Ready) else {
             self.close(now, job, n, Outcome::NoConnection, None);
             return;
@@ -521,8 +569,7 @@
         };
         *count += 1;
         self.gate.ended(now, told.ending == Ending::Finished, told.ending == Ending::PushedBack);
-        let effect = self.deployment.rows.workloads[task.workload].effect;
-        self.claims.end(now, &task.name, told.ending, effect, told.clone(), told.bytes());
+        self.claims.end(now, &task.name, told.ending, task.effect, told.clone(), told.bytes());
         tracing::info!(
             id = %task.name.1,
             source = %task.name.0,
@@ -689,7 +736,10 @@
         match draft.picked(&self.deployment.customer_by) {
             None => Ok(None),
             Some(named) => {
+                let rows = &self.deployment.rows.customers;
                 let found = self.deployment.customers.iter().position(|c| c == named);
+                // Settings that were switched away from may have left the name behind, without a share.
+                let found = found.filter(|n| rows[*n].jobs_per_s > 0.0);
                 found.map(|n| Some(CustomerId(n))).ok_or(())
             }
         }
@@ -751,6 +801,7 @@
             row,
             ended: false,
             timed_out: false,
+            effect: self.deployment.rows.workloads[wanted.workload].effect,
             stood: false,
             then: wanted.then,
         };
@@ -820,6 +871,7 @@
         let body = serde_json::json!({
             "now_us": now,
             "router": self.deployment.rows.me,
+            "settings": {"switched": c.switched, "kept": c.kept},
             "jobs": {"open": self.tasks.values().filter(|t| !t.ended).count(), "taken": c.jobs,
                 "joined": c.joined, "told-again": c.again, "finished": c.finished,
                 "pushed-back": c.pushed_back, "killed": c.killed, "requests-refused": c.refused},
@@ -934,6 +986,9 @@
                 self.links.remove(&conn);
             }
         }
+        if let Some(new) = (self.news)() {
+            self.switch(now, wire, new);
+        }
         self.after(now, wire, SWEEP, Box::new(|g, now, wire| g.sweep(now, wire)));
     }
 
@@ -987,6 +1042,15 @@
     }
 }
 
+/// Attributes by which functions and customers are named.
+fn picks(deployment: &Deployment) -> Rc<[String]> {
+    let by = |w: &WorkloadNames| match &w.function_by {
+        FunctionBy::Attribute(name) => Some(name.clone()),
+        FunctionBy::Named(_) => None,
+    };
+    deployment.workloads.iter().filter_map(by).chain([deployment.customer_by.clone()]).collect()
+}
+
 /// A number of this instance's as the module's kind of id.
 fn job_id(seed: u64, number: u64) -> JobId {
     let text = format!("{seed:016x}-{number:019}");
@@ -1002,23 +1066,8 @@
             Ok((_, at)) => (self.on_listening)(at),
             Err(error) => tracing::error!(listen = %self.deployment.listen, %error, "cannot listen"),
         }
-        let workers = self.deployment.workers.iter();
-        let named: Vec<_> = workers
-            .map(|w| {
-                let entry = Entry {
-                    server: ServerId::named(&w.name),
-                    standing: Standing::Ready,
-                    up_since: 0,
-                    zone: w.zone.map(ZoneId),
-                    rack: RackId(w.rack),
-                    weight: w.weight,
-                };
-                (w.name.clone(), w.address, entry)
-            })
-            .collect();
-        if !named.is_empty() {
-            let taken = self.members.take(ListKind::Full, named);
-            self.listed(now, wire, &taken);
+        if !self.deployment.workers.is_empty() {
+            self.named_workers(now, wire);
         }
         self.resume_chains(now, wire);
         self.watch(wire);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -86,6 +86,8 @@
     pub gateway: Gateway,
     pub paper: Paper,
     pub now: Micros,
+    /// Settings that the gateway finds when it next asks.
+    pub news: Rc<RefCell<Option<Deployment>>>,
 }
 
 /// `workers` static workers; workloads `quote` (restartable), `hold` (fingerprinted) and `confirm`
@@ -171,8 +173,11 @@
 
     /// One that finds this record when it starts.
     pub fn with(deployment: Deployment, now: Micros, record: Box<dyn Record>) -> Self {
+        let news = Rc::new(RefCell::new(None));
+        let found = news.clone();
         let gateway = Gateway::new(now, deployment, Box::new(|_| ())).with_record(record);
-        let mut bench = Bench { gateway, paper: Paper::default(), now };
+        let gateway = gateway.with_news(Box::new(move || found.borrow_mut().take().map(Ok)));
+        let mut bench = Bench { gateway, paper: Paper::default(), now, news };
         bench.gateway.start(now, &mut bench.paper);
         bench
     }
@@ -189,6 +194,13 @@
         self.now = until;
     }
 
+    /// Has it take new settings.
+    pub fn switches(&mut self, deployment: Deployment) {
+        *self.news.borrow_mut() = Some(deployment);
+        self.pass(S);
+        assert!(self.news.borrow().is_none(), "it asks once a second");
+    }
+
     pub fn caller(&mut self) -> Conn {
         self.paper.next += 1;
         let conn = Conn(self.paper.next);
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,7 +1,7 @@
 //! All decisions of one router.
 //!
 //! How it is called: an instance's owner makes one `Control` from the start-up rows and calls, for each
-//! event, `clock` and one of `list`, `job`, `answered`, `streaming`, `left`, `wake`.
+//! event, `clock` and one of `list`, `job`, `answered`, `streaming`, `left`, `wake`, `switch` (other rows).
 //! Interface: `src/interface.rs` (ids, time, rows, `Answer`, `Orders`). No wire, no input or output here.
 //!
 //! The design (docs/design.md): a function's jobs go to its home, the first worker in a hash order that all
@@ -76,7 +76,7 @@
 /// Jobs at once at which the doubling trickle ends: more than a worker usually has from one router.
 const TRICKLE_END: u32 = 16;
 /// Part of the allowed work that a cold worker is sent: figures for its capacity are guesses.
-const COLD_CARE: f64 = 0.7;
+const COLD_CARE: f64 = 0.5;
 /// Times its even part of the jobs for which a cold worker is expected to be wanted: hot functions,
 /// others full.
 const COLD_WANTED: f64 = 2.0;
@@ -139,6 +139,8 @@
 struct Job {
     function: FunctionId,
     workload: WorkloadId,
+    /// By the terms that it was taken under.
+    effect: Effect,
     customer: Option<CustomerId>,
     came: Micros,
     limit: Micros,
@@ -255,12 +257,31 @@
     longest: Micros,
 }
 
+impl Workload {
+    fn new(row: &WorkloadRow) -> Self {
+        Workload {
+            effect: row.effect,
+            start_target: row.start_target.max(1),
+            importance: row.importance,
+            late_part: row.late_part,
+            service: row.start_target as f64 * SERVICE_START,
+            longest: 0,
+        }
+    }
+}
+
 struct Customer {
     jobs_per_s: f64,
     tokens: f64,
     at: Micros,
 }
 
+impl Customer {
+    fn new(now: Micros, row: &CustomerRow) -> Self {
+        Customer { jobs_per_s: row.jobs_per_s, tokens: f64::MAX, at: now }
+    }
+}
+
 pub struct Control {
     now: Micros,
     rng: Rand64,
@@ -308,6 +329,11 @@
     x ^ (x >> 32)
 }
 
+fn mean_target(rows: &Startup) -> f64 {
+    let targets = rows.workloads.iter().map(|w| w.start_target as f64);
+    targets.sum::<f64>() / rows.workloads.len().max(1) as f64
+}
+
 /// Evenly spread bits as a number from 0 to 1.
 fn part_of_one(bits: u64) -> f64 {
     (bits >> 11) as f64 / (1u64 << 53) as f64
@@ -315,18 +341,9 @@
 
 impl Control {
     pub fn new(now: Micros, rows: Startup, orders: &mut dyn Orders) -> Self {
-        let workloads = rows.workloads.iter().map(|row| Workload {
-            effect: row.effect,
-            start_target: row.start_target.max(1),
-            importance: row.importance,
-            late_part: row.late_part,
-            service: row.start_target as f64 * SERVICE_START,
-            longest: 0,
-        });
-        let full = |row: &CustomerRow| Customer { jobs_per_s: row.jobs_per_s, tokens: f64::MAX, at: now };
-        let customers = rows.customers.iter().map(full);
-        let targets = rows.workloads.iter().map(|w| w.start_target as f64);
-        let mean_target = targets.sum::<f64>() / rows.workloads.len().max(1) as f64;
+        let workloads = rows.workloads.iter().map(Workload::new);
+        let customers = rows.customers.iter().map(|row| Customer::new(now, row));
+        let mean_target = mean_target(&rows);
         let mut control = Control {
             now,
             rng: Rand64::new(u128::from(rows.seed)),
@@ -371,6 +388,34 @@
         self.now = now;
     }
 
+    /// Other rows from now on, of the same workloads and customers in the same places, new ones after them.
+    /// Jobs keep their effect; where no second copy may run any more, those that do are taken back.
+    pub fn switch(&mut self, orders: &mut dyn Orders, rows: Startup) {
+        for (n, row) in rows.workloads.iter().enumerate() {
+            let mut new = Workload::new(row);
+            if let Some(old) = self.workloads.get(n) {
+                new.service = old.service;
+                self.workloads[n] = new;
+            } else {
+                self.workloads.push(new);
+            }
+        }
+        for (n, row) in rows.customers.iter().enumerate() {
+            match self.customers.get_mut(n) {
+                Some(old) => old.jobs_per_s = row.jobs_per_s,
+                None => self.customers.push(Customer::new(self.now, row)),
+            }
+        }
+        (self.mean_target, self.rows) = (mean_target(&rows), rows);
+        if !self.rows.permits.second_copies && self.rows.permits.cancel {
+            let out = |j: &Job| j.tried.iter().filter(|t| t.fate == Fate::Out).count();
+            let double = self.jobs.iter().filter(|(_, j)| !j.streaming && out(j) > 1);
+            double.for_each(|(id, j)| orders.cancel(*id, j.tried.len() - 1));
+        }
+        self.weigh();
+        self.dispatch(orders);
+    }
+
     pub fn list(&mut self, orders: &mut dyn Orders, kind: ListKind, entries: &[Listed]) {
         if kind == ListKind::Failed {
             orders.watch();
@@ -384,7 +429,8 @@
             let known = self.servers.get_mut(&entry.server);
             match known {
                 Some(s) if s.up_since == entry.up_since || entry.standing != Standing::Ready => {
-                    s.open = entry.standing == Standing::Ready;
+                    let told = Server::new(self.now, entry, &self.rows);
+                    (s.open, s.zone, s.rack, s.weight) = (told.open, told.zone, told.rack, told.weight);
                 }
                 Some(s) => {
                     // Restarted: empty, cold, and nothing that was learned of it holds but what is out there.
@@ -452,8 +498,8 @@
         function.rate = function.rate * (-((now - function.last) as f64) / SPAN).exp() + 1.0;
         function.last = now;
         let over = arrival.customer.is_some_and(|customer| self.over_share(customer));
-        // Where all clients give a first try the same time, one with less left has waited elsewhere for the rest:
-        // for another try, or for this router while it stood still. Only its start target tells what it is worth.
+        // Where all clients give a first try the same time, one with less left has spent the rest elsewhere: on
+        // another try that nobody marks, or before this router while it stood still.
         let row = &mut self.workloads[arrival.workload.0];
         row.longest = row.longest.max(arrival.left);
         let waited = if self.rows.limits_shared { row.longest - arrival.left } else { 0 };
@@ -463,6 +509,7 @@
         let job = Job {
             function: arrival.function,
             workload: arrival.workload,
+            effect: row.effect,
             customer: arrival.customer,
             came: now.saturating_sub(waited),
             limit: now + arrival.left,
@@ -585,7 +632,7 @@
                 continue;
             }
             let hold = server.holds.get(&function);
-            // What the other routers are taken to keep loaded at the function's home stands there for this one too.
+            // What the other routers are taken to keep loaded at the home stands there for this one too.
             let kept = home.is_none() && beyond.min(part) * self.rows.keep as f64 >= KEPT_JOBS;
             let known = hold.is_some_and(|h| h.serving_until > now);
             let serving = known || kept && self.warmth(server) >= 1.0;
@@ -682,6 +729,7 @@
         let now = self.now;
         let job = self.jobs.get_mut(&id).expect("only jobs that are held here are sent");
         let (function, workload, customer, n) = (job.function, job.workload, job.customer, job.tried.len());
+        let effect = job.effect;
         let row = &self.workloads[workload.0];
         let s = self.servers.get_mut(&server).expect("place names known workers");
         job.tried.push(Tried { server, rack: s.rack, zone: s.zone, sent: now, closed: now, fate: Fate::Out });
@@ -701,7 +749,7 @@
         orders.send(id, server, job.limit - now);
         let then: Step = Box::new(move |c, o, answer| c.closed(o, id, n, answer.expect("what it ends with")));
         self.out.insert((id, n), Out { server, function, workload, customer, sent: now, serving, then });
-        if !copy && self.rows.permits.second_copies && row.effect != Effect::RunOnce {
+        if !copy && self.rows.permits.second_copies && effect != Effect::RunOnce {
             // The design's delay: twice the load time and the start target.
             let delay = 2 * self.load_time(function) + row.start_target;
             self.wake_then(orders, delay, Box::new(move |c, o, _| c.hedge(o, id, n)));
@@ -762,7 +810,7 @@
     /// Whether the job may have another execution at all; `may_send` tells where.
     fn repeat_allowed(&self, job: &Job) -> bool {
         let risky = job.tried.iter().filter(|t| t.fate != Fate::NeverRan).map(|t| t.sent).min();
-        let allowed = match (risky, self.workloads[job.workload.0].effect) {
+        let allowed = match (risky, job.effect) {
             (None, _) | (_, Effect::Restartable) => true,
             (Some(first), Effect::Fingerprinted { window, .. }) => self.now + BEAT < first + window,
             (Some(_), Effect::RunOnce) => false,
@@ -777,7 +825,7 @@
         if !job.tried.iter().all(rested) || !self.repeat_allowed(job) {
             return false;
         }
-        match self.workloads[job.workload.0].effect {
+        match job.effect {
             Effect::Fingerprinted { within, .. } => {
                 job.tried.iter().filter(|t| t.fate != Fate::NeverRan).all(|t| match within {
                     Within::Everywhere => true,
@@ -793,7 +841,7 @@
     fn give_up(&mut self, orders: &mut dyn Orders, id: JobId) {
         let Some(job) = self.jobs.get(&id).filter(|j| !j.streaming) else { return };
         let may_have_run = job.tried.iter().any(|t| t.fate != Fate::NeverRan);
-        let harmless = match self.workloads[job.workload.0].effect {
+        let harmless = match job.effect {
             Effect::Restartable => true,
             Effect::Fingerprinted { within: Within::Everywhere, .. } if self.repeat_allowed(job) => true,
             _ => !may_have_run,
@@ -962,9 +1010,8 @@
     }
 
     fn usable(&self, s: &Server, job: &Job, id: ServerId) -> bool {
-        let row = &self.workloads[job.workload.0];
         // A job that cannot be repeated does not go first where others can find out.
-        let risky = row.effect == Effect::RunOnce && self.workloads.iter().any(|w| w.effect != row.effect);
+        let risky = job.effect == Effect::RunOnce && self.workloads.iter().any(|w| w.effect != job.effect);
         s.trickle.is_none_or(|n| s.out < n && !risky) && self.cold_budget(s, job, id)
     }
 
