--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -180,7 +180,7 @@
                 control.answered(reply, job(event)?, number_or(event, "send-no", 0.0)? as usize, &answer);
             }
             "streaming" => control.streaming(job(event)?),
-            "expired" => control.left(job(event)?),
+            "expired" => control.left(reply, job(event)?),
             "wakeup" => control.wake(reply, Token(whole(event, "token")?)),
             // Nothing is decided on these yet: no probe, message or order to load is ever sent.
             "probed" | "whisper" | "stands" => {}
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -826,7 +826,7 @@
             self.claims.drop(&task.name);
             self.tasks.remove(&job);
             self.control.clock(now);
-            self.control.left(job);
+            self.control.left(&mut self.acts, job);
         }
     }
 
--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -610,7 +610,7 @@
         if task.out() == 0 {
             self.tasks.remove(&job);
             self.control.clock(now);
-            self.control.left(job);
+            self.control.left(&mut self.acts, job);
             return;
         }
         (0..executions).for_each(|n| self.drop_execution(now, wire, job, n, Outcome::Cancelled));
--- a/src/control.rs
+++ b/src/control.rs
@@ -498,8 +498,8 @@
         function.rate = function.rate * (-((now - function.last) as f64) / SPAN).exp() + 1.0;
         function.last = now;
         let over = arrival.customer.is_some_and(|customer| self.over_share(customer));
-        // Where all clients give a first try the same time, one with less left has spent the rest elsewhere: on
-        // another try that nobody marks, or before this router while it stood still.
+        // Where all clients give a first try the same time, one with less left has spent the rest elsewhere:
+        // on another try that nobody marks, or before this router while it stood still.
         let row = &mut self.workloads[arrival.workload.0];
         row.longest = row.longest.max(arrival.left);
         let waited = if self.rows.limits_shared { row.longest - arrival.left } else { 0 };
@@ -544,7 +544,11 @@
         self.jobs.entry(job).and_modify(|j| j.streaming = true);
     }
 
-    pub fn left(&mut self, job: JobId) {
+    pub fn left(&mut self, orders: &mut dyn Orders, job: JobId) {
+        // Clients that lose patience come again: what still waits for them at workers is only in the way.
+        if self.jobs.contains_key(&job) {
+            self.cancel_rest(orders, job);
+        }
         self.forget(job);
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -65,7 +65,7 @@
     assert_eq!(bench.sends(1)[0], home);
     bench.close(1, 0, &answer(Outcome::Finished));
     let before = bench.record.did.len();
-    bench.control.left(job(1));
+    bench.control.left(&mut bench.record, job(1));
     let late = Answer { closed: true, ..answer(Outcome::Error) };
     bench.close(1, 1, &late);
     bench.pass(8000 * MS);
