Cases for what the move changed; each fails with its guard taken out

Tried by hand, one guard out at a time: pace without shares, homes that others keep, overtaken time-outs, shared limits, a client that leaves, one execution at a time, copies after a switch, a job's own effect. All cases pass with them in.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -107,7 +107,7 @@
     /// Jobs that arrive now are second tries.
     pub retry: bool,
     /// The customer that asks now.
-    pub customer: usize,
+    pub customer: Option<usize>,
 }
 
 impl Bench {
@@ -117,7 +117,7 @@
         let mut control = Control::new(record.now, rows, &mut record);
         let list: Vec<Listed> = (0..servers).map(|n| listed(n, Standing::Ready, 0)).collect();
         control.list(&mut record, ListKind::Saved, &list);
-        Bench { control, record, retry: false, customer: 0 }
+        Bench { control, record, retry: false, customer: Some(0) }
     }
 
     pub fn list(&mut self, entries: &[Listed]) {
@@ -129,7 +129,7 @@
             job: job(n),
             function: FunctionId::named(function),
             workload: WorkloadId(0),
-            customer: Some(CustomerId(self.customer)),
+            customer: self.customer.map(CustomerId),
             left,
             lanes: 2,
             retry: self.retry,
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -124,7 +124,7 @@
     bench.arrive(1, "hut", 9000 * MS);
     bench.close(1, 0, &Answer { elapsed: elapsed_ms * MS, ..answer(Outcome::Full) });
     bench.pass(wait_ms * MS);
-    bench.customer = customer;
+    bench.customer = Some(customer);
     bench.arrive(2, "hut", 5000 * MS);
     assert_eq!(bench.sends(2) == [home], again);
 }
@@ -171,13 +171,13 @@
     let mut rows = rows(Effect::Restartable);
     rows.customers = vec![CustomerRow { jobs_per_s }, CustomerRow { jobs_per_s: 1000.0 }];
     let mut bench = Bench::new(rows, 1);
-    bench.customer = 1;
+    bench.customer = Some(1);
     bench.warm("hut");
     (1..3).for_each(|n| bench.arrive(n, "hut", 5000 * MS));
-    bench.customer = 0;
+    bench.customer = Some(0);
     (5..7).for_each(|n| bench.arrive(n, "other", 5000 * MS));
     bench.arrive(3, "hut", 5000 * MS);
-    bench.customer = 1;
+    bench.customer = Some(1);
     bench.arrive(4, "hut", 5000 * MS);
     bench.close(1, 0, &answer(Outcome::Finished));
     assert_eq!((bench.sends(3).len(), bench.sends(4).len()), if first == 3 { (1, 0) } else { (0, 1) });
@@ -185,7 +185,7 @@
 
 /// One worker whose room is 10 jobs (a share of 40 jobs a second for half the start target): twenty functions
 /// are loaded there, then some executions time out, then one job comes for each function. How many go out?
-fn sent_of_twenty(routers: u64, time_outs: u8, timed_out_ms: Micros) -> usize {
+fn sent_of_twenty(routers: u64, time_outs: u8, timed_out_ms: Micros, overtaken: bool) -> usize {
     let mut rows = Startup { routers, ..rows(Effect::Restartable) };
     rows.customers = vec![CustomerRow { jobs_per_s: 40.0 }];
     rows.permits.executions = 1;
@@ -197,6 +197,10 @@
     for n in 21..21 + time_outs {
         bench.arrive(n, "hut-1", 5000 * MS);
         bench.pass(510 * MS);
+        if overtaken {
+            bench.arrive(n + 100, "hut-1", 5000 * MS);
+            bench.close(n + 100, 0, &answer(Outcome::Finished));
+        }
         bench.close(n, 0, &Answer { elapsed: timed_out_ms * MS, ..answer(Outcome::TimedOut) });
     }
     (41..61).for_each(|n| bench.arrive(n, &format!("hut-{}", n - 40), 5000 * MS));
@@ -206,12 +210,13 @@
 
 // Routers together: what this one's own answers let expect of the others takes room at a worker, too. And a
 // time-out tells that a worker is slow as an answer would, or a slowing worker would never seem full.
-#[test_case(1, 0, 0, 15..16; "one router fills the room by itself")]
-#[test_case(100, 0, 0, 3..12; "one of a hundred leaves room for the others")]
-#[test_case(1, 6, 300, 15..16; "executions that their clients gave up early say nothing")]
-#[test_case(1, 6, 900, 1..8; "executions past the start target say that it is slow")]
-fn room(routers: u64, time_outs: u8, timed_out_ms: Micros, sends: std::ops::Range<usize>) {
-    let sent = sent_of_twenty(routers, time_outs, timed_out_ms);
+#[test_case(1, 0, 0, false, 15..16; "one router fills the room by itself")]
+#[test_case(100, 0, 0, false, 3..12; "one of a hundred leaves room for the others")]
+#[test_case(1, 6, 300, false, 15..16; "executions that their clients gave up early say nothing")]
+#[test_case(1, 6, 900, false, 1..8; "executions past the start target say that it is slow")]
+#[test_case(1, 6, 900, true, 15..16; "unless it has answered later ones: those answers were lost")]
+fn room(routers: u64, time_outs: u8, late_ms: Micros, overtaken: bool, sends: std::ops::Range<usize>) {
+    let sent = sent_of_twenty(routers, time_outs, late_ms, overtaken);
     assert!(sends.contains(&sent), "{sent}");
 }
 
@@ -261,3 +266,72 @@
     };
     assert_eq!(run(), run());
 }
+
+// Where all clients give a first try the same time, one that comes with less has spent it elsewhere: it goes
+// after those that can keep their start target, and is given up at once where there is no room.
+#[test_case(false, [2, 1], 0; "clients name their own limits")]
+#[test_case(true, [1, 2], 1; "limits are shared")]
+fn less_time_left(limits_shared: bool, order: [u8; 2], given_up: usize) {
+    let begin = || {
+        let mut bench = Bench::new(Startup { limits_shared, ..rows(Effect::Restartable) }, 0);
+        bench.arrive(9, "hut", 5000 * MS);
+        bench.arrive(2, "hut", 4000 * MS);
+        bench.pass(5 * MS);
+        bench
+    };
+    let mut bench = begin();
+    bench.arrive(1, "hut", 5000 * MS);
+    bench.control.left(&mut bench.record, job(9));
+    bench.list(&[listed(0, Standing::Ready, 0)]);
+    let sent =
+        bench.record.did.iter().filter_map(|d| if let Did::Send(j, _) = d { Some(j.0[0]) } else { None });
+    assert_eq!(sent.collect::<Vec<_>>(), order);
+    let mut bench = begin();
+    bench.pass(60 * MS);
+    assert_eq!(bench.ends(2).len(), given_up);
+}
+
+// A client that leaves: what still waits at a worker for its job is taken back.
+#[test]
+fn a_client_that_leaves() {
+    let mut bench = Bench::new(rows(Effect::Restartable), 8);
+    bench.arrive(1, "hut", 5000 * MS);
+    bench.control.left(&mut bench.record, job(1));
+    assert_eq!(bench.record.did.last(), Some(&Did::Cancel(job(1), 0)));
+}
+
+// Homes that the other routers are taken to keep loaded are no loads: the bound on own ones is not met.
+#[test_case(1, 12; "alone, the bound on loads holds")]
+#[test_case(20, 14; "one of twenty")]
+fn homes_that_others_keep(routers: u64, sent: usize) {
+    let mut bench = Bench::new(Startup { routers, ..rows(Effect::Restartable) }, 8);
+    let names: Vec<String> = (0..14).map(|n| format!("hut-{n}")).collect();
+    for name in &names {
+        bench.arrive(250, name, 5000 * MS);
+        bench.close(250, 0, &answer(Outcome::Finished));
+    }
+    bench.pass(11_000 * MS);
+    names.iter().zip(1..).for_each(|(name, n)| bench.arrive(n, name, 5000 * MS));
+    assert_eq!((1..15).filter(|n| !bench.sends(*n).is_empty()).count(), sent);
+}
+
+// Without shares the pace of the fleet is what it finishes: what is asked beyond that makes no room.
+#[test_case(0, 8; "what is asked in vain")]
+#[test_case(200, 20; "what is finished")]
+fn pace_without_shares(finished: u8, most: usize) {
+    let mut bench = Bench::new(Startup { customers: vec![], ..rows(Effect::Restartable) }, 1);
+    bench.customer = None;
+    for n in 0..200 {
+        bench.arrive(n, "hut", 5000 * MS);
+        if n < finished {
+            bench.close(n, 0, &answer(Outcome::Finished));
+        } else if bench.sends(n).is_empty() {
+            bench.control.left(&mut bench.record, job(n));
+        }
+        bench.pass(5 * MS);
+    }
+    bench.record.did.clear();
+    (201..221).for_each(|n| bench.arrive(n, &format!("hut-{n}"), 5000 * MS));
+    let sent = (201..221).filter(|n| !bench.sends(*n).is_empty()).count();
+    assert!(if most == 20 { sent > 8 } else { sent <= most }, "{sent}");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -152,3 +152,45 @@
     }
     assert!(sent > 0 && sent <= 30, "{sent}");
 }
+
+// Rule 2 where no second copy may run: a job at a worker that was set aside is cancelled first and sent on once
+// that is told.
+#[test]
+fn one_execution_at_a_time() {
+    let mut rows = rows(Effect::Restartable);
+    rows.permits.second_copies = false;
+    let mut bench = Bench::new(rows, 8);
+    bench.warm("hut");
+    (1..3).for_each(|n| bench.arrive(n, "hut", 5000 * MS));
+    bench.close(2, 0, &answer(Outcome::Broken));
+    assert_eq!((bench.sends(1).len(), bench.record.did.contains(&Did::Cancel(job(1), 0))), (1, true));
+    bench.close(1, 0, &answer(Outcome::Cancelled));
+    assert_eq!(bench.sends(1).len(), 2);
+    bench.pass(4000 * MS);
+    assert_eq!(bench.sends(1).len(), 2, "no copy after the hedge delay either");
+}
+
+// A switch of the rows: a job keeps its effect, and a copy that is out where none may be any more is taken back.
+#[test_case(Effect::RunOnce, Effect::Restartable, 1, 1; "run-once stays so")]
+#[test_case(Effect::Restartable, Effect::RunOnce, 2, 0; "restartable stays so")]
+fn switched(taken: Effect, then: Effect, sends: usize, kills: usize) {
+    let mut bench = Bench::new(rows(taken), 8);
+    bench.arrive(1, "hut", 5000 * MS);
+    bench.control.switch(&mut bench.record, rows(then));
+    bench.close(1, 0, &answer(Outcome::Error));
+    assert_eq!((bench.sends(1).len(), bench.ends(1).len()), (sends, kills));
+}
+
+#[test]
+fn switched_off_copies() {
+    let mut bench = Bench::new(rows(Effect::Restartable), 8);
+    bench.warm("hut");
+    bench.arrive(1, "hut", 5000 * MS);
+    bench.pass(2600 * MS);
+    assert_eq!(bench.sends(1).len(), 2);
+    let mut without = rows(Effect::Restartable);
+    without.permits.second_copies = false;
+    bench.control.switch(&mut bench.record, without);
+    let cancels = bench.record.did.iter().filter(|d| matches!(d, Did::Cancel(..)));
+    assert_eq!(cancels.collect::<Vec<_>>(), [&Did::Cancel(job(1), 1)]);
+}
