--- a/benches/crowd.rs
+++ b/benches/crowd.rs
@@ -92,8 +92,6 @@
         company: 0,
         held: None,
         loads: None,
-        busy: None,
-        queued: None,
     }
 }
 
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -174,8 +174,6 @@
                     company: detail >> 3,
                     held: maybe(usage, "concurrent").and_then(Value::as_f64),
                     loads: maybe(usage, "x1").and_then(Value::as_f64),
-                    busy: maybe(usage, "load_share").and_then(Value::as_f64),
-                    queued: maybe(usage, "depth").and_then(Value::as_f64),
                 };
                 control.answered(reply, job(event)?, number_or(event, "send-no", 0.0)? as usize, &answer);
             }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -22,8 +22,6 @@
     pub company: u32,
     pub held: Option<f64>,
     pub loads: Option<f64>,
-    pub busy: Option<f64>,
-    pub queued: Option<f64>,
     /// Fields that go on to the client: the result event's attributes and its media type.
     pub lines: Lines,
     pub body: Vec<u8>,
@@ -41,8 +39,6 @@
             company: 0,
             held: None,
             loads: None,
-            busy: None,
-            queued: None,
             lines: Lines::default(),
             body: Vec::new(),
             event: false,
@@ -69,8 +65,6 @@
             "company" => self.company = value.parse().unwrap_or(0),
             "held" => self.held = number(),
             "loads" => self.loads = number(),
-            "busy" => self.busy = number(),
-            "queued" => self.queued = number(),
             _ => {}
         }
     }
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -537,8 +537,6 @@
             company: said.map_or(0, |s| s.company),
             held: said.and_then(|s| s.held),
             loads: said.and_then(|s| s.loads),
-            busy: said.and_then(|s| s.busy),
-            queued: said.and_then(|s| s.queued),
         };
         tracing::debug!(job = %task.name.1, n, ?outcome, elapsed = answer.elapsed, "execution closed");
         if task.ended && task.out() == 0 {
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -228,12 +228,10 @@
         company: usize,
     ) {
         let loads = self.copies.values().filter(|c| c.loading).count();
-        let running = self.jobs.values().filter(|j| j.running).count();
         let mut head = encode::response(status)
             .field("applepond-company", &company.min(30).to_string())
             .field("applepond-held", &self.jobs.len().to_string())
-            .field("applepond-loads", &loads.to_string())
-            .field("applepond-busy", &format!("{:.2}", running as f64 / self.build.cores as f64));
+            .field("applepond-loads", &loads.to_string());
         for (name, value) in [("applepond-outcome", mark), ("applepond-copy", note)] {
             if !value.is_empty() {
                 head = head.field(name, value);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -206,10 +206,6 @@
     pub held: Option<f64>,
     /// Loads under way or waiting there, where reported.
     pub loads: Option<f64>,
-    /// Share of the cores that is busy, where reported.
-    pub busy: Option<f64>,
-    /// Jobs waiting there, where reported.
-    pub queued: Option<f64>,
 }
 
 /// What the decisions may order. All take effect at the time of the call.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -87,17 +87,7 @@
 pub fn answer(outcome: Outcome) -> Answer {
     let closed = outcome == Outcome::Finished;
     let copy = if closed { Copy::Stood } else { Copy::Unsaid };
-    Answer {
-        outcome,
-        closed,
-        elapsed: 50 * MS,
-        copy,
-        company: 0,
-        held: None,
-        loads: None,
-        busy: None,
-        queued: None,
-    }
+    Answer { outcome, closed, elapsed: 50 * MS, copy, company: 0, held: None, loads: None }
 }
 
 /// One instance with its record and its clock.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -153,8 +153,8 @@
     assert!(sent > 0 && sent <= 30, "{sent}");
 }
 
-// Rule 2 where no second copy may run: a job at a worker that was set aside is cancelled first and sent on once
-// that is told.
+// Rule 2 where no second copy may run: a job at a worker that was set aside is cancelled first and sent on
+// once that is told.
 #[test]
 fn one_execution_at_a_time() {
     let mut rows = rows(Effect::Restartable);
@@ -170,7 +170,8 @@
     assert_eq!(bench.sends(1).len(), 2, "no copy after the hedge delay either");
 }
 
-// A switch of the rows: a job keeps its effect, and a copy that is out where none may be any more is taken back.
+// A switch of the rows: a job keeps its effect, and a copy that is out where none may be any more is taken
+// back.
 #[test_case(Effect::RunOnce, Effect::Restartable, 1, 1; "run-once stays so")]
 #[test_case(Effect::Restartable, Effect::RunOnce, 2, 0; "restartable stays so")]
 fn switched(taken: Effect, then: Effect, sends: usize, kills: usize) {
