--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -26,6 +26,9 @@
 fn a_good_file_with_its_defaults() {
     let d = deployment(GOOD).expect("no fault");
     assert_eq!((d.rows.routers, d.rows.permits.executions, d.workloads[0].time_limit), (1, 4, 5_000_000));
+    assert!(!d.rows.limits_shared, "clients may name limits of their own");
+    let shared = deployment(&GOOD.replace("zones", "limits_shared = true\nzones")).expect("no fault");
+    assert!(shared.rows.limits_shared);
     assert_eq!((d.workers[0].zone, d.rows.rules.fall_multiple), (Some(0), 2.5));
 }
 
@@ -43,6 +46,7 @@
 #[test_case("  zone = \"hall-a\"", "  zone = \"hall-x\"", "17:10: found zone"; "zone")]
 #[test_case("\"fingerprint", "", ""; "nothing replaced is no fault")]
 #[test_case("zones = [\"hall-a\"]", "zones = [", "found"; "syntax")]
+#[test_case("zones", "limits_shared = 1\nzones", "2:17: found limits_shared = `1`"; "limits shared")]
 #[test_case("zones", "router = 1\nzones", "2:10: found router = 1 of 1"; "router past routers")]
 fn faults(old: &str, new: &str, told: &str) {
     let text = GOOD.replacen(old, new, 1);
