Read over: cancels are paid for when ordered; chains on record survive a switch that moved rows

Two faults of the move, found by reading the change. Where second copies are forbidden, setting a worker aside cancelled all its jobs while the budget was paid only when each cancel was told: past it jobs that might have finished were given up (hedge, closed). The record knew a plan by a digest with the rows' numbers in it, which a switch may move: after a restart the chain was not found and never taken back. It goes by the workloads' names now; chains recorded by an earlier build are refused as changed.

--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -2,6 +2,7 @@
 //! closure, which is handed its end.
 use super::{Gateway, Wanted};
 use crate::claims::{Claim, Ending, Name};
+use crate::deployment::WorkloadNames;
 use crate::front::{self, Draft, Told};
 use crate::limit;
 use applepond::interface::*;
@@ -173,8 +174,13 @@
 }
 
 /// Tells a changed plan from the one that a record was written by.
-fn digest(plan: &Plan) -> u64 {
-    FunctionId::named(&format!("{plan:?}")).0
+/// By the names of its workloads: a switch of the settings may have moved their rows, a restart puts them
+/// back.
+fn digest(plan: &Plan, workloads: &[WorkloadNames]) -> u64 {
+    let mut plan = plan.clone();
+    let place = |step: &mut Step| workloads[std::mem::take(&mut step.workload)].name.clone();
+    let names: Vec<String> = plan.steps.iter_mut().map(place).collect();
+    FunctionId::named(&format!("{plan:?}{names:?}")).0
 }
 
 fn how(ending: Ending) -> How {
@@ -212,7 +218,7 @@
             return refuse(504, "expired", "the event's time was up when it came");
         };
         let named = draft.picked(&chain_row.function_by).filter(|f| !f.is_empty()).map(str::to_owned);
-        let digest_of_plan = digest(&plan);
+        let digest_of_plan = digest(&plan, &self.deployment.workloads);
         let lasts = plan.steps.iter().any(|s| s.effect != Effect::Restartable);
         if lasts && draft.data.len() > ANSWER_MOST {
             return refuse(413, "large-chain", "the data of a chain with effects must fit its record");
@@ -340,7 +346,8 @@
         }
         let Ok(Some(kept)) = self.chains.record.read((&name.0, &name.1)) else { return };
         let mut rows = self.deployment.chains.iter().map(|row| row.plan.clone());
-        let plan = rows.find(|plan| (&plan.name, digest(plan)) == (&kept.chain, kept.plan));
+        let plan = rows
+            .find(|plan| (&plan.name, digest(plan, &self.deployment.workloads)) == (&kept.chain, kept.plan));
         let Some(plan) = plan.filter(|_| !kept.closed) else { return };
         let customer = kept.customer.as_ref();
         let customer = customer.and_then(|c| self.deployment.customers.iter().position(|known| known == c));
--- a/crates/gateway/tests/chains.rs
+++ b/crates/gateway/tests/chains.rs
@@ -281,6 +281,25 @@
     assert_eq!(lives.bench.requests(), 0, "once is enough");
 }
 
+// Taken after a switch of the settings that moved the rows of its workloads; a restart has them in their
+// file's order, and knows the chain on record all the same.
+#[test]
+fn a_chain_over_a_switch_and_a_kill() {
+    let mut lives = Lives::new(None);
+    let mut old = deployment(2);
+    old.workloads.reverse();
+    old.rows.workloads.reverse();
+    lives.bench = Bench::with(old, 1_000 * S, Box::new(lives.shared.clone()));
+    lives.bench.switches(with_chain());
+    lives.ask(2);
+    lives.bench.links();
+    lives.kill();
+    lives.bench.pass(4 * S);
+    lives.go_on(1);
+    lives.kill();
+    assert_eq!((lives.sent.get("7/confirm"), lives.sent.get("7/release")), (Some(&1), Some(&1)));
+}
+
 // Told as finished, it is never taken back: that is on record before the answer goes out.
 #[test]
 fn what_was_told_as_finished_stays() {
--- a/crates/gateway/tests/switch.rs
+++ b/crates/gateway/tests/switch.rs
@@ -70,6 +70,8 @@
     b.breaks(link, Closed::Reset);
     b.pass(S);
     assert_eq!((b.statuses(client), b.requests()), (vec![502], 1));
+    let again = b.asks("confirm", "1");
+    assert_eq!((b.statuses(again), b.requests()), (vec![502], 1), "and its answer is told again");
     let client = b.asks("confirm", "2");
     let link = latest(&mut b);
     b.breaks(link, Closed::Reset);
--- a/src/control.rs
+++ b/src/control.rs
@@ -775,6 +775,7 @@
                 self.budget -= 1.0;
                 self.send(orders, id, server, true);
             } else if self.rows.permits.cancel {
+                self.budget -= 1.0;
                 // Stand-in where no copy may run beside it: `closed` sends the job on once this one is off.
                 orders.cancel(id, n);
             }
@@ -799,7 +800,8 @@
         if job.streaming || job.tried.iter().any(|t| t.fate == Fate::Out) {
             return;
         }
-        let costs = job.tried[n].fate == Fate::MayHaveRun;
+        // A cancel was paid for when it was ordered, or many at once would end jobs that nothing is left for.
+        let costs = job.tried[n].fate == Fate::MayHaveRun && answer.outcome != Outcome::Cancelled;
         let job = &self.jobs[&id];
         if job.limit <= self.now + LAST_CALL || !self.repeat_allowed(job) || (costs && self.budget < 1.0) {
             self.give_up(orders, id);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -170,6 +170,28 @@
     assert_eq!(bench.sends(1).len(), 2, "no copy after the hedge delay either");
 }
 
+// No more jobs are cancelled at workers that were set aside than can be sent on: the others stay there.
+#[test]
+fn a_cancel_is_paid_for_when_it_is_ordered() {
+    let mut rows = rows(Effect::Restartable);
+    rows.permits.second_copies = false;
+    let mut bench = Bench::new(rows, 8);
+    let names: Vec<String> = (0..64).map(|n| format!("hut-{n}")).collect();
+    names.iter().for_each(|name| _ = bench.warm(name));
+    names.iter().zip(0..).for_each(|(name, n)| bench.arrive(n, name, 5000 * MS));
+    let mut broken = std::collections::BTreeSet::new();
+    for n in 0..64 {
+        if broken.len() < 4 && bench.sends(n).len() == 1 && broken.insert(bench.sends(n)[0]) {
+            bench.close(n, 0, &answer(Outcome::Broken));
+        }
+    }
+    let off = |n: &u8| bench.record.did.contains(&Did::Cancel(job(*n), 0));
+    let cancelled: Vec<u8> = (0..64).filter(off).collect();
+    assert!(cancelled.len() > 5, "{}", cancelled.len());
+    cancelled.iter().for_each(|n| bench.close(*n, 0, &answer(Outcome::Cancelled)));
+    assert!(cancelled.iter().all(|n| bench.ends(*n).is_empty()), "none is given up");
+}
+
 // A switch of the rows: a job keeps its effect, and a copy that is out where none may be any more is taken
 // back.
 #[test_case(Effect::RunOnce, Effect::Restartable, 1, 1; "run-once stays so")]
