--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -1,7 +1,8 @@
 //! Many wholly separate instances behind one wire.
-use crate::fields::*;
 use applepond::control::Control;
 use applepond::interface::*;
+use applepond_platform::fields::*;
+use applepond_platform::rows::{Words, copy_note, startup};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
@@ -21,9 +22,7 @@
 struct Names {
     servers: BTreeMap<ServerId, String>,
     functions: BTreeMap<FunctionId, String>,
-    workloads: Vec<String>,
-    customers: Vec<String>,
-    zones: Vec<String>,
+    words: Words,
 }
 
 /// Writes what the decisions order as actions of the wire, in their order.
@@ -96,7 +95,7 @@
         let op = text(event, "op")?;
         if op == "boot" {
             let setup = object(event, "setup")?;
-            let names = Names::read(setup)?;
+            let names = Names { words: Words::read(setup)?, ..Names::default() };
             let rows = startup(setup, whole(event, "salt")?)?;
             let mut reply = Reply { names: &names, actions: Vec::new() };
             let control = Control::new(now, rows, &mut reply);
@@ -148,12 +147,12 @@
                 let customer = match maybe(event, "customer") {
                     None => None,
                     Some(v) if v.as_u64() == Some(0) => None,
-                    Some(_) => Some(CustomerId(position(&names.customers, event, "customer")?)),
+                    Some(_) => Some(CustomerId(position(&names.words.customers, event, "customer")?)),
                 };
                 let arrival = Arrival {
                     job: job(event)?,
                     function: FunctionId::named(text(event, "model")?),
-                    workload: WorkloadId(position(&names.workloads, event, "type")?),
+                    workload: WorkloadId(position(&names.words.workloads, event, "type")?),
                     customer,
                     left: time(event, "left")?,
                     retry: mark(event, "retry")?,
@@ -203,16 +202,6 @@
     })
 }
 
-fn copy_note(note: u32) -> Copy {
-    match note {
-        1 => Copy::Stood,
-        2 => Copy::Begun,
-        3 => Copy::Awaited,
-        4 => Copy::LoadFailed,
-        _ => Copy::Unsaid,
-    }
-}
-
 fn listed(entry: &Value, names: &Names) -> Read<Listed> {
     let place = |list: &[String], name| maybe(entry, name).map(|_| position(list, entry, name)).transpose();
     Ok(Listed {
@@ -224,88 +213,13 @@
             other => return Err(format!("field 'condition': '{other}' is not known")),
         },
         up_since: time_or_none(entry, "up-since")?,
-        zone: place(&names.zones, "rack-zone")?.map(ZoneId),
+        zone: place(&names.words.zones, "rack-zone")?.map(ZoneId),
         rack: RackId(number_or(entry, "group", 0.0)? as i64),
         weight: number_or(entry, "nominal", 1.0)?,
     })
 }
 
-impl Names {
-    fn read(setup: &Value) -> Read<Self> {
-        let plain = |name| -> Read<Vec<String>> {
-            let list = maybe(setup, name).and_then(Value::as_array).into_iter().flatten();
-            list.map(|v| v.as_str().map(str::to_owned).ok_or(format!("field '{name}': texts are wanted")))
-                .collect()
-        };
-        let rows = |name| -> Read<Vec<String>> {
-            let list = maybe(setup, name).and_then(Value::as_array).into_iter().flatten();
-            list.map(|row| text(row, "name").map(str::to_owned)).collect()
-        };
-        Ok(Names {
-            workloads: rows("lanes")?,
-            customers: rows("projects")?,
-            zones: plain("zones")?,
-            ..Names::default()
-        })
-    }
-}
-
-fn startup(setup: &Value, seed: u64) -> Read<Startup> {
-    let allowed = object(setup, "allowed")?;
-    let rules = object(setup, "rules")?;
-    let own = maybe(setup, "specifics").unwrap_or(&Value::Null);
-    Ok(Startup {
-        seed,
-        me: number_or(setup, "self-index", 0.0)? as u64,
-        routers: (number_or(setup, "group-size", 1.0)? as u64).max(1),
-        workloads: array(setup, "lanes")?.iter().map(workload).collect::<Read<_>>()?,
-        customers: maybe(setup, "projects")
-            .and_then(Value::as_array)
-            .into_iter()
-            .flatten()
-            .map(|row| number_or(row, "quota-per-s", 0.0).map(|jobs_per_s| CustomerRow { jobs_per_s }))
-            .collect::<Read<_>>()?,
-        permits: Permits {
-            executions: number_or(allowed, "attempts-cap", 1.0)? as usize,
-            cancel: mark(allowed, "cancel")?,
-            second_copies: mark(allowed, "second-copies")?,
-            come_back: mark(allowed, "retry-after")?,
-            come_back_max: time_or_none(allowed, "max-retry-after")?,
-        },
-        rules: RuleFigures {
-            cold_share: number_or(rules, "cold-from", 1.0)?,
-            warm_within: time_or_none(rules, "warm-within")?,
-            fall_multiple: number_or(rules, "fall-multiple", 1.0)?,
-            fall_span: time_or_none(rules, "fall")?,
-        },
-        over_share: number_or(setup, "over-share-worth", 1.0)?,
-        keep: time_or_none(own, "keep")?,
-        tells_company: mark(own, "says-company")?,
-        limits_shared: true,
-        list_by_asking: maybe(setup, "discovery").and_then(Value::as_str) == Some("ask"),
-        weights_shared: maybe(setup, "weights").and_then(Value::as_str) != Some("live"),
-    })
-}
-
-fn workload(row: &Value) -> Read<WorkloadRow> {
-    let effect = match text(row, "idempotency")? {
-        "idempotent" => Effect::Restartable,
-        "at_most_once" => Effect::RunOnce,
-        "deduplicated" => Effect::Fingerprinted {
-            within: match text(row, "group")? {
-                "all" => Within::Everywhere,
-                "zone" => Within::Zone,
-                "cell" => Within::Rack,
-                other => return Err(format!("field 'group': '{other}' is not known")),
-            },
-            window: time(row, "window")?,
-        },
-        other => return Err(format!("field 'idempotency': '{other}' is not known")),
-    };
-    Ok(WorkloadRow {
-        effect,
-        start_target: time(row, "on-time")?,
-        importance: number_or(row, "worth", 1.0)?,
-        late_part: number_or(row, "late-worth", 0.0)?,
-    })
+fn job(from: &Value) -> Read<JobId> {
+    let id = text(from, "msg-id")?;
+    id.as_bytes().try_into().map(JobId).or_else(|_| fault("msg-id", "36 characters are wanted"))
 }
--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -1,6 +1,5 @@
 //! The simulator's wire on one side, calls of `applepond::control` on the other.
 //! Every field is decoded where it is used; nothing is decided here.
-mod fields;
 mod host;
 
 pub use host::Host;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The program: `applepond serve`, `check`, `standin`, `drill`.
 mod drill;
+mod node;
 mod serve;
 mod standin;
 
@@ -35,6 +36,12 @@
         #[arg(long, hide = true)]
         with_parent: bool,
     },
+    /// Runs one real router of the operators' platform, as its environment says.
+    Node {
+        /// The configuration, JSON.
+        #[arg(long, env = "PROXY_CONFIG")]
+        config: PathBuf,
+    },
     /// Reads settings and reports every fault by line and column.
     Check { file: PathBuf },
     /// Runs a stand-in of an outside system, for trying things out by hand.
@@ -57,6 +64,7 @@
             }
             serve::serve(&settings, listen, log, plant.as_deref())
         }
+        What::Node { config } => node::node(config),
         What::Check { file } => serve::check(&file),
         What::Standin { which } => standin::run(which),
         What::Drill { which } => drill::run(which),
--- /dev/null
+++ b/crates/cli/src/node.rs
@@ -0,0 +1,64 @@
+//! `node`: one real router of the operators' platform.
+use applepond_node::{News, Node};
+use applepond_platform::config::{self, Start};
+use applepond_reactor::Reactor;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::cell::Cell;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Longest wait of one turn: the machine's own tick ends it earlier.
+const TURN: Duration = Duration::from_secs(1);
+
+fn read(file: &PathBuf) -> Result<Start, String> {
+    let text = std::fs::read(file).map_err(|error| format!("{}: {error}", file.display()))?;
+    config::start(&text).map_err(|why| format!("{}: {why}", file.display()))
+}
+
+/// Asked by the machine for what the process has been told by signals since.
+fn signals(file: PathBuf) -> std::io::Result<Box<dyn FnMut() -> Option<News>>> {
+    let (again, leave) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    signal_hook::flag::register(SIGHUP, again.clone())?;
+    signal_hook::flag::register(SIGTERM, leave.clone())?;
+    signal_hook::flag::register(SIGINT, leave.clone())?;
+    Ok(Box::new(move || {
+        if again.swap(false, Ordering::Relaxed) {
+            return Some(News::Again(read(&file).map(Box::new)));
+        }
+        leave.swap(false, Ordering::Relaxed).then_some(News::Leave)
+    }))
+}
+
+pub fn node(file: PathBuf) -> ExitCode {
+    let start = match read(&file) {
+        Ok(start) => start,
+        Err(why) => {
+            eprintln!("{why}");
+            return ExitCode::from(crate::serve::WRONG);
+        }
+    };
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env()
+        .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
+    let (mut reactor, news) = match Reactor::new().and_then(|r| Ok((r, signals(file)?))) {
+        Ok(both) => both,
+        Err(error) => {
+            tracing::error!(%error, "cannot begin");
+            return ExitCode::FAILURE;
+        }
+    };
+    let over = Rc::new(Cell::new(false));
+    let ends = over.clone();
+    reactor.add(Box::new(Node::new(reactor.now(), start, news, Box::new(move || ends.set(true)))));
+    while !over.get() {
+        if let Err(error) = reactor.turn(TURN) {
+            tracing::error!(%error, "epoll");
+            return ExitCode::FAILURE;
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/drill/src/saboteur.rs
+++ b/crates/drill/src/saboteur.rs
@@ -123,6 +123,15 @@
             _ => self.wire.write(conn, bytes),
         }
     }
+    fn offer(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        self.wire.offer(conn, bytes)
+    }
+    fn datagrams(&mut self, to: SocketAddr) -> Option<Conn> {
+        self.wire.datagrams(to)
+    }
+    fn datagram(&mut self, conn: Conn, bytes: &[u8]) {
+        self.wire.datagram(conn, bytes);
+    }
     fn unsent(&self, conn: Conn) -> usize {
         self.wire.unsent(conn)
     }
@@ -192,6 +201,9 @@
         }
         self.with(now, wire, |m, w| m.bytes(now, w, conn, &bytes));
     }
+    fn told(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        self.with(now, wire, |m, w| m.told(now, w, conn, bytes));
+    }
     fn half_closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         match self.state.own.remove(&conn) {
             Some(_) => wire.cut(conn),
--- a/crates/gateway/src/fate.rs
+++ b/crates/gateway/src/fate.rs
@@ -31,6 +31,12 @@
     }
 }
 
+/// What this side's end means for a request of which nothing has left: it never ran. A connection that took
+/// nothing until the time was up is as good as none.
+pub fn of_unsent(outcome: Outcome) -> Outcome {
+    if outcome == Outcome::TimedOut { Outcome::NoConnection } else { Outcome::Moot }
+}
+
 /// Whether the same execution may go out once more on a new connection, without a word to the module: only
 /// where a kept connection had been closed by the worker while it lay idle, and nothing of the request had
 /// left.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod deployment;
 pub mod fate;
 pub mod front;
+pub mod life;
 pub mod limit;
 pub mod links;
 pub mod machine;
--- /dev/null
+++ b/crates/gateway/src/life.rs
@@ -0,0 +1,176 @@
+//! The life of a job and of its executions, whatever protocol they travel by: begun once, each execution
+//! closed once, one end, and the queue of those whose time runs. Kept here for every router around the
+//! module.
+use applepond::interface::*;
+use applepond_reactor::Conn;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// What the module ordered, until its call returns.
+pub enum Act {
+    Send(JobId, ServerId, Micros),
+    Cancel(JobId, usize),
+    PushBack(JobId, Option<Micros>),
+    Kill(JobId),
+    Wake(Micros, Token),
+    Note(String),
+    Watch,
+}
+
+#[derive(Default)]
+pub struct Acts(pub VecDeque<Act>);
+
+impl Orders for Acts {
+    fn send(&mut self, job: JobId, server: ServerId, patience: Micros) {
+        self.0.push_back(Act::Send(job, server, patience));
+    }
+    fn cancel(&mut self, job: JobId, execution: usize) {
+        self.0.push_back(Act::Cancel(job, execution));
+    }
+    fn push_back(&mut self, job: JobId, come_back: Option<Micros>) {
+        self.0.push_back(Act::PushBack(job, come_back));
+    }
+    fn kill(&mut self, job: JobId) {
+        self.0.push_back(Act::Kill(job));
+    }
+    fn wake_after(&mut self, delay: Micros, token: Token) {
+        self.0.push_back(Act::Wake(delay, token));
+    }
+    fn note(&mut self, text: &str) {
+        self.0.push_back(Act::Note(text.to_owned()));
+    }
+    fn watch(&mut self) {
+        self.0.push_back(Act::Watch);
+    }
+}
+
+/// One execution of a job.
+pub struct Execution {
+    pub server: ServerId,
+    pub sent: Micros,
+    /// When its time is up.
+    until: Micros,
+    /// Its connection: the present one, or where its request was left without an answer.
+    pub link: Option<Conn>,
+    pub closed: bool,
+}
+
+/// One job, from its arrival until its last execution has closed, and what its protocol keeps of it.
+pub struct Life<T> {
+    pub came: Micros,
+    pub limit: Micros,
+    pub executions: Vec<Execution>,
+    pub ended: bool,
+    pub timed_out: bool,
+    pub of: T,
+}
+
+impl<T> Life<T> {
+    pub fn out(&self) -> usize {
+        self.executions.iter().filter(|e| !e.closed).count()
+    }
+}
+
+/// All jobs of one router.
+pub struct Lives<T> {
+    lives: BTreeMap<JobId, Life<T>>,
+    /// Executions that are out, by when their time is up. One timer serves all of them: a timer for each
+    /// would outlive most executions by seconds.
+    out: BTreeSet<(Micros, JobId, usize)>,
+}
+
+impl<T> Default for Lives<T> {
+    fn default() -> Self {
+        Lives { lives: BTreeMap::new(), out: BTreeSet::new() }
+    }
+}
+
+impl<T> Lives<T> {
+    pub fn len(&self) -> usize {
+        self.lives.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.lives.is_empty()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&JobId, &Life<T>)> {
+        self.lives.iter()
+    }
+
+    pub fn get(&self, job: JobId) -> Option<&Life<T>> {
+        self.lives.get(&job)
+    }
+
+    pub fn get_mut(&mut self, job: JobId) -> Option<&mut Life<T>> {
+        self.lives.get_mut(&job)
+    }
+
+    pub fn begin(&mut self, job: JobId, came: Micros, limit: Micros, of: T) {
+        let life = Life { came, limit, executions: Vec::new(), ended: false, timed_out: false, of };
+        self.lives.insert(job, life);
+    }
+
+    /// Begins an execution, by its number; none where there is no such job. An error is one that may not go
+    /// out: its job has ended, or has had as many as it may.
+    pub fn execute(
+        &mut self,
+        now: Micros,
+        job: JobId,
+        server: ServerId,
+        patience: Micros,
+        most: usize,
+    ) -> Option<Result<usize, usize>> {
+        let life = self.lives.get_mut(&job)?;
+        let n = life.executions.len();
+        let until = now + patience;
+        life.executions.push(Execution { server, sent: now, until, link: None, closed: false });
+        if life.ended || n >= most {
+            return Some(Err(n));
+        }
+        self.out.insert((until, job, n));
+        Some(Ok(n))
+    }
+
+    /// When the first execution's time is up.
+    pub fn next(&self) -> Option<Micros> {
+        self.out.first().map(|(until, _, _)| *until)
+    }
+
+    /// An execution whose time is up, each once.
+    pub fn due(&mut self, now: Micros) -> Option<(JobId, usize)> {
+        let (_, job, n) = *self.out.first().filter(|(until, _, _)| *until <= now)?;
+        self.out.pop_first();
+        Some((job, n))
+    }
+
+    /// Closes an execution: what the module is to be told of it, once. A job that has ended goes with the last
+    /// that is out.
+    pub fn close(&mut self, now: Micros, job: JobId, n: usize, answer: Answer) -> Option<Answer> {
+        let life = self.lives.get_mut(&job)?;
+        let execution = life.executions.get_mut(n).filter(|e| !e.closed)?;
+        execution.closed = true;
+        self.out.remove(&(execution.until, job, n));
+        let answer = Answer { closed: life.ended, elapsed: now - execution.sent, ..answer };
+        self.forget(job);
+        Some(answer)
+    }
+
+    /// The one end of a job: its record the first time, none after it.
+    pub fn end(&mut self, job: JobId) -> Option<&mut Life<T>> {
+        let life = self.lives.get_mut(&job).filter(|l| !l.ended)?;
+        life.ended = true;
+        Some(life)
+    }
+
+    /// Drops a job that has ended and has nothing out.
+    pub fn forget(&mut self, job: JobId) {
+        if self.lives.get(&job).is_some_and(|l| l.ended && l.out() == 0) {
+            self.lives.remove(&job);
+        }
+    }
+}
+
+/// An execution's end that no answer tells more about.
+pub fn ended(outcome: Outcome) -> Answer {
+    Answer { outcome, closed: false, elapsed: 0, copy: Copy::Unsaid, company: 0, held: None, loads: None }
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -46,6 +46,14 @@
             *self.sent.entry(conn).or_default() += bytes.len() as u64;
         }
     }
+    fn offer(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        self.write(conn, bytes);
+        bytes.len()
+    }
+    fn datagrams(&mut self, _: SocketAddr) -> Option<Conn> {
+        None
+    }
+    fn datagram(&mut self, _: Conn, _: &[u8]) {}
     fn unsent(&self, conn: Conn) -> usize {
         let written = self.written.get(&conn).map_or(0, Vec::len);
         written - self.sent(conn) as usize
--- /dev/null
+++ b/crates/node/src/callers.rs
@@ -0,0 +1,142 @@
+//! The clients' side: one request at a time a connection, and its answer.
+use applepond::interface::{JobId, Micros, Startup};
+use applepond_http::decode::{Decoder, Side, Step};
+use applepond_http::{Fault, encode};
+use applepond_platform::call::{Ask, BODY_MOST, Incoming, Part};
+use applepond_platform::rows::Words;
+use applepond_reactor::{Conn, Wire};
+
+/// Bytes of a head at most (431 beyond): calls have a few hundred.
+const HEAD_MOST: usize = 8 * 1024;
+/// µs in which a new connection must have brought a whole request, and an answer must have been taken: the
+/// platform wants to see silent clients off within three seconds.
+const SILENT_LIMIT: Micros = 2_000_000;
+/// µs that a connection may lie idle between two requests: clients close theirs after four seconds, some
+/// never do.
+const IDLE_LIMIT: Micros = 6_000_000;
+/// Bytes of later requests that may wait behind one that is being answered; then reading pauses.
+const AHEAD_MOST: usize = 32 * 1024;
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Doing {
+    Reading,
+    /// A request is whole; its answer is awaited.
+    Waiting,
+    /// Nothing more is read; the connection goes once its answer is out.
+    Leaving,
+}
+
+/// What reading calls needs to know.
+pub struct Terms {
+    pub words: Words,
+    pub rows: Startup,
+    pub time_limits: Vec<Micros>,
+}
+
+/// One client connection.
+pub struct Caller {
+    decoder: Decoder,
+    part: Part,
+    pub doing: Doing,
+    pub job: Option<JobId>,
+    /// When patience with what is done now ends.
+    pub until: Micros,
+}
+
+impl Caller {
+    pub fn new(now: Micros) -> Self {
+        Caller {
+            decoder: Decoder::new(Side::Server, HEAD_MOST, BODY_MOST),
+            part: Part::default(),
+            doing: Doing::Reading,
+            job: None,
+            until: now + SILENT_LIMIT,
+        }
+    }
+
+    pub fn feed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        if self.doing == Doing::Leaving {
+            return;
+        }
+        if self.doing == Doing::Reading && self.decoder.idle() {
+            self.until = now + SILENT_LIMIT;
+        }
+        self.decoder.feed(bytes);
+        if self.doing == Doing::Waiting && self.decoder.waiting() > AHEAD_MOST {
+            wire.reading(conn, false);
+        }
+    }
+
+    /// The next whole request with its body, if the one before has been answered.
+    pub fn next(
+        &mut self,
+        wire: &mut dyn Wire,
+        conn: Conn,
+        terms: &Terms,
+    ) -> Option<Result<(Ask, Vec<u8>), Fault>> {
+        if self.doing != Doing::Reading {
+            return None;
+        }
+        let Terms { words, rows, time_limits } = terms;
+        let mut incoming = Incoming { words, rows, time_limits, part: &mut self.part };
+        match self.decoder.step(&mut incoming) {
+            Ok(Step::Done) => {
+                self.doing = Doing::Waiting;
+                let ask = self.part.ask.take().expect("a head comes before its end");
+                Some(Ok((ask, std::mem::take(&mut self.part.body))))
+            }
+            Ok(Step::More) => {
+                if std::mem::take(&mut self.part.go_on) {
+                    wire.write(conn, encode::CONTINUE);
+                }
+                None
+            }
+            Err(fault) => Some(Err(fault)),
+        }
+    }
+
+    /// Answers the request that waits; whatever comes after it is read on. `last`: nothing more is taken here.
+    pub fn answer(
+        &mut self,
+        now: Micros,
+        wire: &mut dyn Wire,
+        conn: Conn,
+        status: u16,
+        come_back: Option<Micros>,
+        body: &[u8],
+        last: bool,
+    ) {
+        if self.doing != Doing::Waiting {
+            return;
+        }
+        let keep = self.part.keep && !last;
+        let mut head = encode::response(status);
+        if let Some(wait) = come_back {
+            head = head.number("Back-Off-Ms", wait.div_ceil(1000));
+        }
+        if !keep {
+            head = head.field("Connection", "close");
+        }
+        wire.write(conn, &head.body(body));
+        self.job = None;
+        if keep {
+            self.doing = Doing::Reading;
+            self.until = now + IDLE_LIMIT;
+            wire.reading(conn, true);
+        } else {
+            self.leave(now, wire, conn);
+        }
+    }
+
+    /// Answers what is no call, and ends the connection: where the next request begins is not known.
+    pub fn refuse(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, fault: &Fault) {
+        wire.write(conn, &encode::problem_answer(fault, None, None, false));
+        self.leave(now, wire, conn);
+    }
+
+    pub fn leave(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        self.doing = Doing::Leaving;
+        self.until = now + SILENT_LIMIT;
+        wire.finish(conn);
+    }
+}
--- /dev/null
+++ b/crates/node/src/links.rs
@@ -0,0 +1,111 @@
+//! Connections to model servers: many executions on each, their lines as long as the kernel has not taken
+//! them, and answers as they come in.
+use applepond::interface::*;
+use applepond_http::Fault;
+use applepond_platform::{call, line};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Bytes of one answer's line at most: twice what a body of the largest call takes in base64, and some.
+const LINE_MOST: usize = 64 * 1024;
+
+/// What waits to be written.
+pub enum Item {
+    /// The line that runs this execution, not begun yet: it can be taken back.
+    Run(JobId, usize),
+    /// Bytes that must follow what is written already.
+    Rest(Vec<u8>),
+}
+
+/// One connection.
+pub struct Link {
+    pub server: ServerId,
+    pub open: bool,
+    /// It carries nothing new any more and goes when it owes nothing.
+    pub parted: bool,
+    /// Executions of which at least a byte has left, by job: a model server gives back an id but once.
+    pub out: BTreeMap<JobId, usize>,
+    pub queue: VecDeque<Item>,
+    /// When it last had something to do.
+    pub busy: Micros,
+    /// When bytes last came.
+    pub heard: Micros,
+    /// When it was asked whether it works, until it says so.
+    pub asked: Option<Micros>,
+    partial: Vec<u8>,
+    searched: usize,
+}
+
+/// What came on a connection, in its order.
+#[derive(Default)]
+pub struct Came {
+    pub answers: Vec<(JobId, Answer, Vec<u8>)>,
+    pub works: bool,
+}
+
+impl line::Words for Came {
+    fn answer(&mut self, id: &str, answer: Answer, body: Vec<u8>) {
+        // An id of another form was never sent: it belongs to nobody here.
+        if id.len() == 16 {
+            self.answers.push((call::job_id(id), answer, body));
+        }
+    }
+    fn works(&mut self, _: &str) {
+        self.works = true;
+    }
+}
+
+impl Link {
+    pub fn new(now: Micros, server: ServerId) -> Self {
+        Link {
+            server,
+            open: false,
+            parted: false,
+            out: BTreeMap::new(),
+            queue: VecDeque::new(),
+            busy: now,
+            heard: now,
+            asked: None,
+            partial: Vec::new(),
+            searched: 0,
+        }
+    }
+
+    /// Executions on it, written or not.
+    pub fn load(&self) -> usize {
+        self.out.len() + self.queue.iter().filter(|i| matches!(i, Item::Run(..))).count()
+    }
+
+    /// Takes an execution back of which nothing has left.
+    pub fn take_back(&mut self, job: JobId, n: usize) -> bool {
+        let waits = |i: &Item| matches!(i, Item::Run(j, m) if *j == job && *m == n);
+        let found = self.queue.iter().position(waits);
+        found.is_some_and(|at| self.queue.remove(at).is_some())
+    }
+
+    /// Reads what came. What can be read before a fault counts.
+    pub fn feed(&mut self, bytes: &[u8], came: &mut Came) -> Result<(), Fault> {
+        self.partial.extend_from_slice(bytes);
+        let mut start = 0;
+        while let Some(end) = self.partial[self.searched..].iter().position(|b| *b == b'\n') {
+            let end = self.searched + end;
+            let read = line::read(&self.partial[start..end], came);
+            start = end + 1;
+            self.searched = start;
+            read?;
+        }
+        self.partial.drain(..start);
+        self.searched = self.partial.len();
+        if self.partial.len() > LINE_MOST {
+            return Err(Fault::new(502, "long-line", "an answer's line does not end"));
+        }
+        if self.partial.is_empty() && self.partial.capacity() > LINE_MOST {
+            self.partial = Vec::new();
+        }
+        Ok(())
+    }
+
+    /// Half a line has come.
+    pub fn amid(&self) -> bool {
+        !self.partial.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/node/src/machine.rs
@@ -0,0 +1,596 @@
+//! One router: connects clients, the module, model servers and the name service.
+use crate::callers::{Caller, Doing, Terms};
+use crate::links::{Came, Item, Link};
+use crate::watch::Watch;
+use crate::workers::Workers;
+use applepond::control::Control;
+use applepond::interface::*;
+use applepond_gateway::fate::{self, Reached};
+use applepond_gateway::life::{Act, Acts, Lives, ended};
+use applepond_platform::call::{Ask, id_text};
+use applepond_platform::config::{Member, Start};
+use applepond_platform::line;
+use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// µs between two looks at connections, the name service and signals.
+const TICK: Micros = 50_000;
+/// µs kept back for an answer's way to the client, which counts from when it sent its call.
+const WAY_BACK: Micros = 10_000;
+/// Of eight parts of the descriptors, those for clients (the platform's own take a third of all at most) and
+/// for model servers; the rest is for the process itself and for connections on their way out.
+const CLIENT_PARTS: usize = 4;
+const WORKER_PARTS: usize = 3;
+/// Part of the time after which model servers close idle connections at which this side does: a call must not
+/// cross their closing.
+const IDLE_PART: f64 = 0.75;
+/// µs after the word to stop during which new connections and calls still come, and some to spare.
+const LEAVING: Micros = 900_000;
+
+/// What a timer leaves to do.
+type Step = Box<dyn FnOnce(&mut Node, Micros, &mut dyn Wire)>;
+
+/// What the process is told from outside.
+pub enum News {
+    /// The configuration was replaced; an error says why it cannot be read.
+    Again(Result<Box<Start>, String>),
+    Leave,
+}
+
+/// What this router keeps of a job beside its life.
+struct Task {
+    caller: Option<Conn>,
+    /// The line that runs it, up to the time it has.
+    head: Vec<u8>,
+    body: Vec<u8>,
+}
+
+pub struct Node {
+    start: Start,
+    terms: Terms,
+    control: Control,
+    acts: Acts,
+    lives: Lives<Task>,
+    /// When the timer for the execution whose time is up first fires, where one is set.
+    armed: Option<Micros>,
+    callers: FxHashMap<Conn, Caller>,
+    callers_most: usize,
+    /// Those that wait for no job, by when patience with them ends.
+    waiting: BTreeSet<(Micros, Conn)>,
+    links: FxHashMap<Conn, Link>,
+    links_most: usize,
+    workers: Workers,
+    watch: Watch,
+    /// Clients whose answer has gone out and whose next request may be here; links with something to write.
+    ready: VecDeque<Conn>,
+    dirty: Vec<Conn>,
+    steps: BTreeMap<u64, Step>,
+    next_step: u64,
+    news: Box<dyn FnMut() -> Option<News>>,
+    /// Since when this router is on its way out.
+    leaving: Option<Micros>,
+    on_end: Box<dyn FnMut()>,
+}
+
+impl Node {
+    /// `now` is the shell's clock. `news` is asked at each tick; `on_end` is told when nothing is left to do
+    /// after the word to stop.
+    pub fn new(
+        now: Micros,
+        start: Start,
+        news: Box<dyn FnMut() -> Option<News>>,
+        on_end: Box<dyn FnMut()>,
+    ) -> Self {
+        let mut acts = Acts::default();
+        let control = Control::new(now, start.rows.clone(), &mut acts);
+        Node {
+            control,
+            acts,
+            lives: Lives::default(),
+            armed: None,
+            callers: FxHashMap::default(),
+            callers_most: start.descriptors * CLIENT_PARTS / 8,
+            waiting: BTreeSet::new(),
+            links: FxHashMap::default(),
+            links_most: start.descriptors * WORKER_PARTS / 8,
+            workers: Workers::default(),
+            watch: Watch::new(start.names, start.index, start.rows.seed),
+            ready: VecDeque::new(),
+            dirty: Vec::new(),
+            steps: BTreeMap::new(),
+            next_step: 1,
+            news,
+            leaving: None,
+            on_end,
+            terms: Terms {
+                words: start.words.clone(),
+                rows: start.rows.clone(),
+                time_limits: start.time_limits.clone(),
+            },
+            start,
+        }
+    }
+
+    /// The module's timers are many and carry their own number: they travel as they are, even; ours are odd.
+    fn after(&mut self, now: Micros, wire: &mut dyn Wire, delay: Micros, step: Step) {
+        self.next_step += 2;
+        self.steps.insert(self.next_step, step);
+        wire.wake_at(now + delay, Wake(self.next_step));
+    }
+
+    // ---- The module's orders -----------------------------------------------------------------
+
+    /// Carries out what the module ordered, and what comes of that, until nothing is left.
+    fn settle(&mut self, now: Micros, wire: &mut dyn Wire) {
+        loop {
+            while let Some(act) = self.acts.0.pop_front() {
+                self.carry_out(now, wire, act);
+            }
+            if let Some(conn) = self.ready.pop_front() {
+                self.read_on(now, wire, conn);
+            } else if let Some(conn) = self.dirty.pop() {
+                self.pump(now, wire, conn);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, wire: &mut dyn Wire, act: Act) {
+        match act {
+            Act::Send(job, server, patience) => self.execute(now, wire, job, server, patience),
+            Act::Cancel(job, n) => self.drop_execution(now, job, n, Outcome::Cancelled),
+            Act::PushBack(job, come_back) => self.end(now, wire, job, 503, come_back, b""),
+            Act::Kill(job) => {
+                let late = self.lives.get(job).is_some_and(|l| l.timed_out || now >= l.limit);
+                self.end(now, wire, job, if late { 504 } else { 502 }, None, b"");
+            }
+            Act::Wake(delay, token) => wire.wake_at(now + delay, Wake(token.0 << 1)),
+            Act::Note(text) => tracing::info!(target: "module", "{text}"),
+            // The list is asked for at each tick anyway.
+            Act::Watch => {}
+        }
+    }
+
+    fn execute(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, server: ServerId, patience: Micros) {
+        let most = self.start.rows.permits.executions;
+        match self.lives.execute(now, job, server, patience, most) {
+            Some(Ok(n)) => {
+                self.arm(now, wire);
+                self.place(now, wire, job, n);
+            }
+            Some(Err(n)) => self.close(now, job, n, ended(Outcome::Moot)),
+            None => {}
+        }
+    }
+
+    /// Sets the timer for the execution whose time is up first, unless one fires earlier anyway.
+    fn arm(&mut self, now: Micros, wire: &mut dyn Wire) {
+        let Some(until) = self.lives.next() else { return };
+        if self.armed.is_none_or(|at| until < at) {
+            self.armed = Some(until);
+            let step: Step = Box::new(|node, now, wire| node.times_up(now, wire));
+            self.after(now, wire, until.saturating_sub(now), step);
+        }
+    }
+
+    fn times_up(&mut self, now: Micros, wire: &mut dyn Wire) {
+        self.armed = self.armed.filter(|at| *at > now);
+        while let Some((job, n)) = self.lives.due(now) {
+            self.drop_execution(now, job, n, Outcome::TimedOut);
+        }
+        self.arm(now, wire);
+    }
+
+    /// Puts an execution on a connection that has room for it, a new one if need be.
+    fn place(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize) {
+        let Some(life) = self.lives.get_mut(job) else { return };
+        let server = life.executions[n].server;
+        let Some(worker) = self.workers.get_mut(server).filter(|w| w.standing == Standing::Ready) else {
+            return self.close(now, job, n, ended(Outcome::Moot));
+        };
+        let idle_limit = (self.start.terms.idle_limit as f64 * IDLE_PART) as Micros;
+        let stands = worker.links.iter().copied().find(|conn| {
+            let link = &self.links[conn];
+            let fresh = link.load() > 0 || now < link.busy + idle_limit;
+            // An answer to an earlier execution of the job may still come here under the same id.
+            let used = life.executions[..n].iter().any(|e| e.link == Some(*conn));
+            fresh && !used && link.load() < self.start.terms.streams
+        });
+        let conn = match stands {
+            Some(conn) => conn,
+            None if self.links.len() >= self.links_most => {
+                tracing::warn!(
+                    links = self.links.len(),
+                    "no descriptor is left for a connection to a server"
+                );
+                return self.close(now, job, n, ended(Outcome::NoConnection));
+            }
+            None => {
+                let conn = wire.connect(worker.address, self.start.terms.connect_limit);
+                self.links.insert(conn, Link::new(now, server));
+                worker.links.push(conn);
+                conn
+            }
+        };
+        life.executions[n].link = Some(conn);
+        self.links.get_mut(&conn).expect("just found").queue.push_back(Item::Run(job, n));
+        self.dirty.push(conn);
+    }
+
+    /// Writes what waits on a connection, as far as the kernel takes it: what it has not begun to take can
+    /// still be taken back.
+    fn pump(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        while let Some(link) = self.links.get_mut(&conn).filter(|l| l.open)
+            && let Some(item) = link.queue.pop_front()
+        {
+            link.busy = now;
+            let (run, bytes) = match item {
+                Item::Rest(bytes) => (None, bytes),
+                Item::Run(job, n) => {
+                    let Some(life) = self.lives.get(job) else { continue };
+                    let mut bytes = life.of.head.clone();
+                    line::rest(&mut bytes, life.limit.saturating_sub(now).div_ceil(1000), &life.of.body);
+                    (Some((job, n)), bytes)
+                }
+            };
+            let taken = wire.offer(conn, &bytes);
+            if let Some((job, n)) = run {
+                if taken == 0 {
+                    link.queue.push_front(Item::Run(job, n));
+                    return;
+                }
+                if link.out.is_empty() {
+                    link.heard = now;
+                }
+                link.out.insert(job, n);
+            }
+            if taken < bytes.len() {
+                link.queue.push_front(Item::Rest(bytes[taken..].to_vec()));
+                return;
+            }
+        }
+    }
+
+    /// Ends an execution from this side, by a cancel or because its time is up. What has not left is taken
+    /// back and has never run; what has is given up by a line.
+    fn drop_execution(&mut self, now: Micros, job: JobId, n: usize, outcome: Outcome) {
+        let Some(life) = self.lives.get_mut(job) else { return };
+        let Some(execution) = life.executions.get(n).filter(|e| !e.closed) else { return };
+        life.timed_out |= outcome == Outcome::TimedOut;
+        let mut outcome = outcome;
+        if let Some(conn) = execution.link
+            && let Some(link) = self.links.get_mut(&conn)
+        {
+            if link.take_back(job, n) {
+                outcome = fate::of_unsent(outcome);
+            } else {
+                link.out.remove(&job);
+                let mut bytes = Vec::new();
+                line::undo(&mut bytes, id_text(&job));
+                link.queue.push_back(Item::Rest(bytes));
+                self.dirty.push(conn);
+            }
+        }
+        self.close(now, job, n, ended(outcome));
+    }
+
+    /// Tells the module how an execution closed, once.
+    fn close(&mut self, now: Micros, job: JobId, n: usize, answer: Answer) {
+        if let Some(answer) = self.lives.close(now, job, n, answer) {
+            tracing::debug!(job = id_text(&job), n, outcome = ?answer.outcome, elapsed = answer.elapsed, "closed");
+            self.control.clock(now);
+            self.control.answered(&mut self.acts, job, n, &answer);
+        }
+    }
+
+    /// The one place where a job ends.
+    fn end(
+        &mut self,
+        now: Micros,
+        wire: &mut dyn Wire,
+        job: JobId,
+        status: u16,
+        come_back: Option<Micros>,
+        body: &[u8],
+    ) {
+        let Some(life) = self.lives.end(job) else { return };
+        tracing::debug!(job = id_text(&job), status, took = now - life.came, "job ended");
+        let caller = life.of.caller.take();
+        self.lives.forget(job);
+        if let Some(conn) = caller {
+            self.answer(now, wire, conn, status, come_back, body);
+        }
+    }
+
+    // ---- The clients' side -------------------------------------------------------------------
+
+    fn answer(
+        &mut self,
+        now: Micros,
+        wire: &mut dyn Wire,
+        conn: Conn,
+        status: u16,
+        come_back: Option<Micros>,
+        body: &[u8],
+    ) {
+        let Some(caller) = self.callers.get_mut(&conn) else { return };
+        caller.answer(now, wire, conn, status, come_back, body, self.leaving.is_some());
+        self.waiting.insert((caller.until, conn));
+        self.ready.push_back(conn);
+    }
+
+    /// Takes the requests that are whole, as far as answers allow.
+    fn read_on(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        while let Some(caller) = self.callers.get_mut(&conn)
+            && let Some(asked) = caller.next(wire, conn, &self.terms)
+        {
+            self.waiting.remove(&(caller.until, conn));
+            match asked {
+                Ok((Ask::Check, _)) => return self.answer(now, wire, conn, 200, None, b""),
+                Ok((Ask::Job(arrival, head), body)) => self.take(now, wire, conn, arrival, head, body),
+                Err(fault) => {
+                    tracing::debug!(reason = fault.reason, detail = fault.detail, "refused");
+                    caller.refuse(now, wire, conn, &fault);
+                    self.waiting.insert((caller.until, conn));
+                }
+            }
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: Micros,
+        wire: &mut dyn Wire,
+        conn: Conn,
+        mut arrival: Arrival,
+        head: Vec<u8>,
+        body: Vec<u8>,
+    ) {
+        let job = arrival.job;
+        if self.lives.get(job).is_some() {
+            // Another request under an open id: which of the two an answer belongs to could not be told.
+            return self.answer(now, wire, conn, 409, None, b"");
+        }
+        arrival.left = arrival.left.saturating_sub(WAY_BACK).max(1);
+        self.lives.begin(job, now, now + arrival.left, Task { caller: Some(conn), head, body });
+        self.callers.get_mut(&conn).expect("it has just asked").job = Some(job);
+        self.control.clock(now);
+        self.control.job(&mut self.acts, &arrival);
+    }
+
+    /// A client has gone: nothing is owed to it, and its job ends.
+    fn caller_gone(&mut self, now: Micros, conn: Conn) {
+        let Some(caller) = self.callers.remove(&conn) else { return };
+        self.waiting.remove(&(caller.until, conn));
+        if let Some(job) = caller.job
+            && self.lives.end(job).is_some()
+        {
+            self.lives.forget(job);
+            self.control.clock(now);
+            self.control.left(&mut self.acts, job);
+        }
+    }
+
+    /// Ends connections with which patience is over, and where there are too many, those with which it would
+    /// be over first. Never one whose job is open.
+    fn part_with_callers(&mut self, now: Micros, wire: &mut dyn Wire) {
+        while let Some((until, conn)) = self.waiting.first().copied()
+            && (until <= now || self.callers.len() > self.callers_most)
+        {
+            wire.cut(conn);
+            self.caller_gone(now, conn);
+        }
+    }
+
+    // ---- The model servers' side -------------------------------------------------------------
+
+    fn link_bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        let mut came = Came::default();
+        let read = link.feed(bytes, &mut came);
+        link.heard = now;
+        if came.works {
+            link.asked = None;
+        }
+        for (job, answer, body) in came.answers {
+            // Given up, told twice, or never asked for: nobody waits for it.
+            let Some(n) = self.links.get_mut(&conn).and_then(|link| link.out.remove(&job)) else { continue };
+            if let Some(life) = self.lives.get_mut(job) {
+                life.executions[n].link = None;
+            }
+            if answer.outcome == Outcome::Finished {
+                self.end(now, wire, job, 200, None, &body);
+            }
+            self.close(now, job, n, answer);
+        }
+        if let Err(fault) = read {
+            tracing::debug!(reason = fault.reason, detail = fault.detail, "a connection to a server is cut");
+            self.link_over(now, wire, conn);
+        }
+    }
+
+    /// A connection that cannot be used any more is cut: what has left on it may have run.
+    fn link_over(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        wire.cut(conn);
+        self.link_gone(now, wire, conn);
+    }
+
+    fn link_gone(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        let Some(link) = self.links.remove(&conn) else { return };
+        if let Some(worker) = self.workers.get_mut(link.server) {
+            worker.links.retain(|c| *c != conn);
+        }
+        for (job, n) in link.out {
+            self.close(now, job, n, ended(fate::of_end(Reached::Written)));
+        }
+        for item in link.queue {
+            let Item::Run(job, n) = item else { continue };
+            if link.open {
+                // Nothing of it had left when the connection broke: it goes out on another one.
+                self.place(now, wire, job, n);
+            } else {
+                self.close(now, job, n, ended(fate::of_end(Reached::NotOpen)));
+            }
+        }
+    }
+
+    /// A connection carries nothing new any more: what waits on it is taken back, what has left may come to
+    /// its end.
+    fn part(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        link.parted = true;
+        let queue = std::mem::take(&mut link.queue);
+        let (runs, rests): (Vec<_>, Vec<_>) = queue.into_iter().partition(|i| matches!(i, Item::Run(..)));
+        link.queue = rests.into();
+        for item in runs {
+            if let Item::Run(job, n) = item {
+                self.close(now, job, n, ended(Outcome::Moot));
+            }
+        }
+        self.sweep_link(now, wire, conn);
+    }
+
+    /// Cuts a connection that is of no more use: parted with and owing nothing, or idle too long.
+    fn sweep_link(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        let idle_limit = (self.start.terms.idle_limit as f64 * IDLE_PART) as Micros;
+        let Some(link) = self.links.get(&conn) else { return };
+        if link.load() == 0 && (link.parted || now >= link.busy + idle_limit) {
+            self.link_over(now, wire, conn);
+        }
+    }
+
+    // ---- The list ----------------------------------------------------------------------------
+
+    fn listed(&mut self, now: Micros, wire: &mut dyn Wire, kind: ListKind, list: &[Member]) {
+        for conn in self.workers.take(kind, list) {
+            self.part(now, wire, conn);
+        }
+        let entries: Vec<Listed> = list.iter().map(|m| m.listed.clone()).collect();
+        self.control.clock(now);
+        self.control.list(&mut self.acts, kind, &entries);
+    }
+
+    // ---- Now and then ------------------------------------------------------------------------
+
+    fn tick(&mut self, now: Micros, wire: &mut dyn Wire) {
+        while let Some(news) = (self.news)() {
+            match news {
+                News::Again(Ok(start)) => {
+                    tracing::info!(names = %start.names, "a new configuration holds");
+                    self.watch.moved(wire, start.names);
+                }
+                News::Again(Err(why)) => tracing::warn!(why, "the old configuration holds"),
+                News::Leave => _ = self.leaving.get_or_insert(now),
+            }
+        }
+        self.watch.tick(now, wire);
+        self.part_with_callers(now, wire);
+        let mut conns: Vec<Conn> = self.links.keys().copied().collect();
+        conns.sort_unstable();
+        for conn in conns {
+            self.sweep_link(now, wire, conn);
+        }
+        if self.leaving.is_some_and(|since| now >= since + LEAVING) && self.lives.is_empty() {
+            (self.on_end)();
+        }
+        self.after(now, wire, TICK, Box::new(|node, now, wire| node.tick(now, wire)));
+    }
+}
+
+impl Machine for Node {
+    fn start(&mut self, now: Micros, wire: &mut dyn Wire) {
+        for (kind, list) in std::mem::take(&mut self.start.known) {
+            self.listed(now, wire, kind, &list);
+        }
+        // One more than are kept open, so that a new one is seen and takes the place of another.
+        match wire.listen(self.start.listen, self.callers_most + 1) {
+            Ok((_, at)) => tracing::info!(%at, "listening"),
+            Err(error) => {
+                tracing::error!(listen = %self.start.listen, %error, "cannot listen");
+                (self.on_end)();
+            }
+        }
+        self.tick(now, wire);
+        self.settle(now, wire);
+    }
+
+    fn accepted(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, _: Listener) {
+        let caller = Caller::new(now);
+        self.waiting.insert((caller.until, conn));
+        self.callers.insert(conn, caller);
+        self.part_with_callers(now, wire);
+        self.settle(now, wire);
+    }
+
+    fn connected(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        if let Some(link) = self.links.get_mut(&conn) {
+            link.open = true;
+            link.heard = now;
+            self.dirty.push(conn);
+        }
+        self.settle(now, wire);
+    }
+
+    fn bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        if let Some(caller) = self.callers.get_mut(&conn) {
+            let before = caller.until;
+            caller.feed(now, wire, conn, bytes);
+            if caller.doing == Doing::Reading && self.waiting.remove(&(before, conn)) {
+                self.waiting.insert((caller.until, conn));
+            }
+            self.read_on(now, wire, conn);
+        } else {
+            self.link_bytes(now, wire, conn, bytes);
+        }
+        self.settle(now, wire);
+    }
+
+    fn half_closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        // Clients and model servers alike mean it when they close: no answer is owed, none comes.
+        if self.callers.contains_key(&conn) {
+            wire.cut(conn);
+            self.caller_gone(now, conn);
+        } else {
+            self.link_over(now, wire, conn);
+        }
+        self.settle(now, wire);
+    }
+
+    fn closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, _: Closed, _: u64) {
+        if self.callers.contains_key(&conn) {
+            self.caller_gone(now, conn);
+        } else {
+            self.link_gone(now, wire, conn);
+        }
+        self.settle(now, wire);
+    }
+
+    fn told(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        if let Some(told) = self.watch.told(now, wire, conn, bytes, &self.terms.words) {
+            if told.left_out > 0 {
+                tracing::warn!(left_out = told.left_out, "servers of the list lack records");
+            }
+            self.listed(now, wire, ListKind::Full, &told.members);
+        }
+        self.settle(now, wire);
+    }
+
+    fn flushed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        if self.links.contains_key(&conn) {
+            self.dirty.push(conn);
+        }
+        self.settle(now, wire);
+    }
+
+    fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
+        if wake.0 & 1 == 0 {
+            self.control.clock(now);
+            self.control.wake(&mut self.acts, Token(wake.0 >> 1));
+        } else if let Some(step) = self.steps.remove(&wake.0) {
+            step(self, now, wire);
+        }
+        self.settle(now, wire);
+    }
+}
--- /dev/null
+++ b/crates/node/src/watch.rs
@@ -0,0 +1,90 @@
+//! The name service: asked now and then, its answers believed only in their order.
+use applepond::interface::Micros;
+use applepond_platform::names::{self, Told};
+use applepond_platform::rows::Words;
+use applepond_reactor::{Conn, Wire};
+use oorandom::Rand32;
+use std::net::SocketAddr;
+
+/// µs between two questions: an event counts as told 1.5 s after it happened, and two answers may get lost.
+const ASK_EVERY: Micros = 250_000;
+/// µs after which an answer is not awaited any more: many times the way there and back.
+const ANSWER_LIMIT: Micros = 200_000;
+/// µs before the next question after one that brought nothing: a service in trouble is not hammered.
+const ASK_AGAIN: Micros = 50_000;
+
+pub struct Watch {
+    service: SocketAddr,
+    rng: Rand32,
+    /// Number of the last event that was taken in.
+    index: u64,
+    asking: Option<(Conn, u16, Micros)>,
+    next: Micros,
+}
+
+impl Watch {
+    pub fn new(service: SocketAddr, index: u64, seed: u64) -> Self {
+        Watch { service, rng: Rand32::new(seed), index, asking: None, next: 0 }
+    }
+
+    /// Another address from now on; the numbers continue.
+    pub fn moved(&mut self, wire: &mut dyn Wire, service: SocketAddr) {
+        if self.service != service {
+            self.service = service;
+            self.give_up(wire, 0);
+        }
+    }
+
+    fn give_up(&mut self, wire: &mut dyn Wire, next: Micros) {
+        if let Some((conn, _, _)) = self.asking.take() {
+            wire.cut(conn);
+        }
+        self.next = next;
+    }
+
+    /// Asks where it is time to: with a new id and from a new port each time, so that no late or false answer
+    /// fits the question.
+    pub fn tick(&mut self, now: Micros, wire: &mut dyn Wire) {
+        if self.asking.is_some_and(|(_, _, since)| now >= since + ANSWER_LIMIT) {
+            self.give_up(wire, now);
+        }
+        if self.asking.is_none()
+            && now >= self.next
+            && let Some(conn) = wire.datagrams(self.service)
+        {
+            let id = self.rng.rand_u32() as u16;
+            wire.datagram(conn, &names::query(id));
+            self.asking = Some((conn, id, now));
+        }
+    }
+
+    /// A datagram has come: the list, where it is one and newer than what is known.
+    pub fn told(
+        &mut self,
+        now: Micros,
+        wire: &mut dyn Wire,
+        conn: Conn,
+        bytes: &[u8],
+        words: &Words,
+    ) -> Option<Told> {
+        let (_, id, _) = self.asking.filter(|(asked, _, _)| *asked == conn)?;
+        match names::answer(bytes, id, words) {
+            Ok(told) if told.index >= self.index => {
+                self.give_up(wire, now + ASK_EVERY);
+                let news = told.index > self.index;
+                self.index = told.index;
+                news.then_some(told)
+            }
+            Ok(told) => {
+                tracing::debug!(told = told.index, known = self.index, "an older list");
+                self.give_up(wire, now + ASK_AGAIN);
+                None
+            }
+            Err(why) => {
+                tracing::debug!(why, "an answer of the name service is not taken");
+                self.give_up(wire, now + ASK_AGAIN);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/config.rs
@@ -0,0 +1,126 @@
+//! What a router is told at its start, and again when the file is replaced.
+use crate::fields::*;
+use crate::rows::{self, Words};
+use applepond::interface::*;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Model servers in one list at most: beyond it the file is taken for broken rather than for a fleet.
+const MEMBERS_MOST: usize = 20_000;
+
+/// A model server as a list names it, with where it listens.
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub name: String,
+    pub address: SocketAddr,
+    pub listed: Listed,
+}
+
+/// How connections to model servers are to be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Executions that one connection carries at a time.
+    pub streams: usize,
+    /// A connection that does not stand within this time was none.
+    pub connect_limit: Micros,
+    /// Model servers close a connection that lies idle this long.
+    pub idle_limit: Micros,
+}
+
+/// All that one router starts with.
+#[derive(Clone, Debug)]
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    /// The name service.
+    pub names: SocketAddr,
+    /// Descriptors and bytes that the process may hold.
+    pub descriptors: usize,
+    pub memory: usize,
+    pub rows: Startup,
+    pub words: Words,
+    pub terms: Terms,
+    /// The longest time that clients of each workload wait.
+    pub time_limits: Vec<Micros>,
+    /// Number of the last event of the list.
+    pub index: u64,
+    /// The list's events up to now.
+    pub known: Vec<(ListKind, Vec<Member>)>,
+}
+
+/// Reads a configuration; a fault names the field.
+pub fn start(text: &[u8]) -> Read<Start> {
+    let file: Value = serde_json::from_slice(text).map_err(|e| format!("no JSON: {e}"))?;
+    let settings = object(&file, "settings")?;
+    let allowed = object(settings, "allowed")?;
+    let limits = object(&file, "limits")?;
+    let seed = text_of_hex(&file, "seed")?;
+    let words = Words::read(settings)?;
+    let known = object(&file, "known")?;
+    let mut events = Vec::new();
+    for event in array(known, "updates")? {
+        events.push(update(event, &words)?);
+    }
+    Ok(Start {
+        name: text_in(&file, "name")?,
+        listen: address(&file, "listen")?,
+        names: address(&file, "names")?,
+        descriptors: whole(limits, "sockets")? as usize,
+        memory: (number(limits, "memory_mb")? * 1024.0 * 1024.0) as usize,
+        rows: rows::startup(settings, seed)?,
+        terms: Terms {
+            streams: (number_or(allowed, "multiplex", 1.0)? as usize).max(1),
+            connect_limit: time(allowed, "connect-timeout")?,
+            idle_limit: time(allowed, "idle-close")?,
+        },
+        time_limits: array(settings, "lanes")?
+            .iter()
+            .map(|row| time(row, "deadline"))
+            .collect::<Read<_>>()?,
+        index: whole(known, "index")?,
+        words,
+        known: events,
+    })
+}
+
+fn text_in(from: &Value, name: &str) -> Read<String> {
+    text(from, name).map(str::to_owned)
+}
+
+fn text_of_hex(from: &Value, name: &str) -> Read<u64> {
+    u64::from_str_radix(text(from, name)?, 16).or_else(|_| fault(name, "16 hex digits are wanted"))
+}
+
+fn address(from: &Value, name: &str) -> Read<SocketAddr> {
+    text(from, name)?.parse().or_else(|_| fault(name, "an address with a port is wanted"))
+}
+
+/// One event of the list.
+fn update(event: &Value, words: &Words) -> Read<(ListKind, Vec<Member>)> {
+    let list = object(event, "endpoints")?;
+    let kind = if mark(list, "complete")? { ListKind::Full } else { ListKind::Changes };
+    let members = array(list, "members")?;
+    if members.len() > MEMBERS_MOST {
+        return fault("members", "fewer are wanted");
+    }
+    Ok((kind, members.iter().map(|m| member(m, words)).collect::<Read<_>>()?))
+}
+
+fn member(entry: &Value, words: &Words) -> Read<Member> {
+    let name = text_in(entry, "id")?;
+    let zone = maybe(entry, "locality").map(|_| position(&words.zones, entry, "locality")).transpose()?;
+    let listed = Listed {
+        server: ServerId::named(&name),
+        standing: match text(entry, "phase")? {
+            "in_service" => Standing::Ready,
+            "terminating" => Standing::Draining,
+            "terminated" => Standing::Gone,
+            other => return Err(format!("field 'phase': '{other}' is not known")),
+        },
+        up_since: time_or_none(entry, "up_since_ms")?,
+        zone: zone.map(ZoneId),
+        rack: RackId(number_or(entry, "cell", 0.0)? as i64),
+        weight: number_or(entry, "size", 1.0)?,
+    };
+    Ok(Member { name, address: address(entry, "host_port")?, listed })
+}
--- a/crates/adapter/src/fields.rs
+++ b/crates/platform/src/fields.rs
@@ -1,10 +1,10 @@
 //! Reads single fields of a decoded JSON object; a fault names the field.
-use applepond::interface::{JobId, Micros};
+use applepond::interface::Micros;
 use serde_json::Value;
 
 pub type Read<T> = Result<T, String>;
 
-fn fault<T>(name: &str, want: &str) -> Read<T> {
+pub fn fault<T>(name: &str, want: &str) -> Read<T> {
     Err(format!("field '{name}': {want}"))
 }
 
@@ -56,11 +56,6 @@
     number_or(from, name, 0.0).map(micros_of)
 }
 
-pub fn job(from: &Value) -> Read<JobId> {
-    let id = text(from, "msg-id")?;
-    id.as_bytes().try_into().map(JobId).or_else(|_| fault("msg-id", "36 characters are wanted"))
-}
-
 /// Position of a named row among the names of the settings.
 pub fn position(names: &[String], from: &Value, name: &str) -> Read<usize> {
     let wanted = text(from, name)?;
--- /dev/null
+++ b/crates/platform/src/rows.rs
@@ -0,0 +1,99 @@
+//! Start-up rows from the operators' settings: the same reading for the simulator's first message and for a
+//! real router's configuration.
+use crate::fields::*;
+use applepond::interface::*;
+use serde_json::Value;
+
+/// The names behind the positions in the rows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Words {
+    pub workloads: Vec<String>,
+    pub customers: Vec<String>,
+    pub zones: Vec<String>,
+}
+
+impl Words {
+    pub fn read(setup: &Value) -> Read<Self> {
+        let plain = |name| -> Read<Vec<String>> {
+            let list = maybe(setup, name).and_then(Value::as_array).into_iter().flatten();
+            list.map(|v| v.as_str().map(str::to_owned).ok_or(format!("field '{name}': texts are wanted")))
+                .collect()
+        };
+        let rows = |name| -> Read<Vec<String>> {
+            let list = maybe(setup, name).and_then(Value::as_array).into_iter().flatten();
+            list.map(|row| text(row, "name").map(str::to_owned)).collect()
+        };
+        Ok(Words { workloads: rows("lanes")?, customers: rows("projects")?, zones: plain("zones")? })
+    }
+}
+
+pub fn startup(setup: &Value, seed: u64) -> Read<Startup> {
+    let allowed = object(setup, "allowed")?;
+    let rules = object(setup, "rules")?;
+    let own = maybe(setup, "specifics").unwrap_or(&Value::Null);
+    Ok(Startup {
+        seed,
+        me: number_or(setup, "self-index", 0.0)? as u64,
+        routers: (number_or(setup, "group-size", 1.0)? as u64).max(1),
+        workloads: array(setup, "lanes")?.iter().map(workload).collect::<Read<_>>()?,
+        customers: maybe(setup, "projects")
+            .and_then(Value::as_array)
+            .into_iter()
+            .flatten()
+            .map(|row| number_or(row, "quota-per-s", 0.0).map(|jobs_per_s| CustomerRow { jobs_per_s }))
+            .collect::<Read<_>>()?,
+        permits: Permits {
+            executions: number_or(allowed, "attempts-cap", 1.0)? as usize,
+            cancel: mark(allowed, "cancel")?,
+            second_copies: mark(allowed, "second-copies")?,
+            come_back: mark(allowed, "retry-after")?,
+            come_back_max: time_or_none(allowed, "max-retry-after")?,
+        },
+        rules: RuleFigures {
+            cold_share: number_or(rules, "cold-from", 1.0)?,
+            warm_within: time_or_none(rules, "warm-within")?,
+            fall_multiple: number_or(rules, "fall-multiple", 1.0)?,
+            fall_span: time_or_none(rules, "fall")?,
+        },
+        over_share: number_or(setup, "over-share-worth", 1.0)?,
+        keep: time_or_none(own, "keep")?,
+        tells_company: mark(own, "says-company")?,
+        limits_shared: true,
+        list_by_asking: maybe(setup, "discovery").and_then(Value::as_str) == Some("ask"),
+        weights_shared: maybe(setup, "weights").and_then(Value::as_str) != Some("live"),
+    })
+}
+
+fn workload(row: &Value) -> Read<WorkloadRow> {
+    let effect = match text(row, "idempotency")? {
+        "idempotent" => Effect::Restartable,
+        "at_most_once" => Effect::RunOnce,
+        "deduplicated" => Effect::Fingerprinted {
+            within: match text(row, "group")? {
+                "all" => Within::Everywhere,
+                "zone" => Within::Zone,
+                "cell" => Within::Rack,
+                other => return Err(format!("field 'group': '{other}' is not known")),
+            },
+            window: time(row, "window")?,
+        },
+        other => return Err(format!("field 'idempotency': '{other}' is not known")),
+    };
+    Ok(WorkloadRow {
+        effect,
+        start_target: time(row, "on-time")?,
+        importance: number_or(row, "worth", 1.0)?,
+        late_part: number_or(row, "late-worth", 0.0)?,
+    })
+}
+
+/// What a note of the simulator says of the function's copy.
+pub fn copy_note(note: u32) -> Copy {
+    match note {
+        1 => Copy::Stood,
+        2 => Copy::Begun,
+        3 => Copy::Awaited,
+        4 => Copy::LoadFailed,
+        _ => Copy::Unsaid,
+    }
+}
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -41,6 +41,14 @@
     /// Opens a connection; `connected` or `closed` follows, the latter after `patience` at most.
     fn connect(&mut self, to: SocketAddr, patience: Micros) -> Conn;
     fn write(&mut self, conn: Conn, bytes: &[u8]);
+    /// Hands the kernel what it takes at once and tells how many bytes that were; the rest stays with the
+    /// caller, who is told `flushed` when there is room again.
+    fn offer(&mut self, conn: Conn, bytes: &[u8]) -> usize;
+    /// A socket for datagrams to and from one address, from a port that the kernel picks; none where there is
+    /// no descriptor. Ended by `cut`.
+    fn datagrams(&mut self, to: SocketAddr) -> Option<Conn>;
+    /// Sends one datagram, or loses it.
+    fn datagram(&mut self, conn: Conn, bytes: &[u8]);
     /// Bytes waiting to be taken by the kernel.
     fn unsent(&self, conn: Conn) -> usize;
     /// Bytes that the kernel has taken: a peer may have seen all of them, and nothing more.
@@ -71,6 +79,8 @@
     fn half_closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn);
     /// The connection is gone. `sent` is what the kernel had taken of all that was written.
     fn closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, why: Closed, sent: u64);
+    /// A datagram from the one address that its socket takes them from.
+    fn told(&mut self, _: Micros, _: &mut dyn Wire, _: Conn, _: &[u8]) {}
     /// All that waited to be written is with the kernel, after a call that left something waiting.
     fn flushed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn);
     fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake);
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -43,10 +43,18 @@
     lingering: bool,
     /// The machine is to be told when `out` is empty.
     tell_flushed: bool,
+    /// An `offer` was not taken whole: the machine is to be told when there is room.
+    wants_room: bool,
     interest: epoll::EventFlags,
     dirty: bool,
 }
 
+/// A socket for datagrams.
+struct Post {
+    machine: usize,
+    fd: OwnedFd,
+}
+
 struct Ear {
     machine: usize,
     fd: OwnedFd,
@@ -76,6 +84,7 @@
     /// By numbers that this shell gave itself, so that a quick hash is no weakness.
     links: FxHashMap<u64, Link>,
     ears: FxHashMap<u64, Ear>,
+    posts: FxHashMap<u64, Post>,
     wheel: Wheel<Timer>,
     next: u64,
     dirty: Vec<Conn>,
@@ -167,7 +176,7 @@
     fn arm(&mut self, conn: Conn) {
         let Some(link) = self.links.get_mut(&conn.0) else { return };
         let mut wanted = epoll::EventFlags::empty();
-        if !link.open || !link.out.is_empty() {
+        if !link.open || !link.out.is_empty() || link.wants_room {
             wanted |= epoll::EventFlags::OUT;
         }
         if link.open && !link.peer_ended && (link.reading || link.finishing) {
@@ -219,6 +228,7 @@
             peer_ended: false,
             lingering: false,
             tell_flushed: false,
+            wants_room: false,
             interest,
             dirty: false,
         };
@@ -260,6 +270,47 @@
         }
     }
 
+    fn offer(&mut self, conn: Conn, bytes: &[u8]) -> usize {
+        let link = self.core.links.get_mut(&conn.0);
+        let Some(link) = link.filter(|l| l.open && !l.finishing && l.out.is_empty()) else { return 0 };
+        let mut taken = 0;
+        while taken < bytes.len() {
+            match net::send(&link.fd, &bytes[taken..], net::SendFlags::NOSIGNAL) {
+                Ok(n) => taken += n,
+                Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => {
+                    link.wants_room = true;
+                    break;
+                }
+                // The peer is gone, which the kernel reports by itself, after what the peer had sent before.
+                Err(_) => break,
+            }
+        }
+        link.sent += taken as u64;
+        if link.wants_room {
+            self.core.touch(conn);
+        }
+        taken
+    }
+
+    fn datagrams(&mut self, to: SocketAddr) -> Option<Conn> {
+        let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let fd = net::socket_with(family, SocketType::DGRAM, flags, Some(ipproto::UDP)).ok()?;
+        net::connect(&fd, &to).ok()?;
+        let conn = Conn(self.core.number());
+        let data = epoll::EventData::new_u64(conn.0);
+        epoll::add(&self.core.poll, &fd, data, epoll::EventFlags::IN).ok()?;
+        self.core.posts.insert(conn.0, Post { machine: self.machine, fd });
+        Some(conn)
+    }
+
+    fn datagram(&mut self, conn: Conn, bytes: &[u8]) {
+        if let Some(post) = self.core.posts.get(&conn.0) {
+            let _ = net::send(&post.fd, bytes, net::SendFlags::NOSIGNAL);
+        }
+    }
+
     fn unsent(&self, conn: Conn) -> usize {
         self.core.links.get(&conn.0).map_or(0, |l| l.out.len())
     }
@@ -283,6 +334,7 @@
     }
 
     fn cut(&mut self, conn: Conn) {
+        self.core.posts.remove(&conn.0);
         self.core.drop_link(conn, None);
     }
 
@@ -331,6 +383,7 @@
             poll,
             links: FxHashMap::default(),
             ears: FxHashMap::default(),
+            posts: FxHashMap::default(),
             wheel: Wheel::new(epoch),
             next: 0,
             dirty: Vec::new(),
@@ -364,6 +417,7 @@
         self.machines[index] = None;
         self.core.links.retain(|_, l| l.machine != index);
         self.core.ears.retain(|_, e| e.machine != index);
+        self.core.posts.retain(|_, p| p.machine != index);
     }
 
     fn with(&mut self, index: usize, call: impl FnOnce(&mut dyn Machine, Micros, &mut dyn Wire)) {
@@ -428,6 +482,17 @@
             return;
         }
         let conn = Conn(data);
+        if let Some(post) = self.core.posts.get(&data) {
+            let machine = post.machine;
+            let mut buffer = std::mem::take(&mut self.buffer);
+            // One at a time: what waits is reported again. An error here is a refused earlier datagram.
+            if let Ok((n, _)) = net::recv(&post.fd, &mut buffer[..], net::RecvFlags::empty()) {
+                self.with(machine, |m, now, wire| m.told(now, wire, conn, &buffer[..n]));
+            }
+            self.buffer = buffer;
+            self.settle();
+            return;
+        }
         let Some(link) = self.core.links.get_mut(&data) else { return };
         let machine = link.machine;
         if !link.open {
@@ -448,6 +513,11 @@
             self.read(machine, conn, hurt);
         }
         if flags.contains(epoll::EventFlags::OUT) {
+            if let Some(link) = self.core.links.get_mut(&data)
+                && std::mem::take(&mut link.wants_room)
+            {
+                self.core.tell.push_back(Tell::Flushed(machine, conn));
+            }
             self.core.touch(conn);
         }
         self.settle();
