--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -20,6 +20,7 @@
 pub struct Link {
     pub server: ServerId,
     pub open: bool,
+    pub since: Micros,
     /// It carries nothing new any more and goes when it owes nothing.
     pub parted: bool,
     /// Executions of which at least a byte has left, by job: a model server gives back an id but once.
@@ -59,6 +60,7 @@
         Link {
             server,
             open: false,
+            since: now,
             parted: false,
             out: BTreeMap::new(),
             queue: VecDeque::new(),
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -419,6 +419,11 @@
 
     fn link_gone(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         let Some(link) = self.links.remove(&conn) else { return };
+        if !link.out.is_empty() {
+            let (server, lost) = (link.server.0, link.out.len());
+            let (silent, age) = (now - link.heard, now - link.since);
+            tracing::info!(server, lost, silent, age, "a connection that owed answers is gone");
+        }
         if let Some(worker) = self.workers.get_mut(link.server) {
             worker.links.retain(|c| *c != conn);
         }
