Few executions share a connection; what breaks at one moment is one sign of trouble

Now four executions fill a connection while there are descriptors for more, and breaks count as errors do, once a moment: a server that is gone refuses the next connection, which still sets it aside.

--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -143,8 +143,8 @@
         Some((job, n))
     }
 
-    /// Closes an execution: what the module is to be told of it, once. A job that has ended goes with the last
-    /// that is out.
+    /// Closes an execution: what the module is to be told of it, once. A job that has ended goes with the
+    /// last that is out.
     pub fn close(&mut self, now: Micros, job: JobId, n: usize, answer: Answer) -> Option<Answer> {
         let life = self.lives.get_mut(&job)?;
         let execution = life.executions.get_mut(n).filter(|e| !e.closed)?;
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -33,6 +33,19 @@
     pub time_limits: Vec<Micros>,
 }
 
+/// What a client is told in the end.
+pub struct Reply {
+    pub status: u16,
+    pub come_back: Option<Micros>,
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    pub fn bare(status: u16) -> Self {
+        Reply { status, come_back: None, body: Vec::new() }
+    }
+}
+
 /// One client connection.
 pub struct Caller {
     decoder: Decoder,
@@ -95,29 +108,21 @@
         }
     }
 
-    /// Answers the request that waits; whatever comes after it is read on. `last`: nothing more is taken here.
-    pub fn answer(
-        &mut self,
-        now: Micros,
-        wire: &mut dyn Wire,
-        conn: Conn,
-        status: u16,
-        come_back: Option<Micros>,
-        body: &[u8],
-        last: bool,
-    ) {
+    /// Answers the request that waits; whatever comes after it is read on. `last`: nothing more is taken
+    /// here.
+    pub fn answer(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, reply: &Reply, last: bool) {
         if self.doing != Doing::Waiting {
             return;
         }
         let keep = self.part.keep && !last;
-        let mut head = encode::response(status);
-        if let Some(wait) = come_back {
+        let mut head = encode::response(reply.status);
+        if let Some(wait) = reply.come_back {
             head = head.number("Back-Off-Ms", wait.div_ceil(1000));
         }
         if !keep {
             head = head.field("Connection", "close");
         }
-        wire.write(conn, &head.body(body));
+        wire.write(conn, &head.body(&reply.body));
         self.job = None;
         if keep {
             self.doing = Doing::Reading;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -105,9 +105,4 @@
         }
         Ok(())
     }
-
-    /// Half a line has come.
-    pub fn amid(&self) -> bool {
-        !self.partial.is_empty()
-    }
 }
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -1,5 +1,5 @@
 //! One router: connects clients, the module, model servers and the name service.
-use crate::callers::{Caller, Doing, Terms};
+use crate::callers::{Caller, Doing, Reply, Terms};
 use crate::links::{Came, Item, Link};
 use crate::watch::Watch;
 use crate::workers::Workers;
@@ -22,6 +22,8 @@
 /// for model servers; the rest is for the process itself and for connections on their way out.
 const CLIENT_PARTS: usize = 4;
 const WORKER_PARTS: usize = 3;
+/// Executions on one connection as long as there are descriptors for another: they are lost together.
+const TOGETHER: usize = 4;
 /// Part of the time after which model servers close idle connections at which this side does: a call must not
 /// cross their closing.
 const IDLE_PART: f64 = 0.75;
@@ -61,6 +63,8 @@
     links: FxHashMap<Conn, Link>,
     links_most: usize,
     workers: Workers,
+    /// Model servers that take executions, one at the least.
+    fleet: usize,
     watch: Watch,
     /// Clients whose answer has gone out and whose next request may be here; links with something to write.
     ready: VecDeque<Conn>,
@@ -95,6 +99,7 @@
             links: FxHashMap::default(),
             links_most: start.descriptors * WORKER_PARTS / 8,
             workers: Workers::default(),
+            fleet: 1,
             watch: Watch::new(start.names, start.index, start.rows.seed),
             ready: VecDeque::new(),
             dirty: Vec::new(),
@@ -141,10 +146,12 @@
         match act {
             Act::Send(job, server, patience) => self.execute(now, wire, job, server, patience),
             Act::Cancel(job, n) => self.drop_execution(now, job, n, Outcome::Cancelled),
-            Act::PushBack(job, come_back) => self.end(now, wire, job, 503, come_back, b""),
+            Act::PushBack(job, come_back) => {
+                self.end(now, wire, job, Reply { come_back, ..Reply::bare(503) });
+            }
             Act::Kill(job) => {
                 let late = self.lives.get(job).is_some_and(|l| l.timed_out || now >= l.limit);
-                self.end(now, wire, job, if late { 504 } else { 502 }, None, b"");
+                self.end(now, wire, job, Reply::bare(if late { 504 } else { 502 }));
             }
             Act::Wake(delay, token) => wire.wake_at(now + delay, Wake(token.0 << 1)),
             Act::Note(text) => tracing::info!(target: "module", "{text}"),
@@ -191,14 +198,21 @@
             return self.close(now, job, n, ended(Outcome::Moot));
         };
         let idle_limit = (self.start.terms.idle_limit as f64 * IDLE_PART) as Micros;
-        let stands = worker.links.iter().copied().find(|conn| {
+        let usable = worker.links.iter().copied().filter(|conn| {
             let link = &self.links[conn];
             let fresh = link.load() > 0 || now < link.busy + idle_limit;
             // An answer to an earlier execution of the job may still come here under the same id.
             let used = life.executions[..n].iter().any(|e| e.link == Some(*conn));
             fresh && !used && link.load() < self.start.terms.streams
         });
-        let conn = match stands {
+        // The fullest that is not full: connections that are seldom idle are few. All on one are lost with
+        // it, so one is full with a few executions, as long as there are descriptors for more.
+        let most = if self.links.len() < self.links_most { self.links_most / self.fleet } else { 0 };
+        let spread = worker.links.len() < most;
+        let few = usable.clone().filter(|conn| !spread || self.links[conn].load() < TOGETHER);
+        let key =
+            |conn: &Conn| if spread { self.links[conn].load() } else { usize::MAX - self.links[conn].load() };
+        let conn = match few.max_by_key(key) {
             Some(conn) => conn,
             None if self.links.len() >= self.links_most => {
                 tracing::warn!(
@@ -207,7 +221,7 @@
                 );
                 return self.close(now, job, n, ended(Outcome::NoConnection));
             }
-            None => {
+            _ => {
                 let conn = wire.connect(worker.address, self.start.terms.connect_limit);
                 self.links.insert(conn, Link::new(now, server));
                 worker.links.push(conn);
@@ -279,44 +293,29 @@
     /// Tells the module how an execution closed, once.
     fn close(&mut self, now: Micros, job: JobId, n: usize, answer: Answer) {
         if let Some(answer) = self.lives.close(now, job, n, answer) {
-            tracing::debug!(job = id_text(&job), n, outcome = ?answer.outcome, elapsed = answer.elapsed, "closed");
+            let (outcome, elapsed) = (answer.outcome, answer.elapsed);
+            tracing::debug!(job = id_text(&job), n, ?outcome, elapsed, "execution closed");
             self.control.clock(now);
             self.control.answered(&mut self.acts, job, n, &answer);
         }
     }
 
     /// The one place where a job ends.
-    fn end(
-        &mut self,
-        now: Micros,
-        wire: &mut dyn Wire,
-        job: JobId,
-        status: u16,
-        come_back: Option<Micros>,
-        body: &[u8],
-    ) {
+    fn end(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, reply: Reply) {
         let Some(life) = self.lives.end(job) else { return };
-        tracing::debug!(job = id_text(&job), status, took = now - life.came, "job ended");
+        tracing::debug!(job = id_text(&job), status = reply.status, took = now - life.came, "job ended");
         let caller = life.of.caller.take();
         self.lives.forget(job);
         if let Some(conn) = caller {
-            self.answer(now, wire, conn, status, come_back, body);
+            self.answer(now, wire, conn, &reply);
         }
     }
 
     // ---- The clients' side -------------------------------------------------------------------
 
-    fn answer(
-        &mut self,
-        now: Micros,
-        wire: &mut dyn Wire,
-        conn: Conn,
-        status: u16,
-        come_back: Option<Micros>,
-        body: &[u8],
-    ) {
+    fn answer(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, reply: &Reply) {
         let Some(caller) = self.callers.get_mut(&conn) else { return };
-        caller.answer(now, wire, conn, status, come_back, body, self.leaving.is_some());
+        caller.answer(now, wire, conn, reply, self.leaving.is_some());
         self.waiting.insert((caller.until, conn));
         self.ready.push_back(conn);
     }
@@ -328,7 +327,7 @@
         {
             self.waiting.remove(&(caller.until, conn));
             match asked {
-                Ok((Ask::Check, _)) => return self.answer(now, wire, conn, 200, None, b""),
+                Ok((Ask::Check, _)) => return self.answer(now, wire, conn, &Reply::bare(200)),
                 Ok((Ask::Job(arrival, head), body)) => self.take(now, wire, conn, arrival, head, body),
                 Err(fault) => {
                     tracing::debug!(reason = fault.reason, detail = fault.detail, "refused");
@@ -351,7 +350,7 @@
         let job = arrival.job;
         if self.lives.get(job).is_some() {
             // Another request under an open id: which of the two an answer belongs to could not be told.
-            return self.answer(now, wire, conn, 409, None, b"");
+            return self.answer(now, wire, conn, &Reply::bare(409));
         }
         arrival.left = arrival.left.saturating_sub(WAY_BACK).max(1);
         self.lives.begin(job, now, now + arrival.left, Task { caller: Some(conn), head, body });
@@ -401,7 +400,7 @@
                 life.executions[n].link = None;
             }
             if answer.outcome == Outcome::Finished {
-                self.end(now, wire, job, 200, None, &body);
+                self.end(now, wire, job, Reply { body, ..Reply::bare(200) });
             }
             self.close(now, job, n, answer);
         }
@@ -472,6 +471,7 @@
         for conn in self.workers.take(kind, list) {
             self.part(now, wire, conn);
         }
+        self.fleet = self.workers.ready().max(1);
         let entries: Vec<Listed> = list.iter().map(|m| m.listed.clone()).collect();
         self.control.clock(now);
         self.control.list(&mut self.acts, kind, &entries);
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -22,8 +22,9 @@
         self.0.get_mut(&server)
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = (&ServerId, &Worker)> {
-        self.0.iter()
+    /// How many take new executions.
+    pub fn ready(&self) -> usize {
+        self.0.values().filter(|w| w.standing == Standing::Ready).count()
     }
 
     /// Takes a list; what is left to do is to part with the connections that lead to another process than the
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,171 @@
+//! A router on a paper wire, with model servers and clients played by hand.
+#![allow(dead_code)] // each table of cases uses its own part
+use applepond_node::{News, Node};
+use applepond_platform::config::{self, Start};
+use applepond_reactor::{Closed, Conn, Listener, Machine, Micros};
+use applepond_standins::paper::Paper;
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+pub const FUNCTION: &str = "7f3a9c21e0b4d655";
+
+/// A configuration with this many model servers, `s-1` and on.
+pub fn file(servers: u16) -> Value {
+    let lane = |name: &str, effect: &str| {
+        json!({"name": name, "idempotency": effect, "group": "cell", "window": 3000.0, "on-time": 600.0,
+            "deadline": 2000.0, "worth": 1.0, "late-worth": 0.1})
+    };
+    let member = |n: u16| {
+        json!({"id": format!("s-{n}"), "host_port": format!("127.0.1.{n}:8443"), "locality": "room-1",
+            "flavor": "std", "cell": 0, "phase": "in_service", "size": 130.5, "up_since_ms": 0})
+    };
+    json!({
+        "name": "n0", "listen": "127.0.0.1:8443", "names": "127.0.2.1:5300", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
+        "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"revision": 0, "complete": true,
+            "members": (1..=servers).map(member).collect::<Vec<_>>()}}]},
+        "settings": {
+            "allowed": {"attempts-cap": 5, "cancel": true, "connect-timeout": 250.0, "idle-close": 15000.0,
+                "max-retry-after": 1000.0, "multiplex": 32, "retry-after": true, "second-copies": true},
+            "group-size": 1, "self-index": 0, "over-share-worth": 0.1, "weights": "nominal",
+            "lanes": [lane("quote", "idempotent"), lane("hold", "deduplicated"),
+                lane("confirm", "at_most_once")],
+            "projects": [{"name": "huts", "quota-per-s": 400.0}],
+            "rules": {"cold-from": 0.2, "fall": 1000.0, "fall-multiple": 2.5, "warm-within": 14000.0},
+            "specifics": {"keep": 4000.0, "says-company": true}, "zones": ["room-1", "room-2"]
+        }
+    })
+}
+
+pub fn start(file: &Value) -> Start {
+    config::start(file.to_string().as_bytes()).expect("a good configuration")
+}
+
+pub struct Bench {
+    pub node: Node,
+    pub paper: Paper,
+    pub now: Micros,
+    pub news: Rc<RefCell<Vec<News>>>,
+    pub over: Rc<Cell<bool>>,
+}
+
+impl Bench {
+    pub fn new(servers: u16) -> Self {
+        Self::with(&file(servers))
+    }
+
+    pub fn with(file: &Value) -> Self {
+        let now = 1_000 * S;
+        let (news, over) = (Rc::new(RefCell::new(Vec::new())), Rc::new(Cell::new(false)));
+        let (told, ends) = (news.clone(), over.clone());
+        let node = Node::new(
+            now,
+            start(file),
+            Box::new(move || told.borrow_mut().pop()),
+            Box::new(move || ends.set(true)),
+        );
+        let mut bench = Bench { node, paper: Paper::default(), now, news, over };
+        bench.node.start(now, &mut bench.paper);
+        bench
+    }
+
+    pub fn pass(&mut self, time: Micros) {
+        let until = self.now + time;
+        while let Some((at, wake)) = self.paper.due(until) {
+            self.now = self.now.max(at);
+            self.node.woken(self.now, &mut self.paper, wake);
+        }
+        self.now = until;
+    }
+
+    pub fn caller(&mut self) -> Conn {
+        let conn = self.paper.number();
+        self.node.accepted(self.now, &mut self.paper, conn, Listener(0));
+        conn
+    }
+
+    pub fn says(&mut self, conn: Conn, bytes: &[u8]) {
+        self.node.bytes(self.now, &mut self.paper, conn, bytes);
+    }
+
+    /// A new client with a call of this workload and id.
+    pub fn asks(&mut self, workload: &str, id: u64) -> Conn {
+        let conn = self.caller();
+        self.says(conn, call(workload, id).as_bytes());
+        conn
+    }
+
+    /// Connections to model servers that were opened so far; those in the making are let stand.
+    pub fn links(&mut self) -> Vec<Conn> {
+        let all: Vec<Conn> = self.paper.connects.iter().map(|(c, _)| *c).collect();
+        for conn in &all {
+            if !self.paper.written.contains_key(conn) && !self.paper.cut.contains(conn) {
+                self.node.connected(self.now, &mut self.paper, *conn);
+            }
+        }
+        all
+    }
+
+    pub fn address(&self, link: Conn) -> SocketAddr {
+        self.paper.connects.iter().find(|(c, _)| *c == link).expect("it was opened").1
+    }
+
+    pub fn breaks(&mut self, conn: Conn, why: Closed) {
+        self.node.closed(self.now, &mut self.paper, conn, why, 0);
+    }
+
+    pub fn statuses(&self, conn: Conn) -> Vec<u16> {
+        self.paper.statuses(conn)
+    }
+
+    /// Words and ids that a model server was told on a connection.
+    pub fn lines(&self, link: Conn) -> Vec<(String, String)> {
+        let text = self.paper.told(link);
+        let whole = text.split_inclusive('\n').filter(|l| l.ends_with('\n'));
+        let read = |l: &str| serde_json::from_str::<Value>(l).expect("a line is JSON");
+        whole
+            .map(read)
+            .map(|l| (l["verb"].as_str().unwrap().into(), l["rid"].as_str().unwrap().into()))
+            .collect()
+    }
+
+    /// How often this job was sent, over all connections.
+    pub fn runs(&self, id: u64) -> usize {
+        let links = self.paper.connects.iter();
+        links.flat_map(|(c, _)| self.lines(*c)).filter(|(verb, rid)| verb == "DO" && *rid == name(id)).count()
+    }
+
+    /// The connection that carries a job, with the last of its executions.
+    pub fn carries(&mut self, id: u64) -> Conn {
+        let links = self.links();
+        let on = links.iter().rev().find(|c| self.lines(**c).contains(&("DO".into(), name(id))));
+        *on.expect("the job has been sent")
+    }
+}
+
+pub fn name(id: u64) -> String {
+    format!("{id:016x}")
+}
+
+pub fn call(workload: &str, id: u64) -> String {
+    let mark = if workload == "hold" { "Once-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n" } else { "" };
+    format!(
+        "POST /do/{FUNCTION}/fire HTTP/1.1\r\nHost: app.svc\r\nX-Class: {workload}\r\nRequest-Id: {}\r\n\
+         Budget-Ms: 2000\r\nAccount: huts\r\nX-Extras: memory_mb:512;lanes:64;load_ms:100\r\n{mark}\
+         Content-Length: 2\r\n\r\nhi",
+        name(id)
+    )
+}
+
+/// A model server's answer; a good one has the body "ok".
+pub fn word(verb: &str, id: u64) -> String {
+    format!(
+        "{{\"verb\":\"{verb}\",\"rid\":\"{}\",\"attrs\":{{\"detail\":\"hit\",\"same\":3}},\
+         \"content\":\"b2s=\"}}\n",
+        name(id)
+    )
+}
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -42,7 +42,7 @@
         return Err(format!("reports {:?}", packet.rcode()));
     }
     let serial = packet.name_servers.iter().find_map(|r| match &r.rdata {
-        RData::SOA(soa) => Some(u64::from(soa.serial as u32)),
+        RData::SOA(soa) => Some(u64::from(soa.serial)),
         _ => None,
     });
     let index = serial.ok_or("names no serial")?;
--- a/src/control.rs
+++ b/src/control.rs
@@ -203,6 +203,7 @@
     /// When the latest sent of the jobs that it has answered was sent.
     proved: Micros,
     errors: f64,
+    broken: Micros,
     aside: Option<Micros>,
     backoff: Micros,
     trickle: Option<u32>,
@@ -971,10 +972,19 @@
                     self.set_aside(orders, out.server);
                 }
             }
-            Outcome::NoConnection | Outcome::Broken => {
+            Outcome::NoConnection => {
                 hold.serving_until = 0;
                 self.set_aside(orders, out.server);
             }
+            // Connections break by themselves too. All that breaks at one moment is one sign, and a worker
+            // that is gone refuses the next connection.
+            Outcome::Broken if s.broken < now => {
+                s.broken = now;
+                s.errors += age.max(FRESH) * (1.0 - s.errors);
+                if s.errors > ERRORS_HIGH || s.trickle.is_some() {
+                    self.set_aside(orders, out.server);
+                }
+            }
             // No answer is one too: the worker took at least this long, and nothing faster says otherwise.
             // Where later ones were answered meanwhile, the answer was lost or the job was long by itself.
             Outcome::TimedOut | Outcome::Cancelled
@@ -984,7 +994,7 @@
                 s.others += if answer.held.is_some() { 0.0 } else { others * answer.elapsed as f64 / SPAN };
                 Self::cut_room(s, now, row.start_target);
             }
-            Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Broken | Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
         }
     }
 
