--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -90,6 +90,7 @@
         let mut start = 0;
         while let Some(end) = self.partial[self.searched..].iter().position(|b| *b == b'\n') {
             let end = self.searched + end;
+            tracing::trace!(line = %String::from_utf8_lossy(&self.partial[start..end]), "came");
             let read = line::read(&self.partial[start..end], came);
             start = end + 1;
             self.searched = start;
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -27,9 +27,18 @@
 /// Part of the time after which model servers close idle connections at which this side does: a call must not
 /// cross their closing.
 const IDLE_PART: f64 = 0.75;
+/// µs without a word on a connection that owes answers after which it is asked whether it works: most answers
+/// take less.
+const QUIET: Micros = 250_000;
+/// µs in which a working connection says so: far above the way there and back, and above the pauses of a model
+/// server that is merely busy.
+const ECHO_LIMIT: Micros = 500_000;
 /// µs after the word to stop during which new connections and calls still come, and some to spare.
 const LEAVING: Micros = 900_000;
 
+/// The one question a connection may have open carries this.
+const ECHO_TAG: &str = "works";
+
 /// What a timer leaves to do.
 type Step = Box<dyn FnOnce(&mut Node, Micros, &mut dyn Wire)>;
 
@@ -292,9 +301,9 @@
 
     /// Tells the module how an execution closed, once.
     fn close(&mut self, now: Micros, job: JobId, n: usize, answer: Answer) {
+        let server = self.lives.get(job).map(|l| l.executions[n].server.0);
         if let Some(answer) = self.lives.close(now, job, n, answer) {
-            let (outcome, elapsed) = (answer.outcome, answer.elapsed);
-            tracing::debug!(job = id_text(&job), n, ?outcome, elapsed, "execution closed");
+            tracing::debug!(job = id_text(&job), n, server, ?answer, "execution closed");
             self.control.clock(now);
             self.control.answered(&mut self.acts, job, n, &answer);
         }
@@ -353,6 +362,7 @@
             return self.answer(now, wire, conn, &Reply::bare(409));
         }
         arrival.left = arrival.left.saturating_sub(WAY_BACK).max(1);
+        tracing::debug!(job = id_text(&job), ?arrival.function, ?arrival.workload, arrival.retry, "a job");
         self.lives.begin(job, now, now + arrival.left, Task { caller: Some(conn), head, body });
         self.callers.get_mut(&conn).expect("it has just asked").job = Some(job);
         self.control.clock(now);
@@ -390,7 +400,7 @@
         let mut came = Came::default();
         let read = link.feed(bytes, &mut came);
         link.heard = now;
-        if came.works {
+        if came.works || !came.answers.is_empty() {
             link.asked = None;
         }
         for (job, answer, body) in came.answers {
@@ -456,12 +466,24 @@
         self.sweep_link(now, wire, conn);
     }
 
-    /// Cuts a connection that is of no more use: parted with and owing nothing, or idle too long.
+    /// Cuts a connection that is of no more use: parted with and owing nothing, idle too long, or one that
+    /// owes answers and does not even say that it works. Guards against peers that vanish without a word.
     fn sweep_link(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         let idle_limit = (self.start.terms.idle_limit as f64 * IDLE_PART) as Micros;
-        let Some(link) = self.links.get(&conn) else { return };
-        if link.load() == 0 && (link.parted || now >= link.busy + idle_limit) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        let over = match link.asked {
+            _ if link.load() == 0 => link.parted || now >= link.busy + idle_limit,
+            Some(asked) => now >= asked + ECHO_LIMIT,
+            None => false,
+        };
+        if over {
             self.link_over(now, wire, conn);
+        } else if link.open && link.asked.is_none() && !link.out.is_empty() && now >= link.heard + QUIET {
+            let mut bytes = Vec::new();
+            line::echo(&mut bytes, ECHO_TAG);
+            link.queue.push_back(Item::Rest(bytes));
+            link.asked = Some(now);
+            self.dirty.push(conn);
         }
     }
 
--- a/crates/node/tests/machine.rs
+++ b/crates/node/tests/machine.rs
@@ -127,3 +127,31 @@
     b.says(link, word("OK", 1).as_bytes());
     assert_eq!((b.statuses(client), b.runs(1)), (vec![200], 1));
 }
+
+// A connection that owes answers and says nothing is asked whether it works, and cut when it does not say so.
+#[test_case(true, &[]; "it works: the job is long")]
+#[test_case(false, &[502]; "it does not")]
+fn silence(works: bool, told: &[u16]) {
+    let mut b = Bench::new(1);
+    let client = b.asks("confirm", 1);
+    let link = b.carries(1);
+    b.pass(300 * MS);
+    assert_eq!(b.lines(link).last().map(|(verb, _)| verb.as_str()), Some("ECHO"));
+    if works {
+        b.says(link, b"{\"verb\":\"UP\",\"rid\":\"works\"}\n");
+    }
+    b.pass(550 * MS);
+    assert_eq!((b.statuses(client).as_slice(), b.paper.cut.contains(&link)), (told, !works));
+}
+
+#[test]
+fn an_idle_connection_is_asked_nothing_and_goes_before_its_server_closes_it() {
+    let mut b = Bench::new(1);
+    b.asks("quote", 1);
+    let link = b.carries(1);
+    b.says(link, word("OK", 1).as_bytes());
+    b.pass(11 * S);
+    assert_eq!((b.lines(link).len(), b.paper.cut.contains(&link)), (1, false));
+    b.pass(S);
+    assert!(b.paper.cut.contains(&link));
+}
--- a/crates/platform/src/line.rs
+++ b/crates/platform/src/line.rs
@@ -101,7 +101,7 @@
         elapsed: 0,
         copy,
         company: number("same").filter(|n| *n >= 0.0).map_or(0, |n| n as u32),
-        held: reported("inflight").filter(|n| n.is_finite()),
+        held: reported("concurrent").filter(|n| n.is_finite()),
         loads: reported("x1").filter(|n| n.is_finite()),
     };
     words.answer(id, answer, body);
--- /dev/null
+++ b/crates/platform/tests/codecs.rs
@@ -0,0 +1,237 @@
+//! Lines of model servers, calls of clients, the configuration and answers of the name service: what is read,
+//! and what is not taken.
+use applepond::interface::*;
+use applepond_http::decode::{Decoder, Side, Step};
+use applepond_platform::call::{Ask, BODY_MOST, Incoming, Part, id_text};
+use applepond_platform::rows::Words;
+use applepond_platform::{config, line, names};
+use simple_dns::rdata::{A, RData, SOA, SRV, TXT};
+use simple_dns::{CLASS, Name, Packet, PacketFlag, RCODE, ResourceRecord};
+use test_case::test_case;
+
+// ---- Lines -----------------------------------------------------------------------------------
+
+#[derive(Default)]
+struct Heard(Vec<(String, Answer, Vec<u8>)>, usize);
+
+impl line::Words for Heard {
+    fn answer(&mut self, id: &str, answer: Answer, body: Vec<u8>) {
+        self.0.push((id.into(), answer, body));
+    }
+    fn works(&mut self, _: &str) {
+        self.1 += 1;
+    }
+}
+
+fn heard(line: &str) -> Option<(Outcome, Copy, u32, Option<f64>, Option<f64>, Vec<u8>)> {
+    let mut heard = Heard::default();
+    line::read(line.as_bytes(), &mut heard).ok()?;
+    let (_, a, body) = heard.0.pop()?;
+    Some((a.outcome, a.copy, a.company, a.held, a.loads, body))
+}
+
+// Reports come under the names that the settings give them, which are not those of the protocol's example.
+#[test_case(r#"{"verb":"OK","rid":"a","attrs":{"detail":"hit","same":"3","use":"concurrent:7;x1:2"},"content":"b2s="}"#,
+    (Outcome::Finished, Copy::Stood, 3, Some(7.0), Some(2.0), b"ok".to_vec()); "texts, with a report")]
+#[test_case(r#"{"verb":"OK","rid":"a","attrs":{"detail":"spawn","same":3},"content":""}"#,
+    (Outcome::Finished, Copy::Begun, 3, None, None, vec![]); "numbers, without a body")]
+#[test_case(r#"{"verb":"BUSY","rid":"a"}"#, (Outcome::Full, Copy::Unsaid, 0, None, None, vec![]); "full")]
+#[test_case(r#"{"verb":"MISS","rid":"a","attrs":{"detail":"spawn_failed"}}"#,
+    (Outcome::Missing, Copy::LoadFailed, 0, None, None, vec![]); "a load that failed")]
+#[test_case(r#"{"verb":"ERR","rid":"a","attrs":{"detail":"pending","use":"concurrent:x;x1:-"}}"#,
+    (Outcome::Error, Copy::Awaited, 0, None, None, vec![]); "a report that is none")]
+#[test_case(r#"{"verb":"VOID","rid":"a"}"#, (Outcome::Moot, Copy::Unsaid, 0, None, None, vec![]); "void")]
+fn words(line: &str, want: (Outcome, Copy, u32, Option<f64>, Option<f64>, Vec<u8>)) {
+    assert_eq!(heard(line), Some(want));
+}
+
+#[test_case(""; "empty")]
+#[test_case("{"; "cut off")]
+#[test_case(r#"["OK"]"#; "no object")]
+#[test_case(r#"{"verb":"OK","content":""}"#; "no id")]
+#[test_case(r#"{"verb":"FINE","rid":"a"}"#; "unknown word")]
+#[test_case(r#"{"verb":"OK","rid":"a","content":"b2s"}"#; "no base64")]
+fn spoilt(line: &str) {
+    assert!(line::read(line.as_bytes(), &mut Heard::default()).is_err());
+}
+
+#[test]
+fn a_line_that_runs_a_job() {
+    let mut out = line::head("9b1f", "call", "7f3a", Some("5c"));
+    line::rest(&mut out, 1500, b"\x00\xff!");
+    let line: serde_json::Value = serde_json::from_slice(&out).expect("JSON");
+    let want = serde_json::json!({"verb": "DO", "rid": "9b1f", "content": "AP8h",
+        "attrs": {"queue": "call", "path": "7f3a", "uniq": "5c", "budget": 1500}});
+    assert_eq!((line, out.last()), (want, Some(&b'\n')));
+}
+
+// ---- Calls -----------------------------------------------------------------------------------
+
+const GOOD: &str = "POST /do/7f3a9c21e0b4d655/fire HTTP/1.1\r\nHost: a\r\nX-Class: hold\r\n\
+    Request-Id: 9b1f03aa5c7e2d41\r\nBudget-Ms: 1500\r\nAccount: huts\r\nAttempt-Again: 1\r\n\
+    Once-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\nX-Extras: memory_mb:512;lanes:2;load_ms:80.5\r\n\
+    Content-Length: 2\r\n\r\nhi";
+
+fn rows() -> (Words, Startup, Vec<Micros>) {
+    let settings = serde_json::json!({"allowed": {}, "rules": {}, "zones": ["room-1", "room-2"],
+        "lanes": [{"name": "quote", "idempotency": "idempotent", "on-time": 1},
+            {"name": "hold", "idempotency": "deduplicated", "group": "all", "window": 3000, "on-time": 1}],
+        "projects": [{"name": "huts", "quota-per-s": 4}]});
+    let words = Words::read(&settings).expect("good settings");
+    (words, applepond_platform::rows::startup(&settings, 1).expect("good settings"), vec![1_600_000; 2])
+}
+
+/// A job, its head and body; an error is the status of what is no call.
+fn asked(request: &str) -> Result<(Arrival, Vec<u8>, Vec<u8>), u16> {
+    let (words, rows, time_limits) = rows();
+    let mut part = Part::default();
+    let mut decoder = Decoder::new(Side::Server, 8192, BODY_MOST);
+    decoder.feed(request.as_bytes());
+    let mut incoming = Incoming { words: &words, rows: &rows, time_limits: &time_limits, part: &mut part };
+    match decoder.step(&mut incoming) {
+        Ok(Step::Done) => match part.ask {
+            Some(Ask::Job(arrival, head)) => Ok((arrival, head, part.body)),
+            _ => Err(200),
+        },
+        Ok(Step::More) => Err(100),
+        Err(fault) => Err(fault.status),
+    }
+}
+
+#[test]
+fn a_call() {
+    let (arrival, head, body) = asked(GOOD).expect("a good call");
+    assert_eq!((id_text(&arrival.job), arrival.workload.0, body), ("9b1f03aa5c7e2d41", 1, b"hi".to_vec()));
+    assert_eq!((arrival.left, arrival.lanes, arrival.retry), (1_500_000, 2, true));
+    assert_eq!((arrival.load_time, arrival.customer), (Some(80_500), Some(CustomerId(0))));
+    assert!(String::from_utf8(head).expect("text").contains(r#""uniq":"5c0f6e1a2b3d4c59a8b7c6d5e4f30211""#));
+}
+
+#[test_case("POST", "PUT", 405; "method")]
+#[test_case("/fire", "/water", 404; "path")]
+#[test_case("7f3a9c21e0b4d655", "7F3A9C21E0B4D655", 400; "capitals in the function")]
+#[test_case("7f3a9c21e0b4d655", "7f3a", 400; "a short function")]
+#[test_case("X-Class: hold", "X-Class: tea", 400; "workload not known")]
+#[test_case("Request-Id: 9b1f03aa5c7e2d41\r\n", "", 400; "no id")]
+#[test_case("9b1f03aa5c7e2d41", "9b1f03aa5c7e2d4\"", 400; "a quote in the id")]
+#[test_case("Account: huts", "Account: other", 400; "customer not known")]
+#[test_case("Account: huts\r\n", "", 400; "no customer")]
+#[test_case("Budget-Ms: 1500", "Budget-Ms: -1", 400; "negative time")]
+#[test_case("Budget-Ms: 1500", "Budget-Ms: 1e3", 400; "time that is no plain number")]
+#[test_case("Budget-Ms: 1500", "Budget-Ms: 0", 400; "no time")]
+#[test_case("Budget-Ms: 1500", "Budget-Ms: 1601", 400; "more time than its workload has")]
+#[test_case("Budget-Ms: 1500", "Budget-Ms: 1500\r\nBudget-Ms: 9", 400; "time given twice")]
+#[test_case("Attempt-Again: 1", "Attempt-Again: yes", 400; "retry")]
+#[test_case("Once-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n", "", 400; "no fingerprint")]
+#[test_case("lanes:2", "lanes:0", 400; "no lanes")]
+#[test_case("lanes:2", "lanes:many", 400; "lanes that are no number")]
+#[test_case("lanes:2", "lanes:99999999999", 400; "too many lanes")]
+#[test_case("Content-Length: 2", "Content-Length: -2", 400; "negative length")]
+#[test_case("Content-Length: 2", "Content-Length: 60000000", 413; "a huge body, on its head")]
+#[test_case("Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding: chunked", 400; "two lengths")]
+fn no_call(old: &str, new: &str, status: u16) {
+    assert!(GOOD.contains(old));
+    assert_eq!(asked(&GOOD.replace(old, new)).err(), Some(status));
+}
+
+// ---- The name service ------------------------------------------------------------------------
+
+struct Entry(&'static str, u16, &'static str, bool);
+
+fn reply(serial: Option<u32>, entries: &[Entry], change: impl FnOnce(&mut Packet)) -> Vec<u8> {
+    let mut packet = Packet::new_reply(7);
+    packet.set_flags(PacketFlag::RESPONSE);
+    let record =
+        |name: &'static str, data| ResourceRecord::new(Name::new_unchecked(name), CLASS::IN, 0, data);
+    for Entry(target, priority, started, whole) in entries {
+        let srv = SRV { priority: *priority, weight: 1305, port: 8443, target: Name::new_unchecked(target) };
+        packet.answers.push(record("_rpc._tcp.mesh.local", RData::SRV(srv)));
+        packet.additional_records.push(record(target, RData::A(A { address: 0x0a01_0009 })));
+        if *whole {
+            let txt = TXT::new().with_string("kind=std").and_then(|t| t.with_string("cell=2"));
+            let txt = txt.and_then(|t| t.with_string(started)).expect("short texts");
+            packet.additional_records.push(record(target, RData::TXT(txt)));
+        }
+    }
+    if let Some(serial) = serial {
+        let soa = SOA {
+            mname: Name::new_unchecked("mesh.local"),
+            rname: Name::new_unchecked("a.mesh.local"),
+            serial,
+            refresh: 0,
+            retry: 0,
+            expire: 0,
+            minimum: 0,
+        };
+        packet.name_servers.push(record("mesh.local", RData::SOA(soa)));
+    }
+    change(&mut packet);
+    packet.build_bytes_vec_compressed().expect("a packet")
+}
+
+const ONE: Entry = Entry("s-00c41f7a.room-2.hosts", 0, "started=5", true);
+
+#[test]
+fn a_list() {
+    let bytes = reply(Some(41), &[ONE, Entry("s-2.room-1.hosts", 1, "started=0", true)], |_| ());
+    let told = names::answer(&bytes, 7, &rows().0).expect("a good answer");
+    assert_eq!((told.index, told.members.len(), told.left_out), (41, 2, 0));
+    let first = &told.members[0];
+    assert_eq!((first.name.as_str(), first.address.to_string()), ("s-00c41f7a", "10.1.0.9:8443".into()));
+    let listed = &first.listed;
+    assert_eq!((listed.zone, listed.rack, listed.weight), (Some(ZoneId(1)), RackId(2), 130.5));
+    assert_eq!((listed.up_since, listed.standing), (5_000, Standing::Ready));
+    assert_eq!(told.members[1].listed.standing, Standing::Draining);
+}
+
+#[test]
+fn an_entry_without_its_records_is_left_out() {
+    let bytes = reply(Some(41), &[Entry("s-3.room-1.hosts", 0, "started=0", false), ONE], |_| ());
+    let told = names::answer(&bytes, 7, &rows().0).expect("the rest is good");
+    assert_eq!((told.members.len(), told.left_out), (1, 1));
+}
+
+#[test_case(|p| p.set_id(8); "under another id")]
+#[test_case(|p| p.remove_flags(PacketFlag::RESPONSE); "a question")]
+#[test_case(|p| p.set_flags(PacketFlag::TRUNCATION); "marked as cut short")]
+#[test_case(|p| *p.rcode_mut() = RCODE::ServerFailure; "a failure")]
+#[test_case(|p| p.name_servers.clear(); "without a serial")]
+fn no_list(change: fn(&mut Packet)) {
+    assert!(names::answer(&reply(Some(41), &[ONE], change), 7, &rows().0).is_err());
+}
+
+#[test]
+fn cut_anywhere_it_is_no_list() {
+    let bytes = reply(Some(41), &[ONE], |_| ());
+    for length in 0..bytes.len() {
+        assert!(names::answer(&bytes[..length], 7, &rows().0).is_err(), "{length} bytes of {}", bytes.len());
+    }
+}
+
+#[test]
+fn a_name_that_points_at_itself() {
+    let mut bytes = reply(Some(41), &[], |_| ());
+    // One answer more in the header, whose name is a pointer to itself.
+    bytes[7] = 1;
+    let at = bytes.len() as u8;
+    bytes.splice(12..12, [0xc0, 12, 0, 33, 0, 1, 0, 0, 0, 0, 0, 0]);
+    assert!(at > 12 && names::answer(&bytes, 7, &rows().0).is_err());
+}
+
+#[test]
+fn a_question_is_asked_in_the_service_s_form() {
+    let bytes = names::query(0x1234);
+    let packet = Packet::parse(&bytes).expect("a packet");
+    assert_eq!((packet.id(), packet.questions.len()), (0x1234, 1));
+    assert_eq!(packet.questions[0].qname.to_string(), "_rpc._tcp.mesh.local");
+}
+
+// ---- The configuration -----------------------------------------------------------------------
+
+#[test_case("", "no JSON"; "empty")]
+#[test_case("{}", "field 'settings'"; "no settings")]
+#[test_case(r#"{"settings":{"allowed":{}},"limits":{}}"#, "field 'seed'"; "no seed")]
+fn no_configuration(text: &str, why: &str) {
+    let fault = config::start(text.as_bytes()).expect_err("a fault");
+    assert!(fault.contains(why), "{fault}");
+}
