--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -30,8 +30,8 @@
 /// µs without a word on a connection that owes answers after which it is asked whether it works: most answers
 /// take less.
 const QUIET: Micros = 250_000;
-/// µs in which a working connection says so: far above the way there and back, and above the pauses of a model
-/// server that is merely busy.
+/// µs in which a working connection says so: far above the way there and back, and above the pauses of a
+/// model server that is merely busy.
 const ECHO_LIMIT: Micros = 500_000;
 /// µs after the word to stop during which new connections and calls still come, and some to spare.
 const LEAVING: Micros = 900_000;
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -23,7 +23,9 @@
     }
 }
 
-fn heard(line: &str) -> Option<(Outcome, Copy, u32, Option<f64>, Option<f64>, Vec<u8>)> {
+type Said = (Outcome, Copy, u32, Option<f64>, Option<f64>, Vec<u8>);
+
+fn heard(line: &str) -> Option<Said> {
     let mut heard = Heard::default();
     line::read(line.as_bytes(), &mut heard).ok()?;
     let (_, a, body) = heard.0.pop()?;
@@ -32,7 +34,8 @@
 
 // Reports come under the names that the settings give them, which are not those of the protocol's example.
 #[test_case(
-    r#"{"verb":"OK","rid":"a","attrs":{"detail":"hit","same":"3","use":"concurrent:7;x1:2"},"content":"b2s="}"#,
+    r#"{"verb":"OK","rid":"a","attrs":{"detail":"hit","same":"3","use":"x1:2;concurrent:7"},
+        "content":"b2s="}"#,
     (Outcome::Finished, Copy::Stood, 3, Some(7.0), Some(2.0), b"ok".to_vec()); "texts, with a report")]
 #[test_case(r#"{"verb":"OK","rid":"a","attrs":{"detail":"spawn","same":3},"content":""}"#,
     (Outcome::Finished, Copy::Begun, 3, None, None, vec![]); "numbers, without a body")]
@@ -42,7 +45,7 @@
 #[test_case(r#"{"verb":"ERR","rid":"a","attrs":{"detail":"pending","use":"concurrent:x;x1:-"}}"#,
     (Outcome::Error, Copy::Awaited, 0, None, None, vec![]); "a report that is none")]
 #[test_case(r#"{"verb":"VOID","rid":"a"}"#, (Outcome::Moot, Copy::Unsaid, 0, None, None, vec![]); "void")]
-fn words(line: &str, want: (Outcome, Copy, u32, Option<f64>, Option<f64>, Vec<u8>)) {
+fn words(line: &str, want: Said) {
     assert_eq!(heard(line), Some(want));
 }
 
