--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -362,7 +362,8 @@
             return self.answer(now, wire, conn, &Reply::bare(409));
         }
         arrival.left = arrival.left.saturating_sub(WAY_BACK).max(1);
-        tracing::debug!(job = id_text(&job), ?arrival.function, ?arrival.workload, arrival.retry, "a job");
+        let Arrival { function, workload, left, lanes, retry, load_time, .. } = &arrival;
+        tracing::debug!(job = id_text(&job), ?function, ?workload, left, lanes, retry, ?load_time, "a job");
         self.lives.begin(job, now, now + arrival.left, Task { caller: Some(conn), head, body });
         self.callers.get_mut(&conn).expect("it has just asked").job = Some(job);
         self.control.clock(now);
