A connection that has just come is the last to make room; one life of jobs for both routers

Log lines of each client connection: the table of 192 was full of connections that had asked once and stayed, each with up to 6 s of patience left, so that the one with least, the one accepted just now, was cut before its call came (crates/node/src/machine.rs, part_with_callers): 457 of 458 in half a second. Ruled out: CPU (0.05 of a core), the restarts (the other routers fell silent too). Now the longest silent goes after 200 ms, else the longest idle. Test: a_crowd_of_connections.

The gateway's own copy of the life of a job, its executions and their queue of limits is gone: gateway/src/life.rs serves both.

--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -76,11 +76,13 @@
     /// Executions that are out, by when their time is up. One timer serves all of them: a timer for each
     /// would outlive most executions by seconds.
     out: BTreeSet<(Micros, JobId, usize)>,
+    /// When that timer fires, where one is set.
+    armed: Option<Micros>,
 }
 
 impl<T> Default for Lives<T> {
     fn default() -> Self {
-        Lives { lives: BTreeMap::new(), out: BTreeSet::new() }
+        Lives { lives: BTreeMap::new(), out: BTreeSet::new(), armed: None }
     }
 }
 
@@ -93,8 +95,10 @@
         self.lives.is_empty()
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = (&JobId, &Life<T>)> {
-        self.lives.iter()
+    /// Jobs that have not ended, and executions that are out.
+    pub fn open(&self) -> (usize, usize) {
+        let open = self.lives.values().filter(|l| !l.ended).count();
+        (open, self.lives.values().map(Life::out).sum())
     }
 
     pub fn get(&self, job: JobId) -> Option<&Life<T>> {
@@ -131,13 +135,16 @@
         Some(Ok(n))
     }
 
-    /// When the first execution's time is up.
-    pub fn next(&self) -> Option<Micros> {
-        self.out.first().map(|(until, _, _)| *until)
+    /// When the timer is to fire that leads to `due`, unless one set before fires earlier anyway.
+    pub fn arm(&mut self) -> Option<Micros> {
+        let until = self.out.first().map(|(until, _, _)| *until)?;
+        let earlier = self.armed.is_none_or(|at| until < at);
+        earlier.then(|| *self.armed.insert(until))
     }
 
     /// An execution whose time is up, each once.
     pub fn due(&mut self, now: Micros) -> Option<(JobId, usize)> {
+        self.armed = self.armed.filter(|at| *at > now);
         let (_, job, n) = *self.out.first().filter(|(until, _, _)| *until <= now)?;
         self.out.pop_first();
         Some((job, n))
@@ -162,6 +169,11 @@
         Some(life)
     }
 
+    /// Drops a job that nobody waits for and of which nothing was ever sent.
+    pub fn drop(&mut self, job: JobId) {
+        self.lives.remove(&job);
+    }
+
     /// Drops a job that has ended and has nothing out.
     pub fn forget(&mut self, job: JobId) {
         if self.lives.get(&job).is_some_and(|l| l.ended && l.out() == 0) {
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -2,6 +2,7 @@
 use crate::claims::{Claim, Claims, Ending, Name};
 use crate::deployment::{Deployment, FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
 use crate::front::{self, Ask, Caller, Draft, Patience, Told};
+use crate::life::{Act, Acts, Lives, ended};
 use crate::links::{Answering, Link};
 use crate::members::{Entry, Members, Taken};
 use crate::{fate, limit, switch};
@@ -15,7 +16,7 @@
 use applepond_storm::watch::Called;
 use applepond_storm::{Gate, Passage};
 use rustc_hash::FxHashMap;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 mod chained;
@@ -45,54 +46,7 @@
 /// What a timer leaves to do.
 type Step = Box<dyn FnOnce(&mut Gateway, Micros, &mut dyn Wire)>;
 
-/// What the module ordered, until its call returns.
-enum Act {
-    Send(JobId, ServerId, Micros),
-    Cancel(JobId, usize),
-    PushBack(JobId, Option<Micros>),
-    Kill(JobId),
-    Wake(Micros, Token),
-    Note(String),
-}
-
-#[derive(Default)]
-struct Acts(VecDeque<Act>);
-
-impl Orders for Acts {
-    fn send(&mut self, job: JobId, server: ServerId, patience: Micros) {
-        self.0.push_back(Act::Send(job, server, patience));
-    }
-    fn cancel(&mut self, job: JobId, execution: usize) {
-        self.0.push_back(Act::Cancel(job, execution));
-    }
-    fn push_back(&mut self, job: JobId, come_back: Option<Micros>) {
-        self.0.push_back(Act::PushBack(job, come_back));
-    }
-    fn kill(&mut self, job: JobId) {
-        self.0.push_back(Act::Kill(job));
-    }
-    fn wake_after(&mut self, delay: Micros, token: Token) {
-        self.0.push_back(Act::Wake(delay, token));
-    }
-    fn note(&mut self, text: &str) {
-        self.0.push_back(Act::Note(text.to_owned()));
-    }
-    // The list is pushed to whoever is connected to it, so there is nothing to ask for.
-    fn watch(&mut self) {}
-}
-
-/// One execution of a job.
-struct Execution {
-    server: ServerId,
-    sent: Micros,
-    /// When its time is up.
-    until: Micros,
-    /// Its connection, until it has closed.
-    link: Option<Conn>,
-    closed: bool,
-}
-
-/// One job, from its arrival until its last execution has closed.
+/// What this gateway keeps of a job beside its life.
 struct Task {
     name: Name,
     /// Digests of who asked first, and of the job's name.
@@ -100,18 +54,13 @@
     digest: u64,
     workload: usize,
     function: String,
-    came: Micros,
-    limit: Micros,
     /// Exchanges that wait for its answer.
     callers: Vec<Conn>,
-    executions: Vec<Execution>,
     /// What every execution sends after its own head.
     lines: Lines,
     media: Option<String>,
     data: Rc<Vec<u8>>,
     row: FunctionRow,
-    ended: bool,
-    timed_out: bool,
     /// By the terms that it was taken under.
     effect: Effect,
     /// Its answer came from a copy that stood loaded.
@@ -138,12 +87,6 @@
     then: Option<chained::Then>,
 }
 
-impl Task {
-    fn out(&self) -> usize {
-        self.executions.iter().filter(|e| !e.closed).count()
-    }
-}
-
 /// The connection to the host list.
 #[derive(Default)]
 struct Watch {
@@ -216,18 +159,13 @@
     callers: FxHashMap<Conn, Caller>,
     links: FxHashMap<Conn, Link>,
     members: Members,
-    tasks: BTreeMap<JobId, Task>,
+    tasks: Lives<Task>,
     claims: Claims<Told>,
     /// Tells storms of retries, and stands before the module while one lasts.
     gate: Gate,
     chains: chained::Chains,
     /// What the log was last told that the traffic is called.
     said: Called,
-    /// Executions that are out, by when their time is up. One timer serves all of them: a timer for each
-    /// would outlive most executions by seconds.
-    out: BTreeSet<(Micros, JobId, usize)>,
-    /// When that timer fires, where one is set.
-    armed: Option<Micros>,
     steps: BTreeMap<u64, Step>,
     next_step: u64,
     next_job: u64,
@@ -262,10 +200,8 @@
             callers: FxHashMap::default(),
             links: FxHashMap::default(),
             members: Members::default(),
-            tasks: BTreeMap::new(),
+            tasks: Lives::default(),
             claims,
-            out: BTreeSet::new(),
-            armed: None,
             steps: BTreeMap::new(),
             next_step: 1,
             next_job: 0,
@@ -368,13 +304,13 @@
                 Act::PushBack(job, come_back) => {
                     // In a storm the module's word stands, but all its pushbacks together would be a second
                     // wave.
-                    let advised = self.damps().then(|| self.tasks.get(&job)).flatten();
-                    let advised = advised.map(|t| (t.client, t.digest, t.limit.saturating_sub(now)));
+                    let advised = self.damps().then(|| self.tasks.get(job)).flatten();
+                    let advised = advised.map(|t| (t.of.client, t.of.digest, t.limit.saturating_sub(now)));
                     let come_back = match (advised, come_back) {
                         (Some((client, name, left)), Some(_)) => self.gate.come_back(now, client, name, left),
                         (None, Some(wait)) => {
-                            if let Some(task) = self.tasks.get(&job) {
-                                self.gate.told(task.digest, now + wait);
+                            if let Some(task) = self.tasks.get(job) {
+                                self.gate.told(task.of.digest, now + wait);
                             }
                             come_back
                         }
@@ -382,19 +318,19 @@
                     };
                     let fault =
                         Fault::new(503, "pushed-back", "there is no room in time; a retry does no harm");
-                    let id = self.tasks.get(&job).map(|t| t.name.1.clone());
+                    let id = self.tasks.get(job).map(|t| t.of.name.1.clone());
                     let told = front::problem(Ending::PushedBack, &fault, id.as_deref(), come_back);
                     self.end(now, wire, job, told);
                 }
                 Act::Kill(job) => {
-                    let Some(task) = self.tasks.get(&job) else { continue };
+                    let Some(task) = self.tasks.get(job) else { continue };
                     let late = task.timed_out || now >= task.limit;
                     let fault = if late {
                         Fault::new(504, "killed-late", "no answer came in time; the job may have run")
                     } else {
                         Fault::new(502, "killed", "the worker failed; the job may have run")
                     };
-                    let id = task.name.1.clone();
+                    let id = task.of.name.1.clone();
                     let told = front::problem(Ending::Killed, &fault, Some(&id), None);
                     self.end(now, wire, job, told);
                 }
@@ -402,6 +338,8 @@
                 // odd.
                 Act::Wake(delay, token) => wire.wake_at(now + delay, Wake(token.0 << 1)),
                 Act::Note(text) => tracing::info!(target: "module", "{text}"),
+                // The list is pushed to whoever is connected to it, so there is nothing to ask for.
+                Act::Watch => {}
             }
         }
     }
@@ -409,49 +347,39 @@
     /// Begins one execution: on a connection that stands, else on a new one.
     fn execute(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, server: ServerId, patience: Micros) {
         let most = self.deployment.rows.permits.executions;
-        let Some(task) = self.tasks.get_mut(&job) else { return };
-        let n = task.executions.len();
-        task.executions.push(Execution { server, sent: now, until: now, link: None, closed: false });
-        if task.ended || n >= most {
-            self.close(now, job, n, Outcome::Moot, None);
-            return;
-        }
-        self.counts.executions += 1;
-        if let Some(worker) = self.members.get_mut(server) {
-            worker.out += 1;
+        match self.tasks.execute(now, job, server, patience, most) {
+            Some(Ok(n)) => {
+                self.counts.executions += 1;
+                if let Some(worker) = self.members.get_mut(server) {
+                    worker.out += 1;
+                }
+                self.arm(now, wire);
+                self.connect(now, wire, job, n);
+            }
+            Some(Err(n)) => self.close(now, job, n, ended(Outcome::Moot)),
+            None => {}
         }
-        task.executions[n].until = now + patience;
-        self.out.insert((now + patience, job, n));
-        self.arm(now, wire);
-        self.connect(now, wire, job, n);
     }
 
-    /// Sets the timer for the execution whose time is up first, unless one fires earlier anyway.
     fn arm(&mut self, now: Micros, wire: &mut dyn Wire) {
-        let Some((until, _, _)) = self.out.first().copied() else { return };
-        if self.armed.is_none_or(|at| until < at) {
-            self.armed = Some(until);
+        if let Some(until) = self.tasks.arm() {
             self.after(now, wire, until.saturating_sub(now), Box::new(|g, now, wire| g.times_up(now, wire)));
         }
     }
 
     fn times_up(&mut self, now: Micros, wire: &mut dyn Wire) {
-        self.armed = self.armed.filter(|at| *at > now);
-        while let Some((until, job, n)) = self.out.first().copied()
-            && until <= now
-        {
-            self.out.remove(&(until, job, n));
+        while let Some((job, n)) = self.tasks.due(now) {
             self.drop_execution(now, wire, job, n, Outcome::TimedOut);
         }
         self.arm(now, wire);
     }
 
     fn connect(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize) {
-        let Some(task) = self.tasks.get_mut(&job) else { return };
+        let Some(task) = self.tasks.get_mut(job) else { return };
         let server = task.executions[n].server;
-        let run_once = task.effect == Effect::RunOnce;
+        let run_once = task.of.effect == Effect::RunOnce;
         let Some(worker) = self.members.get_mut(server).filter(|w| w.standing == Standing::Ready) else {
-            self.close(now, job, n, Outcome::NoConnection, None);
+            self.close(now, job, n, ended(Outcome::NoConnection));
             return;
         };
         let rested = if run_once { IDLE_RUN_ONCE } else { IDLE_LIMIT };
@@ -486,62 +414,45 @@
             self.drop_execution(now, wire, job, n, Outcome::NoConnection);
             return;
         }
-        let Some(task) = self.tasks.get(&job) else { return };
+        let Some(task) = self.tasks.get(job) else { return };
         let mut head = encode::request("POST", "/run", &worker.address.to_string());
-        head = head.lines(&task.lines);
-        if let Some(media) = &task.media {
+        head = head.lines(&task.of.lines);
+        if let Some(media) = &task.of.media {
             head = head.field("Content-Type", media);
         }
-        let row = &task.row;
+        let row = &task.of.row;
         head = head
-            .field("applepond-function", &task.function)
-            .field("applepond-workload", &self.deployment.workloads[task.workload].name)
+            .field("applepond-function", &task.of.function)
+            .field("applepond-workload", &self.deployment.workloads[task.of.workload].name)
             .number("applepond-lanes", u64::from(row.lanes))
             .number("applepond-memory-mb", u64::from(row.memory_mb))
             .number("applepond-router", self.deployment.rows.me)
             .number("applepond-execution", n as u64)
             .number("applepond-time-left-ms", task.limit.saturating_sub(now) / 1000);
-        wire.write(conn, &head.body(&task.data));
+        wire.write(conn, &head.body(&task.of.data));
     }
 
     /// Ends an execution from this side, by a cancel or because its time is up: the worker is told by the end
     /// of its connection, and whatever it answers after that is never read.
     fn drop_execution(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize, outcome: Outcome) {
-        let Some(task) = self.tasks.get_mut(&job) else { return };
+        let Some(task) = self.tasks.get_mut(job) else { return };
         let Some(execution) = task.executions.get_mut(n).filter(|e| !e.closed) else { return };
         if let Some(conn) = execution.link.take() {
             wire.cut(conn);
             self.links.remove(&conn);
         }
         task.timed_out |= outcome == Outcome::TimedOut;
-        self.close(now, job, n, outcome, None);
+        self.close(now, job, n, ended(outcome));
     }
 
     /// Tells the module how an execution closed, once.
-    fn close(&mut self, now: Micros, job: JobId, n: usize, outcome: Outcome, said: Option<&Answering>) {
-        let Some(task) = self.tasks.get_mut(&job) else { return };
-        let execution = &mut task.executions[n];
-        if std::mem::replace(&mut execution.closed, true) {
-            return;
-        }
-        execution.link = None;
-        self.out.remove(&(execution.until, job, n));
-        if let Some(worker) = self.members.get_mut(execution.server) {
+    fn close(&mut self, now: Micros, job: JobId, n: usize, answer: Answer) {
+        let server = self.tasks.get(job).map(|task| task.executions[n].server);
+        let Some(answer) = self.tasks.close(now, job, n, answer) else { return };
+        if let Some(worker) = server.and_then(|server| self.members.get_mut(server)) {
             worker.out = worker.out.saturating_sub(1);
         }
-        let answer = Answer {
-            outcome,
-            closed: task.ended,
-            elapsed: now - execution.sent,
-            copy: said.map_or(Copy::Unsaid, |s| s.copy),
-            company: said.map_or(0, |s| s.company),
-            held: said.and_then(|s| s.held),
-            loads: said.and_then(|s| s.loads),
-        };
-        tracing::debug!(job = %task.name.1, n, ?outcome, elapsed = answer.elapsed, "execution closed");
-        if task.ended && task.out() == 0 {
-            self.tasks.remove(&job);
-        }
+        tracing::debug!(n, ?answer.outcome, answer.elapsed, "execution closed");
         self.control.clock(now);
         self.control.answered(&mut self.acts, job, n, &answer);
     }
@@ -550,13 +461,10 @@
 
     /// The one place where a job ends: each exchange that waits gets the answer, the log its line.
     fn end(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, told: Rc<Told>) {
-        let Some(task) = self.tasks.get_mut(&job).filter(|t| !t.ended) else { return };
-        task.ended = true;
-        if let Some(then) = task.then.take() {
-            let end = chained::StepEnd { told, took: now - task.came, stood: task.stood };
-            if task.out() == 0 {
-                self.tasks.remove(&job);
-            }
+        let Some(task) = self.tasks.end(job) else { return };
+        if let Some(then) = task.of.then.take() {
+            let end = chained::StepEnd { told, took: now - task.came, stood: task.of.stood };
+            self.tasks.forget(job);
             self.chains.ends.push_back((then, end));
             return;
         }
@@ -567,24 +475,22 @@
         };
         *count += 1;
         self.gate.ended(now, told.ending == Ending::Finished, told.ending == Ending::PushedBack);
-        self.claims.end(now, &task.name, told.ending, task.effect, told.clone(), told.bytes());
+        self.claims.end(now, &task.of.name, told.ending, task.of.effect, told.clone(), told.bytes());
         tracing::info!(
-            id = %task.name.1,
-            source = %task.name.0,
-            function = %task.function,
-            workload = %self.deployment.workloads[task.workload].name,
+            id = %task.of.name.1,
+            source = %task.of.name.0,
+            function = %task.of.function,
+            workload = %self.deployment.workloads[task.of.workload].name,
             reason = told.reason,
             status = told.status,
             executions = task.executions.len(),
-            exchanges = task.callers.len(),
+            exchanges = task.of.callers.len(),
             took_us = now - task.came,
             left_us = task.limit.saturating_sub(now),
             "job ended"
         );
-        let callers = std::mem::take(&mut task.callers);
-        if task.out() == 0 {
-            self.tasks.remove(&job);
-        }
+        let callers = std::mem::take(&mut task.of.callers);
+        self.tasks.forget(job);
         for conn in callers {
             if let Some(caller) = self.callers.get_mut(&conn) {
                 caller.answer(now, wire, conn, &told);
@@ -748,8 +654,8 @@
         match self.claims.claim(now, name) {
             Claim::Join(job) => {
                 self.counts.joined += 1;
-                match (self.tasks.get_mut(&job), self.chains.open.get_mut(&job)) {
-                    (Some(task), _) => task.callers.push(conn),
+                match (self.tasks.get_mut(job), self.chains.open.get_mut(&job)) {
+                    (Some(task), _) => task.of.callers.push(conn),
                     (_, Some(chain)) => chain.callers.push(conn),
                     _ => unreachable!("what runs is known"),
                 }
@@ -789,21 +695,16 @@
             digest: wanted.digest,
             workload: wanted.workload,
             function: wanted.function,
-            came: now,
-            limit: now + wanted.left,
             callers: wanted.callers,
-            executions: Vec::new(),
             lines: wanted.lines,
             media: wanted.media,
             data: wanted.data,
             row,
-            ended: false,
-            timed_out: false,
             effect: self.deployment.rows.workloads[wanted.workload].effect,
             stood: false,
             then: wanted.then,
         };
-        self.tasks.insert(job, task);
+        self.tasks.begin(job, now, now + arrival.left, task);
         self.control.clock(now);
         self.control.job(&mut self.acts, &arrival);
         job
@@ -817,12 +718,12 @@
         if let Some(chain) = self.chains.open.get_mut(&job) {
             chain.callers.retain(|c| *c != conn);
         }
-        let Some(task) = self.tasks.get_mut(&job) else { return };
-        task.callers.retain(|c| *c != conn);
-        if task.callers.is_empty() && task.executions.is_empty() && !task.ended {
-            tracing::info!(id = %task.name.1, source = %task.name.0, reason = "client-left", "job ended");
-            self.claims.drop(&task.name);
-            self.tasks.remove(&job);
+        let Some(task) = self.tasks.get_mut(job) else { return };
+        task.of.callers.retain(|c| *c != conn);
+        if task.of.callers.is_empty() && task.executions.is_empty() && !task.ended {
+            tracing::info!(id = %task.of.name.1, source = %task.of.name.0, reason = "client-left", "job ended");
+            self.claims.drop(&task.of.name);
+            self.tasks.drop(job);
             self.control.clock(now);
             self.control.left(&mut self.acts, job);
         }
@@ -864,13 +765,13 @@
 
     fn state_page(&self, now: Micros) -> Rc<Told> {
         let standing = |wanted| self.members.iter().filter(|(_, w)| w.standing == wanted).count();
-        let out: usize = self.tasks.values().map(Task::out).sum();
+        let (open, out) = self.tasks.open();
         let c = &self.counts;
         let body = serde_json::json!({
             "now_us": now,
             "router": self.deployment.rows.me,
             "settings": {"switched": c.switched, "kept": c.kept},
-            "jobs": {"open": self.tasks.values().filter(|t| !t.ended).count(), "taken": c.jobs,
+            "jobs": {"open": open, "taken": c.jobs,
                 "joined": c.joined, "told-again": c.again, "finished": c.finished,
                 "pushed-back": c.pushed_back, "killed": c.killed, "requests-refused": c.refused},
             "executions": {"out": out, "begun": c.executions},
@@ -927,10 +828,10 @@
             }
         }
         let outcome = fate::of_answer(answering.status, answering.mark.as_deref(), answering.event);
-        if let Some(task) = self.tasks.get_mut(&job) {
+        if let Some(task) = self.tasks.get_mut(job) {
             task.executions[n].link = None;
             if outcome == Outcome::Finished && !task.ended {
-                task.stood = answering.copy != Copy::Begun && answering.copy != Copy::Awaited;
+                task.of.stood = answering.copy != Copy::Begun && answering.copy != Copy::Awaited;
                 let mut lines = std::mem::take(&mut answering.lines);
                 lines.field("applepond-executions", &task.executions.len().to_string());
                 let body = std::mem::take(&mut answering.body);
@@ -938,7 +839,8 @@
                 self.end(now, wire, job, Rc::new(told));
             }
         }
-        self.close(now, job, n, outcome, Some(&answering));
+        let Answering { copy, company, held, loads, .. } = answering;
+        self.close(now, job, n, Answer { copy, company, held, loads, ..ended(outcome) });
     }
 
     /// A connection to a worker is gone, or its worker has ended its side.
@@ -957,14 +859,14 @@
             return;
         }
         let reached = fate::reached(link.open, link.sent_before, sent);
-        if let Some(task) = self.tasks.get_mut(&job) {
+        if let Some(task) = self.tasks.get_mut(job) {
             task.executions[n].link = None;
             if fate::again(reached, link.kept, why) && !task.ended {
                 self.connect(now, wire, job, n);
                 return;
             }
         }
-        self.close(now, job, n, fate::of_end(reached), None);
+        self.close(now, job, n, ended(fate::of_end(reached)));
     }
 
     fn drop_link(&mut self, wire: &mut dyn Wire, conn: Conn) {
--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -610,12 +610,12 @@
 
     /// Ends a step's job from this side: nobody waits for it any more.
     fn abandon(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId) {
-        let Some(task) = self.tasks.get_mut(&job) else { return };
+        let Some(task) = self.tasks.get_mut(job) else { return };
         task.ended = true;
-        task.then = None;
+        task.of.then = None;
         let executions = task.executions.len();
         if task.out() == 0 {
-            self.tasks.remove(&job);
+            self.tasks.forget(job);
             self.control.clock(now);
             self.control.left(&mut self.acts, job);
             return;
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -5,6 +5,7 @@
 use applepond_platform::call::{Ask, BODY_MOST, Incoming, Part};
 use applepond_platform::rows::Words;
 use applepond_reactor::{Conn, Wire};
+use std::collections::BTreeSet;
 
 /// Bytes of a head at most (431 beyond): calls have a few hundred.
 const HEAD_MOST: usize = 8 * 1024;
@@ -14,6 +15,9 @@
 /// µs that a connection may lie idle between two requests: clients close theirs after four seconds, some
 /// never do.
 const IDLE_LIMIT: Micros = 6_000_000;
+/// µs after which a new connection that has brought nothing may make room for others: a call follows its
+/// connection at once, give or take the way.
+const NEW_LIMIT: Micros = 200_000;
 /// Bytes of later requests that may wait behind one that is being answered; then reading pauses.
 const AHEAD_MOST: usize = 32 * 1024;
 
@@ -52,6 +56,8 @@
     part: Part,
     pub doing: Doing,
     pub job: Option<JobId>,
+    /// It has been answered before, and nothing of its next request is here.
+    idle: bool,
     /// When patience with what is done now ends.
     pub until: Micros,
 }
@@ -63,6 +69,7 @@
             part: Part::default(),
             doing: Doing::Reading,
             job: None,
+            idle: false,
             until: now + SILENT_LIMIT,
         }
     }
@@ -73,6 +80,7 @@
         }
         if self.doing == Doing::Reading && self.decoder.idle() {
             self.until = now + SILENT_LIMIT;
+            self.idle = false;
         }
         self.decoder.feed(bytes);
         if self.doing == Doing::Waiting && self.decoder.waiting() > AHEAD_MOST {
@@ -127,6 +135,7 @@
         if keep {
             self.doing = Doing::Reading;
             self.until = now + IDLE_LIMIT;
+            self.idle = self.decoder.idle();
             wire.reading(conn, true);
         } else {
             self.leave(now, wire, conn);
@@ -139,9 +148,46 @@
         self.leave(now, wire, conn);
     }
 
-    pub fn leave(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+    fn leave(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         self.doing = Doing::Leaving;
+        self.idle = false;
         self.until = now + SILENT_LIMIT;
         wire.finish(conn);
     }
 }
+
+/// Connections that wait for no job, by when patience with them ends: those that are new, amid a request or
+/// on their way out, and those that lie idle between two.
+#[derive(Default)]
+pub struct Patience {
+    silent: BTreeSet<(Micros, Conn)>,
+    idle: BTreeSet<(Micros, Conn)>,
+}
+
+impl Patience {
+    fn of(&mut self, caller: &Caller) -> &mut BTreeSet<(Micros, Conn)> {
+        if caller.idle { &mut self.idle } else { &mut self.silent }
+    }
+
+    pub fn insert(&mut self, conn: Conn, caller: &Caller) {
+        self.of(caller).insert((caller.until, conn));
+    }
+
+    pub fn remove(&mut self, conn: Conn, caller: &Caller) -> bool {
+        self.of(caller).remove(&(caller.until, conn))
+    }
+
+    /// One with which patience is over.
+    pub fn over(&self, now: Micros) -> Option<Conn> {
+        let first = |set: &BTreeSet<(Micros, Conn)>| set.first().filter(|(until, _)| *until <= now).copied();
+        first(&self.silent).or(first(&self.idle)).map(|(_, conn)| conn)
+    }
+
+    /// The one to make room for another: the longest silent, then the longest idle. One that has just come is
+    /// the last, or a flood of idle ones would shut out whoever still has to ask.
+    pub fn least(&self, now: Micros) -> Option<Conn> {
+        let silent = self.silent.first();
+        let old = silent.filter(|(until, _)| now + SILENT_LIMIT >= until + NEW_LIMIT);
+        old.or(self.idle.first()).or(silent).map(|(_, conn)| *conn)
+    }
+}
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -1,5 +1,5 @@
 //! One router: connects clients, the module, model servers and the name service.
-use crate::callers::{Caller, Doing, Reply, Terms};
+use crate::callers::{Caller, Doing, Patience, Reply, Terms};
 use crate::links::{Came, Item, Link};
 use crate::watch::Watch;
 use crate::workers::Workers;
@@ -12,7 +12,7 @@
 use applepond_platform::line;
 use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
 use rustc_hash::FxHashMap;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// µs between two looks at connections, the name service and signals.
 const TICK: Micros = 50_000;
@@ -63,12 +63,9 @@
     control: Control,
     acts: Acts,
     lives: Lives<Task>,
-    /// When the timer for the execution whose time is up first fires, where one is set.
-    armed: Option<Micros>,
     callers: FxHashMap<Conn, Caller>,
     callers_most: usize,
-    /// Those that wait for no job, by when patience with them ends.
-    waiting: BTreeSet<(Micros, Conn)>,
+    patience: Patience,
     links: FxHashMap<Conn, Link>,
     links_most: usize,
     workers: Workers,
@@ -101,10 +98,9 @@
             control,
             acts,
             lives: Lives::default(),
-            armed: None,
             callers: FxHashMap::default(),
             callers_most: start.descriptors * CLIENT_PARTS / 8,
-            waiting: BTreeSet::new(),
+            patience: Patience::default(),
             links: FxHashMap::default(),
             links_most: start.descriptors * WORKER_PARTS / 8,
             workers: Workers::default(),
@@ -183,16 +179,13 @@
 
     /// Sets the timer for the execution whose time is up first, unless one fires earlier anyway.
     fn arm(&mut self, now: Micros, wire: &mut dyn Wire) {
-        let Some(until) = self.lives.next() else { return };
-        if self.armed.is_none_or(|at| until < at) {
-            self.armed = Some(until);
+        if let Some(until) = self.lives.arm() {
             let step: Step = Box::new(|node, now, wire| node.times_up(now, wire));
             self.after(now, wire, until.saturating_sub(now), step);
         }
     }
 
     fn times_up(&mut self, now: Micros, wire: &mut dyn Wire) {
-        self.armed = self.armed.filter(|at| *at > now);
         while let Some((job, n)) = self.lives.due(now) {
             self.drop_execution(now, job, n, Outcome::TimedOut);
         }
@@ -325,7 +318,7 @@
     fn answer(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, reply: &Reply) {
         let Some(caller) = self.callers.get_mut(&conn) else { return };
         caller.answer(now, wire, conn, reply, self.leaving.is_some());
-        self.waiting.insert((caller.until, conn));
+        self.patience.insert(conn, caller);
         self.ready.push_back(conn);
     }
 
@@ -334,14 +327,14 @@
         while let Some(caller) = self.callers.get_mut(&conn)
             && let Some(asked) = caller.next(wire, conn, &self.terms)
         {
-            self.waiting.remove(&(caller.until, conn));
+            self.patience.remove(conn, caller);
             match asked {
                 Ok((Ask::Check, _)) => return self.answer(now, wire, conn, &Reply::bare(200)),
                 Ok((Ask::Job(arrival, head), body)) => self.take(now, wire, conn, arrival, head, body),
                 Err(fault) => {
                     tracing::debug!(reason = fault.reason, detail = fault.detail, "refused");
                     caller.refuse(now, wire, conn, &fault);
-                    self.waiting.insert((caller.until, conn));
+                    self.patience.insert(conn, caller);
                 }
             }
         }
@@ -373,7 +366,7 @@
     /// A client has gone: nothing is owed to it, and its job ends.
     fn caller_gone(&mut self, now: Micros, conn: Conn) {
         let Some(caller) = self.callers.remove(&conn) else { return };
-        self.waiting.remove(&(caller.until, conn));
+        self.patience.remove(conn, &caller);
         if let Some(job) = caller.job
             && self.lives.end(job).is_some()
         {
@@ -383,12 +376,13 @@
         }
     }
 
-    /// Ends connections with which patience is over, and where there are too many, those with which it would
-    /// be over first. Never one whose job is open.
+    /// Ends connections with which patience is over, and where there are too many, those that matter least.
+    /// Never one whose job is open.
     fn part_with_callers(&mut self, now: Micros, wire: &mut dyn Wire) {
-        while let Some((until, conn)) = self.waiting.first().copied()
-            && (until <= now || self.callers.len() > self.callers_most)
-        {
+        loop {
+            let many = self.callers.len() > self.callers_most;
+            let least = if many { self.patience.least(now) } else { None };
+            let Some(conn) = self.patience.over(now).or(least) else { return };
             wire.cut(conn);
             self.caller_gone(now, conn);
         }
@@ -546,7 +540,7 @@
 
     fn accepted(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, _: Listener) {
         let caller = Caller::new(now);
-        self.waiting.insert((caller.until, conn));
+        self.patience.insert(conn, &caller);
         self.callers.insert(conn, caller);
         self.part_with_callers(now, wire);
         self.settle(now, wire);
@@ -563,10 +557,12 @@
 
     fn bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
         if let Some(caller) = self.callers.get_mut(&conn) {
-            let before = caller.until;
+            if caller.doing == Doing::Reading {
+                self.patience.remove(conn, caller);
+            }
             caller.feed(now, wire, conn, bytes);
-            if caller.doing == Doing::Reading && self.waiting.remove(&(before, conn)) {
-                self.waiting.insert((caller.until, conn));
+            if caller.doing == Doing::Reading {
+                self.patience.insert(conn, caller);
             }
             self.read_on(now, wire, conn);
         } else {
--- a/crates/node/tests/machine.rs
+++ b/crates/node/tests/machine.rs
@@ -155,3 +155,26 @@
     b.pass(S);
     assert!(b.paper.cut.contains(&link));
 }
+
+// Where there are too many connections, whoever has just come may still ask: the longest silent goes, else the
+// longest idle, never one whose job is open.
+#[test_case(0; "all others asked once and stay")]
+#[test_case(100; "some never ask")]
+fn a_crowd_of_connections(silent: usize) {
+    let mut b = Bench::new(1);
+    let open = b.asks("quote", 1_000);
+    let mute: Vec<_> = (0..silent).map(|_| b.caller()).collect();
+    for _ in 0..127 - silent {
+        b.pass(2 * MS);
+        let idle = b.caller();
+        b.says(idle, b"GET /check HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+    b.pass(300 * MS);
+    let fresh: Vec<_> = (0..50).map(|_| b.caller()).collect();
+    for (conn, id) in fresh.iter().zip(2_000..) {
+        assert!(!b.paper.cut.contains(conn), "it has just come");
+        b.says(*conn, call("quote", id).as_bytes());
+    }
+    let first = mute.first().copied();
+    assert!(first.is_none_or(|c| b.paper.cut.contains(&c)) && !b.paper.cut.contains(&open));
+}
