The module forgets functions that nobody asks for and no worker holds

Seen by reading: functions in src/control.rs only ever grew, by every name that any client made up (bad clients send ids that no model server knows). Test: functions_are_forgotten, 200 of 200 stay with its guard taken out.

--- a/src/control.rs
+++ b/src/control.rs
@@ -109,6 +109,8 @@
 const SPREAD_PART: f64 = 0.25;
 /// µs of a customer's share saved up at most.
 const SHARE_SPAN: f64 = 2_000_000.0;
+/// µs after which a function that nobody asks for, and that no worker may hold, is forgotten.
+const FORGET: Micros = 60_000_000;
 /// µs before the client's time is up at which a held job is ended: more than one beat.
 const LAST_CALL: Micros = 30_000;
 /// µs named at least as a time to come back.
@@ -385,6 +387,11 @@
 
     // ---- Events ----------------------------------------------------------------------------
 
+    /// Functions that are known at present.
+    pub fn functions(&self) -> usize {
+        self.functions.len()
+    }
+
     pub fn clock(&mut self, now: Micros) {
         self.now = now;
     }
@@ -1117,6 +1124,9 @@
                 known
             });
         }
+        // Guards against a table that grows with every name that any client ever makes up.
+        let asked = |id: &FunctionId| self.jobs.values().any(|j| j.function == *id);
+        self.functions.retain(|id, f| now < f.last + FORGET || !f.at.is_empty() || asked(id));
         let loads = std::mem::take(&mut self.loading);
         self.loading = loads.into_iter().filter(|(f, id)| self.loads_at(*f, *id)).collect();
         self.weigh();
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -352,3 +352,18 @@
     let sent = (201..221).filter(|n| !bench.sends(*n).is_empty()).count();
     assert!(if most == 20 { sent > 8 } else { sent <= most }, "{sent}");
 }
+
+// Names that clients made up once do not stay; a function at work or waited for does.
+#[test]
+fn functions_are_forgotten() {
+    let mut bench = Bench::new(rows(Effect::Restartable), 8);
+    for n in 0..200u8 {
+        bench.arrive(n, &format!("hut-{n}"), 500_000 * MS);
+        if n > 0 {
+            bench.close(n, 0, &answer(Outcome::Finished));
+        }
+    }
+    let known = bench.control.functions();
+    bench.pass(100_000 * MS);
+    assert_eq!((known, bench.control.functions()), (200, 1), "the one that is out stays");
+}
