node: a dead connection is cut also when it owes nothing; less state kept twice

Found by reading the change over. sweep_link asked for ECHO's answer only while executions were out: on a connection that takes nothing, lines that give executions up piled up until it was idle too long, and new executions went on it. Test: a_dead_connection_that_owes_nothing, which fails with the guard taken out. The callers' copy of rows, names and limits is gone (the start has them), and a router that cannot listen ends with a failure.

--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -54,6 +54,10 @@
     let over = Rc::new(Cell::new(false));
     let ends = over.clone();
     reactor.add(Box::new(Node::new(reactor.now(), start, news, Box::new(move || ends.set(true)))));
+    // Over before its first turn: it could not listen, and has told why.
+    if over.get() {
+        return ExitCode::FAILURE;
+    }
     while !over.get() {
         if let Err(error) = reactor.turn(TURN) {
             tracing::error!(%error, "epoll");
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -1,9 +1,9 @@
 //! The clients' side: one request at a time a connection, and its answer.
-use applepond::interface::{JobId, Micros, Startup};
+use applepond::interface::{JobId, Micros};
 use applepond_http::decode::{Decoder, Side, Step};
 use applepond_http::{Fault, encode};
 use applepond_platform::call::{Ask, BODY_MOST, Incoming, Part};
-use applepond_platform::rows::Words;
+use applepond_platform::config::Start;
 use applepond_reactor::{Conn, Wire};
 use std::collections::BTreeSet;
 
@@ -30,13 +30,6 @@
     Leaving,
 }
 
-/// What reading calls needs to know.
-pub struct Terms {
-    pub words: Words,
-    pub rows: Startup,
-    pub time_limits: Vec<Micros>,
-}
-
 /// What a client is told in the end.
 pub struct Reply {
     pub status: u16,
@@ -93,12 +86,12 @@
         &mut self,
         wire: &mut dyn Wire,
         conn: Conn,
-        terms: &Terms,
+        start: &Start,
     ) -> Option<Result<(Ask, Vec<u8>), Fault>> {
         if self.doing != Doing::Reading {
             return None;
         }
-        let Terms { words, rows, time_limits } = terms;
+        let Start { words, rows, time_limits, .. } = start;
         let mut incoming = Incoming { words, rows, time_limits, part: &mut self.part };
         match self.decoder.step(&mut incoming) {
             Ok(Step::Done) => {
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -1,5 +1,5 @@
 //! One router: connects clients, the module, model servers and the name service.
-use crate::callers::{Caller, Doing, Patience, Reply, Terms};
+use crate::callers::{Caller, Doing, Patience, Reply};
 use crate::links::{Came, Item, Link};
 use crate::watch::Watch;
 use crate::workers::Workers;
@@ -59,7 +59,6 @@
 
 pub struct Node {
     start: Start,
-    terms: Terms,
     control: Control,
     acts: Acts,
     lives: Lives<Task>,
@@ -113,11 +112,6 @@
             news,
             leaving: None,
             on_end,
-            terms: Terms {
-                words: start.words.clone(),
-                rows: start.rows.clone(),
-                time_limits: start.time_limits.clone(),
-            },
             start,
         }
     }
@@ -330,7 +324,7 @@
     /// Takes the requests that are whole, as far as answers allow.
     fn read_on(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         while let Some(caller) = self.callers.get_mut(&conn)
-            && let Some(asked) = caller.next(wire, conn, &self.terms)
+            && let Some(asked) = caller.next(wire, conn, &self.start)
         {
             self.patience.remove(conn, caller);
             match asked {
@@ -472,9 +466,9 @@
         let idle_limit = (self.start.terms.idle_limit as f64 * IDLE_PART) as Micros;
         let Some(link) = self.links.get_mut(&conn) else { return };
         let over = match link.asked {
-            _ if link.load() == 0 => link.parted || now >= link.busy + idle_limit,
-            Some(asked) => now >= asked + ECHO_LIMIT,
-            None => false,
+            // Also where it owes nothing any more: or lines that give up would pile up on a dead one.
+            Some(asked) if now >= asked + ECHO_LIMIT => true,
+            _ => link.load() == 0 && (link.parted || now >= link.busy + idle_limit),
         };
         if over {
             self.link_over(now, wire, conn);
@@ -597,7 +591,7 @@
     }
 
     fn told(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
-        if let Some(told) = self.watch.told(now, wire, conn, bytes, &self.terms.words) {
+        if let Some(told) = self.watch.told(now, wire, conn, bytes, &self.start.words) {
             if told.left_out > 0 {
                 tracing::warn!(left_out = told.left_out, "servers of the list lack records");
             }
--- a/crates/node/tests/machine.rs
+++ b/crates/node/tests/machine.rs
@@ -317,3 +317,17 @@
     assert_eq!(b.node.kept(), [0, 0, b.node.kept()[2], 4], "jobs, clients, links, servers");
     assert!(b.node.kept()[2] <= 4 && b.paper.timers() <= timers * 2, "{} timers", b.paper.timers());
 }
+
+// A connection that takes nothing is cut also when nobody waits for it any more.
+#[test]
+fn a_dead_connection_that_owes_nothing() {
+    let mut b = Bench::new(1);
+    let client = b.asks("confirm", 1);
+    let link = b.paper.connects[0].0;
+    b.paper.room.insert(link, 1);
+    b.links();
+    b.pass(300 * MS);
+    b.breaks(client, Closed::Reset);
+    b.pass(600 * MS);
+    assert!(b.paper.cut.contains(&link));
+}
