--- a/src/control.rs
+++ b/src/control.rs
@@ -602,6 +602,7 @@
         self.order(function);
         let job = &self.jobs[&id];
         let row = &self.workloads[job.workload.0];
+        let risky = job.effect == Effect::RunOnce && self.workloads.iter().any(|w| w.effect != job.effect);
         let (mut home, mut warm, mut next, mut presumed) = (None, None, None, false);
         // Jobs a µs that the other routers are taken to have of this function: as many as this one had before
         // this job, or a rare function's only job would look like one of many.
@@ -633,7 +634,8 @@
             }
             let Some((place, id)) = walk.next().or_else(|| tail.next().map(|id| (0, id))) else { break };
             let server = &self.servers[id];
-            if server.aside(now) {
+            // A job that cannot be repeated passes a worker over until another has found out how it is.
+            if server.aside(now) || server.trickle == Some(1) && risky {
                 continue;
             }
             // The lane bound where own jobs say little: what all routers are taken to bring beyond a worker's
@@ -1033,9 +1035,7 @@
     }
 
     fn usable(&self, s: &Server, job: &Job, id: ServerId) -> bool {
-        // A job that cannot be repeated does not go first where others can find out.
-        let risky = job.effect == Effect::RunOnce && self.workloads.iter().any(|w| w.effect != job.effect);
-        s.trickle.is_none_or(|n| s.out < n && !risky) && self.cold_budget(s, job, id)
+        s.trickle.is_none_or(|n| s.out < n) && self.cold_budget(s, job, id)
     }
 
     // ---- Mechanism 2: fresh workers (rule 4) -----------------------------------------------
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -98,6 +98,8 @@
     pub retry: bool,
     /// The customer that asks now.
     pub customer: Option<usize>,
+    /// The workload that is asked for now.
+    pub workload: usize,
 }
 
 impl Bench {
@@ -107,7 +109,7 @@
         let mut control = Control::new(record.now, rows, &mut record);
         let list: Vec<Listed> = (0..servers).map(|n| listed(n, Standing::Ready, 0)).collect();
         control.list(&mut record, ListKind::Saved, &list);
-        Bench { control, record, retry: false, customer: Some(0) }
+        Bench { control, record, retry: false, customer: Some(0), workload: 0 }
     }
 
     pub fn list(&mut self, entries: &[Listed]) {
@@ -118,7 +120,7 @@
         let arrival = Arrival {
             job: job(n),
             function: FunctionId::named(function),
-            workload: WorkloadId(0),
+            workload: WorkloadId(self.workload),
             customer: self.customer.map(CustomerId),
             left,
             lanes: 2,
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -269,6 +269,34 @@
     assert_eq!(bench.sends(3).len() == 1, spreads);
 }
 
+// A run-once job does not try out a worker that was set aside, nor does it wait for it while loads are
+// jammed: it passes it over until a job that can be repeated has found out.
+#[test_case(false, false; "on trial")]
+#[test_case(true, true; "proved by another job")]
+fn run_once_passes_over(proved: bool, home_takes: bool) {
+    let mut rows = rows(Effect::Restartable);
+    rows.workloads.push(WorkloadRow { effect: Effect::RunOnce, ..rows.workloads[0].clone() });
+    rows.permits.executions = 1;
+    let mut bench = Bench::new(rows, 8);
+    let home = bench.warm("hut");
+    for n in 100..140 {
+        bench.arrive(n, "other", 5000 * MS);
+        bench.close(n, 0, &Answer { loads: Some(9.0), ..answer(Outcome::Finished) });
+    }
+    bench.arrive(1, "hut", 5000 * MS);
+    bench.close(1, 0, &answer(Outcome::NoConnection));
+    bench.pass(600 * MS);
+    if proved {
+        bench.arrive(2, "hut", 5000 * MS);
+        assert_eq!(bench.sends(2), [home]);
+        bench.close(2, 0, &answer(Outcome::Finished));
+    }
+    bench.workload = 1;
+    bench.arrive(3, "hut", 5000 * MS);
+    assert_eq!(bench.sends(3).len(), 1, "it goes out at once");
+    assert_eq!(bench.sends(3) == [home], home_takes);
+}
+
 #[test]
 fn same_events_same_actions() {
     let run = || {
