Membership among the routers: machine, sealed datagrams, serve, fleet members, fault tests

Need: a router has to know which others are there when some break, stall or lose contact; the live count is to replace a fixed number in the settings. Change: crates/members decides without I/O (beats to ring neighbours, questions through others, votes of several, refuting, joining, one name for two processes, count with hysteresis); crates/fleet seals datagrams under a keyed hash with a window against repeats and connects the machine with a socket; the reactor has sockets for datagrams from anybody and reads up to 256 in one go; serve opens it with a fleet block only, tells the module the live count by the way of new settings, shows the view on the state page and by 'applepond fleet members'. node opens nothing. Failed tries: a process that suspected itself at four fifths of silent neighbours left a minority of six of twenty with two opinions, so it is all of them now; a router answering the first word that it is gone came back without joining, so it waits 100 ms for a second; a removed newcomer stopped asking its seeds, so those that join go on asking.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The program: `applepond serve`, `check`, `standin`, `drill`.
 mod drill;
+mod fleet;
 mod node;
 mod serve;
 mod standin;
@@ -32,6 +33,9 @@
         /// Breaks a rule on purpose, to prove the auditor of a drill.
         #[arg(long, hide = true)]
         plant: Option<String>,
+        /// Sends the datagrams of its fleet through a rig that stands between the routers.
+        #[arg(long, hide = true)]
+        fleet_through: Option<std::net::SocketAddr>,
         /// Ends with the process that started it: a drill that is broken off leaves no router behind.
         #[arg(long, hide = true)]
         with_parent: bool,
@@ -42,6 +46,11 @@
         #[arg(long, env = "PROXY_CONFIG")]
         config: PathBuf,
     },
+    /// Asks a running router of its fleet.
+    Fleet {
+        #[command(subcommand)]
+        what: fleet::What,
+    },
     /// Reads settings and reports every fault by line and column.
     Check { file: PathBuf },
     /// Runs a stand-in of an outside system, for trying things out by hand.
@@ -58,13 +67,14 @@
 
 fn main() -> ExitCode {
     match Line::parse().what {
-        What::Serve { settings, listen, log, plant, with_parent } => {
+        What::Serve { settings, listen, log, plant, fleet_through, with_parent } => {
             if with_parent {
                 serve::end_with_parent();
             }
-            serve::serve(&settings, listen, log, plant.as_deref())
+            serve::serve(&settings, listen, log, plant.as_deref(), fleet_through)
         }
         What::Node { config } => node::node(config),
+        What::Fleet { what } => fleet::run(what),
         What::Check { file } => serve::check(&file),
         What::Standin { which } => standin::run(which),
         What::Drill { which } => drill::run(which),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,4 +1,5 @@
 //! `serve` and `check`.
+use crate::fleet;
 use applepond::interface::Effect;
 use applepond_drill::saboteur::{PLANTS, Saboteur};
 use applepond_gateway::{Deployment, Gateway, News};
@@ -78,7 +79,13 @@
     }))
 }
 
-pub fn serve(file: &Path, listen: Option<SocketAddr>, log: LogForm, plant: Option<&str>) -> ExitCode {
+pub fn serve(
+    file: &Path,
+    listen: Option<SocketAddr>,
+    log: LogForm,
+    plant: Option<&str>,
+    fleet_through: Option<SocketAddr>,
+) -> ExitCode {
     let mut deployment = match read(file) {
         Ok(deployment) => deployment,
         Err(status) => return ExitCode::from(status),
@@ -128,7 +135,23 @@
             return ExitCode::FAILURE;
         }
     };
+    let fleet = match deployment.fleet.as_ref().map(|row| fleet::of(row, reactor.now(), fleet_through)) {
+        Some(Ok(fleet)) => Some(fleet),
+        Some(Err(why)) => {
+            eprintln!("{why}");
+            return ExitCode::from(WRONG);
+        }
+        None => None,
+    };
+    let news = match &fleet {
+        Some((_, view)) => fleet::counted(view.clone(), deployment.clone(), news),
+        None => news,
+    };
     let gateway = Gateway::new(reactor.now(), deployment, told).with_news(news);
+    let gateway = match &fleet {
+        Some((_, view)) => gateway.with_page("fleet", fleet::shown(view.clone())),
+        None => gateway,
+    };
     let gateway = match record {
         Some(record) => Box::new(gateway.with_record(record)),
         None => Box::new(gateway),
@@ -144,6 +167,9 @@
         },
     };
     reactor.add(machine);
+    if let Some((fleet, _)) = fleet {
+        reactor.add(Box::new(fleet));
+    }
     if !heard.get() {
         return ExitCode::FAILURE;
     }
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,6 @@
+//! The shell of what the routers of a fleet have among each other: datagrams under a keyed hash on one port.
+//! `serve` opens it where the settings have a `fleet` block, and nothing else does.
+pub mod envelope;
+mod shell;
+
+pub use shell::{Fleet, View, page};
--- /dev/null
+++ b/crates/fleet/src/shell.rs
@@ -0,0 +1,200 @@
+//! Connects `Members` with a socket, the log and the state page; nothing is decided here.
+use crate::envelope::{Envelopes, Key};
+use applepond_members::{Birth, Change, Me, Members, Orders, RouterId, Seen};
+use applepond_reactor::{Closed, Conn, Listener, Machine, Micros, Wake, Wire};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// µs between two tries to open the port: descriptors or memory may be there again.
+const OPEN_AGAIN: Micros = 1_000_000;
+
+/// What others of the process look at.
+pub struct View {
+    pub members: Members,
+    envelopes: Envelopes,
+    /// Datagrams sent, those that the kernel would not take, and letters that could not be read.
+    sent: u64,
+    unsent: u64,
+    unread: u64,
+}
+
+pub struct Fleet {
+    listen: SocketAddr,
+    /// A rig stands between the routers: every datagram goes there, its address in front.
+    through: Option<SocketAddr>,
+    post: Option<Conn>,
+    view: Rc<RefCell<View>>,
+    /// The timer that is set, so that none is set twice.
+    armed: Micros,
+}
+
+/// Orders as they come, carried out when the call returns.
+#[derive(Default)]
+struct Said {
+    letters: Vec<(SocketAddr, Vec<u8>)>,
+    changes: Vec<Change>,
+}
+
+impl Orders for Said {
+    fn send(&mut self, to: SocketAddr, letter: &[u8]) {
+        self.letters.push((to, letter.to_vec()));
+    }
+    fn changed(&mut self, change: Change) {
+        self.changes.push(change);
+    }
+}
+
+impl Fleet {
+    /// `seed` is for chance, and is new at each start, as the birth drawn from it has to be.
+    pub fn new(
+        now: Micros,
+        (name, zone, listen): (String, String, SocketAddr),
+        seeds: Vec<SocketAddr>,
+        keys: Vec<Key>,
+        seed: u64,
+        through: Option<SocketAddr>,
+    ) -> (Self, Rc<RefCell<View>>) {
+        let birth = Birth(seed | 1);
+        // Later starts have higher ones, as far as the clock goes on; where it went back, the others say so.
+        let me = Me { name, zone, address: listen, birth, incarnation: now };
+        let envelopes = Envelopes::new(birth.0, RouterId::named(&me.name).0, keys);
+        let members = Members::new(now, me, seeds, seed);
+        let view = Rc::new(RefCell::new(View { members, envelopes, sent: 0, unsent: 0, unread: 0 }));
+        (Fleet { listen, through, post: None, view: view.clone(), armed: 0 }, view)
+    }
+
+    fn open(&mut self, now: Micros, wire: &mut dyn Wire) {
+        match wire.post(self.listen) {
+            Ok((post, at)) => {
+                tracing::info!(%at, "fleet: the port is open");
+                self.post = Some(post);
+            }
+            Err(error) => {
+                tracing::warn!(at = %self.listen, %error, reason = "fleet-port", "fleet: no port");
+                wire.wake_at(now + OPEN_AGAIN, Wake(0));
+            }
+        }
+    }
+
+    fn with(&mut self, wire: &mut dyn Wire, call: impl FnOnce(&mut View, &mut Said)) {
+        let mut said = Said::default();
+        let mut view = self.view.borrow_mut();
+        call(&mut view, &mut said);
+        for (to, letter) in said.letters {
+            // Whom an address belongs to may have changed: the letter's own words tell whom it is for.
+            let Some(sealed) = view.envelopes.seal(0, &letter) else { continue };
+            let taken = match (self.post, self.through) {
+                (Some(post), None) => wire.datagram_to(post, to, &sealed),
+                (Some(post), Some(rig)) => {
+                    let front = format!("{to}\n");
+                    wire.datagram_to(post, rig, &[front.as_bytes(), &sealed].concat())
+                }
+                (None, _) => false,
+            };
+            view.sent += 1;
+            view.unsent += u64::from(!taken);
+        }
+        said.changes.iter().for_each(log);
+        let next = view.members.next();
+        if next != self.armed {
+            self.armed = next;
+            wire.wake_at(next, Wake(1));
+        }
+    }
+}
+
+/// One line of the log a change.
+fn log(change: &Change) {
+    match change {
+        Change::Shown { name, was, is, by } => {
+            let (was, is) = (was.map_or("unknown", |w| w.word()), is.word());
+            tracing::info!(
+                reason = "fleet-standing",
+                router = name,
+                was,
+                is,
+                by = by.join(","),
+                "fleet: a router"
+            );
+        }
+        Change::Lame { name, was, is } => {
+            tracing::info!(reason = "fleet-lame", router = name, ?was, ?is, "fleet: a link");
+        }
+        Change::StoodStill(time) => {
+            tracing::warn!(reason = "fleet-stood-still", us = time, "fleet: this process stood still");
+        }
+        Change::Deaf(deaf) => {
+            tracing::warn!(reason = "fleet-deaf", deaf, "fleet: all neighbours are silent");
+        }
+        Change::Returned(incarnation) => {
+            tracing::warn!(reason = "fleet-returned", incarnation, "fleet: this router had been removed");
+        }
+        Change::Refused { holder } => {
+            tracing::error!(reason = "fleet-refused", %holder, "fleet: another process has this name");
+        }
+        Change::Taken { name, by } => {
+            tracing::error!(reason = "fleet-taken", router = name, %by, "fleet: name wanted");
+        }
+        Change::Full { name } => {
+            tracing::error!(reason = "fleet-full", router = name, "fleet: more routers than are kept");
+        }
+    }
+}
+
+/// The view for the state page.
+pub fn page(view: &View, now: Micros) -> Value {
+    let row = |seen: Seen| {
+        let record = &seen.record;
+        json!({"name": record.name, "zone": record.zone, "address": record.address.to_string(),
+            "incarnation": record.incarnation, "standing": seen.shown.word(),
+            "for-us": now.saturating_sub(seen.since), "by": seen.by,
+            "lame": seen.lame.map(|l| format!("{l:?}").to_lowercase())})
+    };
+    let members = &view.members;
+    let dropped: serde_json::Map<String, Value> = view
+        .envelopes
+        .dropped()
+        .iter()
+        .map(|(why, n)| (format!("{why:?}").to_lowercase(), json!(n)))
+        .collect();
+    json!({"live": members.live(), "live-by-zone": members.live_by_zone(), "view": members.view(),
+        "refused": members.is_refused(), "deaf": members.is_deaf(),
+        "members": members.seen().map(row).collect::<Vec<_>>(),
+        "datagrams": {"sent": view.sent, "not-taken": view.unsent, "unreadable": view.unread,
+            "dropped": dropped}})
+}
+
+impl Machine for Fleet {
+    fn start(&mut self, now: Micros, wire: &mut dyn Wire) {
+        self.open(now, wire);
+        self.with(wire, |_, _| {});
+    }
+    fn accepted(&mut self, _: Micros, _: &mut dyn Wire, _: Conn, _: Listener) {}
+    fn connected(&mut self, _: Micros, _: &mut dyn Wire, _: Conn) {}
+    fn bytes(&mut self, _: Micros, _: &mut dyn Wire, _: Conn, _: &[u8]) {}
+    fn half_closed(&mut self, _: Micros, _: &mut dyn Wire, _: Conn) {}
+    fn closed(&mut self, _: Micros, _: &mut dyn Wire, _: Conn, _: Closed, _: u64) {}
+    fn flushed(&mut self, _: Micros, _: &mut dyn Wire, _: Conn) {}
+
+    fn told(&mut self, now: Micros, wire: &mut dyn Wire, _: Conn, bytes: &[u8]) {
+        self.with(wire, |view, said| {
+            let View { members, envelopes, unread, .. } = view;
+            if let Ok((_, letter)) = envelopes.open(bytes) {
+                *unread += u64::from(members.heard(now, letter, said).is_err());
+            }
+        });
+    }
+
+    fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
+        if wake.0 == 0 {
+            return self.open(now, wire);
+        }
+        self.with(wire, |view, said| {
+            if now >= view.members.next() {
+                view.members.wake(now, said);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/envelope.rs
@@ -0,0 +1,115 @@
+//! What opens, and what is dropped for which reason.
+use applepond_fleet::envelope::{AROUND, DATAGRAM_MOST, Dropped, Envelopes, Key};
+use proptest::prelude::*;
+use test_case::test_case;
+
+fn key(n: u8) -> Key {
+    Key::from_secret(&[b'a' + n; 20]).expect("long enough")
+}
+
+/// Router 7 of this birth under key 0.
+fn seven(birth: u64) -> Envelopes {
+    Envelopes::new(birth, 7, vec![key(0)])
+}
+
+/// The sender of all that is opened here.
+fn eight() -> Envelopes {
+    Envelopes::new(100, 8, vec![key(0)])
+}
+
+#[test]
+fn there_and_read() {
+    let sealed = eight().seal(7, b"a letter").expect("short");
+    assert_eq!(seven(1).open(&sealed), Ok((100, &b"a letter"[..])));
+    assert_eq!(eight().seal(0, &[0; DATAGRAM_MOST - AROUND]).map(|b| b.len()), Some(DATAGRAM_MOST));
+    assert_eq!(eight().seal(0, &[0; DATAGRAM_MOST - AROUND + 1]), None);
+}
+
+#[test_case(b"fifteen bytes..", false; "too short")]
+#[test_case(b"  fifteen bytes..  \n", false; "white space does not count")]
+#[test_case(b"sixteen bytes...\n", true; "long enough")]
+fn secrets(secret: &[u8], good: bool) {
+    assert_eq!(Key::from_secret(secret).is_some(), good);
+}
+
+// Cut at every byte, and every bit turned: dropped, and nothing else harmed.
+#[test]
+fn bent() {
+    let sealed = eight().seal(7, b"a letter").expect("short");
+    let mut router = seven(1);
+    for at in 0..sealed.len() {
+        let torn = if at < AROUND { Dropped::Torn } else { Dropped::Foreign };
+        assert_eq!(router.open(&sealed[..at]), Err(torn), "cut at {at}");
+        for bit in 0..8 {
+            let mut bent = sealed.clone();
+            bent[at] ^= 1 << bit;
+            let why = if at == 0 { Dropped::Version } else { Dropped::Foreign };
+            assert_eq!(router.open(&bent), Err(why), "bit {bit} of byte {at}");
+        }
+    }
+    assert!(router.open(&sealed).is_ok(), "the whole one still opens");
+    let (all, torn) = (sealed.len() as u64, AROUND as u64);
+    let counts: Vec<u64> = router.dropped().values().copied().collect();
+    assert_eq!(counts, [torn, 8, all - torn + 8 * (all - 1)], "torn, version, foreign");
+}
+
+#[test]
+fn for_another_router() {
+    let sealed = eight().seal(9, b"x").expect("short");
+    assert_eq!(seven(1).open(&sealed), Err(Dropped::Misled));
+}
+
+// Two keys hold during a change; a key that went opens nothing.
+#[test]
+fn a_change_of_keys() {
+    let mut sender = eight();
+    let mut router = Envelopes::new(1, 7, vec![key(1), key(0)]);
+    assert!(router.open(&sender.seal(7, b"old").expect("short")).is_ok());
+    sender.rekey(vec![key(1)]);
+    assert!(router.open(&sender.seal(7, b"new").expect("short")).is_ok());
+    router.rekey(vec![key(1)]);
+    let late = eight().seal(7, b"old").expect("short");
+    assert_eq!(router.open(&late), Err(Dropped::Foreign));
+}
+
+// In any order, each once; what is so old that it cannot be told any more does not open.
+#[test_case(&[3, 1, 2], &[true, true, true]; "out of order")]
+#[test_case(&[1, 1], &[true, false]; "repeated")]
+#[test_case(&[1, 2, 1], &[true, true, false]; "repeated later")]
+#[test_case(&[70, 6, 5], &[true, true, false]; "at the edge and beyond")]
+#[test_case(&[1, 65, 1, 2], &[true, true, false, true]; "the highest moved by the whole window")]
+#[test_case(&[1, 66, 1, 2], &[true, true, false, true]; "and by more")]
+fn counts(order: &[usize], opens: &[bool]) {
+    let mut sender = eight();
+    let all: Vec<Vec<u8>> = (0..70).map(|_| sender.seal(7, b"x").expect("short")).collect();
+    let mut router = seven(1);
+    let got: Vec<bool> = order.iter().map(|n| router.open(&all[n - 1]).is_ok()).collect();
+    assert_eq!(got, opens);
+}
+
+#[test]
+fn its_own_come_back() {
+    let mut router = Envelopes::new(5, 7, vec![key(0)]);
+    let sealed = router.seal(0, b"x").expect("short");
+    assert_eq!(router.open(&sealed), Err(Dropped::Replayed));
+}
+
+proptest! {
+    // Against a plain set: each count opens once, as long as it is within the window.
+    #[test]
+    fn like_a_set(order in proptest::collection::vec(0usize..200, 1..300)) {
+        let mut sender = eight();
+        let all: Vec<Vec<u8>> = (0..200).map(|_| sender.seal(7, b"x").expect("short")).collect();
+        let (mut router, mut seen, mut highest) = (seven(1), std::collections::BTreeSet::new(), 0);
+        for n in order {
+            let old = highest > n && highest - n > 64;
+            prop_assert_eq!(router.open(&all[n]).is_ok(), !old && seen.insert(n));
+            highest = highest.max(n);
+        }
+    }
+
+    #[test]
+    fn noise(bytes in proptest::collection::vec(any::<u8>(), 0..1_400)) {
+        prop_assert!(seven(1).open(&bytes).is_err());
+    }
+}
--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -58,6 +58,18 @@
     pub weight: f64,
 }
 
+/// Where this router stands among the others of its fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetRow {
+    pub name: String,
+    pub zone: String,
+    /// Where datagrams come in; others reach it there.
+    pub listen: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    /// Files that hold the fleet's secret; the first one seals, all open.
+    pub key_files: Vec<PathBuf>,
+}
+
 /// All that one instance starts with.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -80,6 +92,8 @@
     pub hosts: Option<SocketAddr>,
     /// A connection that does not stand within this time was none.
     pub connect_limit: Micros,
+    /// Its fleet; without it nothing is opened and `routers` of the settings holds.
+    pub fleet: Option<FleetRow>,
     /// Whether retry storms are damped before the module; told and shown they are in any case.
     pub damping: bool,
     /// Client connections at a time.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,4 +15,4 @@
 pub mod switch;
 
 pub use deployment::Deployment;
-pub use machine::{Gateway, News};
+pub use machine::{Gateway, News, Page};
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -150,6 +150,9 @@
 /// Asked once a `SWEEP` for new settings; an error where there are some that cannot be read.
 pub type News = Box<dyn FnMut() -> Option<Result<Deployment, String>>>;
 
+/// A part of the state page, asked for when the page is.
+pub type Page = Box<dyn Fn(Micros) -> serde_json::Value>;
+
 pub struct Gateway {
     deployment: Deployment,
     /// Attributes by which functions and customers are named.
@@ -176,6 +179,8 @@
     /// Told where it listens, once it does.
     on_listening: Box<dyn FnMut(std::net::SocketAddr)>,
     news: News,
+    /// What others of the process have for the state page.
+    pages: Vec<(&'static str, Page)>,
 }
 
 impl Gateway {
@@ -211,6 +216,7 @@
             deployment,
             on_listening,
             news: Box::new(|| None),
+            pages: Vec::new(),
         }
     }
 
@@ -220,6 +226,12 @@
         self
     }
 
+    /// A further part of the state page.
+    pub fn with_page(mut self, name: &'static str, page: Page) -> Self {
+        self.pages.push((name, page));
+        self
+    }
+
     /// Takes new settings, or keeps the old ones whole. What was taken in goes on under its old terms.
     fn switch(&mut self, now: Micros, wire: &mut dyn Wire, new: Result<Deployment, String>) {
         let only = |keys: switch::Refused| format!("only a restart can change: {}", keys.join(", "));
@@ -784,6 +796,10 @@
             "workers": {"ready": standing(Standing::Ready), "draining": standing(Standing::Draining),
                 "gone": standing(Standing::Gone)},
         });
+        let mut body = body;
+        for (name, page) in &self.pages {
+            body[*name] = page(now);
+        }
         let mut lines = Lines::default();
         lines.field("Content-Type", "application/json");
         let body = format!("{body}\n").into_bytes();
--- a/crates/gateway/src/switch.rs
+++ b/crates/gateway/src/switch.rs
@@ -27,6 +27,7 @@
         ("listen", old.listen == new.listen),
         ("hosts", old.hosts == new.hosts),
         ("record", old.record == new.record),
+        ("fleet", old.fleet == new.fleet),
         ("seed", old.rows.seed == new.rows.seed),
         ("router", old.rows.me == new.rows.me),
         ("bounds.clients", old.callers_most == new.callers_most),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -90,6 +90,7 @@
             .collect(),
         hosts: None,
         connect_limit: 250 * MS,
+        fleet: None,
         damping: true,
         callers_most: 100,
         body_most: 64 * 1024,
--- /dev/null
+++ b/crates/members/src/lib.rs
@@ -0,0 +1,203 @@
+//! Which other routers there are: a machine without I/O. In come the time, letters and the word to leave;
+//! out go letters to send and changes of the view.
+//!
+//! Every router exchanges beats with a few neighbours, the same for all who share a view. Who is silent for
+//! longer than patience allows, directly and through others, is accused by each neighbour by itself. Only
+//! the votes of several independent ones make a router gone, after a while in which it may refute. A view
+//! says who seems to be there: nothing that has to be safe may rest on it. See docs/members.md.
+mod count;
+pub mod letter;
+mod machine;
+mod rings;
+
+pub use count::Count;
+pub use letter::{LETTER_MOST, Trouble};
+pub use machine::{Me, Members, Seen};
+pub use rings::Rings;
+
+use applepond::interface::Micros;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+// ---- Constants: unit, and why this size ------------------------------------------------
+
+/// µs between two beats to each neighbour: eight or more within patience, so that losses of a third leave
+/// one in a thousand silences to chance.
+pub const BEAT: Micros = 250_000;
+/// µs of silence after which a neighbour is accused: with `HOLD` above the two seconds that a process may
+/// stand still without being lost.
+pub const PATIENCE: Micros = 2_000_000;
+/// µs from enough votes to the end: a process that has just woken is heard, and its word gets around.
+pub const HOLD: Micros = 600_000;
+/// µs after which a vote counts no more unless it is cast anew.
+pub const VOTE_LIFE: Micros = 4_000_000;
+/// µs after which a standing accusation is cast anew.
+pub const VOTE_AGAIN: Micros = 1_000_000;
+/// µs that a timer may be late before this process counts as having stood still: far above a busy turn.
+pub const STALL: Micros = 150_000;
+/// µs for which patience is longer after this process stood still or accused somebody wrongly.
+pub const UNWELL: Micros = 10_000_000;
+/// Part by which each such sign lengthens patience, and how many count at most: twice the patience.
+pub const UNWELL_PART: f64 = 0.25;
+pub const UNWELL_MOST: u32 = 4;
+/// Neighbours that a process has at least when it suspects itself, where all of them are silent at once: one
+/// that hears nobody accuses nobody.
+pub const DEAF_LEAST: usize = 3;
+/// µs that a router waits for a second word that it is gone before it answers the first.
+pub const REMOVED_WAIT: Micros = 100_000;
+/// Rings of neighbours: two neighbours a ring; ten observers give a majority of six where all differ.
+pub const RINGS: usize = 5;
+/// Others that are asked at once whether they hear a silent neighbour.
+pub const RELAYS: usize = 3;
+/// µs between two letters with nothing but news: news crosses the fleet in some tenths of a second.
+pub const FLUSH: Micros = 50_000;
+/// Times that news goes to all neighbours: with ten of them, losses of a third stop none.
+pub const ROUNDS: u8 = 4;
+/// News that wait at most; beyond it the least sent of the rest waits for the comparison of views.
+pub const NEWS_MOST: usize = 2_048;
+/// µs between two comparisons of views with a neighbour whose view differs.
+pub const COMPARE: Micros = 500_000;
+/// Letters of records that one comparison is answered with at most, and all of one beat.
+pub const ANSWER_MOST: usize = 16;
+pub const ANSWERS_MOST: usize = 64;
+/// µs between two calls to seeds and to routers that are gone: they may be back.
+pub const CALL: Micros = 500_000;
+/// µs for which those that are gone are remembered: older gossip cannot bring them back meanwhile.
+pub const REMEMBER: Micros = 600_000_000;
+/// Routers known at most, those that are gone included; a further one is refused.
+pub const ROUTERS_MOST: usize = 8_192;
+/// Votes kept of one router at most: more than it has observers.
+pub const VOTES_MOST: usize = 32;
+/// Newcomers under a name that is taken, looked into at a time.
+pub const DOOR_MOST: usize = 64;
+/// µs in which the one that holds a name may answer before a newcomer takes it: sixteen questions.
+pub const DOOR: Micros = 4_000_000;
+/// µs between two words of a router that was removed and cannot be heard, at most.
+pub const RETURN_MOST: Micros = 30_000_000;
+/// Bytes of a name, and of a zone, at most.
+pub const NAME_MOST: usize = 48;
+
+// ---- Ids and records -------------------------------------------------------------------
+
+/// A router by its name: a fixed digest, the same everywhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RouterId(pub u64);
+
+impl RouterId {
+    pub fn named(name: &str) -> Self {
+        RouterId(applepond::interface::ServerId::named(name).0)
+    }
+}
+
+/// One process under a name: drawn at its start, never twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Birth(pub u64);
+
+/// What a router says of itself or what was concluded of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Standing {
+    /// It has not been heard by most of its neighbours yet: it does not count.
+    Joining,
+    Alive,
+    /// By its own word.
+    Left,
+    /// By the votes of others.
+    Gone,
+}
+
+impl Standing {
+    /// It takes part: it has neighbours and is one.
+    pub fn takes_part(self) -> bool {
+        matches!(self, Standing::Joining | Standing::Alive)
+    }
+}
+
+/// What a router is taken for here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Shown {
+    Joining,
+    Alive,
+    /// At least one vote stands against it.
+    Suspected,
+    /// Silent towards this router, heard by others.
+    Unreachable,
+    Left,
+    Gone,
+}
+
+impl Shown {
+    pub fn word(self) -> &'static str {
+        match self {
+            Shown::Joining => "joining",
+            Shown::Alive => "alive",
+            Shown::Suspected => "suspected",
+            Shown::Unreachable => "unreachable from here",
+            Shown::Left => "left",
+            Shown::Gone => "gone",
+        }
+    }
+}
+
+/// What a router says of itself, as it travels.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    pub name: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    pub birth: Birth,
+    /// Raised by its own process alone: a higher one overrules all that was said of a lower one.
+    pub incarnation: u64,
+    pub standing: Standing,
+}
+
+/// Which way of a link does not carry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lame {
+    /// They do not hear this router.
+    Out,
+    /// This router does not hear them, others do.
+    In,
+}
+
+/// A change of the view, for a line of the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A router is taken for something else; `by`: on whose word, empty where it is this router's own.
+    Shown {
+        name: String,
+        was: Option<Shown>,
+        is: Shown,
+        by: Vec<String>,
+    },
+    Lame {
+        name: String,
+        was: Option<Lame>,
+        is: Option<Lame>,
+    },
+    /// This process stood still for so many µs.
+    StoodStill(Micros),
+    /// All neighbours are silent at once: is it they or I?
+    Deaf(bool),
+    /// This router had been removed and comes back under this incarnation: nothing given to it before holds.
+    Returned(u64),
+    /// Another process holds this name; this one takes no part any more.
+    Refused {
+        holder: SocketAddr,
+    },
+    /// Somebody asked to join under the name of a router that is there.
+    Taken {
+        name: String,
+        by: SocketAddr,
+    },
+    /// The bound on routers is reached; this one is not taken in.
+    Full {
+        name: String,
+    },
+}
+
+/// What the machine orders.
+pub trait Orders {
+    /// One letter of at most `LETTER_MOST` bytes; it may be lost.
+    fn send(&mut self, to: SocketAddr, letter: &[u8]);
+    fn changed(&mut self, change: Change);
+}
--- /dev/null
+++ b/crates/members/tests/common/mod.rs
@@ -0,0 +1,283 @@
+//! Members on a paper network: simulated time, faults by a function, one seed one run.
+#![allow(dead_code)] // each table of cases uses its own part
+use applepond_members::letter::{Head, Letter, Says, Word};
+use applepond_members::*;
+use oorandom::Rand64;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+pub const MS: u64 = 1_000;
+pub const S: u64 = 1_000_000;
+/// Bytes of the envelope around each letter.
+const ENVELOPE: usize = 48;
+/// Datagrams that a socket holds for a process that stands still.
+const SOCKET_MOST: usize = 2_000;
+
+/// What becomes of a letter: lost, or there after so many µs.
+pub type Link = Box<dyn FnMut(u64, usize, usize, &mut Rand64) -> Option<u64>>;
+
+/// What a letter of a process is made into on its way.
+pub type Bend = Box<dyn FnMut(usize, &[u8]) -> Vec<Vec<u8>>>;
+
+pub struct Process {
+    pub members: Members,
+    /// It stands still until then.
+    pub stopped: Option<u64>,
+    socket: VecDeque<Vec<u8>>,
+    pub changes: Vec<(u64, Change)>,
+    pub bytes: u64,
+    pub letters: u64,
+}
+
+pub struct Paper {
+    pub now: u64,
+    pub all: Vec<Option<Process>>,
+    pub link: Link,
+    pub bend: Option<Bend>,
+    rng: Rand64,
+    events: BTreeMap<(u64, u64), Event>,
+    next: u64,
+    births: u64,
+    at: BTreeMap<SocketAddr, usize>,
+}
+
+enum Event {
+    Wake(usize, Birth),
+    Letter(usize, Vec<u8>),
+}
+
+#[derive(Default)]
+struct Out {
+    letters: Vec<(SocketAddr, Vec<u8>)>,
+    changes: Vec<Change>,
+}
+
+impl Orders for Out {
+    fn send(&mut self, to: SocketAddr, letter: &[u8]) {
+        assert!(letter.len() <= LETTER_MOST, "{} bytes", letter.len());
+        self.letters.push((to, letter.to_vec()));
+    }
+    fn changed(&mut self, change: Change) {
+        self.changes.push(change);
+    }
+}
+
+pub fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 7946))
+}
+
+pub fn name(n: usize) -> String {
+    format!("r{n}")
+}
+
+/// A network that loses this part and takes 0.2 to 1 ms.
+pub fn lossy(part: f64) -> Link {
+    Box::new(move |_, _, _, rng| (rng.rand_float() >= part).then(|| 200 + rng.rand_range(0..800)))
+}
+
+impl Paper {
+    pub fn new(seed: u64, link: Link) -> Self {
+        Paper {
+            now: 1_000 * S,
+            all: Vec::new(),
+            link,
+            bend: None,
+            rng: Rand64::new(u128::from(seed)),
+            events: BTreeMap::new(),
+            next: 0,
+            births: 0,
+            at: BTreeMap::new(),
+        }
+    }
+
+    /// So many routers, the first three their seeds, after time to find each other.
+    pub fn fleet(seed: u64, routers: usize, link: Link) -> Self {
+        let mut paper = Paper::new(seed, lossy(0.0));
+        (0..routers).for_each(|n| paper.start(n, &name(n), address(n), &[0, 1, 2]));
+        let settled = |p: &Paper| p.one_view(routers);
+        assert!(paper.until(30 * S, settled), "{routers} routers find each other");
+        paper.link = link;
+        paper
+    }
+
+    pub fn start(&mut self, n: usize, name: &str, at: SocketAddr, seeds: &[usize]) {
+        let seeds = seeds.iter().map(|n| address(*n)).collect();
+        self.start_with(n, name, at, seeds);
+    }
+
+    pub fn start_with(&mut self, n: usize, name: &str, at: SocketAddr, seeds: Vec<SocketAddr>) {
+        self.births += 1;
+        let birth = Birth(self.births * 7919 + self.rng.rand_u64() % 1000);
+        let zone = format!("z{}", n % 3);
+        let me = Me { name: name.to_owned(), zone, address: at, birth, incarnation: self.births };
+        let members = Members::new(self.now, me, seeds, self.rng.rand_u64());
+        self.all.resize_with(self.all.len().max(n + 1), || None);
+        self.at.insert(at, n);
+        let due = members.next();
+        let process = Process {
+            members,
+            stopped: None,
+            socket: VecDeque::new(),
+            changes: Vec::new(),
+            bytes: 0,
+            letters: 0,
+        };
+        self.all[n] = Some(process);
+        self.event(due, Event::Wake(n, birth));
+    }
+
+    fn event(&mut self, at: u64, event: Event) {
+        self.next += 1;
+        self.events.insert((at, self.next), event);
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.all[n] = None;
+    }
+
+    pub fn stop(&mut self, n: usize, time: u64) {
+        let until = self.now + time;
+        let process = self.all[n].as_mut().expect("it runs");
+        process.stopped = Some(until);
+        let birth = process.members.me().birth;
+        self.event(until, Event::Wake(n, birth));
+    }
+
+    pub fn members(&self, n: usize) -> &Members {
+        &self.all[n].as_ref().expect("it runs").members
+    }
+
+    pub fn changes(&self, n: usize) -> impl Iterator<Item = &(u64, Change)> {
+        self.all[n].iter().flat_map(|p| &p.changes)
+    }
+
+    /// Those whom a router takes for `shown`.
+    pub fn shown(&self, n: usize, shown: Shown) -> Vec<String> {
+        self.members(n).seen().filter(|s| s.shown == shown).map(|s| s.record.name).collect()
+    }
+
+    pub fn live(&self, n: usize) -> usize {
+        self.members(n).live()
+    }
+
+    /// All that run count this many, themselves alive, and see the same.
+    pub fn one_view(&self, live: usize) -> bool {
+        let mut running = self.all.iter().flatten().filter(|p| p.stopped.is_none()).map(|p| &p.members);
+        let Some(first) = running.next() else { return false };
+        let alive = |m: &Members| m.me().standing == Standing::Alive && m.live() == live;
+        alive(first) && running.all(|m| alive(m) && m.view() == first.view())
+    }
+
+    /// How often any router took another for gone.
+    pub fn removals(&self) -> usize {
+        let gone = |c: &&(u64, Change)| matches!(c.1, Change::Shown { is: Shown::Gone, .. });
+        (0..self.all.len()).map(|n| self.changes(n).filter(gone).count()).sum()
+    }
+
+    fn call(&mut self, n: usize, call: impl FnOnce(&mut Members, u64, &mut Out)) {
+        let Some(process) = self.all[n].as_mut() else { return };
+        let mut out = Out::default();
+        call(&mut process.members, self.now, &mut out);
+        let (due, birth) = (process.members.next(), process.members.me().birth);
+        process.changes.extend(out.changes.into_iter().map(|c| (self.now, c)));
+        for (to, letter) in out.letters {
+            let Some(to) = self.at.get(&to).copied() else { continue };
+            let letters = match &mut self.bend {
+                Some(bend) => bend(n, &letter),
+                None => vec![letter],
+            };
+            for letter in letters {
+                let process = self.all[n].as_mut().expect("it has just been called");
+                process.bytes += (letter.len() + ENVELOPE) as u64;
+                process.letters += 1;
+                if let Some(takes) = (self.link)(self.now, n, to, &mut self.rng) {
+                    self.event(self.now + takes, Event::Letter(to, letter));
+                }
+            }
+        }
+        self.event(due, Event::Wake(n, birth));
+    }
+
+    pub fn leave(&mut self, n: usize) {
+        self.call(n, |m, now, out| m.leave(now, out));
+    }
+
+    /// Hands a router a letter as it stands.
+    pub fn tell(&mut self, n: usize, letter: &[u8]) {
+        self.call(n, |m, now, out| _ = m.heard(now, letter, out));
+    }
+
+    fn step(&mut self) {
+        let Some(((at, _), event)) = self.events.pop_first() else { return };
+        self.now = self.now.max(at);
+        let (Event::Wake(n, _) | Event::Letter(n, _)) = &event;
+        let n = *n;
+        let Some(process) = self.all[n].as_mut() else { return };
+        if let Some(until) = process.stopped {
+            if self.now < until {
+                if let Event::Letter(_, letter) = event
+                    && process.socket.len() < SOCKET_MOST
+                {
+                    process.socket.push_back(letter);
+                }
+                return;
+            }
+            // What waits in its socket is read before any timer.
+            process.stopped = None;
+            for letter in std::mem::take(&mut process.socket) {
+                self.call(n, |m, now, out| _ = m.heard(now, &letter, out));
+            }
+        }
+        match event {
+            Event::Letter(_, letter) => self.call(n, |m, now, out| _ = m.heard(now, &letter, out)),
+            Event::Wake(_, birth) => {
+                let members = &self.all[n].as_ref().expect("just seen").members;
+                // A timer of a process before, or one that an earlier call has made needless.
+                if members.me().birth == birth && members.next() <= self.now {
+                    self.call(n, |m, now, out| m.wake(now, out));
+                }
+            }
+        }
+    }
+
+    pub fn pass(&mut self, time: u64) {
+        let end = self.now + time;
+        while self.events.first_key_value().is_some_and(|((at, _), _)| *at <= end) {
+            self.step();
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until something holds, or for as long as this.
+    pub fn until(&mut self, most: u64, holds: impl Fn(&Paper) -> bool) -> bool {
+        let end = self.now + most;
+        while self.now < end {
+            self.pass(50 * MS);
+            if holds(self) {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+fn head(of: &Record) -> Head {
+    let Record { birth, incarnation, address, .. } = *of;
+    Head { from: RouterId::named(&of.name), birth, incarnation, address }
+}
+
+/// A letter that says of a router that it is gone.
+pub fn lie(from: &Record, of: &Record, stamp: u64) -> Vec<u8> {
+    let Record { birth, incarnation, .. } = *of;
+    let (subject, voter) = (RouterId::named(&of.name), RouterId::named(&from.name));
+    let mut letter = Letter::news(&head(from));
+    letter.word(&Word { subject, birth, incarnation, voter, stamp, says: Says::Gone });
+    letter.bytes().to_vec()
+}
+
+/// A letter with one record.
+pub fn news(from: &Record, record: &Record) -> Vec<u8> {
+    let mut letter = Letter::news(&head(from));
+    letter.record(record);
+    letter.bytes().to_vec()
+}
--- /dev/null
+++ b/crates/members/tests/letters.rs
@@ -0,0 +1,123 @@
+//! Letters that are torn, bent or made up: a clear refusal, and nothing of them counts.
+mod common;
+use applepond_members::letter::{self, BUCKETS, Head, Letter, Words};
+use applepond_members::*;
+use common::*;
+use proptest::prelude::*;
+use std::net::SocketAddr;
+
+/// Counts what a letter says.
+#[derive(Default)]
+struct Count(usize);
+
+impl Words for Count {
+    fn beat(&mut self, _: &Head, _: Option<u64>, _: u64) {
+        self.0 += 1;
+    }
+    fn ask(&mut self, _: &Head, _: RouterId) {
+        self.0 += 1;
+    }
+    fn probe(&mut self, _: &Head, _: RouterId) {
+        self.0 += 1;
+    }
+    fn yes(&mut self, _: &Head, _: RouterId) {
+        self.0 += 1;
+    }
+    fn vouch(&mut self, _: &Head, _: RouterId, _: Birth) {
+        self.0 += 1;
+    }
+    fn compare(&mut self, _: &Head, _: &[u32; BUCKETS]) {
+        self.0 += 1;
+    }
+    fn refused(&mut self, _: &Head, _: Birth, _: SocketAddr) {
+        self.0 += 1;
+    }
+    fn taken(&mut self, _: &Head, _: SocketAddr) {
+        self.0 += 1;
+    }
+    fn record(&mut self, _: &Head, _: Record) {
+        self.0 += 1;
+    }
+    fn word(&mut self, _: &Head, _: letter::Word) {
+        self.0 += 1;
+    }
+}
+
+fn record(n: usize) -> Record {
+    let (zone, address) = ("z".to_owned(), address(n));
+    Record { name: name(n), zone, address, birth: Birth(7), incarnation: 9, standing: Standing::Alive }
+}
+
+/// One of each kind, with two records behind.
+fn letters() -> Vec<Vec<u8>> {
+    let (own, other) = (record(1), RouterId::named("r2"));
+    let head = Head { from: RouterId::named("r1"), birth: own.birth, incarnation: 9, address: own.address };
+    let all = [
+        Letter::beat(&head, Some(5), 77),
+        Letter::ask(&head, other),
+        Letter::probe(&head, other),
+        Letter::yes(&head, other),
+        Letter::vouch(&head, other, Birth(3)),
+        Letter::compare(&head, &[3; BUCKETS]),
+        Letter::news(&head),
+        Letter::refused(&head, Birth(1), address(3)),
+        Letter::taken(&head, address(3)),
+    ];
+    let whole = |mut letter: Letter| {
+        assert!(letter.record(&record(4)) && letter.record(&record(5)));
+        letter.bytes().to_vec()
+    };
+    all.into_iter().map(whole).collect()
+}
+
+// Cut anywhere but between two records nothing is said at all: what comes before the cut does not count.
+#[test]
+fn cut_at_every_byte() {
+    for whole in letters() {
+        let mut all = Count::default();
+        assert_eq!(letter::read(&whole, &mut all), Ok(()));
+        for at in 0..whole.len() {
+            let mut said = Count::default();
+            match letter::read(&whole[..at], &mut said) {
+                Ok(()) => assert!(said.0 < all.0),
+                Err(_) => assert_eq!(said.0, 0, "cut at {at} of {}", whole.len()),
+            }
+        }
+    }
+}
+
+#[test]
+fn names_are_looked_at() {
+    for bad in ["", "a b", "tab\t", &"x".repeat(NAME_MOST + 1)] {
+        let letter = news(&record(1), &Record { name: bad.to_owned(), ..record(2) });
+        let mut said = Count::default();
+        assert_eq!((letter::read(&letter, &mut said), said.0), (Err(Trouble::Name), 0), "{bad:?}");
+    }
+}
+
+#[test]
+fn a_letter_has_a_most() {
+    let own = record(1);
+    let head = Head { from: RouterId::named("r1"), birth: own.birth, incarnation: 9, address: own.address };
+    let mut letter = Letter::news(&head);
+    let fit = (0..1_000).take_while(|n| letter.record(&record(*n))).count();
+    assert!(fit > 10 && letter.bytes().len() <= LETTER_MOST);
+}
+
+proptest! {
+    // Whatever comes, nothing panics, and a fleet goes on with one view of itself afterwards.
+    #[test]
+    fn made_up(kind in 0usize..9, bits in proptest::collection::vec((0usize..4_000, 0u8..8), 1..6),
+               tail in proptest::collection::vec(any::<u8>(), 0..40)) {
+        let mut bytes = letters()[kind].clone();
+        for (at, bit) in bits {
+            let at = at % bytes.len();
+            bytes[at] ^= 1 << bit;
+        }
+        bytes.extend(tail);
+        let mut paper = Paper::fleet(1, 3, lossy(0.0));
+        (0..3).for_each(|n| paper.tell(n, &bytes));
+        paper.pass(S);
+        prop_assert!((0..3).all(|n| paper.live(n) >= 1));
+    }
+}
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -49,6 +49,15 @@
     fn datagrams(&mut self, to: SocketAddr) -> Option<Conn>;
     /// Sends one datagram, or loses it.
     fn datagram(&mut self, conn: Conn, bytes: &[u8]);
+    /// A socket for datagrams to and from anybody, and where it is; what comes is `told`. An error is the
+    /// kernel's, or that this wire has none.
+    fn post(&mut self, _at: SocketAddr) -> std::io::Result<(Conn, SocketAddr)> {
+        Err(std::io::ErrorKind::Unsupported.into())
+    }
+    /// Sends one datagram from such a socket, or loses it: false where the kernel would not take it.
+    fn datagram_to(&mut self, _conn: Conn, _to: SocketAddr, _bytes: &[u8]) -> bool {
+        false
+    }
     /// Bytes waiting to be taken by the kernel.
     fn unsent(&self, conn: Conn) -> usize;
     /// Bytes that the kernel has taken: a peer may have seen all of them, and nothing more.
@@ -79,7 +88,7 @@
     fn half_closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn);
     /// The connection is gone. `sent` is what the kernel had taken of all that was written.
     fn closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, why: Closed, sent: u64);
-    /// A datagram from the one address that its socket takes them from.
+    /// A datagram, from the one address that its socket takes them from or to a `post`.
     fn told(&mut self, _: Micros, _: &mut dyn Wire, _: Conn, _: &[u8]) {}
     /// All that waited to be written is with the kernel, after a call that left something waiting.
     fn flushed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn);
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -18,6 +18,9 @@
 const OUT_MOST: usize = 4 * 1024 * 1024;
 /// Events taken from the kernel at a time.
 const EVENTS: usize = 512;
+/// Datagrams read in one go, so that a process that stood still sees what waits before its timers fire, and a
+/// flood of them does not starve connections.
+const POSTS: usize = 256;
 /// Connections accepted in one go, so that a flood of them does not starve those that are open.
 const ACCEPTS: usize = 64;
 /// Length of the kernel's queue of connections not accepted yet; it caps this by its own setting.
@@ -243,6 +246,12 @@
     net::socket_with(family, SocketType::STREAM, flags, Some(ipproto::TCP))
 }
 
+fn datagram_socket(with: &SocketAddr) -> Result<OwnedFd, Errno> {
+    let family = if with.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    net::socket_with(family, SocketType::DGRAM, flags, Some(ipproto::UDP))
+}
+
 impl Wire for Port<'_> {
     fn connect(&mut self, to: SocketAddr, patience: Micros) -> Conn {
         let begun = socket(&to).ok().and_then(|fd| match net::connect(&fd, &to) {
@@ -294,9 +303,7 @@
     }
 
     fn datagrams(&mut self, to: SocketAddr) -> Option<Conn> {
-        let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-        let fd = net::socket_with(family, SocketType::DGRAM, flags, Some(ipproto::UDP)).ok()?;
+        let fd = datagram_socket(&to).ok()?;
         net::connect(&fd, &to).ok()?;
         let conn = Conn(self.core.number());
         let data = epoll::EventData::new_u64(conn.0);
@@ -311,6 +318,22 @@
         }
     }
 
+    fn post(&mut self, at: SocketAddr) -> io::Result<(Conn, SocketAddr)> {
+        let fd = datagram_socket(&at).map_err(refused)?;
+        net::bind(&fd, &at).map_err(refused)?;
+        let bound = SocketAddr::try_from(net::getsockname(&fd).map_err(refused)?).map_err(refused)?;
+        let conn = Conn(self.core.number());
+        let data = epoll::EventData::new_u64(conn.0);
+        epoll::add(&self.core.poll, &fd, data, epoll::EventFlags::IN).map_err(refused)?;
+        self.core.posts.insert(conn.0, Post { machine: self.machine, fd });
+        Ok((conn, bound))
+    }
+
+    fn datagram_to(&mut self, conn: Conn, to: SocketAddr, bytes: &[u8]) -> bool {
+        let post = self.core.posts.get(&conn.0);
+        post.is_some_and(|post| net::sendto(&post.fd, bytes, net::SendFlags::NOSIGNAL, &to).is_ok())
+    }
+
     fn unsent(&self, conn: Conn) -> usize {
         self.core.links.get(&conn.0).map_or(0, |l| l.out.len())
     }
@@ -485,12 +508,14 @@
         if let Some(post) = self.core.posts.get(&data) {
             let machine = post.machine;
             let mut buffer = std::mem::take(&mut self.buffer);
-            // One at a time: what waits is reported again. An error here is a refused earlier datagram.
-            if let Ok((n, _)) = net::recv(&post.fd, &mut buffer[..], net::RecvFlags::empty()) {
+            for _ in 0..POSTS {
+                // An error here is a refused earlier datagram, or that nothing waits any more.
+                let Some(post) = self.core.posts.get(&data) else { break };
+                let Ok((n, _)) = net::recv(&post.fd, &mut buffer[..], net::RecvFlags::empty()) else { break };
                 self.with(machine, |m, now, wire| m.told(now, wire, conn, &buffer[..n]));
+                self.settle();
             }
             self.buffer = buffer;
-            self.settle();
             return;
         }
         let Some(link) = self.core.links.get_mut(&data) else { return };
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -2,7 +2,7 @@
 use crate::sheet::{Fault, Part, Sheet};
 use applepond::interface::*;
 use applepond_gateway::Deployment;
-use applepond_gateway::deployment::{FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
+use applepond_gateway::deployment::{FleetRow, FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -135,6 +135,11 @@
         let wanted = "hosts = \"ADDRESS\" or worker \"NAME\" { ... }";
         file.fault(&file.place.clone(), "no source of workers", wanted);
     }
+    let fleet = file.block("fleet").map(|part| {
+        let row = fleet(&part);
+        part.done();
+        row
+    });
     let seed = file.whole_number("seed", 0..u64::MAX, Some(0));
     let over_share = file.number("over_share", 0.0..1.0, Some(0.1));
     let keep = file.time("keep", Some(10 * S));
@@ -173,6 +178,10 @@
         functions: functions.into_iter().collect::<Option<_>>()?,
         workers: workers.into_iter().collect::<Option<_>>()?,
         hosts,
+        fleet: match fleet {
+            Some(row) => Some(row?),
+            None => None,
+        },
         connect_limit: connect_limit?,
         damping: damping?,
         callers_most,
@@ -269,6 +278,49 @@
     Some((rows, names))
 }
 
+/// A name or a zone of a router: what others read of it in their own logs.
+fn nameable(part: &Part<'_>, key: &str) -> Option<String> {
+    let text = part.text(key, None)?;
+    let good = !text.is_empty() && text.len() <= 48 && text.bytes().all(|b| b.is_ascii_graphic());
+    if !good {
+        part.fault(&part.place_of(key), format!("{key} = {text:?}"), "1 to 48 printed characters, no blanks");
+    }
+    good.then_some(text)
+}
+
+fn fleet(part: &Part<'_>) -> Option<FleetRow> {
+    let name = nameable(part, "name");
+    let zone = nameable(part, "zone");
+    let listen: Option<SocketAddr> = part.parsed("listen", ADDRESS, None);
+    if listen.is_some_and(|at| at.port() == 0 || at.ip().is_unspecified()) {
+        let wanted = "the address and port at which the other routers reach this one";
+        part.fault(&part.place_of("listen"), "a listen that others cannot reach", wanted);
+    }
+    let seeds = part.texts("seeds", None).and_then(|seeds| {
+        let read = |seed: &String| {
+            let at = seed.parse().ok();
+            if at.is_none() {
+                part.fault(&part.place_of("seeds"), format!("seed \"{seed}\""), ADDRESS);
+            }
+            at
+        };
+        seeds.iter().map(read).collect::<Vec<_>>().into_iter().collect::<Option<Vec<SocketAddr>>>()
+    });
+    if seeds.as_ref().is_some_and(Vec::is_empty) {
+        part.fault(&part.place_of("seeds"), "no seed", "at least one; this router's own begins a fleet");
+    }
+    let key_files = part.texts("key_files", None);
+    if key_files.as_ref().is_some_and(|files| files.is_empty() || files.len() > 2) {
+        part.fault(
+            &part.place_of("key_files"),
+            "no key, or more than two",
+            "one, or two during a change of keys",
+        );
+    }
+    let key_files = key_files?.into_iter().map(PathBuf::from).collect();
+    Some(FleetRow { name: name?, zone: zone?, listen: listen?, seeds: seeds?, key_files })
+}
+
 fn function(part: &Part<'_>) -> Option<FunctionRow> {
     let lanes = part.whole_number("lanes", 1..10_000, Some(1));
     let memory_mb = part.whole_number("memory_mb", 1..10_000_000, Some(256));
