--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -3,6 +3,7 @@
 use applepond::interface::Effect;
 use applepond_drill::saboteur::{PLANTS, Saboteur};
 use applepond_gateway::{Deployment, Gateway, News};
+use applepond_members::Standing;
 use applepond_reactor::{Machine, Reactor};
 use applepond_record::Disk;
 use clap::ValueEnum;
@@ -167,8 +168,18 @@
         },
     };
     reactor.add(machine);
-    if let Some((fleet, _)) = fleet {
-        reactor.add(Box::new(fleet));
+    // A word to the others before the end, where there are any; else a signal ends the process by itself.
+    let mut left: Box<dyn Fn() -> bool> = Box::new(|| false);
+    if let Some((fleet, view)) = fleet {
+        let asked = Arc::new(AtomicBool::new(false));
+        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+            if let Err(error) = signal_hook::flag::register(signal, asked.clone()) {
+                tracing::error!(%error, "SIGTERM cannot be waited for");
+                return ExitCode::FAILURE;
+            }
+        }
+        reactor.add(Box::new(fleet.with_end(Box::new(move || asked.load(Ordering::Relaxed)))));
+        left = Box::new(move || view.borrow().members.me().standing == Standing::Left);
     }
     if !heard.get() {
         return ExitCode::FAILURE;
@@ -178,5 +189,8 @@
             tracing::error!(%error, "epoll");
             return ExitCode::FAILURE;
         }
+        if left() {
+            return ExitCode::SUCCESS;
+        }
     }
 }
--- /dev/null
+++ b/crates/cli/tests/node.rs
@@ -0,0 +1,86 @@
+//! What the operators' page of the standing test asks of the one process of `applepond node`, from outside.
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+struct Node(Child);
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn config(listen: SocketAddr) -> String {
+    let row = json!({"name": "quote", "idempotency": "idempotent", "group": "cell", "window": 3000.0,
+        "on-time": 600.0, "deadline": 2000.0, "worth": 1.0, "late-worth": 0.1});
+    json!({"name": "n0", "listen": listen.to_string(), "names": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
+        "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"revision": 0, "complete": true,
+            "members": []}}]},
+        "settings": {
+            "allowed": {"attempts-cap": 5, "cancel": true, "connect-timeout": 250.0, "idle-close": 15000.0,
+                "max-retry-after": 1000.0, "multiplex": 32, "retry-after": true, "second-copies": true},
+            "group-size": 1, "self-index": 0, "over-share-worth": 0.1, "weights": "nominal", "lanes": [row],
+            "projects": [{"name": "huts", "quota-per-s": 400.0}],
+            "rules": {"cold-from": 0.2, "fall": 1000.0, "fall-multiple": 2.5, "warm-within": 14000.0},
+            "specifics": {"keep": 4000.0, "says-company": true}, "zones": ["room-1"]}})
+    .to_string()
+}
+
+fn check(at: SocketAddr) -> Option<String> {
+    let mut conn = TcpStream::connect(at).ok()?;
+    conn.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    conn.write_all(b"GET /check HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").ok()?;
+    let mut all = String::new();
+    conn.read_to_string(&mut all).ok()?;
+    Some(all)
+}
+
+fn entries(folder: &str) -> Vec<String> {
+    let read = std::fs::read_dir(folder).expect("the process runs");
+    read.flatten().map(|entry| entry.path().display().to_string()).collect()
+}
+
+// The bench leads a process' calls of the C library to itself, which a static one does not make.
+#[test]
+fn linked_against_the_c_library() {
+    let program = std::fs::read(env!("CARGO_BIN_EXE_applepond")).expect("built");
+    let holds = |text: &[u8]| program.windows(text.len()).any(|w| w == text);
+    assert!(holds(b"/ld-linux") && holds(b"libc.so.6\0"), "an interpreter and the library by name");
+}
+
+// One process that starts no other; sockets over IPv4, and what epoll needs.
+#[test]
+fn one_process_and_plain_sockets() {
+    let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let file = std::env::temp_dir().join(format!("applepond-node-{}.json", std::process::id()));
+    std::fs::write(&file, config(free)).expect("a file");
+    let mut line = Command::new(env!("CARGO_BIN_EXE_applepond"));
+    line.arg("node").env("PROXY_CONFIG", &file).stdout(Stdio::null()).stderr(Stdio::null());
+    let node = Node(line.spawn().expect("it starts"));
+    let end = Instant::now() + Duration::from_secs(20);
+    while !check(free).is_some_and(|answer| answer.starts_with("HTTP/1.1 200")) {
+        assert!(Instant::now() < end, "it answers the check");
+    }
+    let own = format!("/proc/{}", node.0.id());
+    for task in entries(&format!("{own}/task")) {
+        let children = std::fs::read_to_string(Path::new(&task).join("children")).unwrap_or_default();
+        assert_eq!(children.trim(), "", "no other process");
+    }
+    let local = std::fs::read_to_string("/proc/net/unix").expect("a table");
+    for fd in entries(&format!("{own}/fd")) {
+        let Ok(to) = std::fs::read_link(&fd) else { continue };
+        let to = to.display().to_string();
+        assert!(!to.contains("io_uring"), "{to}");
+        if let Some(inode) = to.strip_prefix("socket:[").and_then(|t| t.strip_suffix(']')) {
+            let same = |line: &str| line.split_whitespace().nth(6) == Some(inode);
+            assert!(!local.lines().any(same), "a Unix socket: nobody comes to one");
+        }
+    }
+    std::fs::remove_file(&file).expect("written above");
+}
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -1,6 +1,6 @@
 //! Connects `Members` with a socket, the log and the state page; nothing is decided here.
 use crate::envelope::{Envelopes, Key};
-use applepond_members::{Birth, Change, Me, Members, Orders, RouterId, Seen};
+use applepond_members::{Birth, Change, Me, Members, Orders, RouterId, Seen, Standing};
 use applepond_reactor::{Closed, Conn, Listener, Machine, Micros, Wake, Wire};
 use serde_json::{Value, json};
 use std::cell::RefCell;
@@ -28,6 +28,8 @@
     view: Rc<RefCell<View>>,
     /// The timer that is set, so that none is set twice.
     armed: Micros,
+    /// Whether this process is to end: the others are told then.
+    ends: Box<dyn FnMut() -> bool>,
 }
 
 /// Orders as they come, carried out when the call returns.
@@ -62,7 +64,14 @@
         let envelopes = Envelopes::new(birth.0, RouterId::named(&me.name).0, keys);
         let members = Members::new(now, me, seeds, seed);
         let view = Rc::new(RefCell::new(View { members, envelopes, sent: 0, unsent: 0, unread: 0 }));
-        (Fleet { listen, through, post: None, view: view.clone(), armed: 0 }, view)
+        let ends = Box::new(|| false);
+        (Fleet { listen, through, post: None, view: view.clone(), armed: 0, ends }, view)
+    }
+
+    /// Who is asked at every beat whether this process is to end.
+    pub fn with_end(mut self, ends: Box<dyn FnMut() -> bool>) -> Self {
+        self.ends = ends;
+        self
     }
 
     fn open(&mut self, now: Micros, wire: &mut dyn Wire) {
@@ -191,8 +200,11 @@
         if wake.0 == 0 {
             return self.open(now, wire);
         }
+        let ends = (self.ends)();
         self.with(wire, |view, said| {
-            if now >= view.members.next() {
+            if ends && view.members.me().standing != Standing::Left {
+                view.members.leave(now, said);
+            } else if now >= view.members.next() {
                 view.members.wake(now, said);
             }
         });
