--- a/crates/members/benches/paper.rs
+++ b/crates/members/benches/paper.rs
@@ -32,6 +32,8 @@
 /// Live routers removed, bytes a second and letters a second of an instance, ms of CPU a second of it.
 fn minute(routers: usize, loss: f64, seconds: u64) -> (usize, u64, u64, f64) {
     let mut paper = Paper::fleet(1, routers, lossy(loss));
+    // What is left to say of the start does not count.
+    paper.pass(10 * S);
     let sum = |p: &Paper, of: fn(&Process) -> u64| p.all.iter().flatten().map(of).sum::<u64>();
     let (bytes, letters) = (sum(&paper, |p| p.bytes), sum(&paper, |p| p.letters));
     let begun = Instant::now();
--- a/crates/members/tests/paper.rs
+++ b/crates/members/tests/paper.rs
@@ -56,6 +56,49 @@
     assert_eq!(returned, removed);
 }
 
+// What was sent to it meanwhile is lost, so that it has heard nobody for long when it wakes.
+#[test]
+fn stopped_with_nothing_in_its_socket() {
+    let mut paper = Paper::fleet(3, FLEET, lossy(0.0));
+    paper.link = Box::new(|_, _, b, _| (b != 4).then_some(300));
+    paper.stop(4, 5 * S);
+    paper.pass(5 * S - S / 10);
+    paper.link = lossy(0.0);
+    paper.pass(S / 2);
+    let accused = |c: &&(u64, Change)| matches!(&c.1, Change::Shown { is: Shown::Suspected, .. });
+    assert_eq!(paper.changes(4).filter(accused).count(), 0, "it accuses nobody");
+    assert!(paper.changes(4).any(|(_, c)| matches!(c, Change::StoodStill(time) if *time > 4 * S)));
+    assert!(paper.until(5 * S, |p| p.one_view(FLEET)));
+}
+
+// Letters that a router wrote before it raised its incarnation do not keep it alive after its death.
+#[test]
+fn old_letters_prove_nothing() {
+    let mut paper = Paper::fleet(16, 6, lossy(0.0));
+    let kept = std::rc::Rc::new(std::cell::RefCell::new(Vec::new()));
+    let keep = kept.clone();
+    paper.bend = Some(Box::new(move |from, letter| {
+        // A beat's first byte is 0.
+        if from == 2 && letter[0] == 0 {
+            keep.borrow_mut().push(letter.to_vec());
+        }
+        vec![letter.to_vec()]
+    }));
+    paper.pass(S);
+    paper.bend = None;
+    let lie = lie(paper.members(1).me(), paper.members(2).me(), 1);
+    paper.tell(2, &lie);
+    paper.pass(S);
+    assert!(paper.members(2).me().incarnation > 3 && paper.one_view(6));
+    paper.kill(2);
+    let old = kept.borrow().first().expect("it beats").clone();
+    for _ in 0..30 {
+        (0..6).filter(|n| *n != 2).for_each(|n| paper.tell(n, &old));
+        paper.pass(200 * MS);
+    }
+    assert!(paper.one_view(5));
+}
+
 // The only two that could confirm cannot reach each other: nobody is removed by one voice, until they can.
 #[test]
 fn killed_and_stopped_while_those_who_could_confirm_are_cut() {
@@ -162,6 +205,8 @@
     paper.pass(10 * S);
     let count = |p: &Paper| (0..FLEET).filter(|n| *n != 4).map(|n| p.live(n)).collect::<Vec<_>>();
     assert_eq!(count(&paper), vec![live; FLEET - 1]);
+    let accused = |c: &&(u64, Change)| matches!(&c.1, Change::Shown { is: Shown::Suspected, .. });
+    assert_eq!(paper.changes(4).filter(accused).count(), 0, "who hears nobody accuses nobody");
     let changes: usize = (0..FLEET).map(|n| paper.changes(n).count()).sum();
     paper.pass(60 * S);
     assert_eq!(count(&paper), vec![live; FLEET - 1]);
@@ -204,7 +249,12 @@
     // It says of everybody else that they are gone, as often as it says anything.
     let views: Vec<Seen> = paper.members(3).seen().collect();
     let me = paper.members(3).me().clone();
-    let lies: Vec<Vec<u8>> = views.iter().map(|s| lie(&me, &s.record, u64::MAX / 2)).collect();
+    let mut lies: Vec<Vec<u8>> = views.iter().map(|s| lie(&me, &s.record, u64::MAX / 2)).collect();
+    let gone = |s: &Seen| {
+        let incarnation = s.record.incarnation + 5;
+        news(&me, &Record { standing: Standing::Gone, incarnation, ..s.record.clone() })
+    };
+    lies.extend(views.iter().skip(1).map(gone));
     paper.bend = Some(Box::new(move |from, letter| {
         let mut all = vec![letter.to_vec()];
         all.extend(if from == 3 { lies.clone() } else { Vec::new() });
