members: the highest numbers of a peer do not overflow; news keep to their bound

Found on reading the change: an authentic letter with the highest incarnation or stamp overflowed an addition (a panic where checks are on); news of an overruled word went past NEWS_MOST; the settings wrote the rule for names again. Change: additions saturate, the bound is asked, the settings call the rule of members. Test: highest_numbers.

--- a/crates/members/src/machine.rs
+++ b/crates/members/src/machine.rs
@@ -447,7 +447,12 @@
         let Some(router) = self.routers.get_mut(&id) else { return };
         let before = router.votes.iter().find(|v| v.voter == me).map_or(0, |v| v.stamp);
         router.votes.retain(|v| v.voter != me);
-        router.votes.push(Vote { voter: me, stamp: (now / 1_000).max(before + 1), says, at: now });
+        router.votes.push(Vote {
+            voter: me,
+            stamp: (now / 1_000).max(before.saturating_add(1)),
+            says,
+            at: now,
+        });
         self.accused.insert(id);
         self.tell(News::Word(id, me));
     }
@@ -680,7 +685,7 @@
             if self.admitted {
                 self.give_way(orders, record.address);
             } else {
-                self.say(incarnation + 1, self.mine.standing);
+                self.say(incarnation.saturating_add(1), self.mine.standing);
             }
         }
     }
@@ -702,7 +707,7 @@
             return;
         }
         self.refuted = now;
-        let incarnation = said.max(self.mine.incarnation) + 1;
+        let incarnation = said.max(self.mine.incarnation).saturating_add(1);
         if removed {
             self.removed_by.clear();
             self.entered = incarnation;
@@ -1080,7 +1085,7 @@
                 };
                 if let Some(router) = known.filter(same) {
                     router.votes.retain(|v| v.voter != word.voter);
-                    let stamp = word.stamp.min(u64::MAX - 1) + 1;
+                    let stamp = word.stamp.saturating_add(1);
                     router.votes.push(Vote { voter: word.voter, stamp, says: Says::Withdrawn, at: now });
                     members.tell(News::Word(word.subject, word.voter));
                 }
@@ -1091,7 +1096,8 @@
         let Record { birth, incarnation, .. } = router.record;
         if (birth, incarnation) != (word.birth, word.incarnation) {
             // Its own process has spoken since: whoever still says this learns so.
-            if birth == word.birth && incarnation > word.incarnation {
+            let room = members.news.len() < NEWS_MOST;
+            if birth == word.birth && incarnation > word.incarnation && room {
                 members.news.entry(News::Record(word.subject)).or_insert(1);
                 members.flush.get_or_insert(now + FLUSH);
             }
--- a/crates/members/tests/paper.rs
+++ b/crates/members/tests/paper.rs
@@ -265,6 +265,26 @@
     assert!((0..FLEET).all(|n| paper.live(n) == FLEET));
 }
 
+// The highest numbers there are, from a peer that holds the key: no panic.
+#[test]
+fn highest_numbers() {
+    let mut paper = Paper::fleet(17, 5, lossy(0.0));
+    let (one, two) = (paper.members(1).me().clone(), paper.members(2).me().clone());
+    let letters = [
+        lie(&one, &two, u64::MAX),
+        lie(&two, &one, u64::MAX),
+        news(&one, &Record { incarnation: u64::MAX, ..two.clone() }),
+        news(&one, &Record { incarnation: u64::MAX, birth: Birth(u64::MAX), ..two }),
+    ];
+    for letter in &letters {
+        (0..5).for_each(|n| paper.tell(n, letter));
+        paper.pass(S);
+    }
+    paper.kill(3);
+    paper.pass(10 * S);
+    assert!(paper.live(0) >= 2);
+}
+
 // A link that is there for a second and away for a second, ten minutes long: no change at all.
 #[test]
 fn a_flapping_link() {
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -3,6 +3,7 @@
 use applepond::interface::*;
 use applepond_gateway::Deployment;
 use applepond_gateway::deployment::{FleetRow, FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
+use applepond_members::NAME_MOST;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -281,9 +282,13 @@
 /// A name or a zone of a router: what others read of it in their own logs.
 fn nameable(part: &Part<'_>, key: &str) -> Option<String> {
     let text = part.text(key, None)?;
-    let good = !text.is_empty() && text.len() <= 48 && text.bytes().all(|b| b.is_ascii_graphic());
+    let good = applepond_members::letter::nameable(&text);
     if !good {
-        part.fault(&part.place_of(key), format!("{key} = {text:?}"), "1 to 48 printed characters, no blanks");
+        part.fault(
+            &part.place_of(key),
+            format!("{key} = {text:?}"),
+            format!("1 to {NAME_MOST} printed characters, no blanks"),
+        );
     }
     good.then_some(text)
 }
