--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -79,3 +79,33 @@
     let faults = deployment(&text).expect_err("faults");
     assert!(faults.len() == 1 && faults[0].found.contains("workload \"quote\" a second time"), "{faults:?}");
 }
+
+const FLEET: &str = r#"fleet {
+  name = "r1"
+  zone = "a"
+  listen = "127.0.0.1:7946"
+  seeds = ["127.0.0.1:7946"]
+  key_files = ["key"]
+}
+"#;
+
+#[test]
+fn a_fleet_block() {
+    let d = deployment(&format!("{FLEET}{GOOD}")).expect("no fault");
+    let fleet = d.fleet.expect("a block");
+    assert_eq!((fleet.name.as_str(), fleet.seeds, fleet.listen.port()), ("r1", vec![fleet.listen], 7946));
+    assert!(deployment(GOOD).expect("no fault").fleet.is_none());
+}
+
+#[test_case("\"r1\"", "\"r 1\"", "2:10: found name = \"r 1\""; "blank in a name")]
+#[test_case("zone = \"a\"", "zone = \"\"", "3:10: found zone"; "empty zone")]
+#[test_case("listen = \"127.0.0.1:7946\"", "listen = \"0.0.0.0:7946\"", "4:12: found a listen"; "any")]
+#[test_case("[\"127.0.0.1:7946\"]", "[\"here\"]", "5:11: found seed \"here\""; "a seed that is no address")]
+#[test_case("[\"127.0.0.1:7946\"]", "[]", "5:11: found no seed"; "no seed")]
+#[test_case("[\"key\"]", "[]", "6:15: found no key"; "no key")]
+#[test_case("seeds", "sedes", "5:3: found 'sedes' in block 'fleet'"; "misspelt")]
+fn fleet_faults(old: &str, new: &str, told: &str) {
+    let faults = deployment(&format!("{}{GOOD}", FLEET.replacen(old, new, 1))).expect_err("a fault");
+    let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    assert!(all.iter().any(|f| f.contains(told)), "{all:#?}");
+}
