drill members: faults between twenty processes, judged from outside; sockets are read before late timers

Change: drill/src/links.rs (datagrams and connections by pair: cut, loss, repeats, delay, jitter), drill/src/members.rs (kill, loss, pauses, one-way, slow, one deluded voice, stop, halves), Guards in members that can be taken out for drills and measurements, gateway's members.rs is host_list.rs, seeds and key files change under SIGHUP. Found by the drill: a process that was stopped fired its timers before it read its sockets (epoll_wait ends with EINTR at SIGCONT): the reactor reads once more before timers that are late; what_waits_is_read_before_late_timers fails with the guard out. Failed on the way: a stop alone does not find timer-after-pause: either all neighbours were silent (deaf) or probes made all of them heard; the rig lets three of them through before the waking.

--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -2,6 +2,7 @@
 //! unanswered.
 use applepond_drill::audit::Verdict;
 use applepond_drill::chains::{self, PLAN};
+use applepond_drill::members;
 use applepond_drill::run::{Plan, Report, bad_day};
 use applepond_drill::saboteur::PLANTS;
 use applepond_drill::storm::{self, Cut, Order, retry_storm};
@@ -63,6 +64,25 @@
         #[arg(long)]
         json: bool,
     },
+    /// Routers that know of each other: kills, losses, pauses, cuts, stops, each judged from outside.
+    Members {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(5..=100))]
+        routers: u64,
+        /// Plays these faults alone; several may be given.
+        #[arg(long, value_parser = members::SCENES)]
+        fault: Vec<String>,
+        /// Takes a guard out in every router, to prove the drill.
+        #[arg(long, value_parser = members::PLANTS.map(|(name, _)| name))]
+        plant: Option<String>,
+        /// Prints the result as one JSON object.
+        #[arg(long)]
+        json: bool,
+        /// Keeps settings and logs of the routers in this folder.
+        #[arg(long)]
+        keep: Option<std::path::PathBuf>,
+    },
     /// One hall of three is cut, its clients keep asking, it comes back.
     RetryStorm {
         #[arg(long, default_value_t = 7)]
@@ -107,6 +127,7 @@
         }
         Which::RetryStorm { .. } => return storm_drill(which),
         Which::Chains { .. } => return chains_drill(which),
+        Which::Members { .. } => return members_drill(which),
     };
     if let Some(name) = plant.as_deref().filter(|p| PLANTS.iter().all(|(known, _, _)| known != p)) {
         let known: Vec<&str> = PLANTS.iter().map(|(known, _, _)| *known).collect();
@@ -121,7 +142,7 @@
         }
     };
     let (routers, workers) = (routers as usize, workers as usize);
-    let plan = Plan { program, seed, routers, workers, plant };
+    let plan = Plan { program, seed, routers, workers, plant, through: None };
     let own = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
     let folder = keep.clone().unwrap_or(own.clone());
     let mut progress = |line: &str| {
@@ -172,7 +193,7 @@
         }
     };
     let Ok(program) = std::env::current_exe() else { return wrong };
-    let plan = Plan { program, seed, routers: 2, workers: 6, plant };
+    let plan = Plan { program, seed, routers: 2, workers: 6, plant, through: None };
     let folder = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
     let mut broken = false;
     for load in &loads {
@@ -243,6 +264,61 @@
     ExitCode::from(u8::from(broken))
 }
 
+fn members_drill(which: Which) -> ExitCode {
+    let wrong = ExitCode::from(crate::serve::WRONG);
+    let Which::Members { seed, routers, fault, plant, json, keep } = which else { return wrong };
+    let Ok(program) = std::env::current_exe() else { return wrong };
+    let asked = |scene: &&&str| fault.is_empty() || fault.iter().any(|f| f == **scene);
+    let scenes: Vec<&'static str> = members::SCENES.iter().filter(asked).copied().collect();
+    let plan = Plan { program, seed, routers: routers as usize, workers: 0, plant, through: None };
+    let own = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
+    let folder = keep.clone().unwrap_or(own.clone());
+    let mut progress = |scene: &str| {
+        if !json {
+            eprintln!("{scene}");
+        }
+    };
+    let played = members::members(&plan, &scenes, &folder, &mut progress);
+    if keep.is_none() {
+        let _ = std::fs::remove_dir_all(&own);
+    }
+    let report = match played {
+        Ok(report) => report,
+        Err(why) => {
+            eprintln!("the drill could not be played: {why}");
+            return wrong;
+        }
+    };
+    let at = |part: usize| report.known.get(report.known.len().saturating_sub(1) * part / 100).copied();
+    // A fault that was planted is told by the rule that it breaks.
+    let planted = members::PLANTS.iter().filter(|(_, rule)| report.broken.contains_key(rule));
+    let planted: Vec<&str> = planted.map(|(name, _)| *name).collect();
+    if json {
+        let healed: Vec<_> = report.healed.iter().map(|(s, ms)| json!({"scene": s, "ms": ms})).collect();
+        println!(
+            "{}",
+            json!({"seed": seed, "routers": routers, "broken": report.broken, "looks-like": planted,
+                "known-ms": {"median": at(50), "99": at(99)}, "one-view": healed})
+        );
+    } else {
+        println!("members, seed {seed}, {routers} routers, {}", scenes.join(", "));
+        if let (Some(median), Some(most)) = (at(50), at(99)) {
+            println!("  a kill is known after {median} ms (median), {most} ms (99 %)");
+        }
+        for (scene, ms) in &report.healed {
+            println!("  one view {ms} ms after {scene}");
+        }
+        for (rule, faults) in &report.broken {
+            println!("  BROKEN {} time(s): {rule}", faults.len());
+            faults.iter().take(5).for_each(|f| println!("    {f}"));
+        }
+        if !planted.is_empty() {
+            println!("  as with: {}", planted.join(", "));
+        }
+    }
+    ExitCode::from(u8::from(!report.broken.is_empty()))
+}
+
 fn storm_drill(which: Which) -> ExitCode {
     let wrong = ExitCode::from(crate::serve::WRONG);
     let Which::RetryStorm {
@@ -266,7 +342,7 @@
         return wrong;
     }
     let Ok(program) = std::env::current_exe() else { return wrong };
-    let plan = Plan { program, seed, routers: 3, workers: 12, plant: None };
+    let plan = Plan { program, seed, routers: 3, workers: 12, plant: None, through: None };
     let folder = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
     let cut = if cut == "hang" { Cut::Hang } else { Cut::Refuse };
     let plays: &[(&str, bool)] = match damping.as_str() {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -71,7 +71,10 @@
             if with_parent {
                 serve::end_with_parent();
             }
-            serve::serve(&settings, listen, log, plant.as_deref(), fleet_through)
+            let guard = plant.as_deref().and_then(applepond_members::Guards::without);
+            let guards = guard.unwrap_or(applepond_members::Guards::ALL);
+            let rig = fleet::Rig { through: fleet_through, guards };
+            serve::serve(&settings, listen, log, plant.as_deref().filter(|_| guard.is_none()), &rig)
         }
         What::Node { config } => node::node(config),
         What::Fleet { what } => fleet::run(what),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -85,7 +85,7 @@
     listen: Option<SocketAddr>,
     log: LogForm,
     plant: Option<&str>,
-    fleet_through: Option<SocketAddr>,
+    rig: &fleet::Rig,
 ) -> ExitCode {
     let mut deployment = match read(file) {
         Ok(deployment) => deployment,
@@ -136,7 +136,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let fleet = match deployment.fleet.as_ref().map(|row| fleet::of(row, reactor.now(), fleet_through)) {
+    let fleet = match deployment.fleet.as_ref().map(|row| fleet::of(row, reactor.now(), rig)) {
         Some(Ok(fleet)) => Some(fleet),
         Some(Err(why)) => {
             eprintln!("{why}");
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod chains;
 pub mod chart;
 pub mod day;
+pub mod links;
+pub mod members;
 pub mod run;
 pub mod saboteur;
 pub mod storm;
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -33,6 +33,8 @@
     pub workers: usize,
     /// Name of a fault that each router is to plant.
     pub plant: Option<String>,
+    /// Where the routers of a fleet send their datagrams, instead of to each other.
+    pub through: Option<SocketAddr>,
 }
 
 pub struct Report {
@@ -71,6 +73,9 @@
     if let Some(plant) = &plan.plant {
         command.arg("--plant").arg(plant);
     }
+    if let Some(rig) = plan.through {
+        command.arg("--fleet-through").arg(rig.to_string());
+    }
     let log = std::fs::OpenOptions::new().append(true).create(true).open(settings.with_extension("log"));
     let log = log.map_err(|e| format!("{}: {e}", settings.display()))?;
     let child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).spawn();
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -1,6 +1,6 @@
 //! Connects `Members` with a socket, the log and the state page; nothing is decided here.
 use crate::envelope::{Envelopes, Key};
-use applepond_members::{Birth, Change, Me, Members, Orders, RouterId, Seen, Standing};
+use applepond_members::{Birth, Change, Guards, Me, Members, Orders, RouterId, Seen, Standing};
 use applepond_reactor::{Closed, Conn, Listener, Machine, Micros, Wake, Wire};
 use serde_json::{Value, json};
 use std::cell::RefCell;
@@ -20,6 +20,14 @@
     unread: u64,
 }
 
+impl View {
+    /// Other seeds and keys from now on; letters under a key that is in neither list are foreign.
+    pub fn renew(&mut self, seeds: Vec<SocketAddr>, keys: Vec<Key>) {
+        self.members.reseed(seeds);
+        self.envelopes.rekey(keys);
+    }
+}
+
 pub struct Fleet {
     listen: SocketAddr,
     /// A rig stands between the routers: every datagram goes there, its address in front.
@@ -56,13 +64,13 @@
         seeds: Vec<SocketAddr>,
         keys: Vec<Key>,
         seed: u64,
-        through: Option<SocketAddr>,
+        (through, guards): (Option<SocketAddr>, Guards),
     ) -> (Self, Rc<RefCell<View>>) {
         let birth = Birth(seed | 1);
         // Later starts have higher ones, as far as the clock goes on; where it went back, the others say so.
         let me = Me { name, zone, address: listen, birth, incarnation: now };
         let envelopes = Envelopes::new(birth.0, RouterId::named(&me.name).0, keys);
-        let members = Members::new(now, me, seeds, seed);
+        let members = Members::new(now, me, seeds, seed).with_guards(guards);
         let view = Rc::new(RefCell::new(View { members, envelopes, sent: 0, unsent: 0, unread: 0 }));
         let ends = Box::new(|| false);
         (Fleet { listen, through, post: None, view: view.clone(), armed: 0, ends }, view)
--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -70,6 +70,13 @@
     pub key_files: Vec<PathBuf>,
 }
 
+impl FleetRow {
+    /// What only a restart can change: the others know this process by it.
+    pub fn place(&self) -> (&str, &str, SocketAddr) {
+        (&self.name, &self.zone, self.listen)
+    }
+}
+
 /// All that one instance starts with.
 #[derive(Clone, Debug)]
 pub struct Deployment {
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/host_list.rs
@@ -27,7 +27,7 @@
 }
 
 #[derive(Default)]
-pub struct Members {
+pub struct HostList {
     workers: BTreeMap<ServerId, Worker>,
 }
 
@@ -63,7 +63,7 @@
     }
 }
 
-impl Members {
+impl HostList {
     pub fn get(&self, server: ServerId) -> Option<&Worker> {
         self.workers.get(&server)
     }
@@ -178,11 +178,11 @@
     #[test_case("{\"kind\":\"full\",\"workers\":[{\"name\":\"w\",\"address\":\"here\"}]}", "'address' of w";
     "address")]
     fn a_line_that_cannot_be_read_changes_nothing(line: &str, why: &str) {
-        let mut members = Members::default();
-        members.line(full("ready", 7).as_bytes(), &[]).expect("a good line");
-        let fault = members.line(line.as_bytes(), &[]).expect_err("a fault");
+        let mut hosts = HostList::default();
+        hosts.line(full("ready", 7).as_bytes(), &[]).expect("a good line");
+        let fault = hosts.line(line.as_bytes(), &[]).expect_err("a fault");
         assert!(fault.contains(why), "{fault}");
-        assert_eq!(members.iter().next().map(|(_, w)| w.standing), Some(Standing::Ready));
+        assert_eq!(hosts.iter().next().map(|(_, w)| w.standing), Some(Standing::Ready));
     }
 
     #[test_case(&full("ready", 7), false, Some(Standing::Ready); "the same again")]
@@ -191,15 +191,15 @@
     #[test_case("{\"kind\":\"full\",\"workers\":[]}", true, None; "left out of a full list")]
     #[test_case("{\"kind\":\"changes\",\"workers\":[]}", false, Some(Standing::Ready); "no change")]
     fn idle_connections_go_with_what_they_led_to(line: &str, cut: bool, standing: Option<Standing>) {
-        let mut members = Members::default();
+        let mut hosts = HostList::default();
         let zones = ["a".to_owned(), "b".to_owned()];
-        let taken = members.line(full("ready", 7).as_bytes(), &zones).expect("a good line");
+        let taken = hosts.line(full("ready", 7).as_bytes(), &zones).expect("a good line");
         let first = &taken.entries[0];
         assert_eq!((first.up_since, first.zone, first.rack.0, first.weight), (7000, Some(ZoneId(1)), 3, 2.5));
         let id = ServerId::named("w");
-        members.get_mut(id).expect("known").idle.push((Conn(5), 0));
-        let taken = members.line(line.as_bytes(), &zones).expect("a good line");
+        hosts.get_mut(id).expect("known").idle.push((Conn(5), 0));
+        let taken = hosts.line(line.as_bytes(), &zones).expect("a good line");
         assert_eq!(taken.cut, if cut { vec![Conn(5)] } else { vec![] });
-        assert_eq!(members.get(id).map(|w| w.standing), standing);
+        assert_eq!(hosts.get(id).map(|w| w.standing), standing);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,16 +2,16 @@
 //! the root package for every product decision, carries it out on worker connections, and gives each job its
 //! one final answer. Decisions of its own: whether an execution may have run (`fate`), which exchanges share
 //! a job and what is told again after its end (`claims`), how long a job has (`limit`), which list to believe
-//! (`members`), what new settings may change in a running instance (`switch`).
+//! (`host_list`), what new settings may change in a running instance (`switch`).
 pub mod claims;
 pub mod deployment;
 pub mod fate;
 pub mod front;
+pub mod host_list;
 pub mod life;
 pub mod limit;
 pub mod links;
 pub mod machine;
-pub mod members;
 pub mod switch;
 
 pub use deployment::Deployment;
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -2,9 +2,9 @@
 use crate::claims::{Claim, Claims, Ending, Name};
 use crate::deployment::{Deployment, FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
 use crate::front::{self, Ask, Caller, Draft, Patience, Told};
+use crate::host_list::{Entry, HostList, Taken};
 use crate::life::{Act, Acts, Lives, ended};
 use crate::links::{Answering, Link};
-use crate::members::{Entry, Members, Taken};
 use crate::{fate, limit, switch};
 use applepond::control::Control;
 use applepond::interface::*;
@@ -161,7 +161,7 @@
     acts: Acts,
     callers: FxHashMap<Conn, Caller>,
     links: FxHashMap<Conn, Link>,
-    members: Members,
+    listed: HostList,
     tasks: Lives<Task>,
     claims: Claims<Told>,
     /// Tells storms of retries, and stands before the module while one lasts.
@@ -204,7 +204,7 @@
             acts,
             callers: FxHashMap::default(),
             links: FxHashMap::default(),
-            members: Members::default(),
+            listed: HostList::default(),
             tasks: Lives::default(),
             claims,
             steps: BTreeMap::new(),
@@ -265,7 +265,7 @@
             weight: w.weight,
         };
         let named = self.deployment.workers.iter().map(|w| (w.name.clone(), w.address, entry(w)));
-        let taken = self.members.take(ListKind::Full, named.collect());
+        let taken = self.listed.take(ListKind::Full, named.collect());
         self.listed(now, wire, &taken);
     }
 
@@ -362,7 +362,7 @@
         match self.tasks.execute(now, job, server, patience, most) {
             Some(Ok(n)) => {
                 self.counts.executions += 1;
-                if let Some(worker) = self.members.get_mut(server) {
+                if let Some(worker) = self.listed.get_mut(server) {
                     worker.out += 1;
                 }
                 self.arm(now, wire);
@@ -390,7 +390,7 @@
         let Some(task) = self.tasks.get_mut(job) else { return };
         let server = task.executions[n].server;
         let run_once = task.of.effect == Effect::RunOnce;
-        let Some(worker) = self.members.get_mut(server).filter(|w| w.standing == Standing::Ready) else {
+        let Some(worker) = self.listed.get_mut(server).filter(|w| w.standing == Standing::Ready) else {
             self.close(now, job, n, ended(Outcome::NoConnection));
             return;
         };
@@ -420,7 +420,7 @@
     fn write(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         let Some(link) = self.links.get(&conn) else { return };
         let Some((job, n)) = link.carries else { return };
-        let Some(worker) = self.members.get(link.server) else { return };
+        let Some(worker) = self.listed.get(link.server) else { return };
         // A drain was told while the connection was made: nothing new goes there.
         if worker.standing != Standing::Ready {
             self.drop_execution(now, wire, job, n, Outcome::NoConnection);
@@ -461,7 +461,7 @@
     fn close(&mut self, now: Micros, job: JobId, n: usize, answer: Answer) {
         let server = self.tasks.get(job).map(|task| task.executions[n].server);
         let Some(answer) = self.tasks.close(now, job, n, answer) else { return };
-        if let Some(worker) = server.and_then(|server| self.members.get_mut(server)) {
+        if let Some(worker) = server.and_then(|server| self.listed.get_mut(server)) {
             worker.out = worker.out.saturating_sub(1);
         }
         tracing::debug!(n, ?answer.outcome, answer.elapsed, "execution closed");
@@ -777,7 +777,7 @@
     }
 
     fn state_page(&self, now: Micros) -> Rc<Told> {
-        let standing = |wanted| self.members.iter().filter(|(_, w)| w.standing == wanted).count();
+        let standing = |wanted| self.listed.iter().filter(|(_, w)| w.standing == wanted).count();
         let (open, out) = self.tasks.open();
         let c = &self.counts;
         let body = serde_json::json!({
@@ -836,7 +836,7 @@
         // Bytes after the answer are a second one to the same request: that connection is not trusted
         // further.
         let clean = answering.whole == Some(true) && link.decoder.idle();
-        let worker = self.members.get_mut(server).filter(|w| w.standing == Standing::Ready);
+        let worker = self.listed.get_mut(server).filter(|w| w.standing == Standing::Ready);
         match worker.filter(|w| clean && w.idle.len() < IDLE_MOST) {
             Some(worker) => worker.idle.push((conn, now)),
             None => {
@@ -864,7 +864,7 @@
     fn link_gone(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, why: Closed, sent: u64) {
         let Some(mut link) = self.links.remove(&conn) else { return };
         let Some((job, n)) = link.carries else {
-            if let Some(worker) = self.members.get_mut(link.server) {
+            if let Some(worker) = self.listed.get_mut(link.server) {
                 worker.idle.retain(|(c, _)| *c != conn);
             }
             return;
@@ -889,14 +889,14 @@
     fn drop_link(&mut self, wire: &mut dyn Wire, conn: Conn) {
         wire.cut(conn);
         if let Some(link) = self.links.remove(&conn)
-            && let Some(worker) = self.members.get_mut(link.server)
+            && let Some(worker) = self.listed.get_mut(link.server)
         {
             worker.idle.retain(|(c, _)| *c != conn);
         }
     }
 
     fn sweep(&mut self, now: Micros, wire: &mut dyn Wire) {
-        for (_, worker) in self.members.iter_mut() {
+        for (_, worker) in self.listed.iter_mut() {
             let old = worker.idle.iter().take_while(|(_, since)| now >= since + IDLE_LIMIT).count();
             for (conn, _) in worker.idle.drain(..old) {
                 wire.cut(conn);
@@ -942,7 +942,7 @@
         decoder.feed(bytes);
         let done = decoder.step(&mut self.watch.lines);
         while let Some(line) = self.watch.lines.whole.pop_front() {
-            match self.members.line(&line, &self.deployment.zones) {
+            match self.listed.line(&line, &self.deployment.zones) {
                 Ok(taken) => {
                     self.watch.pause = WATCH_AGAIN;
                     self.listed(now, wire, &taken);
--- a/crates/gateway/src/switch.rs
+++ b/crates/gateway/src/switch.rs
@@ -1,7 +1,7 @@
 //! New settings in a running instance: what may change without a restart, and how the rows of old and new
 //! fit together. Jobs that were taken keep the row they came by, so rows are never moved: one that the new
 //! settings leave out stays without types or share, and is the same again when a later file names it again.
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, FleetRow};
 use applepond::interface::CustomerRow;
 
 /// Names that rows may come to: a switch to and fro adds none, and beyond this the settings are a mistake.
@@ -27,7 +27,7 @@
         ("listen", old.listen == new.listen),
         ("hosts", old.hosts == new.hosts),
         ("record", old.record == new.record),
-        ("fleet", old.fleet == new.fleet),
+        ("fleet", old.fleet.as_ref().map(FleetRow::place) == new.fleet.as_ref().map(FleetRow::place)),
         ("seed", old.rows.seed == new.rows.seed),
         ("router", old.rows.me == new.rows.me),
         ("bounds.clients", old.callers_most == new.callers_most),
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -150,6 +150,42 @@
     pub standing: Standing,
 }
 
+/// What keeps a view from being wrong. Each can be taken out, to measure what it is worth and to prove the
+/// drill that would find it missing; in service all are in place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Guards {
+    /// Whoever is accused says that it is there.
+    pub refutes: bool,
+    /// Most of those that watch a router have to accuse it, two at the least.
+    pub several: bool,
+    /// Signs that this process or the other is slow lengthen patience.
+    pub health: bool,
+    /// A process that stood still counts silence from its waking.
+    pub wakes: bool,
+    /// Whoever was removed comes back under a higher incarnation.
+    pub incarnations: bool,
+}
+
+impl Guards {
+    pub const ALL: Guards =
+        Guards { refutes: true, several: true, health: true, wakes: true, incarnations: true };
+
+    /// All but the one whose lack is planted under this name; None where there is no such fault.
+    pub fn without(fault: &str) -> Option<Guards> {
+        let mut guards = Guards::ALL;
+        let guard = match fault {
+            "no-refute" => &mut guards.refutes,
+            "lone-accuser" => &mut guards.several,
+            "no-health" => &mut guards.health,
+            "timer-after-pause" => &mut guards.wakes,
+            "old-incarnation" => &mut guards.incarnations,
+            _ => return None,
+        };
+        *guard = false;
+        Some(guards)
+    }
+}
+
 /// Which way of a link does not carry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Lame {
--- a/crates/members/src/machine.rs
+++ b/crates/members/src/machine.rs
@@ -133,6 +133,8 @@
     due: Micros,
     /// When news goes out by itself, where there is any.
     flush: Option<Micros>,
+    /// When the first of the accused is gone, as votes stand.
+    verdict: Option<Micros>,
     /// When this process last woke from standing still.
     awake: Micros,
     unwell: u32,
@@ -156,6 +158,7 @@
     /// It has been alive once: an older process under the name does not make it give way.
     admitted: bool,
     refused: bool,
+    guards: Guards,
 }
 
 fn digest(id: RouterId, record: &Record) -> u32 {
@@ -192,6 +195,7 @@
             due: now + rng.rand_range(0..BEAT / 4),
             rng,
             flush: None,
+            verdict: None,
             awake: now,
             unwell: 0,
             unwell_at: 0,
@@ -208,12 +212,24 @@
             since: now,
             admitted: false,
             refused: false,
+            guards: Guards::ALL,
         };
         members.rings.insert(id);
         members.sum_mine();
         members
     }
 
+    /// The same machine with these guards alone, for measurements and drills.
+    pub fn with_guards(mut self, guards: Guards) -> Self {
+        self.guards = guards;
+        self
+    }
+
+    /// Other routers to ask first from now on.
+    pub fn reseed(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds.into_iter().filter(|seed| *seed != self.mine.address).collect();
+    }
+
     // ---- What is asked of it -----------------------------------------------------------------
 
     pub fn me(&self) -> &Record {
@@ -276,7 +292,8 @@
     /// When `wake` is to be called at the latest.
     pub fn next(&self) -> Micros {
         let removed = self.removed.map_or(Micros::MAX, |(at, _)| at);
-        self.flush.unwrap_or(Micros::MAX).min(self.due).min(removed)
+        let verdict = self.verdict.unwrap_or(Micros::MAX);
+        self.flush.unwrap_or(Micros::MAX).min(self.due).min(removed).min(verdict)
     }
 
     // ---- Events ------------------------------------------------------------------------------
@@ -286,7 +303,7 @@
         self.clock(now, orders);
         if self.refused || self.mine.standing == Standing::Left {
             self.due = now + BEAT;
-            (self.flush, self.removed) = (None, None);
+            (self.flush, self.removed, self.verdict) = (None, None, None);
             return;
         }
         if let Some((_, said)) = self.removed.take_if(|(at, _)| now >= *at) {
@@ -302,7 +319,11 @@
             self.beat(orders);
             self.call(orders);
             self.forget();
+        } else if self.verdict.is_some_and(|at| now >= at) {
+            self.judge(orders);
         } else if self.flush.is_some_and(|at| now >= at) {
+            // Votes are news: what they come to is found out as they go around, not at the next beat.
+            self.judge(orders);
             let tail = self.tail();
             for id in self.neighbours.clone() {
                 let Some(to) = self.routers.get(&id).map(|r| r.record.address) else { continue };
@@ -344,7 +365,7 @@
     fn clock(&mut self, now: Micros, orders: &mut dyn Orders) {
         let due = self.next();
         self.now = now;
-        if now <= due + STALL {
+        if now <= due + STALL || !self.guards.wakes {
             return;
         }
         self.awake = now;
@@ -355,6 +376,7 @@
             router.votes.clear();
         }
         self.accused.clear();
+        self.verdict = None;
         orders.changed(Change::StoodStill(now - due));
     }
 
@@ -366,6 +388,9 @@
     // ---- Probes and votes --------------------------------------------------------------------
 
     fn patience(&self, router: &Router) -> Micros {
+        if !self.guards.health {
+            return PATIENCE;
+        }
         let own = if self.now < self.unwell_at + UNWELL { self.unwell } else { 0 };
         let factor = router.slow(self.now) * (1.0 + UNWELL_PART * f64::from(own));
         (PATIENCE as f64 * factor) as Micros
@@ -459,6 +484,7 @@
 
     /// Makes those gone against whom enough votes have stood for long enough.
     fn judge(&mut self, orders: &mut dyn Orders) {
+        self.verdict = None;
         for id in self.accused.clone() {
             let now = self.now;
             let Some(router) = self.routers.get_mut(&id).filter(|r| r.takes_part()) else {
@@ -475,8 +501,10 @@
             let awake = self.awake;
             let router = self.routers.get_mut(&id).expect("just seen");
             router.enough = enough.then(|| router.enough.unwrap_or(now).max(awake));
-            if router.enough.is_some_and(|since| now >= since + hold) {
-                self.conclude(orders, id);
+            match router.enough.map(|since| since + hold) {
+                Some(at) if now >= at => self.conclude(orders, id),
+                Some(at) => self.verdict = Some(self.verdict.map_or(at, |first| first.min(at))),
+                None => {}
             }
             self.show(orders, id);
         }
@@ -501,7 +529,7 @@
                 || self.routers.get(other).is_some_and(|r| r.takes_part() && self.voters(r).count() < 2)
         };
         let speaking = self.rings.beside(id).into_iter().filter(speaks).count();
-        (speaking / 2 + 1).max(2)
+        if self.guards.several { (speaking / 2 + 1).max(2) } else { 1 }
     }
 
     fn conclude(&mut self, orders: &mut dyn Orders, id: RouterId) {
@@ -644,8 +672,9 @@
             let same = record.incarnation == old.incarnation;
             let ends = record.standing == Standing::Left && old.standing.takes_part();
             let begins = record.standing == Standing::Alive && old.standing == Standing::Joining;
+            let again = !self.guards.incarnations && same && !old.standing.takes_part();
             // Nobody's word but its own votes make a router gone here.
-            if record.standing != Standing::Gone && (later || same && (ends || begins)) {
+            if record.standing != Standing::Gone && (later || again || same && (ends || begins)) {
                 if later && known.standing_votes().count() > 0 {
                     self.routers.get_mut(&id).expect("just seen").wrong(self.now);
                 }
@@ -703,11 +732,12 @@
         self.removed_by.retain(|_, at| now < *at + UNWELL);
         let removed = self.removed_by.len() >= 2;
         let wait = if removed { self.back_at } else { self.refuted + BEAT };
-        if now < wait {
+        if now < wait || !self.guards.refutes {
             return;
         }
         self.refuted = now;
-        let incarnation = said.max(self.mine.incarnation).saturating_add(1);
+        let raise = u64::from(self.guards.incarnations || !removed);
+        let incarnation = said.max(self.mine.incarnation).saturating_add(raise);
         if removed {
             self.removed_by.clear();
             self.entered = incarnation;
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -18,6 +18,8 @@
 const OUT_MOST: usize = 4 * 1024 * 1024;
 /// Events taken from the kernel at a time.
 const EVENTS: usize = 512;
+/// µs that timers may be late before sockets are read once more ahead of them: far above a busy turn.
+const LATE: Micros = 50_000;
 /// Datagrams read in one go, so that a process that stood still sees what waits before its timers fire, and a
 /// flood of them does not starve connections.
 const POSTS: usize = 256;
@@ -470,19 +472,14 @@
 
     /// Waits for events, `most` at the longest, and tells the machines.
     pub fn turn(&mut self, most: Duration) -> io::Result<()> {
-        let until = self.core.wheel.next().map_or(Micros::MAX, |at| at.saturating_sub(self.core.now()));
-        let wait = Duration::from_micros(until).min(most);
-        let wait = Timespec { tv_sec: wait.as_secs() as i64, tv_nsec: i64::from(wait.subsec_nanos()) };
-        self.events.clear();
-        match epoll::wait(&self.core.poll, rustix::buffer::spare_capacity(&mut self.events), Some(&wait)) {
-            Ok(_) | Err(Errno::INTR) => {}
-            Err(error) => return Err(refused(error)),
-        }
-        let events = std::mem::take(&mut self.events);
-        for event in &events {
-            self.event(event.data.u64(), event.flags);
+        let next = self.core.wheel.next().unwrap_or(Micros::MAX);
+        self.poll(Duration::from_micros(next.saturating_sub(self.core.now())).min(most))?;
+        // Guards against a process that stood still, before its sockets were read or while they were: its
+        // timers would take for silence what waits to be read.
+        let due = self.core.wheel.next().unwrap_or(Micros::MAX);
+        if self.core.now() > due.saturating_add(LATE) {
+            self.poll(Duration::ZERO)?;
         }
-        self.events = events;
         for timer in self.core.wheel.due(self.core.now()) {
             match timer {
                 Timer::Machine(m, wake) => self.with(m, |m, now, wire| m.woken(now, wire, wake)),
@@ -499,6 +496,22 @@
         Ok(())
     }
 
+    /// Waits for sockets so long at most, and reads what is there.
+    fn poll(&mut self, wait: Duration) -> io::Result<()> {
+        let wait = Timespec { tv_sec: wait.as_secs() as i64, tv_nsec: i64::from(wait.subsec_nanos()) };
+        self.events.clear();
+        match epoll::wait(&self.core.poll, rustix::buffer::spare_capacity(&mut self.events), Some(&wait)) {
+            Ok(_) | Err(Errno::INTR) => {}
+            Err(error) => return Err(refused(error)),
+        }
+        let events = std::mem::take(&mut self.events);
+        for event in &events {
+            self.event(event.data.u64(), event.flags);
+        }
+        self.events = events;
+        Ok(())
+    }
+
     fn event(&mut self, data: u64, flags: epoll::EventFlags) {
         if self.core.ears.contains_key(&data) {
             self.accept(Listener(data));
--- a/crates/reactor/tests/sockets.rs
+++ b/crates/reactor/tests/sockets.rs
@@ -16,6 +16,8 @@
     half: usize,
     closed: Vec<(Conn, Closed, u64)>,
     woken: Vec<u64>,
+    /// Bytes that had been read at each waking.
+    read: Vec<usize>,
     connected: usize,
     flushed: usize,
 }
@@ -58,7 +60,10 @@
         self.seen.borrow_mut().flushed += 1;
     }
     fn woken(&mut self, _: Micros, _: &mut dyn Wire, wake: Wake) {
-        self.seen.borrow_mut().woken.push(wake.0);
+        let mut seen = self.seen.borrow_mut();
+        let read = seen.bytes;
+        seen.woken.push(wake.0);
+        seen.read.push(read);
     }
 }
 
@@ -165,3 +170,25 @@
     }
     assert!(refused > 0 && seen.borrow().bytes <= 64 * 1024, "only the first piece was read");
 }
+
+// Guards against timers that fire before what waits in sockets is read, where the process stood still.
+#[test]
+fn what_waits_is_read_before_late_timers() {
+    let other: Rc<RefCell<Option<TcpStream>>> = Rc::default();
+    let held = other.clone();
+    let act = Box::new(move |wire: &mut dyn Wire, _: Conn, _: &[u8]| {
+        if let Some(mut other) = held.take() {
+            wire.wake_at(0, Wake(1));
+            other.write_all(b"meanwhile").expect("it reads");
+            // The process stands still between two lines.
+            std::thread::sleep(Duration::from_millis(120));
+        }
+    });
+    let (mut reactor, seen) = probe(4, |_, _| {}, act);
+    let mut first = client(&seen);
+    *other.borrow_mut() = Some(client(&seen));
+    until(&mut reactor, || seen.borrow().conns.len() == 2);
+    first.write_all(b"go").expect("it reads");
+    until(&mut reactor, || !seen.borrow().woken.is_empty());
+    assert_eq!(seen.borrow().read, [b"go".len() + b"meanwhile".len()]);
+}
