--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -30,6 +30,12 @@
         routers: u64,
         #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u64).range(4..=100))]
         workers: u64,
+        /// Routers that are killed and started again.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(0..=20))]
+        die: u64,
+        /// The routers know of each other and count those that are there.
+        #[arg(long)]
+        fleet: bool,
         /// Breaks a rule on purpose: lost-answer, double-answer, effect-twice, send-to-drained,
         /// push-cold-over.
         #[arg(long)]
@@ -121,9 +127,9 @@
 }
 
 pub fn run(which: Which) -> ExitCode {
-    let (seed, routers, workers, plant, json, keep) = match which {
-        Which::BadDay { seed, routers, workers, plant, json, keep } => {
-            (seed, routers, workers, plant, json, keep)
+    let (seed, routers, workers, die, fleet, plant, json, keep) = match which {
+        Which::BadDay { seed, routers, workers, die, fleet, plant, json, keep } => {
+            (seed, routers, workers, die, fleet, plant, json, keep)
         }
         Which::RetryStorm { .. } => return storm_drill(which),
         Which::Chains { .. } => return chains_drill(which),
@@ -142,7 +148,8 @@
         }
     };
     let (routers, workers) = (routers as usize, workers as usize);
-    let plan = Plan { program, seed, routers, workers, plant, through: None };
+    let die = die as usize;
+    let plan = Plan { program, seed, routers, workers, plant, through: None, die, fleet };
     let own = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
     let folder = keep.clone().unwrap_or(own.clone());
     let mut progress = |line: &str| {
@@ -193,7 +200,7 @@
         }
     };
     let Ok(program) = std::env::current_exe() else { return wrong };
-    let plan = Plan { program, seed, routers: 2, workers: 6, plant, through: None };
+    let plan = Plan { program, seed, routers: 2, workers: 6, plant, through: None, die: 1, fleet: false };
     let folder = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
     let mut broken = false;
     for load in &loads {
@@ -270,7 +277,16 @@
     let Ok(program) = std::env::current_exe() else { return wrong };
     let asked = |scene: &&&str| fault.is_empty() || fault.iter().any(|f| f == **scene);
     let scenes: Vec<&'static str> = members::SCENES.iter().filter(asked).copied().collect();
-    let plan = Plan { program, seed, routers: routers as usize, workers: 0, plant, through: None };
+    let plan = Plan {
+        program,
+        seed,
+        routers: routers as usize,
+        workers: 0,
+        plant,
+        through: None,
+        die: 1,
+        fleet: false,
+    };
     let own = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
     let folder = keep.clone().unwrap_or(own.clone());
     let mut progress = |scene: &str| {
@@ -342,7 +358,8 @@
         return wrong;
     }
     let Ok(program) = std::env::current_exe() else { return wrong };
-    let plan = Plan { program, seed, routers: 3, workers: 12, plant: None, through: None };
+    let plan =
+        Plan { program, seed, routers: 3, workers: 12, plant: None, through: None, die: 1, fleet: false };
     let folder = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
     let cut = if cut == "hang" { Cut::Hang } else { Cut::Refuse };
     let plays: &[(&str, bool)] = match damping.as_str() {
--- a/crates/cli/tests/drill.rs
+++ b/crates/cli/tests/drill.rs
@@ -39,6 +39,25 @@
     assert!((1..=6).all(|rule| told.contains(&format!("rule {rule}: held"))), "{told}");
 }
 
+// Cuts of one way and a router that stands still for up to 5 s: nobody who runs is removed, accused or lost.
+#[test]
+fn members_are_not_wrong_about_each_other() {
+    let out = drill(&["members", "--seed", "7", "--routers", "12", "--fault", "one-way", "--fault", "stop"]);
+    let told = String::from_utf8_lossy(&out.stdout);
+    assert_eq!(out.status.code(), Some(0), "{told}\n{}", String::from_utf8_lossy(&out.stderr));
+}
+
+#[test_case("no-refute", "stop", "12")]
+#[test_case("lone-accuser", "one-voice", "20")]
+#[test_case("timer-after-pause", "stop", "12")]
+#[test_case("old-incarnation", "stop", "12")]
+fn a_guard_taken_out_is_named(plant: &str, fault: &str, routers: &str) {
+    let out = drill(&["members", "--seed", "7", "--routers", routers, "--fault", fault, "--plant", plant]);
+    let told = String::from_utf8_lossy(&out.stdout);
+    assert_eq!(out.status.code(), Some(1), "{told}");
+    assert!(told.lines().any(|line| line.contains("as with:") && line.contains(plant)), "{told}");
+}
+
 // Nothing that runs once runs twice over kills, and each chain has its answer or is on record.
 #[test]
 fn chains_over_kills() {
@@ -75,6 +94,8 @@
 #[test_case(&["retry-storm", "--ignore", "1.5"], "a share from 0 to 1 is wanted"; "more than all")]
 #[test_case(&["chains", "--load", "0"], "--load 0: a number from 0.05 to 20"; "no load")]
 #[test_case(&["chains", "--plan", "/no/such.hcl"], "/no/such.hcl: "; "no plan")]
+#[test_case(&["members", "--fault", "tea"], "[possible values: kill, loss"; "unknown fault")]
+#[test_case(&["members", "--plant", "tea"], "[possible values: no-refute"; "unknown guard")]
 #[test_case(&["bad-day", "--sead", "7"], "unexpected argument '--sead'"; "misspelt")]
 fn wrong_usage(words: &[&str], told: &str) {
     let out = drill(words);
--- a/crates/drill/src/members.rs
+++ b/crates/drill/src/members.rs
@@ -59,21 +59,28 @@
     report: Report,
 }
 
+/// The block by which a router knows of the others.
+pub fn fleet_block(n: usize, ports: &[SocketAddr], key: &Path) -> String {
+    format!(
+        "fleet {{\n name = \"r{n}\"\n zone = \"z{}\"\n listen = \"{}\"\n seeds = [\"{}\", \"{}\"]\n\
+         key_files = [\"{}\"]\n}}\n",
+        n % 2,
+        ports[n],
+        ports[0],
+        ports[ports.len().min(2) - 1],
+        key.display()
+    )
+}
+
 /// Settings of one router of a fleet whose state page is all that is asked of it.
 pub fn settings(n: usize, ports: &[SocketAddr], key: &Path) -> String {
     format!(
         "listen = \"127.0.0.1:0\"\nzones = [\"a\"]\nrouters = {}\n\
          rules {{\n cold_share = 0.2\n warm_within = \"10s\"\n fall_multiple = 2\n fall_span = \"1s\"\n}}\n\
          workload \"book\" {{\n types = [\"book\"]\n effect = \"run-once\"\n start_target = \"5s\"\n\
-         time_limit = \"15s\"\n}}\nworker \"w1\" {{\n address = \"127.0.0.1:9\"\n}}\n\
-         fleet {{\n name = \"r{n}\"\n zone = \"z{}\"\n listen = \"{}\"\n seeds = [\"{}\", \"{}\"]\n\
-         key_files = [\"{}\"]\n}}\n",
+         time_limit = \"15s\"\n}}\nworker \"w1\" {{\n address = \"127.0.0.1:9\"\n}}\n{}",
         ports.len(),
-        n % 2,
-        ports[n],
-        ports[0],
-        ports[1],
-        key.display()
+        fleet_block(n, ports, key)
     )
 }
 
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -1,6 +1,7 @@
 //! Plays a bad day: stand-ins in this process, each router in one of its own.
 use crate::audit::{Effect, Terms, Verdict, judge};
 use crate::day::{self, Day};
+use crate::members::{fleet_block, ports};
 use applepond_reactor::{Micros, Reactor};
 use applepond_standins::client::{Client, Got, Results};
 use applepond_standins::hosts::Hosts;
@@ -25,6 +26,10 @@
 const FETCH: Micros = 150_000;
 const FETCHES: usize = 24;
 
+/// µs of the day between which several routers are dead: the wave and the lost hall fall in between, and it
+/// is long enough to be known.
+const DEAD: (Micros, Micros) = (4_000_000, 19_000_000);
+
 pub struct Plan {
     /// The program that serves; it takes `serve --settings FILE`.
     pub program: PathBuf,
@@ -35,6 +40,9 @@
     pub plant: Option<String>,
     /// Where the routers of a fleet send their datagrams, instead of to each other.
     pub through: Option<SocketAddr>,
+    /// Routers of the bad day that die and come back, and whether the others learn of it.
+    pub die: usize,
+    pub fleet: bool,
 }
 
 pub struct Report {
@@ -117,7 +125,11 @@
     hosts.silence = day.silence;
     reactor.add(Box::new(hosts));
     let mut routers = Vec::new();
+    let key = folder.join("key");
+    std::fs::write(&key, format!("the secret of a drill's fleet, {}\n", plan.seed)).map_err(told)?;
+    let ports = ports(plan.routers).map_err(told)?;
     for me in 0..plan.routers {
+        let more = if plan.fleet { fleet_block(me, &ports, &key) } else { String::new() };
         let text = Day::settings(
             me,
             plan.routers,
@@ -126,7 +138,7 @@
             hosts_at,
             4_000_000,
             day::IMPORTANCE,
-            "",
+            &more,
         );
         let file = folder.join(format!("router-{me}.hcl"));
         std::fs::write(&file, text).map_err(told)?;
@@ -136,7 +148,10 @@
     let addresses: Rc<RefCell<Vec<SocketAddr>>> = Rc::new(RefCell::new(addresses));
     let (client, results) = Client::new(day.jobs.clone(), addresses.clone(), ledger.clone());
     reactor.add(Box::new(client));
-    let (killed, from, until) = day.kill;
+    let (killed, mut from, mut until) = day.kill;
+    if plan.die > 1 {
+        (from, until) = (begin + DEAD.0, begin + DEAD.1);
+    }
     let mut kills = Vec::new();
     let (mut told_at, mut story) = (0, day.story.iter().peekable());
     let end = begin + day::LENGTH + TAIL;
@@ -144,22 +159,26 @@
         reactor.turn(Duration::from_millis(20)).map_err(|e| format!("epoll: {e}"))?;
         let now = reactor.now();
         if now >= from && kills.is_empty() {
-            // Outright, with whatever it holds.
-            let router = routers[killed].take();
-            let settings = router.as_ref().map(|r| (r.settings.clone(), r.at));
-            drop(router);
-            kills.push((killed as u64, now, until));
-            if let Some((settings, at)) = settings {
-                let text = std::fs::read_to_string(&settings).map_err(told)?;
+            // Outright, with whatever they hold.
+            for n in (0..plan.die).map(|k| (killed + k) % plan.routers) {
+                let Some(router) = routers[n].take() else { continue };
+                let (settings, at) = (&router.settings, router.at);
+                kills.push((n as u64, now, until));
+                let text = std::fs::read_to_string(settings).map_err(told)?;
                 let text = text
                     .lines()
                     .map(|l| if l.starts_with("listen") { format!("listen = \"{at}\"") } else { l.into() });
-                std::fs::write(&settings, text.collect::<Vec<_>>().join("\n")).map_err(told)?;
+                std::fs::write(settings, text.collect::<Vec<_>>().join("\n")).map_err(told)?;
             }
         }
-        if now >= until && routers[killed].is_none() {
-            routers[killed] = Some(start(plan, folder.join(format!("router-{killed}.hcl")))?);
-            kills[0].2 = reactor.now();
+        if now >= until {
+            for (n, _, back) in &mut kills {
+                let router = &mut routers[*n as usize];
+                if router.is_none() {
+                    *router = Some(start(plan, folder.join(format!("router-{n}.hcl")))?);
+                    *back = reactor.now();
+                }
+            }
         }
         if let Some((_, what)) = story.next_if(|(at, _)| *at <= now) {
             progress(&format!("{:5.1} s  {what}", now.saturating_sub(begin) as f64 / 1e6));
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -218,3 +218,75 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use applepond_standins::paper::Paper;
+    use test_case::test_case;
+
+    const BEGIN: Micros = 1_000_000_000;
+
+    fn key(secret: &[u8]) -> Key {
+        Key::from_secret(secret).expect("long enough")
+    }
+
+    fn fleet(name: &str, port: u16, seed: u16, secret: &[u8]) -> (Fleet, Rc<RefCell<View>>) {
+        let at = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let who = (name.to_owned(), "z".to_owned(), at(port));
+        Fleet::new(BEGIN, who, vec![at(seed)], vec![key(secret)], u64::from(port), (None, Guards::ALL))
+    }
+
+    /// Fires what is due by then.
+    fn pass(fleet: &mut Fleet, wire: &mut Paper, until: Micros) {
+        while let Some((at, wake)) = wire.due(until) {
+            fleet.woken(at, wire, wake);
+        }
+    }
+
+    // Short of descriptors, or a kernel that takes nothing: the process goes on, and says so.
+    #[test_case(3, false, 0; "no descriptor for three seconds")]
+    #[test_case(0, true, 1; "a socket that refuses to send")]
+    fn goes_on_without(no_posts: usize, refuses: bool, least: u64) {
+        let mut wire = Paper::default();
+        wire.no_posts = no_posts;
+        let (mut fleet, view) = fleet("a", 1, 2, b"a secret of some length");
+        fleet.start(BEGIN, &mut wire);
+        if refuses {
+            wire.stuck.insert(fleet.post.expect("open"));
+        }
+        pass(&mut fleet, &mut wire, BEGIN + 10_000_000);
+        let page = page(&view.borrow(), BEGIN + 10_000_000);
+        assert_eq!(page["live"], 1);
+        assert!(page["datagrams"]["not-taken"].as_u64() >= Some(least));
+        assert_eq!(wire.datagrams.is_empty(), refuses, "and sends once it can");
+    }
+
+    // Keys are changed while the process runs: what only the old one sealed is foreign from then on.
+    #[test]
+    fn other_keys() {
+        let (old, new) = (&b"a secret of some length"[..], &b"another secret as long"[..]);
+        let (mut wire, mut others) = (Paper::default(), Paper::default());
+        let ((mut one, view), (mut other, others_view)) = (fleet("a", 1, 2, old), fleet("b", 2, 1, old));
+        one.start(BEGIN, &mut wire);
+        other.start(BEGIN, &mut others);
+        let told = |one: &mut Fleet, wire: &mut Paper, others: &mut Paper, at: Micros| {
+            for (conn, _, bytes) in std::mem::take(&mut others.datagrams) {
+                one.told(at, wire, conn, &bytes);
+            }
+        };
+        pass(&mut other, &mut others, BEGIN + 1_000_000);
+        told(&mut one, &mut wire, &mut others, BEGIN + 1_000_000);
+        assert_eq!(page(&view.borrow(), BEGIN)["members"].as_array().map(Vec::len), Some(2));
+        let seeds = vec![SocketAddr::from(([127, 0, 0, 1], 2))];
+        view.borrow_mut().renew(seeds.clone(), vec![key(new)]);
+        pass(&mut other, &mut others, BEGIN + 2_000_000);
+        told(&mut one, &mut wire, &mut others, BEGIN + 2_000_000);
+        let foreign = page(&view.borrow(), BEGIN)["datagrams"]["dropped"]["foreign"].as_u64();
+        assert!(foreign >= Some(1));
+        others_view.borrow_mut().renew(seeds, vec![key(new)]);
+        pass(&mut other, &mut others, BEGIN + 3_000_000);
+        told(&mut one, &mut wire, &mut others, BEGIN + 3_000_000);
+        assert_eq!(page(&view.borrow(), BEGIN)["datagrams"]["dropped"]["foreign"].as_u64(), foreign);
+    }
+}
--- a/crates/members/tests/common/mod.rs
+++ b/crates/members/tests/common/mod.rs
@@ -38,6 +38,8 @@
     events: BTreeMap<(u64, u64), Event>,
     next: u64,
     births: u64,
+    /// Taken off the first incarnation of those that start: the system's clock went back.
+    pub clock_back: u64,
     at: BTreeMap<SocketAddr, usize>,
 }
 
@@ -85,7 +87,8 @@
             rng: Rand64::new(u128::from(seed)),
             events: BTreeMap::new(),
             next: 0,
-            births: 0,
+            births: 100,
+            clock_back: 0,
             at: BTreeMap::new(),
         }
     }
@@ -109,7 +112,13 @@
         self.births += 1;
         let birth = Birth(self.births * 7919 + self.rng.rand_u64() % 1000);
         let zone = format!("z{}", n % 3);
-        let me = Me { name: name.to_owned(), zone, address: at, birth, incarnation: self.births };
+        let me = Me {
+            name: name.to_owned(),
+            zone,
+            address: at,
+            birth,
+            incarnation: self.births - self.clock_back,
+        };
         let members = Members::new(self.now, me, seeds, self.rng.rand_u64());
         self.all.resize_with(self.all.len().max(n + 1), || None);
         self.at.insert(at, n);
--- a/crates/members/tests/paper.rs
+++ b/crates/members/tests/paper.rs
@@ -140,6 +140,20 @@
 }
 
 // Restarted at once under its name and address; the old process' letters come after it.
+// Restarted after the system's clock went back: the others know a higher incarnation and say so, and the new
+// process takes its place under one above it. While a process runs only the monotonic clock counts.
+#[test]
+fn restart_after_the_clock_went_back() {
+    let mut paper = Paper::fleet(5, 8, lossy(0.02));
+    let before = paper.members(2).me().incarnation;
+    paper.kill(2);
+    paper.clock_back = 90;
+    paper.start(2, "r2", address(2), &[0, 1]);
+    assert!(paper.members(2).me().incarnation < before);
+    assert!(paper.until(10 * S, |p| p.one_view(8)));
+    assert!(paper.members(2).me().incarnation > before);
+}
+
 #[test]
 fn restart_within_a_second() {
     let mut paper = Paper::fleet(5, 8, lossy(0.02));
--- a/crates/standins/src/paper.rs
+++ b/crates/standins/src/paper.rs
@@ -24,6 +24,8 @@
     pub answered: BTreeSet<u64>,
     /// Datagrams sent, by their socket.
     pub datagrams: Vec<(Conn, SocketAddr, Vec<u8>)>,
+    /// Sockets for datagrams that the kernel still refuses to open.
+    pub no_posts: usize,
     asked: BTreeMap<Conn, SocketAddr>,
     timers: BTreeSet<(Micros, u64, Wake)>,
 }
@@ -56,6 +58,22 @@
     fn datagram(&mut self, conn: Conn, bytes: &[u8]) {
         self.datagrams.push((conn, self.asked[&conn], bytes.to_vec()));
     }
+    fn post(&mut self, at: SocketAddr) -> std::io::Result<(Conn, SocketAddr)> {
+        match self.no_posts.checked_sub(1) {
+            Some(left) => {
+                self.no_posts = left;
+                Err(std::io::Error::other("no descriptor is left"))
+            }
+            None => Ok((self.number(), at)),
+        }
+    }
+    fn datagram_to(&mut self, conn: Conn, to: SocketAddr, bytes: &[u8]) -> bool {
+        let taken = !self.stuck.contains(&conn);
+        if taken {
+            self.datagrams.push((conn, to, bytes.to_vec()));
+        }
+        taken
+    }
     fn unsent(&self, conn: Conn) -> usize {
         let written = self.written.get(&conn).map_or(0, Vec::len);
         written - self.sent(conn) as usize
