--- a/crates/members/tests/common/mod.rs
+++ b/crates/members/tests/common/mod.rs
@@ -38,6 +38,8 @@
     events: BTreeMap<(u64, u64), Event>,
     next: u64,
     births: u64,
+    /// Of all that start from now on.
+    pub guards: Guards,
     /// Taken off the first incarnation of those that start: the system's clock went back.
     pub clock_back: u64,
     at: BTreeMap<SocketAddr, usize>,
@@ -88,6 +90,7 @@
             events: BTreeMap::new(),
             next: 0,
             births: 100,
+            guards: Guards::ALL,
             clock_back: 0,
             at: BTreeMap::new(),
         }
@@ -95,7 +98,12 @@
 
     /// So many routers, the first three their seeds, after time to find each other.
     pub fn fleet(seed: u64, routers: usize, link: Link) -> Self {
+        Paper::fleet_with(seed, routers, link, Guards::ALL)
+    }
+
+    pub fn fleet_with(seed: u64, routers: usize, link: Link, guards: Guards) -> Self {
         let mut paper = Paper::new(seed, lossy(0.0));
+        paper.guards = guards;
         (0..routers).for_each(|n| paper.start(n, &name(n), address(n), &[0, 1, 2]));
         let settled = |p: &Paper| p.one_view(routers);
         assert!(paper.until(30 * S, settled), "{routers} routers find each other");
@@ -119,7 +127,7 @@
             birth,
             incarnation: self.births - self.clock_back,
         };
-        let members = Members::new(self.now, me, seeds, self.rng.rand_u64());
+        let members = Members::new(self.now, me, seeds, self.rng.rand_u64()).with_guards(self.guards);
         self.all.resize_with(self.all.len().max(n + 1), || None);
         self.at.insert(at, n);
         let due = members.next();
--- a/crates/members/tests/paper.rs
+++ b/crates/members/tests/paper.rs
@@ -127,6 +127,19 @@
 }
 
 // Two under one name: the later one is refused, and both are told.
+// Every seed dead: a newcomer waits, counts itself alone, and joins once one of them is back.
+#[test]
+fn joins_when_a_seed_is_back() {
+    let mut paper = Paper::fleet(4, 5, lossy(0.02));
+    (0..3).for_each(|n| paper.kill(n));
+    assert!(paper.until(10 * S, |p| p.one_view(2)), "three and four go on");
+    paper.start(5, "r5", address(5), &[0, 1, 2]);
+    paper.pass(20 * S);
+    assert_eq!((paper.live(5), paper.members(5).me().standing), (1, Standing::Joining));
+    paper.start(0, "r0", address(0), &[0, 1, 2, 3, 4]);
+    assert!(paper.until(10 * S, |p| p.one_view(4)));
+}
+
 #[test]
 fn two_under_one_name() {
     let mut paper = Paper::fleet(4, 6, lossy(0.02));
@@ -139,7 +152,6 @@
     assert!((0..6).all(|n| paper.live(n) == 6));
 }
 
-// Restarted at once under its name and address; the old process' letters come after it.
 // Restarted after the system's clock went back: the others know a higher incarnation and say so, and the new
 // process takes its place under one above it. While a process runs only the monotonic clock counts.
 #[test]
@@ -154,6 +166,7 @@
     assert!(paper.members(2).me().incarnation > before);
 }
 
+// Restarted at once under its name and address; the old process' letters come after it.
 #[test]
 fn restart_within_a_second() {
     let mut paper = Paper::fleet(5, 8, lossy(0.02));
