budgets: an office in each router, one divides by an agreed term whatever the views say

Change: budgets/src/office.rs joins holder, divider, keeper and proposer; a term is of a process; a router that gets a term back waits as anybody else.

--- a/crates/budgets/src/lib.rs
+++ b/crates/budgets/src/lib.rs
@@ -6,9 +6,11 @@
 //! docs/budgets.md.
 mod divider;
 mod holder;
+mod office;
 
 pub use divider::{Divider, fair};
 pub use holder::Holder;
+pub use office::{Office, Orders, Place, Term};
 
 use applepond::interface::Micros;
 
@@ -20,6 +22,10 @@
 pub const RENEW: Micros = 400_000;
 /// µs for which a divider may give after it began to have its term confirmed.
 pub const AUTHORITY: Micros = 2_000_000;
+/// µs between two confirmations of a term: three may fail within its authority.
+pub const CONFIRM: Micros = 500_000;
+/// µs for which nobody who divides is heard of before a keeper's router takes over, and more by chance.
+pub const TAKE_OVER: Micros = 1_500_000;
 /// Part by which a µs of one machine may be longer than that of another: ten times what quartz does.
 pub const DRIFT: f64 = 0.001;
 /// Asks of which a holder remembers when it sent them: more than can be under way within a lease.
@@ -67,8 +73,7 @@
     pub looks_when_spent: bool,
     /// A part that moves brings no tokens along.
     pub mints_nothing: bool,
-    /// A divider gives only while its term was confirmed lately, and a new one waits for the leases of the one
-    /// before.
+    /// A divider gives only while its term was confirmed lately; a new one waits for the leases before it.
     pub one_divides: bool,
 }
 
