record: a keeper's votes on disk

Checked: cut every 4 kB (torn, or the last vote, never an earlier one), each write failing in turn, restart, another fleet's file.

--- /dev/null
+++ b/crates/record/src/fails.rs
@@ -0,0 +1,36 @@
+//! A store that is full from some write on, for tests.
+use redb::StorageBackend;
+use redb::backends::InMemoryBackend;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Fails from its Nth write on, and keeps what was written before.
+#[derive(Debug)]
+pub struct Fails {
+    pub inner: Arc<InMemoryBackend>,
+    pub left: Arc<AtomicU64>,
+}
+
+impl StorageBackend for Fails {
+    fn len(&self) -> Result<u64, io::Error> {
+        self.inner.len()
+    }
+    fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), io::Error> {
+        self.inner.read(offset, out)
+    }
+    fn set_len(&self, len: u64) -> Result<(), io::Error> {
+        self.inner.set_len(len)
+    }
+    fn sync_data(&self) -> Result<(), io::Error> {
+        self.inner.sync_data()
+    }
+    fn write(&self, offset: u64, data: &[u8]) -> Result<(), io::Error> {
+        let left = self.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(1));
+        left.map_err(|_| io::Error::other("no space left"))?;
+        self.inner.write(offset, data)
+    }
+    fn close(&self) -> Result<(), io::Error> {
+        Ok(())
+    }
+}
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -1,12 +1,18 @@
-//! What chains came to, step by step, kept on disk over the end of the process.
+//! What chains came to, step by step, kept on disk over the end of the process; and the votes of a keeper
+//! (`votes`).
 //!
 //! A step with an effect is written down before it is sent, in the same transaction as what is known of the
 //! steps before it; ends are written with the next such step, or a moment later. So a step on record
 //! without an end may have run, and one that is not on record has not. `docs/chains.md` weighs the ways.
 pub mod disk;
+#[cfg(test)]
+mod fails;
 pub mod kept;
+pub mod votes;
 
 pub use disk::Disk;
+pub use votes::VoteFile;
+
 pub use kept::{Kept, KeptAnswer, KeptEnd, KeptStep, resumed};
 
 /// Chains on record at most: beyond it no chain with an effect is begun. At 2 kB each it is 400 MB.
--- /dev/null
+++ b/crates/record/src/votes.rs
@@ -0,0 +1,137 @@
+//! A keeper's vote on disk, in a `redb` file of its own: there as a whole once it is said to be kept.
+use applepond_accord::{Trouble, Vote, Votes};
+use redb::{Database, ReadableDatabase, TableDefinition};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::path::Path;
+
+/// The one vote, under its number of form.
+const VOTE: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("vote");
+/// How the vote is written; another one is not read.
+const FORM: u64 = 1;
+
+pub struct VoteFile(Database);
+
+impl VoteFile {
+    /// Opens the file, or makes it, and reads the vote that it holds: none where it is new. A file that is
+    /// not one of votes, was cut or written over is torn.
+    pub fn open<V: DeserializeOwned>(file: &Path) -> Result<(Self, Option<Vote<V>>), Trouble> {
+        Self::with(Database::create(file).map_err(|_| Trouble::Torn)?)
+    }
+
+    fn with<V: DeserializeOwned>(database: Database) -> Result<(Self, Option<Vote<V>>), Trouble> {
+        let torn = |_: redb::Error| Trouble::Torn;
+        let begun = database.begin_write().map_err(|e| torn(e.into()))?;
+        begun.open_table(VOTE).map_err(|e| torn(e.into()))?;
+        begun.commit().map_err(|e| torn(e.into()))?;
+        let read = database.begin_read().map_err(|e| torn(e.into()))?;
+        let table = read.open_table(VOTE).map_err(|e| torn(e.into()))?;
+        let bytes = table.get(FORM).map_err(|e| torn(e.into()))?;
+        let vote = bytes.map(|b| postcard::from_bytes(b.value()).map_err(|_| Trouble::Torn)).transpose()?;
+        Ok((VoteFile(database), vote))
+    }
+
+    fn put(&self, bytes: &[u8]) -> Result<(), redb::Error> {
+        let write = self.0.begin_write()?;
+        write.open_table(VOTE)?.insert(FORM, bytes)?;
+        // Durable at once is the library's default: it returns after the disk has it.
+        write.commit()?;
+        Ok(())
+    }
+}
+
+impl<V: Serialize> Votes<V> for VoteFile {
+    fn keep(&mut self, vote: &Vote<V>) -> Result<(), Trouble> {
+        let bytes = postcard::to_stdvec(vote).map_err(|_| Trouble::NotWritten)?;
+        self.put(&bytes).map_err(|_| Trouble::NotWritten)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::fails::Fails;
+    use applepond_accord::{Ballot, Keeper};
+    use redb::backends::InMemoryBackend;
+    use std::sync::Arc;
+    use std::sync::atomic::{AtomicU64, Ordering};
+
+    const FLEET: u64 = 3;
+
+    fn ballot(round: u64) -> Ballot {
+        Ballot { round, by: 1 }
+    }
+
+    #[test]
+    fn kept_over_a_restart() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join("votes");
+        let (mut disk, found) = VoteFile::open::<String>(&file).expect("a new file");
+        let mut keeper = Keeper::new(FLEET, Ok(found));
+        assert_eq!(keeper.accept(ballot(4), "term".to_owned(), &mut disk), Some(Ok(())));
+        drop(disk);
+        let (mut disk, found) = VoteFile::open::<String>(&file).expect("opened again");
+        let mut keeper = Keeper::new(FLEET, Ok(found.clone()));
+        assert_eq!(keeper.promise(ballot(3), &mut disk), Some(Err(ballot(4))), "it knows its word");
+        assert_eq!(Keeper::new(FLEET + 1, Ok(found)).trouble(), Some(Trouble::Foreign));
+    }
+
+    // Cut anywhere, the file is torn, or holds the last vote: an earlier one would be a broken word.
+    #[test]
+    fn a_file_that_was_cut() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (file, cut) = (folder.path().join("votes"), folder.path().join("cut"));
+        let (mut disk, _) = VoteFile::open::<String>(&file).expect("a new file");
+        let mut keeper = Keeper::new(FLEET, Ok(None));
+        for round in 1..=40 {
+            assert!(keeper.accept(ballot(round), "x".repeat(200), &mut disk).is_some());
+        }
+        drop(disk);
+        let whole = std::fs::read(&file).expect("read");
+        let mut torn = 0;
+        for at in (1..whole.len()).step_by(4_096) {
+            std::fs::write(&cut, &whole[..at]).expect("written");
+            match VoteFile::open::<String>(&cut) {
+                Ok((_, found)) => assert_eq!(found.as_ref(), Some(keeper.vote()), "cut at {at}"),
+                Err(trouble) => torn += usize::from(trouble == Trouble::Torn),
+            }
+        }
+        assert!(torn > 10, "{torn}");
+        std::fs::write(&cut, "certainly no votes ".repeat(1_000)).expect("written");
+        assert_eq!(VoteFile::open::<String>(&cut).err(), Some(Trouble::Torn));
+    }
+
+    // Whichever write fails: what was told is there afterwards, and the keeper has said why it stopped.
+    #[test]
+    fn whichever_write_fails() {
+        let mut stopped = 0;
+        for n in 0.. {
+            let inner = Arc::new(InMemoryBackend::new());
+            let left = Arc::new(AtomicU64::new(u64::MAX));
+            let on = |left: &Arc<AtomicU64>| {
+                let backend = Fails { inner: inner.clone(), left: left.clone() };
+                let database = Database::builder().create_with_backend(backend).expect("a store");
+                VoteFile::with::<String>(database).expect("a table")
+            };
+            let (mut disk, _) = on(&left);
+            let mut keeper = Keeper::new(FLEET, Ok(None));
+            left.store(n, Ordering::Relaxed);
+            let told = (1..=5)
+                .take_while(|round| keeper.accept(ballot(*round), round.to_string(), &mut disk).is_some());
+            let told = told.count() as u64;
+            let trouble = (told < 5).then_some(Trouble::NotWritten);
+            assert_eq!(keeper.trouble(), trouble, "write {n}");
+            left.store(0, Ordering::Relaxed);
+            drop(disk);
+            let (_, found) = on(&Arc::new(AtomicU64::new(u64::MAX)));
+            let round = found.map_or(0, |vote| vote.promised.round);
+            // A vote whose writing failed may be there: nobody was told of it.
+            assert!((told..=told + 1).contains(&round), "write {n}: {told} told, {round} found");
+            stopped += usize::from(told < 5);
+            if told == 5 {
+                break;
+            }
+        }
+        assert!(stopped > 5, "{stopped}");
+    }
+}
