--- a/crates/budgets/src/lib.rs
+++ b/crates/budgets/src/lib.rs
@@ -6,6 +6,7 @@
 //! docs/budgets.md.
 mod divider;
 mod holder;
+pub mod letter;
 mod office;
 
 pub use divider::{Divider, fair};
--- /dev/null
+++ b/crates/budgets/tests/common/mod.rs
@@ -0,0 +1,231 @@
+//! Offices on a paper network, three of them keepers; the sum of what is in force is judged at each step.
+#![allow(dead_code)] // each table of cases uses its own part
+use applepond_accord::{Keeper, Trouble, Vote, Votes};
+use applepond_budgets::letter::{Written, read};
+use applepond_budgets::*;
+use applepond_members::{Birth, RouterId};
+use oorandom::Rand64;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+pub const MS: u64 = 1_000;
+pub const S: u64 = 1_000_000;
+pub const STEP: u64 = 10 * MS;
+pub const UNIT: u64 = 1_000_000;
+pub const KEEPERS: usize = 3;
+pub const FLEET: u64 = 9;
+/// 1,000 units a second; a fifth of it is floors.
+pub const WHOLE: Amount = 1_000 * UNIT;
+
+#[derive(Default)]
+pub struct Disk(pub Option<Vote<Term>>);
+
+impl Votes<Term> for Disk {
+    fn keep(&mut self, vote: &Vote<Term>) -> Result<(), Trouble> {
+        self.0 = Some(vote.clone());
+        Ok(())
+    }
+}
+
+pub struct Process {
+    pub office: Office,
+    pub begins: u64,
+    pub rate: f64,
+    pub stopped: u64,
+    pub runs: bool,
+    pub mail: VecDeque<Vec<u8>>,
+    pub disk: Disk,
+    owed: f64,
+    /// Since when it has not been heard by the others, who take it for gone after a while.
+    pub silent: Option<u64>,
+}
+
+pub struct World {
+    pub now: u64,
+    pub rng: Rand64,
+    pub all: Vec<Process>,
+    pub net: BTreeMap<(u64, u64), (usize, Vec<u8>)>,
+    pub cut: BTreeSet<(usize, usize)>,
+    pub lost: f64,
+    /// Everybody takes everybody else for gone.
+    pub deluded: bool,
+    /// Demand moves from all to one and back.
+    pub moves: bool,
+    /// Units a second that each would spend, instead.
+    pub wants: Vec<f64>,
+    /// Units spent so far, and letters sent.
+    pub spent: u64,
+    pub letters: u64,
+    pub next: u64,
+    pub births: u64,
+}
+
+pub fn row(routers: usize) -> Row {
+    Row { whole: WHOLE, floor: WHOLE / 5 / routers as u64 }
+}
+
+pub fn name(n: usize) -> RouterId {
+    RouterId(n as u64)
+}
+
+pub fn office(now: u64, (n, routers): (usize, usize), birth: u64, found: Option<Vote<Term>>) -> Office {
+    let row = row(routers);
+    let place = Place {
+        name: name(n),
+        birth: Birth(birth),
+        keepers: (0..KEEPERS).map(name).collect(),
+        routers: routers as u64,
+        rows: vec![row],
+    };
+    Office::new(now, place, (n < KEEPERS).then(|| Keeper::new(FLEET, Ok(found))), birth)
+}
+
+impl World {
+    pub fn new(seed: u64, routers: usize) -> Self {
+        let mut rng = Rand64::new(u128::from(seed));
+        let all = (0..routers).map(|n| {
+            let (begins, rate) = (rng.rand_range(0..1 << 40), 1.0 + rng.rand_float() * DRIFT * 0.9);
+            let office = office(begins, (n, routers), n as u64 + 1, None);
+            let (mail, disk) = (VecDeque::new(), Disk::default());
+            Process { office, begins, rate, stopped: 0, runs: true, mail, disk, owed: 0.0, silent: None }
+        });
+        let all = all.collect();
+        let (net, cut) = (BTreeMap::new(), BTreeSet::new());
+        World {
+            now: 0,
+            rng,
+            all,
+            net,
+            cut,
+            lost: 0.0,
+            deluded: false,
+            moves: false,
+            wants: Vec::new(),
+            spent: 0,
+            letters: 0,
+            next: 0,
+            births: routers as u64,
+        }
+    }
+
+    pub fn clock(&self, n: usize) -> u64 {
+        self.all[n].begins + (self.now as f64 * self.all[n].rate) as u64
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.all[n].runs = false;
+        self.all[n].mail.clear();
+    }
+
+    /// Starts again under its name, with what its disk holds.
+    pub fn start(&mut self, n: usize) {
+        self.births += 1;
+        let (now, found) = (self.clock(n), self.all[n].disk.0.clone());
+        self.all[n].office = office(now, (n, self.all.len()), self.births, found);
+        (self.all[n].runs, self.all[n].stopped) = (true, 0);
+    }
+
+    pub fn stop(&mut self, n: usize, time: u64) {
+        self.all[n].stopped = self.now + time;
+    }
+
+    /// What each takes for there: right about 3 s late, and wrong now and then.
+    pub fn live(&mut self) -> Vec<bool> {
+        let now = self.now;
+        for process in &mut self.all {
+            let there = process.runs && process.stopped <= now;
+            process.silent = if there { None } else { process.silent.or(Some(now)) };
+        }
+        let gone = |p: &Process| p.silent.is_some_and(|since| now > since + 3 * S);
+        let wrong: Vec<bool> =
+            (0..self.all.len()).map(|_| self.lost > 0.0 && self.rng.rand_float() < 0.01).collect();
+        self.all.iter().zip(wrong).map(|(p, wrong)| gone(p) == wrong).collect()
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP;
+        let live = self.live();
+        let live = |of: RouterId| live[of.0 as usize] && !self.deluded;
+        while let Some(entry) = self.net.first_entry().filter(|e| e.key().0 <= self.now) {
+            let (to, letter) = entry.remove();
+            if self.all[to].runs && self.all[to].mail.len() < 200 {
+                self.all[to].mail.push_back(letter);
+            }
+        }
+        let routers = self.all.len();
+        for n in 0..routers {
+            let now = self.clock(n);
+            let process = &mut self.all[n];
+            if !process.runs || process.stopped > self.now {
+                continue;
+            }
+            let turn = (self.now / (2 * S)) as usize;
+            // All want more than their part, or one alone wants all there is, in turn.
+            let wants = match (self.wants.get(n), self.moves && turn % 2 == 1) {
+                (Some(wants), _) => *wants,
+                (None, true) if turn * 7 % routers == n => 1_200.0,
+                (None, true) => 0.0,
+                (None, false) => 8_000.0 / routers as f64,
+            };
+            process.owed += wants * STEP as f64 / S as f64;
+            while process.owed >= 1.0 {
+                process.owed -= 1.0;
+                self.spent += u64::from(process.office.holder.spend(now, 0, UNIT));
+            }
+            let mut out = Written::by(name(n));
+            let Process { office, mail, disk, .. } = process;
+            for letter in std::mem::take(mail) {
+                read(&letter, now, office, disk, &live, &mut out).expect("whole");
+            }
+            if now >= office.next() {
+                office.wake(now, &live, &mut out);
+            }
+            for (to, letter) in out.letters {
+                let to = to.0 as usize;
+                self.letters += 1;
+                if self.cut.contains(&(n, to)) || self.rng.rand_float() < self.lost {
+                    continue;
+                }
+                let late = self.lost > 0.0 && self.rng.rand_float() < 0.02;
+                let takes =
+                    if late { self.rng.rand_range(0..60 * S) } else { MS + self.rng.rand_range(0..20 * MS) };
+                for _ in 0..1 + usize::from(self.lost > 0.0 && self.rng.rand_float() < 0.05) {
+                    self.next += 1;
+                    self.net.insert((self.now + takes, self.next), (to, letter.clone()));
+                }
+            }
+        }
+        let sum = self.sum();
+        assert!(sum <= WHOLE, "{:.2} s: parts of {} units", self.now as f64 / S as f64, sum / UNIT);
+    }
+
+    pub fn sum(&self) -> Amount {
+        let part =
+            |n: usize| if self.all[n].runs { self.all[n].office.holder.part(self.clock(n), 0) } else { 0 };
+        (0..self.all.len()).map(part).sum()
+    }
+
+    pub fn dividers(&self) -> Vec<usize> {
+        (0..self.all.len())
+            .filter(|n| self.all[*n].runs && self.all[*n].office.is_divider(self.clock(*n)))
+            .collect()
+    }
+
+    pub fn pass(&mut self, time: u64) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// µs until this part of the whole is in force.
+    pub fn until(&mut self, part: u64, most: u64) -> Option<u64> {
+        let begun = self.now;
+        while self.now < begun + most {
+            self.step();
+            if self.sum() >= WHOLE * part / 100 {
+                return Some(self.now - begun);
+            }
+        }
+        None
+    }
+}
