--- a/crates/budgets/src/holder.rs
+++ b/crates/budgets/src/holder.rs
@@ -29,7 +29,7 @@
         let held = if guards.looks_when_spent { held } else { now - self.at };
         let of = |part: Amount, time: Micros| (u128::from(part) * u128::from(time) / 1_000_000) as u64;
         let came = of(self.row.floor, now - self.at) + of(self.extra, held);
-        self.tokens = (self.tokens + came).min(of(self.part(now, guards), BURST));
+        self.tokens = (self.tokens + came).min(of(self.part(now, guards), BURST).max(LEAST));
         self.at = now;
     }
 }
