--- a/crates/budgets/benches/office.rs
+++ b/crates/budgets/benches/office.rs
@@ -1,5 +1,5 @@
 //! Leases beside the even division on the paper network: how much of the whole is used over time, how long a
-//! new division takes, what it costs; and what one spend costs. The last word, where it ends in `.svg`, is a
+//! new division takes, what it costs; and what one spend costs. A word that ends in `.svg` is a
 //! file for the chart. `cargo bench -p applepond-budgets --bench office -- docs/x.svg`.
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -78,7 +78,7 @@
     let many = 10_000_000u64;
     let spent = (0..many).filter(|n| holder.spend(black_box(n * 100), 0, UNIT)).count();
     println!("a spend: {:.1} ns ({spent} of {many})", begun.elapsed().as_nanos() as f64 / many as f64);
-    if let Some(file) = std::env::args().last().filter(|w| w.ends_with(".svg")) {
+    if let Some(file) = std::env::args().find(|w| w.ends_with(".svg")) {
         chart(&plays, &file).expect("a chart");
     }
 }
--- a/crates/members/benches/paper.rs
+++ b/crates/members/benches/paper.rs
@@ -1,5 +1,5 @@
 //! Fleets on the paper network beside two plain ways: the same machine with one accuser and no local health,
-//! and heartbeats from all to all with a fixed time. Prints tables; the last word, where it ends in `.svg`,
+//! and heartbeats from all to all with a fixed time. Prints tables; a word that ends in `.svg`
 //! is a file for the chart. `cargo bench -p applepond-members --bench paper -- 20 300 docs/x.svg`.
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -33,7 +33,7 @@
 impl Fault {
     fn takes(&self, a: usize, b: usize, rng: &mut Rand64) -> Option<u64> {
         let late = if self.delay > 0 { 200 * MS + rng.rand_range(0..self.delay) * MS } else { 0 };
-        let cut = self.cut && (a + 2 * b) % 8 == 0 && (b + 2 * a) % 8 != 0;
+        let cut = self.cut && (a + 2 * b).is_multiple_of(8) && !(b + 2 * a).is_multiple_of(8);
         (!cut && rng.rand_float() >= self.lost).then(|| late + 200 + rng.rand_range(0..800))
     }
 
@@ -169,7 +169,7 @@
             rows.push((format!("{routers}: {}", fault.name), ways.map(|n| n as f64)));
         }
     }
-    if let Some(file) = words.last().filter(|w| w.ends_with(".svg")) {
+    if let Some(file) = words.iter().find(|w| w.ends_with(".svg")) {
         chart(&rows, file).expect("a chart");
     }
 }
