--- a/crates/budgets/src/office.rs
+++ b/crates/budgets/src/office.rs
@@ -69,6 +69,7 @@
     divides: Option<RouterId>,
     heard: Micros,
     rng: Rand64,
+    guards: Guards,
 }
 
 impl Office {
@@ -93,9 +94,17 @@
             heard: now,
             place,
             rng,
+            guards: Guards::ALL,
         }
     }
 
+    /// The same with these guards alone, for tests and drills.
+    pub fn with_guards(mut self, guards: Guards) -> Self {
+        self.holder = self.holder.with_guards(guards);
+        self.guards = guards;
+        self
+    }
+
     /// This router divides now.
     pub fn is_divider(&self, now: Micros) -> bool {
         self.divider.as_ref().is_some_and(|d| d.divides(now))
@@ -183,6 +192,14 @@
         }
     }
 
+    /// New settings: a whole or floor that shrinks does so here at once, and is given out less if this one
+    /// divides. As many budgets as before.
+    pub fn switch(&mut self, now: Micros, rows: &[Row], routers: u64) {
+        (self.place.rows, self.place.routers) = (rows.to_vec(), routers);
+        self.holder.switch(now, rows);
+        self.divider.iter_mut().for_each(|d| d.switch(rows, routers));
+    }
+
     /// What its keeper holds; for the state page.
     pub fn vote(&self) -> Option<&Vote<Term>> {
         self.keeper.as_ref().map(Keeper::vote)
@@ -230,7 +247,7 @@
         self.next_try = now + CONFIRM;
         (self.divides, self.heard) = (Some(self.place.name), now);
         // Since when the term is its own: from the first time that it was known to be written.
-        let new = || Divider::new(now, &self.place.rows, self.place.routers);
+        let new = || Divider::new(now, &self.place.rows, self.place.routers).with_guards(self.guards);
         self.divider.get_or_insert_with(new).confirmed(self.begun);
     }
 
--- a/crates/budgets/tests/common/mod.rs
+++ b/crates/budgets/tests/common/mod.rs
@@ -49,6 +49,11 @@
     pub deluded: bool,
     /// Demand moves from all to one and back.
     pub moves: bool,
+    pub guards: Guards,
+    /// What was broken first, where a guard is out; else it panics.
+    pub broken: Option<String>,
+    /// Units spent in the steps of the last second.
+    window: VecDeque<u64>,
     /// Units a second that each would spend, instead.
     pub wants: Vec<f64>,
     /// Units spent so far, and letters sent.
@@ -98,6 +103,9 @@
             lost: 0.0,
             deluded: false,
             moves: false,
+            guards: Guards::ALL,
+            broken: None,
+            window: VecDeque::new(),
             wants: Vec::new(),
             spent: 0,
             letters: 0,
@@ -110,6 +118,17 @@
         self.all[n].begins + (self.now as f64 * self.all[n].rate) as u64
     }
 
+    /// Takes guards out everywhere.
+    pub fn without(mut self, guards: Guards) -> Self {
+        self.guards = guards;
+        for n in 0..self.all.len() {
+            let now = self.clock(n);
+            let fresh = office(now, (n, self.all.len()), n as u64 + 1, None);
+            self.all[n].office = fresh.with_guards(guards);
+        }
+        self
+    }
+
     pub fn kill(&mut self, n: usize) {
         self.all[n].runs = false;
         self.all[n].mail.clear();
@@ -142,6 +161,7 @@
 
     pub fn step(&mut self) {
         self.now += STEP;
+        let before = self.spent;
         let live = self.live();
         let live = |of: RouterId| live[of.0 as usize] && !self.deluded;
         while let Some(entry) = self.net.first_entry().filter(|e| e.key().0 <= self.now) {
@@ -193,8 +213,24 @@
                 }
             }
         }
-        let sum = self.sum();
-        assert!(sum <= WHOLE, "{:.2} s: parts of {} units", self.now as f64 / S as f64, sum / UNIT);
+        self.window.push_back(self.spent - before);
+        if self.window.len() > (S / STEP) as usize {
+            self.window.pop_front();
+        }
+        self.judge();
+    }
+
+    /// Never parts of more than the whole in force, nor more spent in a second than it and the burst.
+    fn judge(&mut self) {
+        let (sum, spent) = (self.sum(), self.window.iter().sum::<u64>() * UNIT);
+        let burst = (WHOLE as f64 * (DRIFT + BURST as f64 / S as f64)) as u64 + LEAST * self.all.len() as u64;
+        if sum > WHOLE || spent > WHOLE + burst {
+            let at = self.now as f64 / S as f64;
+            let what =
+                format!("{at:.2} s: {} units in force, {} spent in a second", sum / UNIT, spent / UNIT);
+            assert_ne!(self.guards, Guards::ALL, "{what}");
+            self.broken.get_or_insert(what);
+        }
     }
 
     pub fn sum(&self) -> Amount {
