budgets: who has other settings has no part in a division, and is named

Change: asks and terms carry one number for keepers, wholes, floors and routers; a keeper does not vote for another one, a divider gives nothing to an asker with another one.

--- a/crates/budgets/src/letter.rs
+++ b/crates/budgets/src/letter.rs
@@ -56,8 +56,8 @@
     fn refused(&mut self, to: RouterId, ballot: Ballot, promised: Ballot) {
         self.put(to, REFUSED, &(ballot, promised));
     }
-    fn ask(&mut self, to: RouterId, birth: Birth, numbers: (u64, u64), need: &[Amount]) {
-        self.put(to, ASK, &(birth, numbers, need));
+    fn ask(&mut self, to: RouterId, birth: Birth, settings: u64, numbers: (u64, u64), need: &[Amount]) {
+        self.put(to, ASK, &(birth, settings, numbers, need));
     }
     fn given(&mut self, to: RouterId, birth: Birth, number: u64, extra: &[Amount]) {
         self.put(to, GIVEN, &(birth, number, extra));
@@ -87,7 +87,7 @@
         PROMISE => office.promise(from, whole(rest)?, disk, orders),
         ACCEPT => {
             let (ballot, term) = whole(rest)?;
-            office.accept(from, ballot, term, disk, orders);
+            office.accept(from, ballot, term, now, disk, orders);
         }
         PROMISED => {
             let (ballot, before, accepted) = whole(rest)?;
@@ -99,8 +99,8 @@
             office.refused(now, ballot, promised);
         }
         ASK => {
-            let (birth, numbers, need) = whole::<(Birth, (u64, u64), Vec<Amount>)>(rest)?;
-            office.asked(now, from, birth, numbers, &need, orders);
+            let (birth, settings, numbers, need) = whole::<(Birth, u64, (u64, u64), Vec<Amount>)>(rest)?;
+            office.asked(now, from, (birth, settings), numbers, &need, orders);
         }
         GIVEN => {
             let (birth, number, extra) = whole::<(Birth, u64, Vec<Amount>)>(rest)?;
--- a/crates/budgets/src/office.rs
+++ b/crates/budgets/src/office.rs
@@ -15,6 +15,8 @@
     pub name: RouterId,
     /// The process; one that was restarted has no term of its life before.
     pub by: Birth,
+    /// What it divides and among how many, as one number: who has other settings has no part in it.
+    pub settings: u64,
 }
 
 /// Where this router stands.
@@ -29,6 +31,19 @@
     pub rows: Vec<Row>,
 }
 
+impl Place {
+    /// One number for the settings that all have to share; keepers by place, wholes, floors, how many.
+    pub fn settings(&self) -> u64 {
+        let names = self.keepers.iter().map(|k| k.0);
+        let rows = self.rows.iter().flat_map(|r| [r.whole, r.floor]);
+        let all = names.chain([self.routers, self.rows.len() as u64]).chain(rows);
+        all.fold(0xb0d6_e75e_7711_9651, |sum: u64, n| {
+            let x = (sum.rotate_left(23) ^ n).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            x ^ (x >> 29)
+        })
+    }
+}
+
 /// Letters to others; each may be lost, late or repeated.
 pub trait Orders {
     fn promise(&mut self, to: RouterId, ballot: Ballot);
@@ -36,7 +51,8 @@
     fn promised(&mut self, to: RouterId, ballot: Ballot, before: Ballot, accepted: Option<(Ballot, Term)>);
     fn accepted(&mut self, to: RouterId, ballot: Ballot);
     fn refused(&mut self, to: RouterId, ballot: Ballot, promised: Ballot);
-    fn ask(&mut self, to: RouterId, birth: Birth, numbers: (u64, u64), need: &[Amount]);
+    /// `settings`: those of the asker, as `Place::settings` has them.
+    fn ask(&mut self, to: RouterId, birth: Birth, settings: u64, numbers: (u64, u64), need: &[Amount]);
     fn given(&mut self, to: RouterId, birth: Birth, number: u64, extra: &[Amount]);
     /// Somebody else divides, or seems to.
     fn elsewhere(&mut self, to: RouterId, divides: RouterId);
@@ -70,6 +86,9 @@
     heard: Micros,
     rng: Rand64,
     guards: Guards,
+    settings: u64,
+    /// Who was last found to have other settings, and when.
+    differs: Option<(RouterId, Micros)>,
 }
 
 impl Office {
@@ -92,6 +111,8 @@
             next_ask: now + rng.rand_range(0..RENEW),
             divides: None,
             heard: now,
+            settings: place.settings(),
+            differs: None,
             place,
             rng,
             guards: Guards::ALL,
@@ -119,6 +140,11 @@
         self.divider.as_ref()
     }
 
+    /// Who was found to have other settings, while that is news.
+    pub fn differs(&self, now: Micros) -> Option<RouterId> {
+        self.differs.filter(|(_, at)| now < at + LEASE).map(|(name, _)| name)
+    }
+
     /// When `wake` is to be called at the latest.
     pub fn next(&self) -> Micros {
         let proposer = self.proposer.as_ref();
@@ -158,7 +184,7 @@
         let known = self.divides.filter(|d| live(*d) && now < self.heard + LEASE);
         let keepers = &self.place.keepers;
         let to = known.unwrap_or(keepers[number as usize % keepers.len()]);
-        orders.ask(to, self.place.birth, (number, turn), &need);
+        orders.ask(to, self.place.birth, self.settings, (number, turn), &need);
     }
 
     // ---- The keeper's side -------------------------------------------------------------------
@@ -182,9 +208,15 @@
         from: RouterId,
         ballot: Ballot,
         term: Term,
+        now: Micros,
         disk: &mut dyn Votes<Term>,
         orders: &mut dyn Orders,
     ) {
+        // Guards against a division by other settings: a keeper that has others does not vote for it.
+        if term.settings != self.settings {
+            self.differs = Some((from, now));
+            return;
+        }
         match self.keeper.as_mut().and_then(|k| k.accept(ballot, term, disk)) {
             Some(Ok(())) => orders.accepted(from, ballot),
             Some(Err(promised)) => orders.refused(from, ballot, promised),
@@ -196,6 +228,7 @@
     /// divides. As many budgets as before.
     pub fn switch(&mut self, now: Micros, rows: &[Row], routers: u64) {
         (self.place.rows, self.place.routers) = (rows.to_vec(), routers);
+        self.settings = self.place.settings();
         self.holder.switch(now, rows);
         self.divider.iter_mut().for_each(|d| d.switch(rows, routers));
     }
@@ -236,7 +269,8 @@
             self.divider = None;
         }
         let number = term.as_ref().map_or(1, |t| t.number + u64::from(!mine));
-        let next = Term { number, name: self.place.name, by: self.place.birth };
+        let (name, by, settings) = (self.place.name, self.place.birth, self.settings);
+        let next = Term { number, name, by, settings };
         proposer.write(now, next, &mut Post(&self.place.keepers, orders));
     }
 
@@ -261,11 +295,16 @@
         &mut self,
         now: Micros,
         from: RouterId,
-        birth: Birth,
+        (birth, settings): (Birth, u64),
         numbers: (u64, u64),
         need: &[Amount],
         orders: &mut dyn Orders,
     ) {
+        // Guards against a part of another whole: who has other settings keeps to its floor.
+        if settings != self.settings {
+            self.differs = Some((from, now));
+            return;
+        }
         let divider = self.divider.as_mut().filter(|d| d.divides(now));
         match divider.and_then(|d| d.asked(now, birth, numbers, need)) {
             Some(extra) => orders.given(from, birth, numbers.0, &extra),
--- a/crates/budgets/tests/office.rs
+++ b/crates/budgets/tests/office.rs
@@ -131,11 +131,11 @@
 fn bent_letters() {
     let mut out = Written::by(name(1));
     out.given(name(0), Birth(1), 1, &[5, 6]);
-    out.ask(name(0), Birth(2), (1, 0), &[7]);
+    out.ask(name(0), Birth(2), 3, (1, 0), &[7]);
     out.accept(
         name(0),
         applepond_accord::Ballot { round: 1, by: 2 },
-        &Term { number: 1, name: name(1), by: Birth(2) },
+        &Term { number: 1, name: name(1), by: Birth(2), settings: 3 },
     );
     let (mut office, mut disk) = (office(0, (0, ROUTERS), 1, None), Disk::default());
     let mut read = |bytes: &[u8]| {
@@ -158,3 +158,14 @@
         assert!(read(&letter).is_some());
     }
 }
+
+// A keeper does not vote for a term by other settings, and names who wants it.
+#[test]
+fn a_keeper_with_other_settings() {
+    let (mut keeper, mut disk) = (office(0, (0, ROUTERS), 1, None), Disk::default());
+    let (mut out, ballot) = (Written::by(name(0)), applepond_accord::Ballot { round: 1, by: 2 });
+    let term = Term { number: 1, name: name(1), by: Birth(2), settings: 3 };
+    keeper.accept(name(1), ballot, term, 5, &mut disk, &mut out);
+    assert!(out.letters.is_empty() && disk.0.is_none());
+    assert_eq!(keeper.differs(5), Some(name(1)));
+}
--- a/crates/budgets/tests/paper.rs
+++ b/crates/budgets/tests/paper.rs
@@ -110,8 +110,16 @@
     };
     switch(&mut world, 5);
     world.pass(5 * S);
+    // Who has other settings has its floor, and is named; a divider by them finds no votes.
+    let part = world.all[5].office.holder.part(world.clock(5), 0);
+    assert_eq!(part, half.floor);
+    let divider = world.dividers()[0];
+    assert_eq!(world.all[divider].office.differs(world.clock(divider)), Some(name(5)));
+    (0..KEEPERS - 1).for_each(|n| switch(&mut world, n));
+    world.pass(10 * S);
+    assert!(world.sum() <= half.whole, "most keepers have the half, the others their floors");
     (0..ROUTERS).for_each(|n| switch(&mut world, n));
-    world.pass(2 * at_most(LEASE));
+    world.pass(15 * S);
     let sum = world.sum();
     assert!(sum <= half.whole && sum >= half.whole * 95 / 100, "{}", sum / UNIT);
 }
