From reading the change: a divider with new settings gives nothing until keepers vote for them

Cause, found on the last reading: a divider that was told of other settings went on giving by them for up to 2 s under the authority of the old ones; a_whole_that_only_the_divider_knows fails without the guard.

--- a/crates/budgets/src/divider.rs
+++ b/crates/budgets/src/divider.rs
@@ -139,6 +139,8 @@
     pub fn switch(&mut self, rows: &[Row], routers: u64) {
         if rows.len() == self.rows.len() {
             (self.rows, self.routers) = (rows.to_vec(), routers);
+            // Guards against a division that most keepers know nothing of: it gives once they vote anew.
+            self.until = 0;
         }
     }
 
--- a/crates/budgets/src/office.rs
+++ b/crates/budgets/src/office.rs
@@ -86,7 +86,6 @@
     heard: Micros,
     rng: Rand64,
     guards: Guards,
-    settings: u64,
     /// Who was last found to have other settings, and when.
     differs: Option<(RouterId, Micros)>,
 }
@@ -111,7 +110,6 @@
             next_ask: now + rng.rand_range(0..RENEW),
             divides: None,
             heard: now,
-            settings: place.settings(),
             differs: None,
             place,
             rng,
@@ -184,7 +182,7 @@
         let known = self.divides.filter(|d| live(*d) && now < self.heard + LEASE);
         let keepers = &self.place.keepers;
         let to = known.unwrap_or(keepers[number as usize % keepers.len()]);
-        orders.ask(to, self.place.birth, self.settings, (number, turn), &need);
+        orders.ask(to, self.place.birth, self.place.settings(), (number, turn), &need);
     }
 
     // ---- The keeper's side -------------------------------------------------------------------
@@ -213,7 +211,7 @@
         orders: &mut dyn Orders,
     ) {
         // Guards against a division by other settings: a keeper that has others does not vote for it.
-        if term.settings != self.settings {
+        if term.settings != self.place.settings() {
             self.differs = Some((from, now));
             return;
         }
@@ -228,7 +226,6 @@
     /// divides. As many budgets as before.
     pub fn switch(&mut self, now: Micros, rows: &[Row], routers: u64) {
         (self.place.rows, self.place.routers) = (rows.to_vec(), routers);
-        self.settings = self.place.settings();
         self.holder.switch(now, rows);
         self.divider.iter_mut().for_each(|d| d.switch(rows, routers));
     }
@@ -269,7 +266,7 @@
             self.divider = None;
         }
         let number = term.as_ref().map_or(1, |t| t.number + u64::from(!mine));
-        let (name, by, settings) = (self.place.name, self.place.birth, self.settings);
+        let (name, by, settings) = (self.place.name, self.place.birth, self.place.settings());
         let next = Term { number, name, by, settings };
         proposer.write(now, next, &mut Post(&self.place.keepers, orders));
     }
@@ -277,7 +274,11 @@
     pub fn accepted(&mut self, now: Micros, from: RouterId, ballot: Ballot) {
         let Some(keeper) = self.keeper_of(from) else { return };
         let Some(proposer) = &mut self.proposer else { return };
-        let Some(Told::Written(_)) = proposer.accepted(keeper, ballot) else { return };
+        let Some(Told::Written(term)) = proposer.accepted(keeper, ballot) else { return };
+        // Guards against settings that came since: most keepers have not voted for them.
+        if term.settings != self.place.settings() {
+            return;
+        }
         self.next_try = now + CONFIRM;
         (self.divides, self.heard) = (Some(self.place.name), now);
         // Since when the term is its own: from the first time that it was known to be written.
@@ -301,7 +302,7 @@
         orders: &mut dyn Orders,
     ) {
         // Guards against a part of another whole: who has other settings keeps to its floor.
-        if settings != self.settings {
+        if settings != self.place.settings() {
             self.differs = Some((from, now));
             return;
         }
--- a/crates/budgets/tests/paper.rs
+++ b/crates/budgets/tests/paper.rs
@@ -124,6 +124,17 @@
     assert!(sum <= half.whole && sum >= half.whole * 95 / 100, "{}", sum / UNIT);
 }
 
+// The divider alone is told of a whole twice as large: it gives nothing by that, as no keeper votes for it.
+#[test]
+fn a_whole_that_only_the_divider_knows() {
+    let mut world = World::new(4, ROUTERS);
+    world.until(95, 20 * S).expect("divided");
+    let (n, double) = (world.dividers()[0], Row { whole: 2 * WHOLE, ..row(ROUTERS) });
+    let now = world.clock(n);
+    world.all[n].office.switch(now, &[double], ROUTERS as u64);
+    world.pass(10 * S);
+}
+
 proptest::proptest! {
     // Never above the total; all of it where more is needed; who gets less than it needs gets as much as any.
     #[test]
--- a/crates/drill/src/members.rs
+++ b/crates/drill/src/members.rs
@@ -45,6 +45,8 @@
     pub known: Vec<u64>,
     /// ms until one view after each fault, by scene.
     pub healed: Vec<(&'static str, u64)>,
+    /// Scenes that a fleet of this size has no place for.
+    pub unplayed: Vec<&'static str>,
 }
 
 struct Fleet<'a> {
@@ -272,7 +274,10 @@
             },
         );
         // In a small fleet everybody is beside everybody.
-        let Some((deluded, late, heard)) = found else { return Ok(()) };
+        let Some((deluded, late, heard)) = found else {
+            self.report.unplayed.push("one-voice");
+            return Ok(());
+        };
         let ports = self.ports.clone();
         self.links.faults().slow.insert(ports[late], LATE);
         self.watch("one-voice", Duration::from_secs(4), &[]);
