tallies: what routers tell each other of themselves, compared by origin and version

Need: a fleet that comes back, pins openings or learns shares of drafts has to tell much that nobody may rest on; members' news carry views only. Change: crates/tallies, a machine without I/O. Entries by origin, incarnation, kind and key; only the origin writes, in one order, so two numbers say what is held of it; neighbours compare 32 parts every 250 ms and mend what differs in three letters. A new incarnation voids the old one's words, what the gone said fades, ages travel, all bounds are stated. Who has said nothing is in no answer. Failed tries: those that had forgotten a router took its words from others that had not, for ever; words of routers that members does not know are not taken anew. Two of six guards failed no test when taken out (an earlier life's late words, the bound on what goes out) and have one each now.

--- /dev/null
+++ b/crates/tallies/src/fault.rs
@@ -0,0 +1,54 @@
+//! Why something is not taken, and what an operator can do about it.
+use miette::Diagnostic;
+use thiserror::Error;
+
+/// Why this router's own entry is not told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Diagnostic)]
+pub enum Refused {
+    #[error("an entry of {0} bytes; {most} at most are told", most = crate::VALUE_MOST)]
+    #[diagnostic(
+        code(tallies::long),
+        help(
+            "a fault of the program: report it with the line of the log; routing goes on without the entry"
+        )
+    )]
+    Long(usize),
+    #[error("this router tells {0} bytes already; {most} at most are", most = crate::ORIGIN_MOST)]
+    #[diagnostic(
+        code(tallies::full),
+        help("fewer workers or functions a router, or a shorter list of openings; what is told stays told")
+    )]
+    Full(usize),
+}
+
+/// Why a letter is not taken; it changes nothing then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Diagnostic)]
+pub enum Unread {
+    #[error("a letter that ends early, goes on after its end or holds what no letter holds")]
+    #[diagnostic(
+        code(tallies::unreadable),
+        help("a router of another version, or a broken path: compare the versions of the routers")
+    )]
+    Torn,
+    #[error("a letter with a number above all that are given out")]
+    #[diagnostic(
+        code(tallies::beyond),
+        help("somebody with the fleet's key makes letters up: change the key files of all routers")
+    )]
+    Beyond,
+    #[error("what it tells goes past a bound on bytes or origins")]
+    #[diagnostic(
+        code(tallies::no_room),
+        help("look which origin tells so much (state page) and restart it; all others are told as before")
+    )]
+    NoRoom,
+}
+
+impl Refused {
+    /// One of each, for the table of codes.
+    pub const EACH: [Refused; 2] = [Refused::Long(0), Refused::Full(0)];
+}
+
+impl Unread {
+    pub const EACH: [Unread; 3] = [Unread::Torn, Unread::Beyond, Unread::NoRoom];
+}
--- /dev/null
+++ b/crates/tallies/src/letter.rs
@@ -0,0 +1,127 @@
+//! Letters between neighbours: a mark, a kind, then what it says, as postcard writes it. A letter is read
+//! whole before any of it counts.
+use crate::fault::Unread;
+use crate::*;
+use applepond_members::RouterId;
+use serde::de::DeserializeOwned;
+
+/// First byte of each letter here; those of `members` begin with a small number.
+pub const MARK: u8 = 0xb1;
+
+const COMPARES: u8 = 1;
+const HOLDS: u8 = 2;
+const WANTS: u8 = 3;
+const TELLS: u8 = 4;
+
+/// How much of an origin's words is held: all of this incarnation up to this version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Held {
+    pub origin: RouterId,
+    pub incarnation: u64,
+    pub upto: u64,
+}
+
+/// All that the writer holds of a part, from one origin to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holds {
+    pub part: u8,
+    pub first: RouterId,
+    pub last: RouterId,
+    pub held: Vec<Held>,
+}
+
+/// One entry on its way; an empty value was withdrawn.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    pub kind: Kind,
+    pub key: Key,
+    pub version: u64,
+    /// µs since its origin wrote it, as far as is known.
+    pub age: Micros,
+    pub value: Vec<u8>,
+}
+
+/// All that one origin has to say after `from` up to `upto`; what it wrote over is left out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tells {
+    pub origin: RouterId,
+    pub incarnation: u64,
+    pub from: u64,
+    pub upto: u64,
+    pub lines: Vec<Line>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Letter {
+    Compares(Vec<u64>),
+    Holds(Holds),
+    Wants(Vec<Held>),
+    Tells(Tells),
+}
+
+fn put(kind: u8, what: &impl Serialize) -> Vec<u8> {
+    // Numbers and bytes always can be written.
+    postcard::to_extend(what, vec![MARK, kind]).unwrap_or_default()
+}
+
+fn whole<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Unread> {
+    match postcard::take_from_bytes(bytes) {
+        Ok((read, [])) => Ok(read),
+        _ => Err(Unread::Torn),
+    }
+}
+
+impl Letter {
+    pub fn write(&self) -> Vec<u8> {
+        match self {
+            Letter::Compares(parts) => put(COMPARES, parts),
+            Letter::Holds(holds) => put(HOLDS, holds),
+            Letter::Wants(held) => put(WANTS, held),
+            Letter::Tells(tells) => put(TELLS, tells),
+        }
+    }
+
+    pub fn read(bytes: &[u8]) -> Result<Letter, Unread> {
+        let [MARK, kind, rest @ ..] = bytes else { return Err(Unread::Torn) };
+        if bytes.len() > LETTER_MOST {
+            return Err(Unread::Torn);
+        }
+        let letter = match *kind {
+            COMPARES => Letter::Compares(whole(rest)?),
+            HOLDS => Letter::Holds(whole(rest)?),
+            WANTS => Letter::Wants(whole(rest)?),
+            TELLS => Letter::Tells(whole(rest)?),
+            _ => return Err(Unread::Torn),
+        };
+        letter.sound()?;
+        Ok(letter)
+    }
+
+    /// What no honest router writes is not taken, so that nothing behind it has to ask.
+    fn sound(&self) -> Result<(), Unread> {
+        let low = |held: &[Held]| held.iter().all(|h| h.incarnation.max(h.upto) < NUMBER_MOST);
+        let (formed, low) = match self {
+            Letter::Compares(parts) => (parts.len() == PARTS, true),
+            Letter::Holds(holds) => {
+                let within = |h: &Held| (holds.first..=holds.last).contains(&h.origin);
+                ((holds.part as usize) < PARTS && holds.held.iter().all(within), low(&holds.held))
+            }
+            Letter::Wants(held) => (true, low(held)),
+            Letter::Tells(tells) => {
+                let mut last = tells.from;
+                let mut rising = |l: &Line| {
+                    let rises = l.version > last && l.version <= tells.upto && l.value.len() <= VALUE_MOST;
+                    last = l.version;
+                    rises
+                };
+                let formed = tells.from <= tells.upto && tells.lines.iter().all(&mut rising);
+                (formed, tells.incarnation.max(tells.upto) < NUMBER_MOST)
+            }
+        };
+        match (formed, low) {
+            (false, _) => Err(Unread::Torn),
+            (_, false) => Err(Unread::Beyond),
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tallies/src/lib.rs
@@ -0,0 +1,58 @@
+//! What each router tells the others of itself: entries by origin, incarnation, kind and key. Only the origin
+//! writes; neighbours compare what they hold by parts and send what differs. A machine without I/O: the time,
+//! letters and the neighbours of `members` come in, letters go out.
+//!
+//! What is told is late, fades, and is only ever a hint: no sum that must hold, no permit and no term
+//! may rest on it. Who has said nothing is not in any answer here: nothing known is not zero. See docs/tallies.md.
+mod fault;
+mod letter;
+mod machine;
+
+pub use fault::{Refused, Unread};
+pub use letter::MARK;
+pub use machine::{Orders, Row, Tallies, Told};
+
+use applepond::interface::Micros;
+use serde::{Deserialize, Serialize};
+
+// ---- Constants: unit, and why this size ------------------------------------------------
+
+/// µs between two comparisons that a router begins: each goes to one neighbour by chance, so news has gone
+/// around a thousand routers after some ten of them.
+pub const COMPARE: Micros = 250_000;
+/// Parts that are compared by themselves: one letter has room for the digests of all.
+pub const PARTS: usize = 32;
+/// Bytes of a letter at most, as in `members`: with its envelope every path carries it whole.
+pub const LETTER_MOST: usize = applepond_members::LETTER_MOST;
+/// Bytes of one value at most: a letter carries the largest with all that stands around it.
+pub const VALUE_MOST: usize = 900;
+/// Bytes kept of one origin at most: a sketch of some hundred counters and a row for each of some hundred
+/// workers.
+pub const ORIGIN_MOST: usize = 32 * 1024;
+/// Bytes kept of all origins at most: two thousand that tell 16 kB each.
+pub const WHOLE_MOST: usize = 32 * 1024 * 1024;
+/// Bytes counted for an entry beside its value, and for an origin beside its entries.
+pub const AROUND: usize = 64;
+/// Origins at most, as many as `members` knows routers.
+pub const ORIGINS_MOST: usize = applepond_members::ROUTERS_MOST;
+/// Bytes of letters that go out between two comparisons at most: 1 MB a second an instance at the most.
+pub const OUT_MOST: usize = 256 * 1024;
+/// µs for which an entry counts where no row says otherwise; its origin writes again what is to stay.
+pub const LIFE: Micros = 60_000_000;
+/// µs for which what the gone have said still counts: a restart is back by then.
+pub const FADE: Micros = 30_000_000;
+/// µs for which it is remembered that an origin was there, without its words: as long as `members` does.
+pub const REMEMBER: Micros = applepond_members::REMEMBER;
+/// µs between two times at which an origin raises its incarnation over words in its name: a liar that goes
+/// on costs so much and no more.
+pub const RAISE: Micros = 1_000_000;
+/// Incarnations and versions are below it; what names a higher one is unreadable, so that none overflows.
+pub const NUMBER_MOST: u64 = 1 << 62;
+
+/// What sort of thing an entry tells; the table of them is the caller's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Kind(pub u8);
+
+/// Which of its sort: a worker's id, a pane's number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key(pub u64);
--- /dev/null
+++ b/crates/tallies/tests/common/mod.rs
@@ -0,0 +1,169 @@
+//! Tallies on a paper network: simulated time, faults by a function, one seed one run.
+#![allow(dead_code)] // each table of cases uses its own part
+use applepond_members::{Rings, RouterId};
+use applepond_tallies::*;
+use oorandom::Rand64;
+use std::collections::BTreeMap;
+
+pub const MS: u64 = 1_000;
+pub const S: u64 = 1_000_000;
+pub const PACE: Kind = Kind(1);
+/// Bytes of the envelope around each letter, on top of a datagram's own head.
+const ENVELOPE: usize = 48;
+
+/// What becomes of a letter: lost, or there after so many µs.
+pub type Link = Box<dyn FnMut(u64, usize, usize, &mut Rand64) -> Option<u64>>;
+
+/// A network that loses this part and takes 0.2 to 1 ms.
+pub fn lossy(part: f64) -> Link {
+    Box::new(move |_, _, _, rng| (rng.rand_float() >= part).then(|| 200 + rng.rand_range(0..800)))
+}
+
+#[derive(Default)]
+pub struct Out(pub Vec<(RouterId, Vec<u8>)>);
+
+impl Orders for Out {
+    fn send(&mut self, to: RouterId, letter: Vec<u8>) {
+        assert!(letter.len() <= LETTER_MOST, "{} bytes", letter.len());
+        self.0.push((to, letter));
+    }
+}
+
+pub struct Process {
+    pub tallies: Tallies,
+    pub neighbours: Vec<RouterId>,
+    pub bytes: u64,
+}
+
+enum Event {
+    Wake(usize, u64),
+    Letter(usize, usize, Vec<u8>),
+}
+
+pub struct Paper {
+    pub now: u64,
+    pub all: Vec<Option<Process>>,
+    pub link: Link,
+    pub rng: Rand64,
+    lives: Vec<u64>,
+    events: BTreeMap<(u64, u64), Event>,
+    next: u64,
+    ids: BTreeMap<RouterId, usize>,
+    rings: Rings,
+}
+
+pub fn id(n: usize) -> RouterId {
+    RouterId::named(&format!("r{n}"))
+}
+
+impl Paper {
+    pub fn fleet(seed: u64, routers: usize, link: Link) -> Self {
+        let mut rings = Rings::default();
+        (0..routers).for_each(|n| rings.insert(id(n)));
+        let mut paper = Paper {
+            now: 1_000 * S,
+            all: (0..routers).map(|_| None).collect(),
+            link,
+            rng: Rand64::new(u128::from(seed)),
+            lives: vec![0; routers],
+            events: BTreeMap::new(),
+            next: 0,
+            ids: (0..routers).map(|n| (id(n), n)).collect(),
+            rings,
+        };
+        (0..routers).for_each(|n| paper.start(n, 1));
+        paper
+    }
+
+    /// A new process, under this incarnation.
+    pub fn start(&mut self, n: usize, incarnation: u64) {
+        let seed = self.rng.rand_u64();
+        let rows = [Row { kind: PACE, life: 60 * S }];
+        let tallies = Tallies::new(self.now, id(n), incarnation, &rows, seed);
+        let neighbours = self.rings.beside(id(n));
+        self.lives[n] += 1;
+        let at = tallies.next();
+        self.all[n] = Some(Process { tallies, neighbours, bytes: 0 });
+        self.push(at, Event::Wake(n, self.lives[n]));
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.all[n] = None;
+        self.lives[n] += 1;
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.next += 1;
+        self.events.insert((at, self.next), event);
+    }
+
+    fn post(&mut self, from: usize, letters: Vec<(RouterId, Vec<u8>)>) {
+        for (to, letter) in letters {
+            self.all[from].as_mut().expect("it sends").bytes += (letter.len() + ENVELOPE) as u64;
+            let to = self.ids[&to];
+            if let Some(late) = (self.link)(self.now, from, to, &mut self.rng) {
+                self.push(self.now + late, Event::Letter(from, to, letter));
+            }
+        }
+    }
+
+    /// Plays until the condition holds, looked at after each event; whether it did by then.
+    pub fn until(&mut self, by: u64, holds: impl Fn(&Paper) -> bool) -> bool {
+        while let Some((&(at, n), _)) = self.events.iter().next() {
+            if at > by {
+                break;
+            }
+            let event = self.events.remove(&(at, n)).expect("just seen");
+            self.now = at;
+            let mut out = Out::default();
+            let who = match event {
+                Event::Wake(n, life) => {
+                    let Some(p) = self.all[n].as_mut().filter(|_| self.lives[n] == life) else { continue };
+                    p.tallies.wake(at, &p.neighbours, &mut out);
+                    let next = p.tallies.next();
+                    self.push(next, Event::Wake(n, life));
+                    n
+                }
+                Event::Letter(from, to, letter) => {
+                    let Some(p) = self.all[to].as_mut() else { continue };
+                    let _ = p.tallies.heard(at, id(from), &letter, &mut out);
+                    to
+                }
+            };
+            self.post(who, out.0);
+            if holds(self) {
+                return true;
+            }
+        }
+        self.now = by;
+        holds(self)
+    }
+
+    pub fn pass(&mut self, time: u64) {
+        let by = self.now + time;
+        self.until(by, |_| false);
+    }
+
+    pub fn put(&mut self, n: usize, key: u64, value: &[u8]) {
+        let now = self.now;
+        let p = self.all[n].as_mut().expect("there");
+        p.tallies.put(now, PACE, Key(key), value).expect("room");
+    }
+
+    pub fn at(&self, n: usize) -> &Tallies {
+        &self.all[n].as_ref().expect("there").tallies
+    }
+
+    /// Who tells what under a key, as one router holds it.
+    pub fn told(&self, n: usize, key: u64) -> BTreeMap<usize, Vec<u8>> {
+        let told = self.at(n).under(self.now, PACE, Key(key));
+        told.map(|t| (self.ids[&t.origin], t.value.to_vec())).collect()
+    }
+
+    /// All that are there hold the same.
+    pub fn one_view(&self) -> bool {
+        let mut views = self.all.iter().flatten().map(|p| p.tallies.view());
+        let first = views.next();
+        views.all(|v| Some(v) == first)
+    }
+}
--- /dev/null
+++ b/crates/tallies/tests/paper.rs
@@ -0,0 +1,312 @@
+//! What becomes of words under losses, restarts, cuts, lies and bounds; each guard has a case of its own.
+mod common;
+use applepond_members::RouterId;
+use applepond_tallies::*;
+use common::*;
+use std::collections::BTreeSet;
+use test_case::test_case;
+
+#[test_case(20, 0.0, 3; "twenty")]
+#[test_case(20, 0.3, 8; "twenty, three letters in ten lost")]
+#[test_case(300, 0.0, 5; "three hundred")]
+fn all_hold_what_one_says(routers: usize, lost: f64, seconds: u64) {
+    for seed in 1..=3 {
+        let mut paper = Paper::fleet(seed, routers, lossy(lost));
+        paper.pass(5 * S);
+        paper.put(7, 1, b"9 ms");
+        let by = paper.now + seconds * S;
+        assert!(paper.until(by, |p| p.one_view()), "seed {seed}: not within {seconds} s");
+        assert!((0..routers).all(|n| paper.told(n, 1).get(&7).is_some_and(|v| v == b"9 ms")));
+    }
+}
+
+// Nothing known is not zero: who has said nothing is in no answer, and an empty word is not a word.
+#[test]
+fn who_says_nothing_is_not_in_it() {
+    let mut paper = Paper::fleet(1, 5, lossy(0.0));
+    paper.put(0, 1, b"0");
+    let now = paper.now;
+    paper.all[1].as_mut().expect("there").tallies.put(now, PACE, Key(1), b"5").expect("room");
+    paper.pass(5 * S);
+    assert_eq!(paper.told(4, 1).len(), 2, "two have spoken");
+    let now = paper.now;
+    paper.all[1].as_mut().expect("there").tallies.withdraw(now, PACE, Key(1));
+    paper.pass(5 * S);
+    assert_eq!(paper.told(4, 1).into_iter().collect::<Vec<_>>(), [(0, b"0".to_vec())]);
+}
+
+// Letters come twice, late and in any order; what holds is what the origin said last.
+#[test_case(1)]
+#[test_case(2)]
+fn repeated_late_and_reordered(seed: u64) {
+    let link: Link = Box::new(|_, _, _, rng| (rng.rand_float() >= 0.2).then(|| rng.rand_range(0..3 * S)));
+    let mut paper = Paper::fleet(seed, 12, link);
+    for n in 0..400u64 {
+        let (who, key) = (paper.rng.rand_range(0..12) as usize, paper.rng.rand_range(0..5));
+        paper.put(who, key, format!("{n}").as_bytes());
+        paper.pass(50 * MS);
+    }
+    let by = paper.now + 30 * S;
+    assert!(paper.until(by, |p| p.one_view()));
+    for who in 0..12 {
+        for key in 0..5 {
+            let own = paper.told(who, key).get(&who).cloned();
+            assert!((0..12).all(|n| paper.told(n, key).get(&who).cloned() == own), "{who} on {key}");
+        }
+    }
+}
+
+// A process that is new says nothing of what the one before it said, even where its clock went back.
+#[test_case(2; "a higher incarnation")]
+#[test_case(0; "the clock went back")]
+fn a_new_incarnation_voids_the_old(incarnation: u64) {
+    let mut paper = Paper::fleet(3, 20, lossy(0.0));
+    paper.put(5, 1, b"old");
+    paper.put(5, 2, b"old too");
+    paper.pass(5 * S);
+    paper.kill(5);
+    paper.pass(S);
+    paper.start(5, incarnation);
+    paper.put(5, 1, b"new");
+    let by = paper.now + 10 * S;
+    let new = |p: &Paper| {
+        (0..20).all(|n| p.told(n, 1).get(&5).is_some_and(|v| v == b"new") && p.told(n, 2).is_empty())
+    };
+    assert!(paper.until(by, new), "what was said before is void everywhere");
+}
+
+#[test]
+fn words_of_the_gone_fade() {
+    let mut paper = Paper::fleet(4, 20, lossy(0.0));
+    paper.put(5, 1, b"x");
+    paper.pass(4 * S);
+    paper.kill(5);
+    let gone = |paper: &mut Paper| {
+        let (now, live) = (paper.now, (0..20).filter(|n| *n != 5).map(id).collect::<BTreeSet<_>>());
+        paper.all.iter_mut().flatten().for_each(|p| p.tallies.present(now, live.clone()));
+    };
+    gone(&mut paper);
+    paper.pass(FADE - S);
+    assert_eq!(paper.told(9, 1).len(), 1, "a restart would be back by now");
+    paper.pass(2 * S);
+    assert!((0..20).filter(|n| *n != 5).all(|n| paper.told(n, 1).is_empty()));
+    // One who starts now hears nothing of what it said.
+    paper.start(6, 2);
+    paper.pass(5 * S);
+    assert!(paper.told(6, 1).is_empty());
+    gone(&mut paper);
+    paper.pass(REMEMBER + S);
+    assert!((0..20).filter(|n| *n != 5).all(|n| paper.at(n).size().0 == 19), "forgotten in the end");
+    assert!(paper.one_view());
+}
+
+// What is not written again ends by its own age, which travels with it: nobody makes it young again.
+#[test]
+fn a_word_ends_by_its_age() {
+    let mut paper = Paper::fleet(5, 20, lossy(0.0));
+    paper.put(5, 1, b"x");
+    paper.pass(50 * S);
+    paper.start(6, 2);
+    paper.pass(5 * S);
+    assert_eq!(paper.told(6, 1).len(), 1);
+    paper.pass(6 * S);
+    assert!((0..20).all(|n| paper.told(n, 1).is_empty()), "61 s after it was written");
+}
+
+// Two halves that do not hear each other hold both words afterwards.
+#[test]
+fn halves_heal() {
+    let mut paper = Paper::fleet(6, 20, lossy(0.0));
+    paper.pass(3 * S);
+    paper.link = Box::new(|_, a, b, _| ((a < 10) == (b < 10)).then_some(400));
+    paper.put(1, 1, b"one half");
+    paper.put(11, 1, b"the other");
+    paper.pass(5 * S);
+    assert_eq!((paper.told(2, 1).len(), paper.told(12, 1).len()), (1, 1));
+    paper.link = lossy(0.0);
+    let by = paper.now + 5 * S;
+    assert!(paper.until(by, |p| p.one_view()) && paper.told(2, 1).len() == 2);
+}
+
+// One-way cut: the one who is not heard learns all the same, and says nothing to anybody.
+#[test]
+fn a_cut_one_way() {
+    let mut paper = Paper::fleet(7, 20, lossy(0.0));
+    paper.pass(3 * S);
+    paper.link = Box::new(|_, a, _, _| (a != 3).then_some(400));
+    paper.put(3, 1, b"unheard");
+    paper.put(4, 1, b"heard");
+    paper.pass(10 * S);
+    assert!((0..20).filter(|n| *n != 3).all(|n| paper.told(n, 1).len() == 1));
+}
+
+/// What `to` takes of a letter made up by a neighbour, and whether it took it.
+fn lies(to: &mut Tallies, letter: &[u8]) -> Result<(), Unread> {
+    to.heard(2_000 * S, id(1), letter, &mut Out::default())
+}
+
+// Cut anywhere, lengthened or bent, a letter is refused or says what it may: it never panics and counts.
+#[test]
+fn cut_at_every_byte() {
+    let mut one = Tallies::new(S, id(0), 1, &[], 1);
+    one.put(S, PACE, Key(1), b"some value").expect("room");
+    let mut out = Out::default();
+    let mut other = Tallies::new(S, id(1), 1, &[], 2);
+    one.wake(2 * S, &[id(1)], &mut out);
+    let first = out.0[0].1.clone();
+    other.heard(2 * S, id(0), &first, &mut out).expect("a good letter");
+    let mut letters: Vec<Vec<u8>> = out.0.iter().map(|(_, l)| l.clone()).collect();
+    for letter in letters.clone() {
+        let mut out = Out::default();
+        let _ = one.heard(2 * S, id(1), &letter, &mut out);
+        letters.extend(out.0.into_iter().map(|(_, l)| l));
+    }
+    assert!(letters.len() > 3, "{}", letters.len());
+    let mut refused = 0;
+    for letter in &letters {
+        for at in 0..letter.len() {
+            assert!(lies(&mut other, &letter[..at]).is_err(), "cut at {at}");
+            let mut bent = letter.clone();
+            bent[at] ^= 0x55;
+            refused += u64::from(lies(&mut other, &bent).is_err());
+        }
+        assert_eq!(lies(&mut other, &[&letter[..], &[0]].concat()), Err(Unread::Torn));
+    }
+    assert!(refused > 0);
+    assert!(other.unread()[&Unread::Torn] > 0);
+}
+
+/// Letters by hand: what a holder of the key could write.
+mod forged {
+    use super::*;
+    use serde::Serialize;
+
+    pub fn tells(origin: RouterId, inc: u64, from: u64, upto: u64, lines: &[(u64, u64, &[u8])]) -> Vec<u8> {
+        #[derive(Serialize)]
+        struct Line<'a>(u8, u64, u64, u64, &'a [u8]);
+        let lines: Vec<Line<'_>> = lines.iter().map(|(key, v, value)| Line(1, *key, *v, 0, value)).collect();
+        postcard::to_extend(&(origin, inc, from, upto, lines), vec![MARK, 4]).expect("written")
+    }
+}
+
+#[test_case(forged::tells(id(1), NUMBER_MOST, 0, 1, &[]), Unread::Beyond; "an incarnation of nobody")]
+#[test_case(forged::tells(id(1), 1, 0, NUMBER_MOST, &[]), Unread::Beyond; "a version of nobody")]
+#[test_case(forged::tells(id(1), 1, 5, 4, &[]), Unread::Torn; "from behind its end")]
+#[test_case(forged::tells(id(1), 1, 0, 4, &[(1, 5, b"x")]), Unread::Torn; "a line past the end")]
+#[test_case(forged::tells(id(1), 1, 0, 4, &[(1, 2, b"x"), (2, 2, b"y")]), Unread::Torn; "one number twice")]
+#[test_case(forged::tells(id(1), 1, 0, 1, &[(1, 1, &[7; VALUE_MOST + 1])]), Unread::Torn; "a long value")]
+fn what_nobody_writes(letter: Vec<u8>, why: Unread) {
+    let mut one = Tallies::new(S, id(0), 1, &[], 1);
+    let before = one.view();
+    assert_eq!(lies(&mut one, &letter), Err(why));
+    assert_eq!((one.view(), one.unread()[&why]), (before, 1));
+}
+
+// A gap is not taken: what lies between would be missing for ever.
+#[test]
+fn no_gaps() {
+    let mut one = Tallies::new(S, id(0), 1, &[], 1);
+    lies(&mut one, &forged::tells(id(1), 1, 3, 4, &[(1, 4, b"x")])).expect("well formed");
+    assert_eq!(one.size().0, 1, "nothing is known of its beginning");
+    lies(&mut one, &forged::tells(id(1), 1, 0, 2, &[(1, 2, b"x")])).expect("well formed");
+    lies(&mut one, &forged::tells(id(1), 1, 3, 4, &[(1, 4, b"y")])).expect("well formed");
+    let told: Vec<Vec<u8>> = one.known(S, PACE).map(|t| t.value.to_vec()).collect();
+    assert_eq!(told, [b"x"]);
+}
+
+// Who is lied about says so again under an incarnation above the lie; the lie is void everywhere then.
+#[test]
+fn a_lie_about_another() {
+    let mut paper = Paper::fleet(8, 20, lossy(0.0));
+    paper.put(5, 1, b"true");
+    paper.pass(4 * S);
+    let lie = forged::tells(id(5), 40, 0, 9, &[(1, 9, b"false")]);
+    let now = paper.now;
+    let liar = paper.all[9].as_mut().expect("there");
+    liar.tallies.heard(now, id(8), &lie, &mut Out::default()).expect("well formed");
+    assert_eq!(paper.told(9, 1)[&5], b"false");
+    let by = paper.now + 10 * S;
+    let right = |p: &Paper| (0..20).all(|n| p.told(n, 1).get(&5).is_some_and(|v| v == b"true"));
+    assert!(paper.until(by, |p| right(p) && p.one_view()));
+    // It goes on lying ten times a second: the origin answers once a second, and no more.
+    let before = paper.at(5).incarnation();
+    for _ in 0..100 {
+        let next = paper.at(5).incarnation() + 1;
+        let now = paper.now;
+        let lie = forged::tells(id(5), next, 0, 9, &[(1, 9, b"false")]);
+        let honest = paper.all[5].as_mut().expect("there");
+        honest.tallies.heard(now, id(8), &lie, &mut Out::default()).expect("well formed");
+        paper.pass(100 * MS);
+    }
+    let raised = paper.at(5).incarnation() - before;
+    assert!(raised <= 2 * 11, "{raised} in ten seconds");
+}
+
+// At its bound an origin's own entry is refused by name; what it told stays.
+#[test]
+fn an_origin_at_its_bound() {
+    let mut one = Tallies::new(S, id(0), 1, &[], 1);
+    let told = (0..).take_while(|n| one.put(S, PACE, Key(*n), &[1; 400]).is_ok()).count();
+    assert_eq!(told, (ORIGIN_MOST - AROUND) / (400 + AROUND));
+    assert!(matches!(one.put(S, PACE, Key(999), &[1; 400]), Err(Refused::Full(_))));
+    assert_eq!(one.put(S, PACE, Key(0), &[2; 400]), Ok(()), "in place of another there is room");
+    assert_eq!(one.put(S, PACE, Key(0), &[0; VALUE_MOST + 1]), Err(Refused::Long(VALUE_MOST + 1)));
+    assert_eq!(one.known(S, PACE).count(), told);
+}
+
+// One that tells without end is not taken beyond its bound; all others are.
+#[test]
+fn others_at_their_bound() {
+    let mut one = Tallies::new(S, id(0), 1, &[], 1);
+    let mut refused = 0;
+    for n in 0..60u64 {
+        let value = [7; 800];
+        let letter = forged::tells(id(1), 1, n, n + 1, &[(n, n + 1, &value)]);
+        refused += u64::from(lies(&mut one, &letter) == Err(Unread::NoRoom));
+    }
+    // Once, then what follows would leave a gap.
+    assert_eq!(refused, 1);
+    assert!(one.size().1 <= ORIGIN_MOST + 2 * AROUND);
+    assert!(one.known(2_000 * S, PACE).count() > 30, "what it told before stays");
+    lies(&mut one, &forged::tells(id(2), 1, 0, 1, &[(1, 1, b"x")])).expect("the others are not harmed");
+    let many = (0..2 * ORIGINS_MOST as u64).filter(|n| {
+        lies(&mut one, &forged::tells(RouterId(n << 40 | 5), 1, 0, 1, &[])) == Err(Unread::NoRoom)
+    });
+    assert_eq!(many.count(), ORIGINS_MOST + 3);
+}
+
+// What an earlier life said, come late, is not taken for this one's.
+#[test]
+fn a_late_word_of_an_earlier_life() {
+    let mut one = Tallies::new(S, id(0), 1, &[], 1);
+    lies(&mut one, &forged::tells(id(1), 7, 0, 1, &[(1, 1, b"now")])).expect("well formed");
+    lies(&mut one, &forged::tells(id(1), 6, 0, 9, &[(1, 9, b"then")])).expect("well formed");
+    let told: Vec<Vec<u8>> = one.known(S, PACE).map(|t| t.value.to_vec()).collect();
+    assert_eq!(told, [b"now"]);
+}
+
+// Whoever asks for however much: what goes out between two comparisons is bounded.
+#[test]
+fn a_bound_on_what_goes_out() {
+    let mut one = Tallies::new(S, id(0), 1, &[], 1);
+    (0..60).for_each(|key| one.put(S, PACE, Key(key), &[1; 400]).expect("room"));
+    let wants = postcard::to_extend(&vec![(id(0), 0u64, 0u64)], vec![MARK, 3]).expect("written");
+    let mut out = Out::default();
+    let sent = |out: &Out| out.0.iter().map(|(_, l)| l.len()).sum::<usize>();
+    (0..40).for_each(|_| one.heard(S, id(1), &wants, &mut out).expect("well formed"));
+    assert!((OUT_MOST - LETTER_MOST..=OUT_MOST).contains(&sent(&out)), "{}", sent(&out));
+    one.wake(2 * S, &[], &mut out);
+    one.heard(2 * S, id(1), &wants, &mut out).expect("well formed");
+    assert!(sent(&out) > OUT_MOST, "and goes on after the next one");
+}
+
+#[test]
+fn errors_say_what_to_do() {
+    use miette::Diagnostic;
+    let all: Vec<Box<dyn Diagnostic>> = Refused::EACH
+        .map(|e| Box::new(e) as Box<dyn Diagnostic>)
+        .into_iter()
+        .chain(Unread::EACH.map(|e| Box::new(e) as Box<dyn Diagnostic>))
+        .collect();
+    assert!(all.iter().all(|e| e.code().is_some() && e.help().is_some()));
+}
