--- a/crates/tallies/benches/around.rs
+++ b/crates/tallies/benches/around.rs
@@ -1,5 +1,5 @@
-//! How long until all routers hold what one has said, and what it costs, on paper; beside the plain way,
-//! in which an origin sends each word to everybody once. Prints a table; with a file's name it draws a chart there.
+//! How long until all routers hold what one has said, and what it costs, on paper; beside the plain way, in
+//! which an origin sends each word to everybody once. Prints a table; with a file's name it draws a chart.
 #[path = "../tests/common/mod.rs"]
 mod common;
 use common::*;
--- a/crates/tallies/src/lib.rs
+++ b/crates/tallies/src/lib.rs
@@ -2,8 +2,9 @@
 //! writes; neighbours compare what they hold by parts and send what differs. A machine without I/O: the time,
 //! letters and the neighbours of `members` come in, letters go out.
 //!
-//! What is told is late, fades, and is only ever a hint: no sum that must hold, no permit and no term
-//! may rest on it. Who has said nothing is not in any answer here: nothing known is not zero. See docs/tallies.md.
+//! What is told is late, fades, and is only ever a hint: no sum that must hold, no permit and no term may
+//! rest on it. Who has said nothing is not in any answer here: nothing known is not zero. See
+//! docs/tallies.md.
 mod fault;
 mod letter;
 mod machine;
