--- /dev/null
+++ b/crates/comeback/src/facts.rs
@@ -0,0 +1,168 @@
+//! Facts that took time to learn: how old each is, and how much it still says.
+use crate::{FACTS_MOST, Micros};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// µs for which a drain is kept whose age nobody knows: lists that come late are there by then.
+const UNKNOWN_DRAIN: Micros = 60_000_000;
+
+/// What a fact is about. On disk and on the wire by its number, which never changes its meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum What {
+    /// Jobs that a worker had room for.
+    Room,
+    /// How much of a start target its answers took.
+    Lag,
+    /// Part of its answers that were errors.
+    Errors,
+    /// It was set aside, or on trial after that.
+    Aside,
+    /// It was told to drain. There is no fact of the contrary.
+    Drain,
+    /// µs that a function takes to load.
+    LoadTime,
+    /// First tries a second that are usual at this router: its own, nobody else's.
+    Usual,
+}
+
+impl What {
+    pub const EACH: [What; 7] =
+        [What::Room, What::Lag, What::Errors, What::Aside, What::Drain, What::LoadTime, What::Usual];
+
+    /// µs from which on it counts less, and from which on it counts nothing.
+    pub fn ages(self) -> (Micros, Micros) {
+        const S: Micros = 1_000_000;
+        match self {
+            // What a worker can do follows its load of the moment.
+            What::Room | What::Lag => (5 * S, 30 * S),
+            What::Errors | What::Aside => (10 * S, 60 * S),
+            // A drain ends with the worker's process, not with time: kept whole for as long as one takes.
+            What::Drain => (600 * S, 600 * S),
+            What::LoadTime => (600 * S, 3_600 * S),
+            What::Usual => (60 * S, 600 * S),
+        }
+    }
+
+    /// What others may say of it too.
+    pub fn shared(self) -> bool {
+        self != What::Usual
+    }
+}
+
+/// Whose fact it is: a worker or a function, and which of its lives (when it began).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct About {
+    pub what: What,
+    pub key: u64,
+    pub life: u64,
+}
+
+/// One fact, as old as it is when it is handed over.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fact {
+    pub about: About,
+    pub value: f32,
+    pub age: Micros,
+}
+
+impl Fact {
+    /// 1 while it counts in full, then evenly less, 0 when it says nothing any more.
+    pub fn weight(&self) -> f64 {
+        let (less, nothing) = self.about.what.ages();
+        if self.age >= nothing {
+            return 0.0;
+        }
+        if self.age <= less {
+            return 1.0;
+        }
+        1.0 - (self.age - less) as f64 / (nothing - less) as f64
+    }
+
+    /// As old as it may be and yet be a fact: its age cannot be known. A drain stays for as long as it takes
+    /// to hear of it again.
+    pub fn of_unknown_age(mut self) -> Self {
+        let rest = if self.about.what == What::Drain { UNKNOWN_DRAIN } else { 1 };
+        self.age = self.age.max(self.about.what.ages().1 - rest);
+        self
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Kept {
+    value: f32,
+    /// How old it was when it came, and when it did.
+    age: Micros,
+    came: Micros,
+}
+
+/// What this router holds for true, by what it is about.
+#[derive(Clone, Default)]
+pub struct Facts(BTreeMap<About, Kept>);
+
+impl Facts {
+    /// Takes a fact, in place of what was known: the younger one holds. At the bound the oldest makes room.
+    pub fn note(&mut self, now: Micros, fact: Fact) {
+        let younger = |k: &Kept| k.age.saturating_add(now.saturating_sub(k.came)) <= fact.age;
+        if fact.weight() == 0.0 || !fact.value.is_finite() || self.0.get(&fact.about).is_some_and(younger) {
+            return;
+        }
+        if self.0.len() >= FACTS_MOST && !self.0.contains_key(&fact.about) {
+            self.clear(now);
+            let age = |k: &Kept| k.age.saturating_add(now.saturating_sub(k.came));
+            let oldest = self.0.iter().max_by_key(|(_, k)| age(k)).map(|(about, _)| *about);
+            if let Some(oldest) = oldest.filter(|_| self.0.len() >= FACTS_MOST) {
+                self.0.remove(&oldest);
+            }
+        }
+        let of_its_life = About { life: u64::MAX, ..fact.about };
+        // A worker that has begun anew leaves nothing of its life before.
+        let first = About { life: 0, ..fact.about };
+        let other: Vec<About> = self
+            .0
+            .range(first..=of_its_life)
+            .map(|(a, _)| *a)
+            .filter(|a| a.life != fact.about.life)
+            .collect();
+        if other.iter().any(|a| a.life > fact.about.life) {
+            return;
+        }
+        other.iter().for_each(|a| _ = self.0.remove(a));
+        self.0.insert(fact.about, Kept { value: fact.value, age: fact.age, came: now });
+    }
+
+    /// It does not hold any more.
+    pub fn drop(&mut self, about: &About) {
+        self.0.remove(about);
+    }
+
+    /// All that still count, as old as they are now.
+    pub fn all(&self, now: Micros) -> impl Iterator<Item = Fact> + '_ {
+        self.0.iter().filter_map(move |(about, k)| {
+            let age = k.age.saturating_add(now.saturating_sub(k.came));
+            let fact = Fact { about: *about, value: k.value, age };
+            (fact.weight() > 0.0).then_some(fact)
+        })
+    }
+
+    pub fn get(&self, now: Micros, about: &About) -> Option<Fact> {
+        let k = self.0.get(about)?;
+        let age = k.age.saturating_add(now.saturating_sub(k.came));
+        Some(Fact { about: *about, value: k.value, age }).filter(|f| f.weight() > 0.0)
+    }
+
+    /// Forgets what says nothing any more.
+    pub fn clear(&mut self, now: Micros) {
+        self.0.retain(|about, k| {
+            let age = k.age.saturating_add(now.saturating_sub(k.came));
+            Fact { about: *about, value: k.value, age }.weight() > 0.0
+        });
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/comeback/src/fault.rs
@@ -0,0 +1,47 @@
+//! Why a snapshot or a letter is not used, and what an operator can do about it. The router routes all
+//! the same.
+use miette::Diagnostic;
+use thiserror::Error;
+
+/// Why a snapshot is not used. Nothing else depends on it: the router starts from its peers, or from nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Diagnostic)]
+pub enum Unusable {
+    #[error("the snapshot's checksum does not fit: torn, bent or written over")]
+    #[diagnostic(
+        code(comeback::spoilt),
+        help("nothing at once: it is written anew within seconds; if it happens again, replace the disk")
+    )]
+    Spoilt,
+    #[error("the snapshot has form {0}, which this version does not read")]
+    #[diagnostic(
+        code(comeback::other_form),
+        help("nothing: a newer version wrote it, and it is written anew within seconds")
+    )]
+    OtherForm(u16),
+    #[error("the snapshot is of another router or fleet")]
+    #[diagnostic(
+        code(comeback::foreign),
+        help(
+            "look which file 'snapshot' in the fleet block names: two routers may share it, or it was copied"
+        )
+    )]
+    Foreign,
+    #[error("the snapshot has {0} bytes, more than any has")]
+    #[diagnostic(code(comeback::long), help("look which file 'snapshot' in the fleet block names"))]
+    Long(usize),
+}
+
+impl Unusable {
+    /// One of each, for the table of codes.
+    pub const EACH: [Unusable; 4] =
+        [Unusable::Spoilt, Unusable::OtherForm(0), Unusable::Foreign, Unusable::Long(0)];
+}
+
+/// Why a letter is not taken; it changes nothing then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Diagnostic)]
+#[error("a letter that ends early, goes on after its end or holds what no letter holds")]
+#[diagnostic(
+    code(comeback::unreadable),
+    help("a router of another version, or a broken path: compare the versions of the routers")
+)]
+pub struct Unread;
