The module tells what it has learned of workers and takes it up again, as more care only

Change: `learned`, `load_times` and `recall` in src/control.rs; a recall gives no more room than a newcomer has and has a worker in doubt tried by one job. Nobody calls them yet, so no decision changes.

--- a/src/control.rs
+++ b/src/control.rs
@@ -322,36 +322,17 @@
     born: Micros,
 }
 
-/// Mixes two ids into a place in a function's order; the same at every router.
-fn mix(a: u64, b: u64) -> u64 {
-    let mut x = a ^ b.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    for _ in 0..2 {
-        x = (x ^ (x >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        x = (x ^ (x >> 29)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    }
-    x ^ (x >> 32)
-}
-
-fn mean_target(rows: &Startup) -> f64 {
-    let targets = rows.workloads.iter().map(|w| w.start_target as f64);
-    targets.sum::<f64>() / rows.workloads.len().max(1) as f64
-}
-
-/// Evenly spread bits as a number from 0 to 1.
-fn part_of_one(bits: u64) -> f64 {
-    (bits >> 11) as f64 / (1u64 << 53) as f64
-}
-
 impl Control {
     pub fn new(now: Micros, rows: Startup, orders: &mut dyn Orders) -> Self {
         let workloads = rows.workloads.iter().map(Workload::new);
         let customers = rows.customers.iter().map(|row| Customer::new(now, row));
-        let mean_target = mean_target(&rows);
         let mut control = Control {
             now,
             rng: Rand64::new(u128::from(rows.seed)),
             workloads: workloads.collect(),
             customers: customers.collect(),
+            mean_service: rows.mean_target() * SERVICE_START,
+            mean_target: rows.mean_target(),
             rows,
             servers: BTreeMap::new(),
             functions: BTreeMap::new(),
@@ -374,8 +355,6 @@
             weight_least: 0.0,
             weight_most: 0.0,
             busy_per_weight: 0.0,
-            mean_service: mean_target * SERVICE_START,
-            mean_target,
             born: now,
         };
         if control.rows.list_by_asking {
@@ -414,7 +393,7 @@
                 None => self.customers.push(Customer::new(self.now, row)),
             }
         }
-        (self.mean_target, self.rows) = (mean_target(&rows), rows);
+        (self.mean_target, self.rows) = (rows.mean_target(), rows);
         if !self.rows.permits.second_copies && self.rows.permits.cancel {
             let out = |j: &Job| j.tried.iter().filter(|t| t.fate == Fate::Out).count();
             let double = self.jobs.iter().filter(|(_, j)| !j.streaming && out(j) > 1);
@@ -424,6 +403,27 @@
         self.dispatch(orders);
     }
 
+    /// What was learned of each worker's life, and how long functions take to load.
+    pub fn learned(&self) -> impl Iterator<Item = (ServerId, Micros, Learned)> + '_ {
+        let of = |s: &Server| Learned::of([s.room, s.lag, s.errors], s.trickle.is_some());
+        self.servers.iter().map(move |(id, s)| (*id, s.up_since, of(s)))
+    }
+
+    pub fn load_times(&self) -> impl Iterator<Item = (FunctionId, Micros)> + '_ {
+        self.functions.iter().filter_map(|(id, f)| Some((*id, f.load_time?)))
+    }
+
+    /// Takes up what was learned before a restart, or by others; false where it cannot be yet. A hint: it
+    /// gives no more room than a newcomer has, and a worker in doubt is tried by one job.
+    pub fn recall(&mut self, id: ServerId, up_since: Micros, told: &Learned) -> bool {
+        let same = |s: &&mut Server| s.up_since == up_since && s.room > 0.0;
+        let Some(s) = self.servers.get_mut(&id).filter(same) else { return false };
+        s.room = s.room.min(told.room.max(s.least));
+        (s.lag, s.errors) = (s.lag.max(told.lag), s.errors.max(told.errors));
+        s.trickle = s.trickle.or(told.aside.then_some(1));
+        true
+    }
+
     pub fn list(&mut self, orders: &mut dyn Orders, kind: ListKind, entries: &[Listed]) {
         if kind == ListKind::Failed {
             orders.watch();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,6 +10,21 @@
     name.bytes().fold(0xcbf2_9ce4_8422_2325, fnv)
 }
 
+/// Mixes two ids into a place in a function's order; the same at every router.
+pub(crate) fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a ^ b.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    for _ in 0..2 {
+        x = (x ^ (x >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 29)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    }
+    x ^ (x >> 32)
+}
+
+/// Evenly spread bits as a number from 0 to 1.
+pub(crate) fn part_of_one(bits: u64) -> f64 {
+    (bits >> 11) as f64 / (1u64 << 53) as f64
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ServerId(pub u64);
 
@@ -125,6 +140,33 @@
     pub list_by_asking: bool,
 }
 
+impl Startup {
+    /// µs, over the workloads; 0 without any.
+    pub fn mean_target(&self) -> f64 {
+        let targets = self.workloads.iter().map(|w| w.start_target as f64);
+        targets.sum::<f64>() / self.workloads.len().max(1) as f64
+    }
+}
+
+/// What a router has learned of one life of a model server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Learned {
+    /// Jobs that it had room for; 0 where that is not known.
+    pub room: f64,
+    /// How much of a start target its answers took, and the part of them that were errors.
+    pub lag: f64,
+    pub errors: f64,
+    /// It was set aside, or on trial after that.
+    pub aside: bool,
+}
+
+impl Learned {
+    /// Room, lag and errors; whether it was in doubt.
+    pub fn of([room, lag, errors]: [f64; 3], aside: bool) -> Self {
+        Learned { room, lag, errors, aside }
+    }
+}
+
 /// How complete a list of model servers is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKind {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -217,3 +217,24 @@
     let cancels = bench.record.did.iter().filter(|d| matches!(d, Did::Cancel(..)));
     assert_eq!(cancels.collect::<Vec<_>>(), [&Did::Cancel(job(1), 1)]);
 }
+
+// What is recalled of a worker only ever makes more careful, and counts for the life that it was learned of.
+#[test_case(0, 1000.0, false, true, true; "no more room than a newcomer has")]
+#[test_case(0, 1.5, false, true, false; "less room")]
+#[test_case(0, 1000.0, true, true, false; "in doubt")]
+#[test_case(5, 1.5, true, false, true; "of another life")]
+fn recalled(up_since: Micros, room: f64, aside: bool, taken: bool, as_before: bool) {
+    let sends = |told: Option<Learned>| {
+        let mut bench = Bench::new(rows(Effect::Restartable), 1);
+        if let Some(told) = told {
+            assert_eq!(bench.control.recall(server(0), up_since, &told), taken);
+        }
+        (0..60).for_each(|n| bench.arrive(n, &format!("hut.{n}"), 5000 * MS));
+        let before = bench.control.learned().map(|(_, _, l)| (l.room, l.aside)).collect::<Vec<_>>();
+        (before, (0..60).map(|n| bench.sends(n).len()).sum::<usize>())
+    };
+    let (fresh, told) = (sends(None), sends(Some(Learned { room, lag: 0.0, errors: 0.0, aside })));
+    assert_eq!(told == fresh, as_before, "{told:?} and {fresh:?}");
+    assert!(told.1 <= fresh.1 && told.0[0].0 <= fresh.0[0].0);
+    assert!(told.1 > 0, "it is tried");
+}
