--- a/crates/accord/src/letter.rs
+++ b/crates/accord/src/letter.rs
@@ -89,27 +89,45 @@
     }
 }
 
-/// Hands a letter to a register; one that cannot be read changes nothing. `remembered` as in
-/// `Register::promised`.
-pub fn read<V: Clone + Default + Serialize + DeserializeOwned>(
+/// Whether a letter is for the keeper of its receiver, and not for its register.
+pub fn is_question(letter: &[u8]) -> bool {
+    matches!(letter, [MARK, PROMISE | ACCEPT, ..])
+}
+
+/// Hands a question to a keeper; one that cannot be read changes nothing.
+pub fn vote<V: Clone + Serialize + DeserializeOwned>(
     letter: &[u8],
-    register: &mut Register<V>,
-    now: Micros,
-    remembered: &[(Birth, u64)],
-    disk: &mut dyn Votes<Agreed<V>>,
+    voter: &mut Voter<V>,
+    votes: &mut dyn Votes<Agreed<V>>,
     orders: &mut Written,
 ) -> Result<(), Unread> {
     let [MARK, kind, rest @ ..] = letter else { return Err(Unread) };
     match *kind {
         PROMISE => {
             let (from, (ballot, word)) = whole(rest)?;
-            register.promise(from, ballot, word, disk, orders);
+            voter.promise(from, ballot, word, votes, orders);
         }
         ACCEPT => {
             let (from, (ballot, agreed, word)): (_, (_, Agreed<V>, _)) = whole(rest)?;
             sound(&agreed)?;
-            register.accept(from, (ballot, agreed), word, disk, orders);
+            voter.accept(from, (ballot, agreed), word, votes, orders);
         }
+        _ => return Err(Unread),
+    }
+    Ok(())
+}
+
+/// Hands a letter to a register; one that cannot be read changes nothing. `remembered` as in
+/// `Register::promised`.
+pub fn read<V: Clone + Default + Serialize + DeserializeOwned>(
+    letter: &[u8],
+    register: &mut Register<V>,
+    now: Micros,
+    remembered: &[(Birth, u64)],
+    orders: &mut Written,
+) -> Result<(), Unread> {
+    let [MARK, kind, rest @ ..] = letter else { return Err(Unread) };
+    match *kind {
         PROMISED => {
             type Parts<V> = ((Ballot, Ballot), Birth, Option<(Ballot, Agreed<V>)>);
             let (name, (ballots, disk, accepted)): (_, Parts<V>) = whole(rest)?;
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -10,11 +10,13 @@
 pub mod letter;
 mod proposer;
 mod register;
+mod voter;
 
 pub use convener::{Agreed, Convener, Guards, Heard, Questions, Seat};
 pub use keeper::{Keeper, Trouble, Vote, Votes};
 pub use proposer::{Orders as Ballots, Proposer, Told};
 pub use register::{Held, Orders, Register, Standstill};
+pub use voter::Voter;
 
 use applepond::interface::Micros;
 use applepond_members::Birth;
--- a/crates/accord/src/register.rs
+++ b/crates/accord/src/register.rs
@@ -1,6 +1,7 @@
-//! One router's part in what is agreed on: it keeps a vote if it is a keeper, convenes if it may, and holds a
-//! copy that ends. Which router convenes is by who speaks first; that nobody acts on what is over is by the
-//! copy's end, counted by the holder's own clock from before it asked.
+//! One router's part in what is agreed on: it keeps a vote if it is a keeper, convenes if it may, and
+//! holds a copy that ends. Which router convenes is by who speaks first; that nobody acts on what is over
+//! is by the copy's end, counted by the holder's own clock from before it asked. The keeper itself is a
+//! `Voter` beside it: its disk may take its time while this goes on.
 use crate::*;
 use applepond_members::RouterId;
 use miette::Diagnostic;
@@ -102,8 +103,9 @@
     me: RouterId,
     birth: Birth,
     named: Vec<RouterId>,
-    /// Which disk it is, and the vote on it.
-    keeper: Option<(Birth, Keeper<Agreed<V>>)>,
+    /// It has a keeper beside it, and why that one does not vote.
+    keeps: bool,
+    doubt: Option<Trouble>,
     convener: Convener<V>,
     /// When the try under way began: what it confirms counts from there.
     begun: Micros,
@@ -145,13 +147,12 @@
 }
 
 impl<V: Clone + Default> Register<V> {
-    /// `keeper`: this router's disk and what it holds, where it has one. Empty-handed at its start, whatever
-    /// a snapshot may say.
+    /// `keeps`: a `Voter` stands beside it. Empty-handed at its start, whatever a snapshot may say.
     pub fn new(
         now: Micros,
         (me, birth): (RouterId, Birth),
         named: &[RouterId],
-        keeper: Option<(Birth, Keeper<Agreed<V>>)>,
+        keeps: bool,
         seed: u64,
     ) -> Self {
         let mut rng = Rand64::new(u128::from(seed));
@@ -159,7 +160,8 @@
             me,
             birth,
             named: named.to_vec(),
-            keeper,
+            keeps,
+            doubt: None,
             convener: Convener::new(birth, named, seed),
             begun: now,
             mine: false,
@@ -198,8 +200,7 @@
 
     /// What stands in the way, where nothing counts.
     pub fn standstill(&self, now: Micros) -> Option<Standstill> {
-        let doubt = self.keeper.as_ref().and_then(|(_, k)| k.trouble());
-        let doubt = doubt.map(|t| Standstill::InDoubt(t.word()));
+        let doubt = self.doubt.map(|t| Standstill::InDoubt(t.word()));
         doubt.or_else(|| self.standstill.clone().filter(|_| self.held(now).is_none()))
     }
 
@@ -217,6 +218,11 @@
         }
     }
 
+    /// The keeper beside it does not vote, as it says.
+    pub fn keeper_doubts(&mut self, trouble: Option<Trouble>) {
+        self.doubt = trouble;
+    }
+
     /// Other keepers by the settings: changed one by one, by agreement.
     pub fn rename(&mut self, named: &[RouterId]) {
         self.named = named.to_vec();
@@ -230,7 +236,7 @@
     }
 
     fn may_convene(&self) -> bool {
-        self.keeper.is_some() || self.named.contains(&self.me)
+        self.keeps || self.named.contains(&self.me)
     }
 
     /// `live`: whether a router seems to be there; only whom to ask goes by it.
@@ -298,62 +304,6 @@
         orders.ask(to, self.asks);
     }
 
-    // ---- The keeper's side -------------------------------------------------------------------
-
-    /// Words of another on this disk, if it is this one.
-    fn recall(&mut self, word: Option<(Birth, Ballot)>) -> Option<(Birth, &mut Keeper<Agreed<V>>)> {
-        let (disk, keeper) = self.keeper.as_mut()?;
-        keeper.recall(word.filter(|(d, _)| d == disk).map(|(_, ballot)| ballot));
-        Some((*disk, keeper))
-    }
-
-    pub fn promise(
-        &mut self,
-        from: RouterId,
-        ballot: Ballot,
-        word: Option<(Birth, Ballot)>,
-        disk: &mut dyn Votes<Agreed<V>>,
-        orders: &mut dyn Orders<V>,
-    ) {
-        let Some((seat, keeper)) = self.recall(word) else { return };
-        match keeper.promise(ballot, disk) {
-            Some(Ok((before, accepted))) => {
-                orders.promised(from, (ballot, before), seat, accepted.as_ref());
-            }
-            Some(Err(promised)) => orders.refused(from, ballot, promised),
-            None => {
-                if let Some(trouble) = keeper.trouble() {
-                    orders.doubts(from, ballot, trouble);
-                }
-            }
-        }
-    }
-
-    pub fn accept(
-        &mut self,
-        from: RouterId,
-        (ballot, agreed): (Ballot, Agreed<V>),
-        word: Option<(Birth, Ballot)>,
-        disk: &mut dyn Votes<Agreed<V>>,
-        orders: &mut dyn Orders<V>,
-    ) {
-        let Some((seat, keeper)) = self.recall(word) else { return };
-        match keeper.accept(ballot, agreed, disk) {
-            Some(Ok(())) => orders.accepted(from, ballot, seat),
-            Some(Err(promised)) => orders.refused(from, ballot, promised),
-            None => {
-                if let Some(trouble) = keeper.trouble() {
-                    orders.doubts(from, ballot, trouble);
-                }
-            }
-        }
-    }
-
-    /// What this router's keeper holds; for the state page.
-    pub fn keeper(&self) -> Option<&(Birth, Keeper<Agreed<V>>)> {
-        self.keeper.as_ref()
-    }
-
     // ---- The convener's side -----------------------------------------------------------------
 
     /// `remembered`: lines that others say they have seen, and how far; a hint, which only ever forbids.
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,9 +1,13 @@
 //! `fleet`: what a running router says of its fleet, and that part of `serve`.
+use applepond::interface::{FunctionId, Learned, ServerId, Standing};
+use applepond_comeback::Memory;
+use applepond_fleet::desk::{DiskFault, Threads};
 use applepond_fleet::envelope::Key;
-use applepond_fleet::{Fleet, View, ask, page};
+use applepond_fleet::{Fleet, Place, Shared, View, ask, page};
 use applepond_gateway::deployment::FleetRow;
 use applepond_gateway::switch::merge;
-use applepond_gateway::{Deployment, News, Page};
+use applepond_gateway::{Deployment, Memory as Remembers, News, Page};
+use applepond_members::{Birth, RouterId};
 use applepond_members::{Count, Guards};
 use applepond_reactor::Micros;
 use clap::Subcommand;
@@ -68,17 +72,84 @@
     row.key_files.iter().map(key).collect()
 }
 
+/// A disk's fault as a drill names it.
+pub fn disk_fault(word: &str) -> Result<DiskFault, String> {
+    let late = |ms: &str| ms.parse().ok().map(|ms| DiskFault::Late(std::time::Duration::from_millis(ms)));
+    match word {
+        "lies" => Ok(DiskFault::Lies),
+        "full" => Ok(DiskFault::Full),
+        _ => word.strip_prefix("late-").and_then(late).ok_or("late-MS, lies or full".to_owned()),
+    }
+}
+
 /// What a rig does to the fleet's part of a process: its datagrams go there, a guard is taken out.
 pub struct Rig {
     pub through: Option<SocketAddr>,
     pub guards: Guards,
+    /// What its disks do.
+    pub disk: DiskFault,
+}
+
+/// One number for a fleet's founding: votes of another one are foreign.
+fn founding(row: &FleetRow) -> u64 {
+    row.founding.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ 0xacc0_4d00
 }
 
-/// The machine of a `fleet` block and what others of the process look at; an error names the file at fault.
-pub fn of(row: &FleetRow, now: Micros, rig: &Rig) -> Result<(Fleet, Rc<RefCell<View>>), String> {
-    let seed = getrandom::u64().map_err(|e| format!("no random numbers: {e}"))?;
+fn named(keepers: &[String]) -> Vec<RouterId> {
+    keepers.iter().map(|k| RouterId::named(k)).collect()
+}
+
+/// The memory of a router as its gateway uses it.
+pub struct Shelf(pub Rc<RefCell<Memory>>);
+
+impl Remembers for Shelf {
+    fn saw(&mut self, now: Micros, server: ServerId, up_since: Micros, seen: &Learned) {
+        self.0.borrow_mut().saw(now, server, up_since, seen);
+    }
+    fn saw_load_time(&mut self, now: Micros, function: FunctionId, took: Micros) {
+        self.0.borrow_mut().saw_load_time(now, function, took);
+    }
+    fn recalls(&mut self, now: Micros) -> Vec<(ServerId, Micros, Learned)> {
+        self.0.borrow_mut().recalls(now)
+    }
+    fn recalled(&mut self, server: ServerId, up_since: Micros) {
+        self.0.borrow_mut().recalled(server, up_since);
+    }
+    fn listed(&mut self, now: Micros, server: ServerId, up_since: Micros, is: Standing) -> Standing {
+        self.0.borrow_mut().listed(now, server, up_since, is)
+    }
+    fn load_time(&self, now: Micros, function: FunctionId) -> Option<Micros> {
+        self.0.borrow().load_time(now, function)
+    }
+}
+
+/// The machine of a `fleet` block, what others of the process look at, and the router's memory; an error
+/// names the file at fault.
+#[allow(clippy::type_complexity)] // three things that are made together
+pub fn of(
+    row: &FleetRow,
+    now: Micros,
+    rig: &Rig,
+) -> Result<(Fleet, Rc<RefCell<View>>, Rc<RefCell<Memory>>), String> {
+    let random = || getrandom::u64().map_err(|e| format!("no random numbers: {e}"));
+    let (seed, fresh) = (random()?, Birth(random()?));
     let who = (row.name.clone(), row.zone.clone(), row.listen);
-    Ok(Fleet::new(now, who, row.seeds.clone(), keys(row)?, seed, (rig.through, rig.guards)))
+    let (fleet, view) = Fleet::new(now, who, row.seeds.clone(), keys(row)?, seed, (rig.through, rig.guards));
+    let memory = Rc::new(RefCell::new(Memory::default()));
+    let (me, birth) = (RouterId::named(&row.name), view.borrow().members.me().birth);
+    let desk = Threads::new(me, (founding(row), fresh), row.votes.clone(), row.snapshot.clone(), rig.disk);
+    let place = Place {
+        me,
+        birth,
+        incarnation: view.borrow().members.me().incarnation,
+        keepers: named(&row.keepers),
+        founding: founding(row),
+        keeps: row.votes.is_some(),
+        snapshots: row.snapshot.is_some(),
+    };
+    let shared = Shared::new(now, place, memory.clone(), Box::new(desk), seed.rotate_left(31));
+    view.borrow_mut().shared = Some(shared);
+    Ok((fleet, view, memory))
 }
 
 /// The view as a part of the state page.
@@ -90,7 +161,10 @@
 /// and keys; where a key cannot be read, or another part needs a restart, nothing of the file is taken.
 pub fn counted(view: Rc<RefCell<View>>, mut held: Deployment, mut news: News) -> News {
     let begun = Instant::now();
-    let mut count = Count::new(held.rows.routers as usize);
+    // Guards against parts by a view that may be wrong: never of fewer routers than the settings name as the
+    // most, as only agreement could give the rest to those that are left.
+    let mut most = held.rows.routers;
+    let mut count = Count::new(most as usize);
     Box::new(move || {
         let mut told = false;
         match news() {
@@ -102,10 +176,15 @@
                 Ok(merged) => {
                     if let Some(row) = &merged.fleet {
                         match keys(row) {
-                            Ok(keys) => view.borrow_mut().renew(row.seeds.clone(), keys),
+                            Ok(keys) => {
+                                let mut view = view.borrow_mut();
+                                view.renew(row.seeds.clone(), keys);
+                                view.shared.iter_mut().for_each(|s| s.rename(&named(&row.keepers)));
+                            }
                             Err(why) => return Some(Err(why)),
                         }
                     }
+                    most = merged.rows.routers;
                     held = merged;
                     told = true;
                 }
@@ -113,7 +192,8 @@
         }
         let was = held.rows.routers;
         let live = view.borrow().members.live();
-        held.rows.routers = count.look(begun.elapsed().as_micros() as Micros, live) as u64;
+        let counted = count.look(begun.elapsed().as_micros() as Micros, live) as u64;
+        held.rows.routers = counted.max(most);
         (told || was != held.rows.routers).then(|| Ok(held.clone()))
     })
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -36,6 +36,9 @@
         /// Sends the datagrams of its fleet through a rig that stands between the routers.
         #[arg(long, hide = true)]
         fleet_through: Option<std::net::SocketAddr>,
+        /// What its disks do: late-MS, lies or full.
+        #[arg(long, hide = true, value_parser = fleet::disk_fault)]
+        disk: Option<applepond_fleet::desk::DiskFault>,
         /// Ends with the process that started it: a drill that is broken off leaves no router behind.
         #[arg(long, hide = true)]
         with_parent: bool,
@@ -67,13 +70,13 @@
 
 fn main() -> ExitCode {
     match Line::parse().what {
-        What::Serve { settings, listen, log, plant, fleet_through, with_parent } => {
+        What::Serve { settings, listen, log, plant, fleet_through, disk, with_parent } => {
             if with_parent {
                 serve::end_with_parent();
             }
             let guard = plant.as_deref().and_then(applepond_members::Guards::without);
             let guards = guard.unwrap_or(applepond_members::Guards::ALL);
-            let rig = fleet::Rig { through: fleet_through, guards };
+            let rig = fleet::Rig { through: fleet_through, guards, disk: disk.unwrap_or_default() };
             serve::serve(&settings, listen, log, plant.as_deref().filter(|_| guard.is_none()), &rig)
         }
         What::Node { config } => node::node(config),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -145,12 +145,14 @@
         None => None,
     };
     let news = match &fleet {
-        Some((_, view)) => fleet::counted(view.clone(), deployment.clone(), news),
+        Some((_, view, _)) => fleet::counted(view.clone(), deployment.clone(), news),
         None => news,
     };
     let gateway = Gateway::new(reactor.now(), deployment, told).with_news(news);
     let gateway = match &fleet {
-        Some((_, view)) => gateway.with_page("fleet", fleet::shown(view.clone())),
+        Some((_, view, memory)) => gateway
+            .with_page("fleet", fleet::shown(view.clone()))
+            .with_memory(Box::new(fleet::Shelf(memory.clone()))),
         None => gateway,
     };
     let gateway = match record {
@@ -170,7 +172,7 @@
     reactor.add(machine);
     // A word to the others before the end, where there are any; else a signal ends the process by itself.
     let mut left: Box<dyn Fn() -> bool> = Box::new(|| false);
-    if let Some((fleet, view)) = fleet {
+    if let Some((fleet, view, _)) = fleet {
         let asked = Arc::new(AtomicBool::new(false));
         for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
             if let Err(error) = signal_hook::flag::register(signal, asked.clone()) {
--- a/crates/comeback/src/facts.rs
+++ b/crates/comeback/src/facts.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 /// µs for which a drain is kept whose age nobody knows: lists that come late are there by then.
-const UNKNOWN_DRAIN: Micros = 60_000_000;
+const UNKNOWN_DRAIN: Micros = 40_000_000;
 
 /// What a fact is about. On disk and on the wire by its number, which never changes its meaning.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -36,8 +36,9 @@
             // What a worker can do follows its load of the moment.
             What::Room | What::Lag => (5 * S, 30 * S),
             What::Errors | What::Aside => (10 * S, 60 * S),
-            // A drain ends with the worker's process, not with time: kept whole for as long as one takes.
-            What::Drain => (600 * S, 600 * S),
+            // Kept whole: whoever is told it by the list says it anew, and lists that come late are there by
+            // then.
+            What::Drain => (60 * S, 60 * S),
             What::LoadTime => (600 * S, 3_600 * S),
             What::Usual => (60 * S, 600 * S),
         }
--- a/crates/comeback/src/lib.rs
+++ b/crates/comeback/src/lib.rs
@@ -7,11 +7,13 @@
 mod facts;
 mod fault;
 pub mod letter;
+mod memory;
 mod peers;
 mod snapshot;
 
 pub use facts::{About, Fact, Facts, What};
 pub use fault::{Unread, Unusable};
+pub use memory::Memory;
 pub use peers::{Guards, Orders, Peers, Stage};
 pub use snapshot::{Boot, read, write};
 
--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -250,7 +250,7 @@
     }
     let mut records = Vec::new();
     for me in (0..plan.routers).filter(|_| order.kills > 0) {
-        records.push(Disk::open(&folder.join(format!("record-{me}")))?);
+        records.push(Disk::open(&folder.join(format!("record-{me}"))).map_err(|e| e.to_string())?);
     }
     let mut lasting = BTreeSet::new();
     ledger.read(|seen| {
--- a/crates/fleet/src/envelope.rs
+++ b/crates/fleet/src/envelope.rs
@@ -44,6 +44,14 @@
     }
 }
 
+/// Whom a letter is for that is for one process of a router alone: one that was kept from before its start is
+/// not for it.
+pub fn process(name: u64, birth: u64) -> u64 {
+    let mut x = name ^ birth.rotate_left(29).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    (x ^ (x >> 32)) | 1
+}
+
 /// Why a datagram is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Dropped {
@@ -72,6 +80,8 @@
 pub struct Envelopes {
     birth: u64,
     me: u64,
+    /// The last one that opened was for this process alone.
+    mine: bool,
     /// The first one seals; each opens.
     keys: Vec<Key>,
     count: u64,
@@ -89,7 +99,7 @@
     pub fn new(birth: u64, me: u64, keys: Vec<Key>) -> Self {
         assert!(!keys.is_empty(), "a fleet has a key");
         let (heard, dropped) = (BTreeMap::new(), BTreeMap::new());
-        Envelopes { birth, me, keys, count: 0, opened: 0, heard, dropped }
+        Envelopes { birth, me, mine: false, keys, count: 0, opened: 0, heard, dropped }
     }
 
     /// Other keys from now on.
@@ -145,10 +155,12 @@
         }
         let number = |n: usize| u64::from_le_bytes(sealed[8 * n..8 * n + 8].try_into().expect("eight bytes"));
         let (birth, to, count) = (number(0), number(1), number(2));
-        if to != 0 && to != self.me {
+        let mine = to == process(self.me, self.birth);
+        if to != 0 && to != self.me && !mine {
             return Err(Dropped::Misled);
         }
         self.fresh(birth, count)?;
+        self.mine = mine;
         Ok((birth, &sealed[3 * 8..]))
     }
 
@@ -189,6 +201,11 @@
         Ok(())
     }
 
+    /// Whether the datagram opened last was for this process alone, and not for whoever it reaches.
+    pub fn was_for_me(&self) -> bool {
+        self.mine
+    }
+
     /// How many were dropped, by reason.
     pub fn dropped(&self) -> &BTreeMap<Dropped, u64> {
         &self.dropped
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,8 +1,11 @@
 //! The shell of what the routers of a fleet have among each other: datagrams under a keyed hash on one port.
 //! `serve` opens it where the settings have a `fleet` block, and nothing else does.
 mod ask;
+pub mod desk;
 pub mod envelope;
+mod shared;
 mod shell;
 
 pub use ask::ask;
+pub use shared::{Place, Shared};
 pub use shell::{Fleet, View, page};
--- /dev/null
+++ b/crates/fleet/src/shared.rs
@@ -0,0 +1,318 @@
+//! What the routers share beside who is there: what they tell each other, what is agreed on, and how one
+//! comes back. Letters go behind marks on the fleet's port, each for one process; nothing is decided
+//! here.
+use crate::desk::{Charter, Desk, Said};
+use applepond_accord::letter::Written;
+use applepond_accord::{self as accord, Register};
+use applepond_comeback::{self as comeback, EVERY, Fact, Memory, Peers, Stage, letter::Words};
+use applepond_members::{Birth, Members, RouterId};
+use applepond_reactor::Micros;
+use applepond_tallies::{self as tallies, Key, Kind, Tallies};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// µs between two looks at the disks while they have something to answer.
+const LOOK: Micros = 2_000;
+/// Tallies: which line and number of a founding a router has last seen agreed on.
+const SEEN: Kind = Kind(1);
+/// µs for which that counts: it only ever forbids, and who said it says it again.
+const SEEN_LIFE: Micros = 600_000_000;
+/// µs after which it is said again.
+const SEEN_AGAIN: Micros = 200_000_000;
+
+pub struct Shared {
+    me: RouterId,
+    pub tallies: Tallies,
+    pub register: Option<Register<Charter>>,
+    pub peers: Peers,
+    memory: Rc<RefCell<Memory>>,
+    desk: Box<dyn Desk>,
+    founding: u64,
+    next_snapshot: Micros,
+    /// The view that was last taken over from `members`.
+    view: Option<u64>,
+    seen: (Option<(Birth, u64)>, Micros),
+    /// What was last logged.
+    stage: Stage,
+    standstill: Option<accord::Standstill>,
+    unread: u64,
+    unusable: Option<String>,
+    written: u64,
+}
+
+/// What a router is told of itself and its place.
+pub struct Place {
+    pub me: RouterId,
+    pub birth: Birth,
+    pub incarnation: u64,
+    pub keepers: Vec<RouterId>,
+    pub founding: u64,
+    /// It has a file for its vote.
+    pub keeps: bool,
+    /// It has one for its snapshot.
+    pub snapshots: bool,
+}
+
+#[derive(Default)]
+struct Letters(Vec<(RouterId, Vec<u8>)>);
+
+impl tallies::Orders for Letters {
+    fn send(&mut self, to: RouterId, letter: Vec<u8>) {
+        self.0.push((to, letter));
+    }
+}
+
+impl comeback::Orders for Letters {
+    fn send(&mut self, to: RouterId, letter: Vec<u8>) {
+        self.0.push((to, letter));
+    }
+}
+
+/// A letter of one that comes back, or of its peer.
+struct Return<'a>(Micros, &'a mut Peers, &'a Memory, &'a mut Letters);
+
+impl Words for Return<'_> {
+    fn asked(&mut self, from: RouterId, number: u64, page: u16) {
+        self.1.asked(self.0, from, (number, page), self.2.facts(), self.3);
+    }
+    fn given(&mut self, from: RouterId, number: u64, page: u16, last: bool, facts: Vec<Fact>) {
+        self.1.given(self.0, from, number, page, last, facts, self.3);
+    }
+    fn later(&mut self, from: RouterId, number: u64, wait: Micros) {
+        self.1.told_later(self.0, from, number, wait);
+    }
+    fn empty(&mut self, from: RouterId, number: u64) {
+        self.1.told_empty(self.0, from, number);
+    }
+}
+
+impl Shared {
+    pub fn new(
+        now: Micros,
+        place: Place,
+        memory: Rc<RefCell<Memory>>,
+        desk: Box<dyn Desk>,
+        seed: u64,
+    ) -> Self {
+        let rows = [tallies::Row { kind: SEEN, life: SEEN_LIFE }];
+        let who = (place.me, place.birth);
+        let register = || Register::new(now, who, &place.keepers, place.keeps, seed.rotate_left(7));
+        Shared {
+            me: place.me,
+            tallies: Tallies::new(now, place.me, place.incarnation, &rows, seed),
+            register: (!place.keepers.is_empty()).then(register),
+            peers: Peers::new(now, place.me, seed.rotate_left(13)),
+            memory,
+            desk,
+            founding: place.founding,
+            next_snapshot: if place.snapshots { now + EVERY } else { Micros::MAX },
+            view: None,
+            seen: (None, 0),
+            stage: Stage::Asking,
+            standstill: None,
+            unread: 0,
+            unusable: None,
+            written: 0,
+        }
+    }
+
+    /// Other keepers by the settings: changed one by one, by agreement.
+    pub fn rename(&mut self, keepers: &[RouterId]) {
+        if let Some(register) = self.register.as_mut().filter(|_| !keepers.is_empty()) {
+            register.rename(keepers);
+        }
+    }
+
+    pub fn next(&self) -> Micros {
+        let register = self.register.as_ref().map_or(Micros::MAX, Register::next);
+        self.tallies.next().min(register).min(self.peers.next()).min(self.next_snapshot)
+    }
+
+    /// When to look at the disks, while they owe an answer.
+    pub fn look(&self, now: Micros) -> Option<Micros> {
+        self.desk.waits().then_some(now + LOOK)
+    }
+
+    /// All that is due; letters for others.
+    pub fn wake(&mut self, now: Micros, members: &Members) -> Vec<(RouterId, Vec<u8>)> {
+        let mut out = Letters::default();
+        self.disks(now, &mut out);
+        if self.view != Some(members.view()) {
+            self.view = Some(members.view());
+            self.tallies.present(now, members.there().chain([self.me]).collect());
+        }
+        self.tallies.wake(now, members.neighbours(), &mut out);
+        let live: Vec<RouterId> = members.there().collect();
+        if now >= self.peers.next() {
+            let facts = self.peers.wake(now, &live, &mut out);
+            self.memory.borrow_mut().take(now, &facts);
+        }
+        if let Some(register) = self.register.as_mut().filter(|r| now >= r.next()) {
+            let mut written = Written::by(self.me);
+            register.wake(now, &|router| live.contains(&router), &mut written);
+            out.0.extend(written.letters);
+        }
+        if now >= self.next_snapshot {
+            self.next_snapshot = now + EVERY;
+            self.memory.borrow_mut().refresh(now);
+            let (boot, at) = self.desk.boot();
+            let bytes = comeback::write(self.me.0, boot, at, now, self.memory.borrow().facts());
+            // While the one before is being written this one is left out: the next is younger.
+            self.desk.snapshot(bytes);
+        }
+        self.tell(now);
+        self.own(now, out.0)
+    }
+
+    /// What this router has to say to itself needs no network.
+    fn own(&mut self, now: Micros, letters: Vec<(RouterId, Vec<u8>)>) -> Vec<(RouterId, Vec<u8>)> {
+        let (mut others, mut own) = (Vec::new(), letters);
+        while let Some((to, letter)) = own.pop() {
+            if to != self.me {
+                others.push((to, letter));
+                continue;
+            }
+            own.extend(self.take(now, self.me, &letter));
+        }
+        others
+    }
+
+    /// A letter that was sealed for this process.
+    pub fn heard(&mut self, now: Micros, from: RouterId, letter: &[u8]) -> Vec<(RouterId, Vec<u8>)> {
+        let letters = self.take(now, from, letter);
+        self.tell(now);
+        self.own(now, letters)
+    }
+
+    fn take(&mut self, now: Micros, from: RouterId, letter: &[u8]) -> Vec<(RouterId, Vec<u8>)> {
+        let mut out = Letters::default();
+        let read = match letter.first() {
+            Some(&tallies::MARK) => self.tallies.heard(now, from, letter, &mut out).is_ok(),
+            Some(&comeback::letter::MARK) => {
+                let memory = self.memory.borrow();
+                let mut words = Return(now, &mut self.peers, &memory, &mut out);
+                comeback::letter::read(letter, &mut words).is_ok()
+            }
+            Some(&accord::letter::MARK) if accord::letter::is_question(letter) => {
+                self.desk.question(letter);
+                true
+            }
+            Some(&accord::letter::MARK) => {
+                let remembered = self.remembered(now);
+                let mut written = Written::by(self.me);
+                let read = self.register.as_mut().is_some_and(|register| {
+                    accord::letter::read(letter, register, now, &remembered, &mut written).is_ok()
+                });
+                out.0.extend(written.letters);
+                read
+            }
+            _ => false,
+        };
+        self.unread += u64::from(!read);
+        out.0
+    }
+
+    /// What others say they have seen agreed on, of this founding.
+    fn remembered(&self, now: Micros) -> Vec<(Birth, u64)> {
+        let told = self.tallies.under(now, SEEN, Key(self.founding));
+        told.filter_map(|t| postcard::from_bytes(t.value).ok()).collect()
+    }
+
+    /// What the disks have to say.
+    fn disks(&mut self, now: Micros, out: &mut Letters) {
+        while let Some(said) = self.desk.said() {
+            match said {
+                Said::Letters(letters) => out.0.extend(letters),
+                Said::Keeper(trouble) => {
+                    if let Some(register) = &mut self.register {
+                        register.keeper_doubts(trouble);
+                    }
+                }
+                Said::Found(bytes, fault) => {
+                    let (boot, at) = self.desk.boot();
+                    let read = bytes.map(|b| comeback::read(self.me.0, boot, at, &b)).transpose();
+                    let why = match (&read, &fault) {
+                        (Err(why), _) => Some(why.to_string()),
+                        (_, Some(fault)) => Some(fault.to_string()),
+                        _ => None,
+                    };
+                    if let Some(why) = &why {
+                        tracing::warn!(reason = "snapshot-unusable", why, "comeback: from peers, or nothing");
+                    }
+                    self.unusable = why;
+                    if let Ok(Some(facts)) = read
+                        && !facts.is_empty()
+                    {
+                        tracing::info!(reason = "snapshot", facts = facts.len(), "comeback: a snapshot");
+                        self.memory.borrow_mut().take(now, &facts);
+                        self.peers.had_snapshot(now);
+                    }
+                }
+                Said::Written(None) => self.written += 1,
+                Said::Written(Some(fault)) => {
+                    let why = fault.to_string();
+                    if self.unusable.as_ref() != Some(&why) {
+                        tracing::warn!(reason = "snapshot-not-written", why, "comeback: routing goes on");
+                    }
+                    self.unusable = Some(why);
+                }
+            }
+        }
+    }
+
+    /// Says on, and logs, what has changed.
+    fn tell(&mut self, now: Micros) {
+        if let Some(register) = &self.register {
+            let seen = register.seen();
+            if seen != self.seen.0 || seen.is_some() && now >= self.seen.1 + SEEN_AGAIN {
+                self.seen = (seen, now);
+                let value = postcard::to_stdvec(&seen.unwrap_or((Birth(0), 0))).unwrap_or_default();
+                // It is small, and in place of the one before.
+                let _ = self.tallies.put(now, SEEN, Key(self.founding), &value);
+            }
+            let standstill = register.standstill(now);
+            if standstill != self.standstill {
+                if let Some(why) = &standstill {
+                    use miette::Diagnostic;
+                    let (code, help) = (why.code().map(|c| c.to_string()), why.help().map(|h| h.to_string()));
+                    tracing::warn!(reason = "standstill", ?code, %why, ?help, "accord: nothing is agreed on");
+                }
+                self.standstill = standstill;
+            }
+        }
+        if self.peers.stage() != self.stage {
+            self.stage = self.peers.stage();
+            let asks = self.peers.asks();
+            tracing::info!(reason = "comeback", stage = ?self.stage, asks, "comeback: over");
+        }
+    }
+
+    /// Its part of the state page.
+    pub fn page(&self, now: Micros) -> Value {
+        use miette::Diagnostic;
+        let agreed = self.register.as_ref().map(|register| {
+            let held = register.held(now);
+            let standstill = register.standstill(now).map(|why| {
+                json!({"code": why.code().map(|c| c.to_string()), "why": why.to_string(),
+                    "help": why.help().map(|h| h.to_string())})
+            });
+            json!({"number": held.map(|h| h.agreed.number), "for-us": held.map(|h| h.end - now),
+                "line": held.map(|h| h.agreed.line.0), "convenes": register.convenes(now),
+                "keepers": held.map(|h| h.agreed.keepers.iter().map(|s| s.name.0).collect::<Vec<_>>()),
+                "standstill": standstill})
+        });
+        let (origins, bytes) = self.tallies.size();
+        let stage = match self.peers.stage() {
+            Stage::Asking => "asking".to_owned(),
+            Stage::Told(n) => format!("told by {n}"),
+            Stage::Untold => "untold".to_owned(),
+        };
+        let facts = self.memory.borrow().facts().len();
+        let tallies = json!({"origins": origins, "bytes": bytes, "view": self.tallies.view(),
+            "unread": self.unread});
+        json!({"agreed": agreed, "tallies": tallies,
+            "comeback": {"stage": stage, "asks": self.peers.asks(), "facts": facts,
+                "snapshots": self.written, "unusable": self.unusable}})
+    }
+}
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -1,5 +1,6 @@
 //! Connects `Members` with a socket, the log and the state page; nothing is decided here.
-use crate::envelope::{Envelopes, Key};
+use crate::envelope::{Envelopes, Key, process};
+use crate::shared::Shared;
 use applepond_members::{Birth, Change, Guards, Me, Members, Orders, RouterId, Seen, Standing};
 use applepond_reactor::{Closed, Conn, Listener, Machine, Micros, Wake, Wire};
 use serde_json::{Value, json};
@@ -10,9 +11,14 @@
 /// µs between two tries to open the port: descriptors or memory may be there again.
 const OPEN_AGAIN: Micros = 1_000_000;
 
+/// First bytes of letters from here on are marks of what is shared.
+const MARKS: u8 = 0xb0;
+
 /// What others of the process look at.
 pub struct View {
     pub members: Members,
+    /// None where a rig looks at membership alone.
+    pub shared: Option<Shared>,
     envelopes: Envelopes,
     /// Datagrams sent, those that the kernel would not take, and letters that could not be read.
     sent: u64,
@@ -36,6 +42,8 @@
     view: Rc<RefCell<View>>,
     /// The timer that is set, so that none is set twice.
     armed: Micros,
+    /// The same for what is shared.
+    looks: Micros,
     /// Whether this process is to end: the others are told then.
     ends: Box<dyn FnMut() -> bool>,
 }
@@ -44,6 +52,7 @@
 #[derive(Default)]
 struct Said {
     letters: Vec<(SocketAddr, Vec<u8>)>,
+    shared: Vec<(RouterId, Vec<u8>)>,
     changes: Vec<Change>,
 }
 
@@ -71,9 +80,11 @@
         let me = Me { name, zone, address: listen, birth, incarnation: now };
         let envelopes = Envelopes::new(birth.0, RouterId::named(&me.name).0, keys);
         let members = Members::new(now, me, seeds, seed).with_guards(guards);
-        let view = Rc::new(RefCell::new(View { members, envelopes, sent: 0, unsent: 0, unread: 0 }));
+        let shared = None;
+        let view = View { members, shared, envelopes, sent: 0, unsent: 0, unread: 0 };
+        let view = Rc::new(RefCell::new(view));
         let ends = Box::new(|| false);
-        (Fleet { listen, through, post: None, view: view.clone(), armed: 0, ends }, view)
+        (Fleet { listen, through, post: None, view: view.clone(), armed: 0, looks: 0, ends }, view)
     }
 
     /// Who is asked at every beat whether this process is to end.
@@ -95,13 +106,19 @@
         }
     }
 
-    fn with(&mut self, wire: &mut dyn Wire, call: impl FnOnce(&mut View, &mut Said)) {
+    fn with(&mut self, now: Micros, wire: &mut dyn Wire, call: impl FnOnce(&mut View, &mut Said)) {
         let mut said = Said::default();
         let mut view = self.view.borrow_mut();
         call(&mut view, &mut said);
-        for (to, letter) in said.letters {
-            // Whom an address belongs to may have changed: the letter's own words tell whom it is for.
-            let Some(sealed) = view.envelopes.seal(0, &letter) else { continue };
+        // Whom an address belongs to may have changed: the letter's own words tell whom it is for.
+        let mut letters: Vec<_> = said.letters.into_iter().map(|(at, letter)| (at, 0, letter)).collect();
+        for (to, letter) in said.shared {
+            // For one process alone: the one that is known under the name.
+            let Some(record) = view.members.record(to) else { continue };
+            letters.push((record.address, process(to.0, record.birth.0), letter));
+        }
+        for (to, whom, letter) in letters {
+            let Some(sealed) = view.envelopes.seal(whom, &letter) else { continue };
             let taken = match (self.post, self.through) {
                 (Some(post), None) => wire.datagram_to(post, to, &sealed),
                 (Some(post), Some(rig)) => {
@@ -119,6 +136,13 @@
             self.armed = next;
             wire.wake_at(next, Wake(1));
         }
+        let Some(shared) = &view.shared else { return };
+        let next = shared.look(now).map_or(shared.next(), |look| look.min(shared.next()));
+        // One that is set already and comes sooner looks again.
+        if self.looks <= now || next < self.looks {
+            self.looks = next;
+            wire.wake_at(next, Wake(2));
+        }
     }
 }
 
@@ -179,6 +203,7 @@
     json!({"live": members.live(), "live-by-zone": members.live_by_zone(), "view": members.view(),
         "refused": members.is_refused(), "deaf": members.is_deaf(),
         "members": members.seen().map(row).collect::<Vec<_>>(),
+        "shared": view.shared.as_ref().map(|s| s.page(now)),
         "datagrams": {"sent": view.sent, "not-taken": view.unsent, "unreadable": view.unread,
             "dropped": dropped}})
 }
@@ -186,7 +211,7 @@
 impl Machine for Fleet {
     fn start(&mut self, now: Micros, wire: &mut dyn Wire) {
         self.open(now, wire);
-        self.with(wire, |_, _| {});
+        self.with(now, wire, |_, _| {});
     }
     fn accepted(&mut self, _: Micros, _: &mut dyn Wire, _: Conn, _: Listener) {}
     fn connected(&mut self, _: Micros, _: &mut dyn Wire, _: Conn) {}
@@ -196,10 +221,19 @@
     fn flushed(&mut self, _: Micros, _: &mut dyn Wire, _: Conn) {}
 
     fn told(&mut self, now: Micros, wire: &mut dyn Wire, _: Conn, bytes: &[u8]) {
-        self.with(wire, |view, said| {
-            let View { members, envelopes, unread, .. } = view;
-            if let Ok((_, letter)) = envelopes.open(bytes) {
+        self.with(now, wire, |view, said| {
+            let View { members, envelopes, unread, shared, .. } = view;
+            let Ok((birth, letter)) = envelopes.open(bytes) else { return };
+            // Letters of members begin with a small number, those of what is shared with a mark.
+            if letter.first().is_none_or(|mark| *mark < MARKS) {
                 *unread += u64::from(members.heard(now, letter, said).is_err());
+                return;
+            }
+            // Guards against one that was kept from before this process: it is for another one.
+            let from = members.by_birth(Birth(birth)).filter(|_| envelopes.was_for_me());
+            match (from, shared) {
+                (Some(from), Some(shared)) => said.shared.extend(shared.heard(now, from, letter)),
+                _ => *unread += 1,
             }
         });
     }
@@ -208,8 +242,14 @@
         if wake.0 == 0 {
             return self.open(now, wire);
         }
+        if wake.0 == 2 {
+            return self.with(now, wire, |view, said| {
+                let View { members, shared, .. } = view;
+                said.shared.extend(shared.iter_mut().flat_map(|s| s.wake(now, members)));
+            });
+        }
         let ends = (self.ends)();
-        self.with(wire, |view, said| {
+        self.with(now, wire, |view, said| {
             if ends && view.members.me().standing != Standing::Left {
                 view.members.leave(now, said);
             } else if now >= view.members.next() {
--- a/crates/fleet/tests/envelope.rs
+++ b/crates/fleet/tests/envelope.rs
@@ -1,5 +1,5 @@
 //! What opens, and what is dropped for which reason.
-use applepond_fleet::envelope::{AROUND, DATAGRAM_MOST, Dropped, Envelopes, Key};
+use applepond_fleet::envelope::{AROUND, DATAGRAM_MOST, Dropped, Envelopes, Key, process};
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -59,6 +59,19 @@
     assert_eq!(seven(1).open(&sealed), Err(Dropped::Misled));
 }
 
+// For one process alone: the one after it under the same name does not take it, also where nothing has come
+// from this sender before.
+#[test]
+fn for_a_process_before() {
+    let mut sender = eight();
+    let mut seal = || sender.seal(process(7, 55), b"x").expect("short");
+    let mut there = seven(55);
+    assert!(there.open(&seal()).is_ok() && there.was_for_me());
+    assert_eq!(seven(56).open(&seal()), Err(Dropped::Misled));
+    let mut any = seven(55);
+    assert!(any.open(&eight().seal(0, b"x").expect("short")).is_ok() && !any.was_for_me());
+}
+
 // Two keys hold during a change; a key that went opens nothing.
 #[test]
 fn a_change_of_keys() {
--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -68,12 +68,21 @@
     pub seeds: Vec<SocketAddr>,
     /// Files that hold the fleet's secret; the first one seals, all open.
     pub key_files: Vec<PathBuf>,
+    /// Routers that keep what is agreed on; none: nothing is.
+    pub keepers: Vec<String>,
+    /// Where this router's vote lies, if it is one of them.
+    pub votes: Option<PathBuf>,
+    /// Which founding of what is agreed on this is; raised by an operator alone.
+    pub founding: u64,
+    /// Where this router's snapshot lies; without one it starts from its peers.
+    pub snapshot: Option<PathBuf>,
 }
 
 impl FleetRow {
     /// What only a restart can change: the others know this process by it.
-    pub fn place(&self) -> (&str, &str, SocketAddr) {
-        (&self.name, &self.zone, self.listen)
+    #[allow(clippy::type_complexity)] // compared, and nothing else
+    pub fn place(&self) -> (&str, &str, SocketAddr, &Option<PathBuf>, u64, &Option<PathBuf>) {
+        (&self.name, &self.zone, self.listen, &self.votes, self.founding, &self.snapshot)
     }
 }
 
--- a/crates/gateway/src/host_list.rs
+++ b/crates/gateway/src/host_list.rs
@@ -24,6 +24,8 @@
     pub idle: Vec<(Conn, Micros)>,
     /// Executions out there.
     pub out: usize,
+    /// This process of it has answered here.
+    pub answered: bool,
 }
 
 #[derive(Default)]
@@ -116,6 +118,7 @@
                 up_since: entry.up_since,
                 idle: Vec::new(),
                 out: 0,
+                answered: false,
             });
             // A process that was replaced, moved or is to stop: its idle connections lead nowhere.
             if worker.address != address
@@ -127,6 +130,7 @@
             worker.address = address;
             worker.standing = entry.standing;
             if entry.standing == Standing::Ready {
+                worker.answered &= worker.up_since == entry.up_since;
                 worker.up_since = entry.up_since;
             }
             entries.push(entry);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,4 +15,4 @@
 pub mod switch;
 
 pub use deployment::Deployment;
-pub use machine::{Gateway, News, Page};
+pub use machine::{Gateway, Memory, News, Page};
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -150,6 +150,20 @@
 /// Asked once a `SWEEP` for new settings; an error where there are some that cannot be read.
 pub type News = Box<dyn FnMut() -> Option<Result<Deployment, String>>>;
 
+/// What outlasts this process, or comes from others of its kind: care to be taken, and never a permission.
+pub trait Memory {
+    /// What this router has seen of a worker that has answered it.
+    fn saw(&mut self, now: Micros, server: ServerId, up_since: Micros, seen: &Learned);
+    fn saw_load_time(&mut self, now: Micros, function: FunctionId, took: Micros);
+    /// What is still to be recalled; `recalled` once the module has taken it up.
+    fn recalls(&mut self, now: Micros) -> Vec<(ServerId, Micros, Learned)>;
+    fn recalled(&mut self, server: ServerId, up_since: Micros);
+    /// What is made of the list's word on a worker.
+    fn listed(&mut self, now: Micros, server: ServerId, up_since: Micros, is: Standing) -> Standing;
+    /// How long a function takes to load, where the settings do not say.
+    fn load_time(&self, now: Micros, function: FunctionId) -> Option<Micros>;
+}
+
 /// A part of the state page, asked for when the page is.
 pub type Page = Box<dyn Fn(Micros) -> serde_json::Value>;
 
@@ -179,6 +193,9 @@
     /// Told where it listens, once it does.
     on_listening: Box<dyn FnMut(std::net::SocketAddr)>,
     news: News,
+    memory: Option<Box<dyn Memory>>,
+    /// Workers that the list calls ready and memory does not.
+    withheld: BTreeMap<ServerId, Entry>,
     /// What others of the process have for the state page.
     pages: Vec<(&'static str, Page)>,
 }
@@ -216,6 +233,8 @@
             deployment,
             on_listening,
             news: Box::new(|| None),
+            memory: None,
+            withheld: BTreeMap::new(),
             pages: Vec::new(),
         }
     }
@@ -226,6 +245,12 @@
         self
     }
 
+    /// What it remembers over its end and hears of others.
+    pub fn with_memory(mut self, memory: Box<dyn Memory>) -> Self {
+        self.memory = Some(memory);
+        self
+    }
+
     /// A further part of the state page.
     pub fn with_page(mut self, name: &'static str, page: Page) -> Self {
         self.pages.push((name, page));
@@ -698,7 +723,10 @@
             left: wanted.left,
             lanes: row.lanes,
             retry: wanted.retry,
-            load_time: row.load_time,
+            load_time: row.load_time.or_else(|| {
+                let memory = self.memory.as_ref()?;
+                memory.load_time(now, FunctionId::named(&wanted.function))
+            }),
             paid: wanted.paid,
         };
         let task = Task {
@@ -836,6 +864,9 @@
         // Bytes after the answer are a second one to the same request: that connection is not trusted
         // further.
         let clean = answering.whole == Some(true) && link.decoder.idle();
+        if let Some(worker) = self.listed.get_mut(server) {
+            worker.answered = true;
+        }
         let worker = self.listed.get_mut(server).filter(|w| w.standing == Standing::Ready);
         match worker.filter(|w| clean && w.idle.len() < IDLE_MOST) {
             Some(worker) => worker.idle.push((conn, now)),
@@ -906,9 +937,44 @@
         if let Some(new) = (self.news)() {
             self.switch(now, wire, new);
         }
+        self.remember(now, wire);
         self.after(now, wire, SWEEP, Box::new(|g, now, wire| g.sweep(now, wire)));
     }
 
+    /// Hands over what was learned, takes up what is to be recalled, and lets go whom memory withholds no
+    /// more.
+    fn remember(&mut self, now: Micros, wire: &mut dyn Wire) {
+        let Some(memory) = &mut self.memory else { return };
+        self.control.clock(now);
+        for (server, up_since, told) in memory.recalls(now) {
+            if self.control.recall(server, up_since, &told) {
+                memory.recalled(server, up_since);
+            }
+        }
+        for (server, up_since, seen) in self.control.learned() {
+            if self.listed.get(server).is_some_and(|w| w.answered && w.up_since == up_since) {
+                memory.saw(now, server, up_since, &seen);
+            }
+        }
+        for (function, took) in self.control.load_times() {
+            // Guards against hearsay that stays young: what is held already was recalled, or seen before.
+            if memory.load_time(now, function).is_none() {
+                memory.saw_load_time(now, function, took);
+            }
+        }
+        let free = |e: &&Entry| memory.listed(now, e.server, e.up_since, Standing::Ready) == Standing::Ready;
+        let entries: Vec<Entry> = self.withheld.values().filter(free).cloned().collect();
+        if !entries.is_empty() {
+            for entry in &entries {
+                self.withheld.remove(&entry.server);
+                if let Some(worker) = self.listed.get_mut(entry.server) {
+                    worker.standing = Standing::Ready;
+                }
+            }
+            self.listed(now, wire, &Taken { kind: ListKind::Changes, entries, cut: Vec::new() });
+        }
+    }
+
     // ---- The host list -----------------------------------------------------------------------
 
     fn listed(&mut self, now: Micros, wire: &mut dyn Wire, taken: &Taken) {
@@ -916,7 +982,20 @@
             wire.cut(*conn);
             self.links.remove(conn);
         }
-        let entries: Vec<Listed> = taken.entries.iter().map(Listed::from).collect();
+        let mut entries = taken.entries.clone();
+        if let Some(memory) = &mut self.memory {
+            for entry in &mut entries {
+                let is = memory.listed(now, entry.server, entry.up_since, entry.standing);
+                self.withheld.remove(&entry.server);
+                // Guards against a drain that was told before a restart and that a late list takes back.
+                if is != entry.standing {
+                    self.withheld.insert(entry.server, entry.clone());
+                    entry.standing = is;
+                    self.listed.get_mut(entry.server).into_iter().for_each(|w| w.standing = is);
+                }
+            }
+        }
+        let entries: Vec<Listed> = entries.iter().map(Listed::from).collect();
         self.control.clock(now);
         self.control.list(&mut self.acts, taken.kind, &entries);
     }
--- /dev/null
+++ b/crates/gateway/tests/memory.rs
@@ -0,0 +1,110 @@
+//! What a gateway remembers over its end, on a paper wire: drains that are kept, doubt that is taken up, and
+//! hearsay that is not passed on as its own sight.
+mod common;
+use applepond::interface::*;
+use applepond_comeback::{About, Fact, Memory, What};
+use applepond_gateway::Gateway;
+use applepond_reactor::Machine;
+use applepond_standins::paper::Paper;
+use common::*;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+struct Shelf(Rc<RefCell<Memory>>);
+
+impl applepond_gateway::Memory for Shelf {
+    fn saw(&mut self, now: Micros, server: ServerId, up_since: Micros, seen: &Learned) {
+        self.0.borrow_mut().saw(now, server, up_since, seen);
+    }
+    fn saw_load_time(&mut self, now: Micros, function: FunctionId, took: Micros) {
+        self.0.borrow_mut().saw_load_time(now, function, took);
+    }
+    fn recalls(&mut self, now: Micros) -> Vec<(ServerId, Micros, Learned)> {
+        self.0.borrow_mut().recalls(now)
+    }
+    fn recalled(&mut self, server: ServerId, up_since: Micros) {
+        self.0.borrow_mut().recalled(server, up_since);
+    }
+    fn listed(&mut self, now: Micros, server: ServerId, up_since: Micros, is: Standing) -> Standing {
+        self.0.borrow_mut().listed(now, server, up_since, is)
+    }
+    fn load_time(&self, now: Micros, function: FunctionId) -> Option<Micros> {
+        self.0.borrow().load_time(now, function)
+    }
+}
+
+fn fact(what: What, worker: &str, value: f32) -> Fact {
+    Fact { about: About { what, key: ServerId::named(worker).0, life: 0 }, value, age: 0 }
+}
+
+/// A gateway with two workers that has these facts from before.
+fn told(facts: &[Fact]) -> (Bench, Rc<RefCell<Memory>>) {
+    let now = 1_000 * S;
+    let memory = Rc::new(RefCell::new(Memory::default()));
+    memory.borrow_mut().take(now, facts);
+    let gateway = Gateway::new(now, deployment(2), Box::new(|_| ()));
+    let gateway = gateway.with_memory(Box::new(Shelf(memory.clone())));
+    let news = Rc::new(RefCell::new(None));
+    let mut bench = Bench { gateway, paper: Paper::default(), now, news };
+    bench.gateway.start(now, &mut bench.paper);
+    (bench, memory)
+}
+
+/// A job each for so many functions, so that each worker is the home of some.
+fn many(b: &mut Bench, from: usize) {
+    for n in from..from + 12 {
+        let client = b.caller();
+        let event = event("quote", &n.to_string()).replace("subject: hut", &format!("subject: hut-{n}"));
+        b.says(client, event.as_bytes());
+    }
+}
+
+/// Where the requests went, by the workers' ports.
+fn ports(b: &mut Bench) -> Vec<u16> {
+    b.links();
+    b.paper.connects.iter().map(|(_, to)| to.port()).collect()
+}
+
+// The list says ready, and before the restart it had said that the worker drains: nothing goes there
+// until that is over.
+#[test]
+fn a_drain_is_kept_over_a_restart() {
+    for (worker, other) in [("w1", 9002), ("w2", 9001)] {
+        let (mut b, _) = told(&[fact(What::Drain, worker, 1.0)]);
+        many(&mut b, 0);
+        assert!(ports(&mut b).iter().all(|p| *p == other), "{worker}");
+        b.pass(61 * S);
+        many(&mut b, 12);
+        assert!(ports(&mut b).iter().any(|p| *p != other), "{worker}: it is over");
+    }
+}
+
+#[test]
+fn a_worker_in_doubt_is_tried_by_one_job() {
+    let asks = |facts: &[Fact]| {
+        let (mut b, _) = told(facts);
+        b.pass(2 * S);
+        many(&mut b, 0);
+        let all = ports(&mut b);
+        all.iter().filter(|p| **p == 9001).count()
+    };
+    assert_eq!(asks(&[fact(What::Aside, "w1", 1.0)]), 1);
+    assert!(asks(&[]) > 1);
+}
+
+// What it was told and has not seen itself does not become its own word.
+#[test]
+fn hearsay_does_not_stay_young() {
+    let (mut b, memory) = told(&[fact(What::Room, "w1", 3.0), fact(What::Room, "w2", 3.0)]);
+    b.pass(10 * S);
+    let ages = |b: &Bench| {
+        let facts: Vec<_> = memory.borrow().facts().all(b.now).collect();
+        facts.iter().filter(|f| f.about.what == What::Room).map(|f| f.age).collect::<Vec<_>>()
+    };
+    assert!(ages(&b).iter().all(|age| *age >= 10 * S), "{:?}", ages(&b));
+    b.asks("quote", "1");
+    let link = b.links()[0];
+    b.says(link, DONE.as_bytes());
+    b.pass(2 * S);
+    assert_eq!(ages(&b).iter().filter(|age| **age <= S).count(), 1, "the one that has answered");
+}
--- a/crates/members/src/machine.rs
+++ b/crates/members/src/machine.rs
@@ -285,6 +285,21 @@
             .fold(0, |all: u64, d| all.rotate_left(7) ^ u64::from(*d).wrapping_mul(0x9e37_79b9))
     }
 
+    /// What is known of another router, whatever it is taken for.
+    pub fn record(&self, router: RouterId) -> Option<&Record> {
+        self.routers.get(&router).map(|r| &r.record)
+    }
+
+    /// The other routers that are taken to be there.
+    pub fn there(&self) -> impl Iterator<Item = RouterId> + '_ {
+        self.routers.iter().filter(|(_, r)| r.takes_part()).map(|(id, _)| *id)
+    }
+
+    /// Whose process this is.
+    pub fn by_birth(&self, birth: Birth) -> Option<RouterId> {
+        self.routers.iter().find(|(_, r)| r.record.birth == birth).map(|(id, _)| *id)
+    }
+
     pub fn neighbours(&self) -> &[RouterId] {
         &self.neighbours
     }
--- /dev/null
+++ b/crates/record/src/fault.rs
@@ -0,0 +1,51 @@
+//! Why a store cannot be used, and what an operator can do about it.
+use miette::Diagnostic;
+use std::path::PathBuf;
+use thiserror::Error;
+
+#[derive(Clone, Debug, PartialEq, Eq, Error, Diagnostic)]
+pub enum StoreFault {
+    #[error("{}: {why}", file.display())]
+    #[diagnostic(
+        code(record::unopened),
+        help(
+            "look whether the folder is there and may be written, and whether the file is of this program; a \
+              snapshot that is spoilt is put beside as .spoilt and begun anew, a record of chains is not"
+        )
+    )]
+    Unopened { file: PathBuf, why: String },
+    #[error("{}: it cannot be read: {why}", file.display())]
+    #[diagnostic(
+        code(record::unread),
+        help("the disk or the file is damaged: replace the disk, or put the file aside and start again")
+    )]
+    Unread { file: PathBuf, why: String },
+    #[error("{}: it cannot be written: {why}", file.display())]
+    #[diagnostic(
+        code(record::not_written),
+        help("make room on the disk, or mend it; what was written before is still there")
+    )]
+    NotWritten { file: PathBuf, why: String },
+    #[error("{}: {most} chains are on record, as many as may be", file.display())]
+    #[diagnostic(
+        code(record::full),
+        help(
+            "chains that have come to their end are dropped after their time; until then raise the pace at \
+              which they end, or take fewer"
+        )
+    )]
+    Full { file: PathBuf, most: u64 },
+}
+
+impl StoreFault {
+    /// One of each, for the table of codes.
+    pub fn each() -> Vec<StoreFault> {
+        let (file, why) = (PathBuf::new(), String::new());
+        vec![
+            StoreFault::Unopened { file: file.clone(), why: why.clone() },
+            StoreFault::Unread { file: file.clone(), why: why.clone() },
+            StoreFault::NotWritten { file: file.clone(), why },
+            StoreFault::Full { file, most: 0 },
+        ]
+    }
+}
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -322,8 +322,37 @@
             "one, or two during a change of keys",
         );
     }
+    let keepers = part.texts("keepers", Some(Vec::new()));
+    if let Some(keepers) = &keepers
+        && (![0, 1, 3, 5].contains(&keepers.len())
+            || (1..keepers.len()).any(|n| keepers[..n].contains(&keepers[n])))
+    {
+        let found = format!("{} keepers: {}", keepers.len(), keepers.join(", "));
+        part.fault(&part.place_of("keepers"), found, "the names of one, three or five routers, each once");
+    }
+    let path = |key: &'static str| part.text(key, Some("")).filter(|_| part.has(key)).map(PathBuf::from);
+    let (votes, snapshot) = (path("votes"), path("snapshot"));
+    let keeps = keepers.iter().flatten().any(|k| Some(k) == name.as_ref());
+    if keeps && votes.is_none() {
+        let wanted = "votes = \"FILE\": a keeper's vote outlasts its process";
+        part.fault(&part.place, "a keeper without a file for its vote", wanted);
+    }
+    if votes.is_some() && votes == snapshot {
+        part.fault(&part.place_of("snapshot"), "one file for votes and snapshot", "two files");
+    }
+    let founding = part.whole_number("founding", 1..1 << 32, Some(1));
     let key_files = key_files?.into_iter().map(PathBuf::from).collect();
-    Some(FleetRow { name: name?, zone: zone?, listen: listen?, seeds: seeds?, key_files })
+    Some(FleetRow {
+        name: name?,
+        zone: zone?,
+        listen: listen?,
+        seeds: seeds?,
+        key_files,
+        keepers: keepers?,
+        votes,
+        founding: founding?,
+        snapshot,
+    })
 }
 
 fn function(part: &Part<'_>) -> Option<FunctionRow> {
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -95,6 +95,11 @@
     let fleet = d.fleet.expect("a block");
     assert_eq!((fleet.name.as_str(), fleet.seeds, fleet.listen.port()), ("r1", vec![fleet.listen], 7946));
     assert!(deployment(GOOD).expect("no fault").fleet.is_none());
+    let more = "]\n  keepers = [\"r1\"]\n  votes = \"v\"\n  snapshot = \"s\"\n  founding = 3\n}";
+    let d = deployment(&format!("{}{GOOD}", FLEET.replacen("]\n}", more, 1))).expect("no fault");
+    let fleet = d.fleet.expect("a block");
+    assert_eq!((fleet.keepers, fleet.founding), (vec!["r1".to_owned()], 3));
+    assert!(fleet.votes.is_some() && fleet.snapshot.is_some());
 }
 
 #[test_case("\"r1\"", "\"r 1\"", "2:10: found name = \"r 1\""; "blank in a name")]
@@ -103,6 +108,11 @@
 #[test_case("[\"127.0.0.1:7946\"]", "[\"here\"]", "5:11: found seed \"here\""; "a seed that is no address")]
 #[test_case("[\"127.0.0.1:7946\"]", "[]", "5:11: found no seed"; "no seed")]
 #[test_case("[\"key\"]", "[]", "6:15: found no key"; "no key")]
+#[test_case("]\n}", "]\n  keepers = [\"r2\", \"r3\"]\n}", "7:13: found 2 keepers: r2, r3"; "two keepers")]
+#[test_case("]\n}", "]\n  keepers = [\"a\", \"b\", \"a\"]\n}", "7:13: found 3 keepers"; "one twice")]
+#[test_case("]\n}", "]\n  keepers = [\"r1\"]\n}", "a keeper without a file"; "no votes")]
+#[test_case("]\n}", "]\n  votes = \"f\"\n  snapshot = \"f\"\n}", "8:14: found one file"; "one file")]
+#[test_case("]\n}", "]\n  founding = 0\n}", "7:14: found"; "no founding")]
 #[test_case("seeds", "sedes", "5:3: found 'sedes' in block 'fleet'"; "misspelt")]
 fn fleet_faults(old: &str, new: &str, told: &str) {
     let faults = deployment(&format!("{}{GOOD}", FLEET.replacen(old, new, 1))).expect_err("a fault");
--- a/deploy/fleet.hcl
+++ b/deploy/fleet.hcl
@@ -3,7 +3,7 @@
 listen  = "127.0.0.1:8080"
 zones   = ["hall-a"]
 router  = 0
-# Until the others are heard; then those that are there count.
+# The most that may ever run: each keeps to an even part of what all share.
 routers = 3
 seed    = 1
 
@@ -14,6 +14,10 @@
   listen    = "127.0.0.1:7946"
   seeds     = ["127.0.0.1:7946", "127.0.0.1:7947"]
   key_files = ["/etc/applepond/fleet.key"]
+  # What is agreed on, and what outlasts this process.
+  keepers   = ["r1", "r2", "r3"]
+  votes     = "/var/lib/applepond/votes"
+  snapshot  = "/var/lib/applepond/snapshot"
 }
 
 rules {
