--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -2,8 +2,10 @@
 //! unanswered.
 use applepond_drill::audit::Verdict;
 use applepond_drill::chains::{self, PLAN};
+use applepond_drill::comeback;
 use applepond_drill::members;
-use applepond_drill::run::{Plan, Report, bad_day};
+use applepond_drill::process::Plan;
+use applepond_drill::run::{Report, bad_day};
 use applepond_drill::saboteur::PLANTS;
 use applepond_drill::storm::{self, Cut, Order, retry_storm};
 use clap::Subcommand;
@@ -89,6 +91,30 @@
         #[arg(long)]
         keep: Option<std::path::PathBuf>,
     },
+    /// Most routers die and come back with jobs under way; judged from sockets.
+    Comeback {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(5..=40))]
+        routers: u64,
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u64).range(6..=40))]
+        workers: u64,
+        /// Who dies and what is left of their disks.
+        #[arg(long, value_parser = comeback::FAULTS, default_value = "kill")]
+        fault: String,
+        /// What a router may start from; `all` plays each.
+        #[arg(long, default_value = "both")]
+        way: String,
+        /// Takes a guard out in every router, to prove the drill; it is played in the fault that shows it.
+        #[arg(long, value_parser = comeback::PLANTS.map(|(name, ..)| name))]
+        plant: Option<String>,
+        /// Prints each play as one JSON object.
+        #[arg(long)]
+        json: bool,
+        /// Keeps settings and logs of the routers in this folder.
+        #[arg(long)]
+        keep: Option<std::path::PathBuf>,
+    },
     /// One hall of three is cut, its clients keep asking, it comes back.
     RetryStorm {
         #[arg(long, default_value_t = 7)]
@@ -134,6 +160,7 @@
         Which::RetryStorm { .. } => return storm_drill(which),
         Which::Chains { .. } => return chains_drill(which),
         Which::Members { .. } => return members_drill(which),
+        Which::Comeback { .. } => return comeback_drill(which),
     };
     if let Some(name) = plant.as_deref().filter(|p| PLANTS.iter().all(|(known, _, _)| known != p)) {
         let known: Vec<&str> = PLANTS.iter().map(|(known, _, _)| *known).collect();
@@ -340,6 +367,88 @@
     ExitCode::from(u8::from(!report.broken.is_empty()))
 }
 
+fn comeback_drill(which: Which) -> ExitCode {
+    let wrong = ExitCode::from(crate::serve::WRONG);
+    let Which::Comeback { seed, routers, workers, fault, way, plant, json, keep } = which else {
+        return wrong;
+    };
+    let Ok(program) = std::env::current_exe() else { return wrong };
+    let mut ways: Vec<&str> = comeback::WAYS.iter().copied().filter(|w| way == "all" || way == **w).collect();
+    if ways.is_empty() {
+        eprintln!("--way {way}: one of {} or all is wanted", comeback::WAYS.join(", "));
+        return wrong;
+    }
+    let mut fault = fault.as_str();
+    if let Some((_, _, shows, by)) =
+        comeback::PLANTS.iter().find(|(name, ..)| Some(*name) == plant.as_deref())
+    {
+        (fault, ways) = (shows, vec![*by]);
+    }
+    let (routers, workers) = (routers as usize, workers as usize);
+    let plan = Plan { program, seed, routers, workers, plant, through: None, die: 1, fleet: true };
+    let mut broken = false;
+    for way in ways {
+        let own = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
+        let folder = keep.clone().unwrap_or(own.clone());
+        let mut progress = |line: &str| {
+            if !json {
+                eprintln!("{line}");
+            }
+        };
+        let order = comeback::Order { plan: &plan, fault, way };
+        let played = comeback::comeback(&order, &folder, &mut progress);
+        if keep.is_none() {
+            let _ = std::fs::remove_dir_all(&own);
+        }
+        let r = match played {
+            Ok(report) => report,
+            Err(why) => {
+                eprintln!("the drill could not be played: {why}");
+                return wrong;
+            }
+        };
+        broken |= !r.broken.is_empty();
+        let planted = comeback::PLANTS.iter().filter(|(_, rule, ..)| r.broken.contains_key(rule));
+        let planted: Vec<&str> = planted.map(|(name, ..)| *name).collect();
+        let [before, dead, after] = r.service;
+        if json {
+            println!(
+                "{}",
+                json!({"seed": seed, "routers": routers, "fault": fault, "way": way, "jobs": r.jobs,
+                    "before": before, "dead": dead, "after-2s": after, "whole-ms": r.whole,
+                    "loads": {"before": r.loads.0, "after": r.loads.1}, "fell": r.fell,
+                    "strays": {"all": r.strays.0, "after-grace": r.strays.1},
+                    "asks": {"most": r.asks.0, "all": r.asks.1}, "broken": r.broken, "looks-like": planted})
+            );
+            continue;
+        }
+        println!("comeback, seed {seed}, {routers} routers, {fault}, from {way}: {} jobs", r.jobs);
+        println!(
+            "  in time: {:.1} % before, {:.1} % while they are dead, {:.1} % in the 2 s after the last start",
+            100.0 * before,
+            100.0 * dead,
+            100.0 * after
+        );
+        let whole = r.whole.map_or("not within the drill".to_owned(), |ms| format!("after {ms} ms"));
+        println!(
+            "  service whole again {whole}; {} cold workers fell; {} jobs to a drain, {} after the grace",
+            r.fell, r.strays.0, r.strays.1
+        );
+        println!(
+            "  fetches in a tenth of a second at most {} before, {} after; asks to one router {}, in all {}",
+            r.loads.0, r.loads.1, r.asks.0, r.asks.1
+        );
+        for (rule, faults) in &r.broken {
+            println!("  BROKEN {} time(s): {rule}", faults.len());
+            faults.iter().take(5).for_each(|f| println!("    {f}"));
+        }
+        if !planted.is_empty() {
+            println!("  as with: {}", planted.join(", "));
+        }
+    }
+    ExitCode::from(u8::from(broken))
+}
+
 fn storm_drill(which: Which) -> ExitCode {
     let wrong = ExitCode::from(crate::serve::WRONG);
     let Which::RetryStorm {
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -88,6 +88,38 @@
     pub guards: Guards,
     /// What its disks do.
     pub disk: DiskFault,
+    /// How it comes back.
+    pub comeback: Return,
+}
+
+/// What a drill takes out of how a router comes back.
+#[derive(Clone, Copy)]
+pub struct Return {
+    pub guards: applepond_comeback::Guards,
+    /// Nobody is asked.
+    pub alone: bool,
+    pub keeps_drains: bool,
+}
+
+impl Return {
+    /// By the plant's name; none that has to do with it.
+    pub fn without(plant: Option<&str>) -> Option<Return> {
+        use applepond_comeback::Guards;
+        let all = Return::ALL;
+        match plant? {
+            "no-peers" => Some(Return { alone: true, ..all }),
+            "forgets-drains" => Some(Return { keeps_drains: false, ..all }),
+            "empty-is-zero" => Some(Return { guards: Guards { empty_is_said: false, ..Guards::ALL }, ..all }),
+            "all-ask-one" => {
+                let guards = Guards { by_chance: false, spreads: false, ..Guards::ALL };
+                Some(Return { guards, ..all })
+            }
+            _ => None,
+        }
+    }
+
+    pub const ALL: Return =
+        Return { guards: applepond_comeback::Guards::ALL, alone: false, keeps_drains: true };
 }
 
 /// One number for a fleet's founding: votes of another one are foreign.
@@ -100,7 +132,7 @@
 }
 
 /// The memory of a router as its gateway uses it.
-pub struct Shelf(pub Rc<RefCell<Memory>>);
+pub struct Shelf(pub Rc<RefCell<Memory>>, pub Return);
 
 impl Remembers for Shelf {
     fn saw(&mut self, now: Micros, server: ServerId, up_since: Micros, seen: &Learned) {
@@ -116,7 +148,8 @@
         self.0.borrow_mut().recalled(server, up_since);
     }
     fn listed(&mut self, now: Micros, server: ServerId, up_since: Micros, is: Standing) -> Standing {
-        self.0.borrow_mut().listed(now, server, up_since, is)
+        let made = self.0.borrow_mut().listed(now, server, up_since, is);
+        if self.1.keeps_drains { made } else { is }
     }
     fn load_time(&self, now: Micros, function: FunctionId) -> Option<Micros> {
         self.0.borrow().load_time(now, function)
@@ -148,6 +181,7 @@
         snapshots: row.snapshot.is_some(),
     };
     let shared = Shared::new(now, place, memory.clone(), Box::new(desk), seed.rotate_left(31));
+    let shared = shared.with_guards(rig.comeback.guards, rig.comeback.alone);
     view.borrow_mut().shared = Some(shared);
     Ok((fleet, view, memory))
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -76,8 +76,11 @@
             }
             let guard = plant.as_deref().and_then(applepond_members::Guards::without);
             let guards = guard.unwrap_or(applepond_members::Guards::ALL);
-            let rig = fleet::Rig { through: fleet_through, guards, disk: disk.unwrap_or_default() };
-            serve::serve(&settings, listen, log, plant.as_deref().filter(|_| guard.is_none()), &rig)
+            let comeback = fleet::Return::without(plant.as_deref());
+            let taken = guard.is_some() || comeback.is_some();
+            let comeback = comeback.unwrap_or(fleet::Return::ALL);
+            let rig = fleet::Rig { through: fleet_through, guards, disk: disk.unwrap_or_default(), comeback };
+            serve::serve(&settings, listen, log, plant.as_deref().filter(|_| !taken), &rig)
         }
         What::Node { config } => node::node(config),
         What::Fleet { what } => fleet::run(what),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -152,7 +152,7 @@
     let gateway = match &fleet {
         Some((_, view, memory)) => gateway
             .with_page("fleet", fleet::shown(view.clone()))
-            .with_memory(Box::new(fleet::Shelf(memory.clone()))),
+            .with_memory(Box::new(fleet::Shelf(memory.clone(), rig.comeback))),
         None => gateway,
     };
     let gateway = match record {
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -84,3 +84,68 @@
     }
     std::fs::remove_file(&file).expect("written above");
 }
+
+/// One call; nobody serves it, so it is answered once its start target has passed.
+fn call(id: u64) -> String {
+    format!(
+        "POST /do/7f3a9c2e7f3a9c2e/fire HTTP/1.1\r\nHost: app.svc\r\nX-Class: quote\r\n\
+         Request-Id: {id:016x}\r\nBudget-Ms: 2000\r\nAccount: huts\r\n\
+         X-Extras: memory_mb:512;lanes:64;load_ms:100\r\n\
+         Content-Length: 2\r\n\r\nhi"
+    )
+}
+
+/// What a client still reads, and whether its connection ended properly.
+fn rest(mut conn: TcpStream) -> (String, bool) {
+    conn.set_read_timeout(Some(Duration::from_secs(10))).expect("a time");
+    let mut all = Vec::new();
+    let ended = conn.read_to_end(&mut all).is_ok();
+    (String::from_utf8_lossy(&all).into_owned(), ended)
+}
+
+// Connections that are open through a restart: one that is idle, one with half a request, one whose answer is
+// owed. After SIGTERM each request that was begun gets its one final answer and the process ends by itself; a
+// kill answers nobody, and nobody waits for it.
+#[test]
+fn restarts_with_open_connections() {
+    for signal in [rustix::process::Signal::TERM, rustix::process::Signal::KILL] {
+        let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+        let file =
+            std::env::temp_dir().join(format!("applepond-node-{}-{signal:?}.json", std::process::id()));
+        std::fs::write(&file, config(free)).expect("a file");
+        let mut line = Command::new(env!("CARGO_BIN_EXE_applepond"));
+        line.arg("node").env("PROXY_CONFIG", &file).stdout(Stdio::null()).stderr(Stdio::null());
+        let mut node = Node(line.spawn().expect("it starts"));
+        let end = Instant::now() + Duration::from_secs(20);
+        while !check(free).is_some_and(|answer| answer.starts_with("HTTP/1.1 200")) {
+            assert!(Instant::now() < end, "it answers the check");
+        }
+        let open = || TcpStream::connect(free).expect("it listens");
+        let (idle, mut half, mut owed) = (open(), open(), open());
+        let (first, second) = (call(1), call(2));
+        half.write_all(&first.as_bytes()[..60]).expect("it reads");
+        owed.write_all(second.as_bytes()).expect("it reads");
+        // The router has the whole of the second: its answer to a later check says so.
+        assert!(check(free).is_some());
+        let begun = Instant::now();
+        rustix::process::kill_process(rustix::process::Pid::from_child(&node.0), signal).expect("it runs");
+        let later = half.write_all(&first.as_bytes()[60..]).is_ok();
+        let (idle, half, owed) = (rest(idle), rest(half), rest(owed));
+        let status = node.0.wait().expect("it ends");
+        if signal == rustix::process::Signal::TERM {
+            assert_eq!(idle, (String::new(), true), "nothing was asked on it");
+            for (answer, _) in [&half, &owed] {
+                assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
+                assert!(
+                    answer.starts_with("HTTP/1.1 503") && answer.contains("Connection: close"),
+                    "{answer}"
+                );
+            }
+            assert!(later && status.success() && begun.elapsed() < Duration::from_secs(6), "{status}");
+        } else {
+            assert!([&idle, &half, &owed].iter().all(|(answer, _)| answer.is_empty()), "killed outright");
+            assert!(begun.elapsed() < Duration::from_secs(2), "and nobody waits");
+        }
+        std::fs::remove_file(&file).expect("written above");
+    }
+}
--- a/crates/comeback/src/lib.rs
+++ b/crates/comeback/src/lib.rs
@@ -31,6 +31,8 @@
 pub const PEERS: usize = 3;
 /// µs for which an answer is waited for before another peer is asked.
 pub const PATIENCE: Micros = 400_000;
+/// µs after which one that said it is empty is asked again: it is told itself meanwhile.
+pub const EMPTY: Micros = 1_000_000;
 /// µs from the start after which nobody is asked any more: what the router has seen itself says more then.
 pub const SPAN: Micros = 4_000_000;
 /// Asks a router sends at most, whoever answers: where nearly all come back at once most of them are empty.
--- a/crates/comeback/src/peers.rs
+++ b/crates/comeback/src/peers.rs
@@ -4,8 +4,8 @@
 //! the median over those that gave; where one alone gave by the end of the span, its word counts as half
 //! gone already.
 use crate::{
-    AGAIN, AGAIN_MOST, ASKS_MOST, About, Fact, Facts, GIVE, GIVE_AT_ONCE, Micros, PAGE, PATIENCE, PEERS,
-    SPAN, letter,
+    AGAIN, AGAIN_MOST, ASKS_MOST, About, EMPTY, Fact, Facts, GIVE, GIVE_AT_ONCE, Micros, PAGE, PATIENCE,
+    PEERS, SPAN, letter,
 };
 use applepond_members::RouterId;
 use oorandom::Rand64;
@@ -64,12 +64,14 @@
     pub empty_is_said: bool,
     /// Askers beyond the bound are told a time of their own.
     pub spreads: bool,
+    /// Whom to ask is drawn, and not the same for all.
+    pub by_chance: bool,
     /// The median, not one's word.
     pub median: bool,
 }
 
 impl Guards {
-    pub const ALL: Guards = Guards { empty_is_said: true, spreads: true, median: true };
+    pub const ALL: Guards = Guards { empty_is_said: true, spreads: true, by_chance: true, median: true };
 }
 
 impl Peers {
@@ -111,6 +113,12 @@
         if self.stage == Stage::Asking { self.next } else { Micros::MAX }
     }
 
+    /// Nobody is asked.
+    pub fn alone(mut self) -> Self {
+        self.stage = Stage::Untold;
+        self
+    }
+
     /// A snapshot said something: it is as good as a peer's word to those that ask, and this one asks on.
     pub fn had_snapshot(&mut self, now: Micros) {
         self.ripe = now;
@@ -148,7 +156,9 @@
             .filter(|id| *id != self.me && !self.asked.contains_key(id) && !self.empty.contains_key(id))
             .collect();
         while self.asked.len() < PEERS && !others.is_empty() && self.asks < ASKS_MOST {
-            let to = others.swap_remove(self.rng.rand_range(0..others.len() as u64) as usize);
+            let any = self.rng.rand_range(0..others.len() as u64) as usize;
+            let first = (0..others.len()).min_by_key(|n| others[*n]).unwrap_or(0);
+            let to = others.swap_remove(if self.guards.by_chance { any } else { first });
             self.ask(now, to, 0, orders);
         }
         self.rest(now);
@@ -229,7 +239,7 @@
         if row.number == number && !row.whole {
             // It may have been told by then.
             self.asked.remove(&from);
-            self.empty.insert(from, now + PATIENCE);
+            self.empty.insert(from, now + EMPTY);
             self.next = self.next.min(now);
         }
     }
--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -2,7 +2,7 @@
 //! steps one by one with fixed limits, at the same load.
 use crate::audit::{Effect, Terms, Verdict, judge};
 use crate::day::{self, Day, HALLS, Part};
-use crate::run::{Plan, start};
+use crate::process::{Plan, start};
 use applepond_reactor::{Micros, Reactor};
 use applepond_record::{Disk, Record};
 use applepond_standins::client::{Client, Follow, Got, Planned};
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -3,9 +3,12 @@
 pub mod audit;
 pub mod chains;
 pub mod chart;
+pub mod comeback;
 pub mod day;
+pub mod fleet;
 pub mod links;
 pub mod members;
+pub mod process;
 pub mod run;
 pub mod saboteur;
 pub mod storm;
--- a/crates/drill/src/links.rs
+++ b/crates/drill/src/links.rs
@@ -1,5 +1,6 @@
 //! Faults between processes: datagrams go through one socket of the rig, connections through a listener each,
 //! both by the pair of who sends and who is to hear. One seed, one plan; when a process sends is its own.
+use applepond_fleet::envelope::AROUND;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
@@ -25,8 +26,13 @@
     pub jitter: Duration,
     /// All that this one sends takes so much longer.
     pub slow: BTreeMap<SocketAddr, Duration>,
+    /// Where letters of this beginning are counted: to whom, in which tenth of a second since the rig began.
+    pub counts: Option<Counts>,
 }
 
+/// The beginning of the letters, and how many of them went to whom in which tenth of a second.
+pub type Counts = (Vec<u8>, BTreeMap<(SocketAddr, u64), u64>);
+
 impl Faults {
     /// Cuts each way between the two sides.
     pub fn part(&mut self, one: &[SocketAddr], other: &[SocketAddr]) {
@@ -45,6 +51,7 @@
     pub at: SocketAddr,
     faults: Arc<Mutex<Faults>>,
     seed: u64,
+    begun: Instant,
 }
 
 impl Links {
@@ -53,14 +60,20 @@
         socket.set_read_timeout(Some(TURN))?;
         let (at, faults) = (socket.local_addr()?, Arc::new(Mutex::new(Faults::default())));
         let held = faults.clone();
-        std::thread::spawn(move || datagrams(&socket, &held, Rand64::new(u128::from(seed))));
-        Ok(Links { at, faults, seed })
+        let begun = Instant::now();
+        std::thread::spawn(move || datagrams(&socket, &held, begun, Rand64::new(u128::from(seed))));
+        Ok(Links { at, faults, seed, begun })
     }
 
     pub fn faults(&self) -> MutexGuard<'_, Faults> {
         self.faults.lock().expect("nobody panics with it")
     }
 
+    /// The tenth of a second that it is.
+    pub fn tenth(&self) -> u64 {
+        self.begun.elapsed().as_millis() as u64 / 100
+    }
+
     /// An address at which `from` reaches `to` under the faults of the pair.
     pub fn connection(&self, from: SocketAddr, to: SocketAddr) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -80,15 +93,20 @@
     }
 }
 
-fn datagrams(socket: &UdpSocket, faults: &Mutex<Faults>, mut rng: Rand64) {
+fn datagrams(socket: &UdpSocket, faults: &Mutex<Faults>, start: Instant, mut rng: Rand64) {
     let mut under_way: BTreeMap<(Instant, u64), (SocketAddr, Vec<u8>)> = BTreeMap::new();
     let (mut buffer, mut count) = ([0; 2_000], 0);
     loop {
         if let Ok((n, from)) = socket.recv_from(&mut buffer) {
-            let faults = faults.lock().expect("nobody panics with it");
+            let mut faults = faults.lock().expect("nobody panics with it");
             let line = buffer[..n].split(|b| *b == b'\n').next().and_then(|l| std::str::from_utf8(l).ok());
             let to = line.and_then(|l| Some((l.parse::<SocketAddr>().ok()?, l.len() + 1)));
             let Some((to, begin)) = to.filter(|(to, _)| !faults.cut.contains(&(from, *to))) else { continue };
+            if let Some((mark, counts)) = &mut faults.counts
+                && buffer[begin..n].get(AROUND..).is_some_and(|letter| letter.starts_with(mark))
+            {
+                *counts.entry((to, start.elapsed().as_millis() as u64 / 100)).or_default() += 1;
+            }
             let times = 1 + usize::from(rng.rand_float() < faults.twice);
             for _ in 0..times * usize::from(rng.rand_float() >= faults.lost) {
                 count += 1;
--- a/crates/drill/src/members.rs
+++ b/crates/drill/src/members.rs
@@ -1,14 +1,15 @@
 //! Routers that know of each other, as processes, with faults between them. What each takes the others for
 //! is asked of its state page, and judged against what the drill itself has done.
+use crate::fleet::{ports, settings};
 use crate::links::Links;
-use crate::run::{Plan, Router, start};
+use crate::process::{Plan, Router, start};
 use applepond_fleet::ask;
 use applepond_members::{Rings, RouterId};
 use oorandom::Rand64;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -61,38 +62,6 @@
     report: Report,
 }
 
-/// The block by which a router knows of the others.
-pub fn fleet_block(n: usize, ports: &[SocketAddr], key: &Path) -> String {
-    format!(
-        "fleet {{\n name = \"r{n}\"\n zone = \"z{}\"\n listen = \"{}\"\n seeds = [\"{}\", \"{}\"]\n\
-         key_files = [\"{}\"]\n}}\n",
-        n % 2,
-        ports[n],
-        ports[0],
-        ports[ports.len().min(2) - 1],
-        key.display()
-    )
-}
-
-/// Settings of one router of a fleet whose state page is all that is asked of it.
-pub fn settings(n: usize, ports: &[SocketAddr], key: &Path) -> String {
-    format!(
-        "listen = \"127.0.0.1:0\"\nzones = [\"a\"]\nrouters = {}\n\
-         rules {{\n cold_share = 0.2\n warm_within = \"10s\"\n fall_multiple = 2\n fall_span = \"1s\"\n}}\n\
-         workload \"book\" {{\n types = [\"book\"]\n effect = \"run-once\"\n start_target = \"5s\"\n\
-         time_limit = \"15s\"\n}}\nworker \"w1\" {{\n address = \"127.0.0.1:9\"\n}}\n{}",
-        ports.len(),
-        fleet_block(n, ports, key)
-    )
-}
-
-/// Free ports for so many.
-pub fn ports(many: usize) -> std::io::Result<Vec<SocketAddr>> {
-    let sockets: Vec<UdpSocket> =
-        (0..many).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-    sockets.iter().map(UdpSocket::local_addr).collect()
-}
-
 fn row(view: &Value, n: usize) -> Option<&Value> {
     view["members"].as_array()?.iter().find(|m| m["name"] == format!("r{n}"))
 }
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -1,7 +1,8 @@
 //! Plays a bad day: stand-ins in this process, each router in one of its own.
 use crate::audit::{Effect, Terms, Verdict, judge};
 use crate::day::{self, Day};
-use crate::members::{fleet_block, ports};
+use crate::fleet::{fleet_block, ports};
+use crate::process::{Plan, start};
 use applepond_reactor::{Micros, Reactor};
 use applepond_standins::client::{Client, Got, Results};
 use applepond_standins::hosts::Hosts;
@@ -9,10 +10,7 @@
 use applepond_standins::store::Store;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,21 +28,6 @@
 /// is long enough to be known.
 const DEAD: (Micros, Micros) = (4_000_000, 19_000_000);
 
-pub struct Plan {
-    /// The program that serves; it takes `serve --settings FILE`.
-    pub program: PathBuf,
-    pub seed: u64,
-    pub routers: usize,
-    pub workers: usize,
-    /// Name of a fault that each router is to plant.
-    pub plant: Option<String>,
-    /// Where the routers of a fleet send their datagrams, instead of to each other.
-    pub through: Option<SocketAddr>,
-    /// Routers of the bad day that die and come back, and whether the others learn of it.
-    pub die: usize,
-    pub fleet: bool,
-}
-
 pub struct Report {
     pub verdict: Verdict,
     pub got: BTreeMap<Got, usize>,
@@ -61,46 +44,6 @@
     }
 }
 
-/// A router's process; ended when dropped.
-pub struct Router {
-    pub child: Child,
-    pub settings: PathBuf,
-    pub at: SocketAddr,
-}
-
-impl Drop for Router {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-pub fn start(plan: &Plan, settings: PathBuf) -> Result<Router, String> {
-    let mut command = Command::new(&plan.program);
-    command.arg("serve").arg("--settings").arg(&settings).args(["--log", "json", "--with-parent"]);
-    if let Some(plant) = &plan.plant {
-        command.arg("--plant").arg(plant);
-    }
-    if let Some(rig) = plan.through {
-        command.arg("--fleet-through").arg(rig.to_string());
-    }
-    let log = std::fs::OpenOptions::new().append(true).create(true).open(settings.with_extension("log"));
-    let log = log.map_err(|e| format!("{}: {e}", settings.display()))?;
-    let child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).spawn();
-    let mut child = child.map_err(|e| format!("{}: {e}", plan.program.display()))?;
-    let mut line = String::new();
-    let read = child.stdout.take().map(|out| BufReader::new(out).read_line(&mut line));
-    let at = line.trim().strip_prefix("listening ").and_then(|a| a.parse().ok());
-    let router = |at| Router { child, settings: settings.clone(), at };
-    match at {
-        Some(at) => Ok(router(at)),
-        None => {
-            drop(router(SocketAddr::from(([127, 0, 0, 1], 0))));
-            Err(format!("the router of {} did not start: {read:?}", settings.display()))
-        }
-    }
-}
-
 /// Plays the day; `progress` is told about once a second how far it is, in words.
 pub fn bad_day(
     plan: &Plan,
@@ -197,20 +140,22 @@
         reactor.turn(Duration::from_millis(20)).map_err(|e| format!("epoll: {e}"))?;
     }
     drop(routers);
-    let effects = day.jobs.iter().map(|j| {
-        let effect = match (j.restartable, j.fingerprint) {
-            (true, _) => Effect::Restartable,
-            (_, true) => Effect::Fingerprinted,
-            _ => Effect::RunOnce,
-        };
-        (Event::from(format!("{} {}", j.source, j.id)), effect)
-    });
     let terms =
-        Terms { grace: day::GRACE, window: day::WINDOW, effects: effects.collect(), kills, end: Micros::MAX };
+        Terms { grace: day::GRACE, window: day::WINDOW, effects: effects(&day), kills, end: Micros::MAX };
     let verdict = ledger.read(|ledger| judge(ledger, &terms));
     Ok(report(&day, begin, &results.borrow(), verdict))
 }
 
+/// What a second execution of each job would do.
+pub fn effects(day: &Day) -> BTreeMap<Event, Effect> {
+    let effect = |j: &applepond_standins::client::Planned| match (j.restartable, j.fingerprint) {
+        (true, _) => Effect::Restartable,
+        (_, true) => Effect::Fingerprinted,
+        _ => Effect::RunOnce,
+    };
+    day.jobs.iter().map(|j| (Event::from(format!("{} {}", j.source, j.id)), effect(j))).collect()
+}
+
 fn report(day: &Day, begin: Micros, results: &Results, verdict: Verdict) -> Report {
     let mut got = BTreeMap::new();
     let mut windows = vec![(0, 0); (day::LENGTH / WINDOW) as usize + 1];
--- a/crates/drill/src/storm.rs
+++ b/crates/drill/src/storm.rs
@@ -2,7 +2,7 @@
 //! back, and everything that waited asks at once.
 use crate::audit::{Effect, Terms, Verdict, judge};
 use crate::day::{self, Day, HALLS, Part};
-use crate::run::{Plan, start};
+use crate::process::{Plan, start};
 use applepond_reactor::{Micros, Reactor};
 use applepond_standins::client::{Client, Got, Planned};
 use applepond_standins::hosts::Hosts;
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -117,6 +117,15 @@
         }
     }
 
+    /// The same with these guards alone, and nobody asked, for drills.
+    pub fn with_guards(mut self, guards: comeback::Guards, alone: bool) -> Self {
+        self.peers = self.peers.with_guards(guards);
+        if alone {
+            self.peers = self.peers.alone();
+        }
+        self
+    }
+
     /// Other keepers by the settings: changed one by one, by agreement.
     pub fn rename(&mut self, keepers: &[RouterId]) {
         if let Some(register) = self.register.as_mut().filter(|_| !keepers.is_empty()) {
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -31,6 +31,9 @@
 const IDLE_RUN_ONCE: Micros = 500_000;
 /// µs between two looks for connections idle too long.
 const SWEEP: Micros = 1_000_000;
+/// µs after the start in which memory is looked at more often, and how often.
+const EARLY: Micros = 6_000_000;
+const EARLY_LOOK: Micros = 20_000;
 /// µs between two looks at a client's patience at most: a new request may have begun meanwhile.
 const LOOK: Micros = 5_000_000;
 /// Jobs that have not ended at most; beyond it the gateway itself pushes back, at the cost of one answer.
@@ -194,8 +197,9 @@
     on_listening: Box<dyn FnMut(std::net::SocketAddr)>,
     news: News,
     memory: Option<Box<dyn Memory>>,
-    /// Workers that the list calls ready and memory does not.
-    withheld: BTreeMap<ServerId, Entry>,
+    /// The list's word on each worker, where memory may make something else of it.
+    said_ready: BTreeMap<ServerId, Entry>,
+    born: Micros,
     /// What others of the process have for the state page.
     pages: Vec<(&'static str, Page)>,
 }
@@ -234,7 +238,8 @@
             on_listening,
             news: Box::new(|| None),
             memory: None,
-            withheld: BTreeMap::new(),
+            said_ready: BTreeMap::new(),
+            born: now,
             pages: Vec::new(),
         }
     }
@@ -937,10 +942,16 @@
         if let Some(new) = (self.news)() {
             self.switch(now, wire, new);
         }
-        self.remember(now, wire);
         self.after(now, wire, SWEEP, Box::new(|g, now, wire| g.sweep(now, wire)));
     }
 
+    /// Again and again, and more often in the first seconds: what is told then is worth most.
+    fn remembers(&mut self, now: Micros, wire: &mut dyn Wire) {
+        self.remember(now, wire);
+        let pause = if now < self.born + EARLY { EARLY_LOOK } else { SWEEP };
+        self.after(now, wire, pause, Box::new(|g, now, wire| g.remembers(now, wire)));
+    }
+
     /// Hands over what was learned, takes up what is to be recalled, and lets go whom memory withholds no
     /// more.
     fn remember(&mut self, now: Micros, wire: &mut dyn Wire) {
@@ -962,16 +973,23 @@
                 memory.saw_load_time(now, function, took);
             }
         }
-        let free = |e: &&Entry| memory.listed(now, e.server, e.up_since, Standing::Ready) == Standing::Ready;
-        let entries: Vec<Entry> = self.withheld.values().filter(free).cloned().collect();
+        // A drain may be told after the list was, and may be over: each is looked at anew.
+        let ready = Standing::Ready;
+        let looks =
+            self.said_ready.values().map(|e| (e.clone(), memory.listed(now, e.server, e.up_since, ready)));
+        let looks: Vec<(Entry, Standing)> = looks.collect();
+        let mut entries = Vec::new();
+        for (entry, is) in looks {
+            let Some(worker) = self.listed.get_mut(entry.server).filter(|w| w.standing != is) else {
+                continue;
+            };
+            worker.standing = is;
+            entries.push(Entry { standing: is, ..entry });
+        }
         if !entries.is_empty() {
-            for entry in &entries {
-                self.withheld.remove(&entry.server);
-                if let Some(worker) = self.listed.get_mut(entry.server) {
-                    worker.standing = Standing::Ready;
-                }
-            }
-            self.listed(now, wire, &Taken { kind: ListKind::Changes, entries, cut: Vec::new() });
+            let entries: Vec<Listed> = entries.iter().map(Listed::from).collect();
+            self.control.list(&mut self.acts, ListKind::Changes, &entries);
+            self.settle(now, wire);
         }
     }
 
@@ -986,10 +1004,12 @@
         if let Some(memory) = &mut self.memory {
             for entry in &mut entries {
                 let is = memory.listed(now, entry.server, entry.up_since, entry.standing);
-                self.withheld.remove(&entry.server);
+                self.said_ready.remove(&entry.server);
+                if entry.standing == Standing::Ready {
+                    self.said_ready.insert(entry.server, entry.clone());
+                }
                 // Guards against a drain that was told before a restart and that a late list takes back.
                 if is != entry.standing {
-                    self.withheld.insert(entry.server, entry.clone());
                     entry.standing = is;
                     self.listed.get_mut(entry.server).into_iter().for_each(|w| w.standing = is);
                 }
@@ -1068,6 +1088,9 @@
         self.resume_chains(now, wire);
         self.watch(wire);
         self.sweep(now, wire);
+        if self.memory.is_some() {
+            self.remembers(now, wire);
+        }
         self.settle(now, wire);
     }
 
--- a/crates/standins/src/hosts.rs
+++ b/crates/standins/src/hosts.rs
@@ -39,13 +39,15 @@
     pub changes: Vec<(Micros, Row)>,
     /// Says nothing and takes nobody from `.0` to `.1`; whoever asks after that is told all there is.
     pub silence: (Micros, Micros),
+    /// Whoever asks from `.0` to `.1` is told this row in place of the true one, as by a copy that is behind.
+    pub stale: Option<(Micros, Micros, Row)>,
     pub ledger: Ledger,
     talks: BTreeMap<Conn, (Talk, Option<u64>)>,
 }
 
 impl Hosts {
     pub fn new(listen: SocketAddr, rows: Vec<Row>, changes: Vec<(Micros, Row)>, ledger: Ledger) -> Self {
-        Hosts { listen, rows, changes, silence: (0, 0), ledger, talks: BTreeMap::new() }
+        Hosts { listen, rows, changes, silence: (0, 0), stale: None, ledger, talks: BTreeMap::new() }
     }
 
     fn tell(&self, now: Micros, wire: &mut dyn Wire, conn: Conn, router: u64, kind: &str, rows: &[&Row]) {
@@ -94,7 +96,12 @@
         let router = asked.target.rsplit("router=").next().and_then(|r| r.parse().ok()).unwrap_or(0);
         *watches = Some(router);
         wire.write(conn, &encode::response(200).field("Content-Type", "application/jsonl").chunked());
-        self.tell(now, wire, conn, router, "full", &self.rows.iter().collect::<Vec<_>>());
+        let stale = self.stale.as_ref().filter(|(from, until, _)| (*from..*until).contains(&now));
+        let mut rows: Vec<&Row> = self.rows.iter().collect();
+        if let Some((_, _, old)) = stale {
+            rows.iter_mut().filter(|row| row.name == old.name).for_each(|row| *row = old);
+        }
+        self.tell(now, wire, conn, router, "full", &rows);
     }
     fn half_closed(&mut self, _: Micros, wire: &mut dyn Wire, conn: Conn) {
         self.talks.remove(&conn);
