--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -1,6 +1,7 @@
 //! Many wholly separate instances behind one wire.
 use applepond::control::Control;
 use applepond::interface::*;
+use applepond_platform::fault::Unfit;
 use applepond_platform::fields::*;
 use applepond_platform::rows::{Words, copy_note, startup};
 use serde_json::{Value, json};
@@ -73,13 +74,14 @@
 
 impl Host {
     /// Answers one batch; a fault names the instance and the field.
-    pub fn batch(&mut self, line: &str) -> Result<String, String> {
-        let batch: Value = serde_json::from_str(line).map_err(|e| format!("batch: not JSON: {e}"))?;
-        let now = time(&batch, "ts").map_err(|why| format!("batch: {why}"))?;
+    pub fn batch(&mut self, line: &str) -> Result<String, Unfit> {
+        let batch: Value =
+            serde_json::from_str(line).map_err(|e| Unfit::NoJson(e.to_string()).at("batch"))?;
+        let now = time(&batch, "ts").map_err(|why| why.at("batch"))?;
         let mut parts = Vec::new();
-        for part in array(&batch, "parts").map_err(|why| format!("batch: {why}"))? {
-            let number = whole(part, "router").map_err(|why| format!("batch: {why}"))?;
-            let told = |why| format!("instance {number}: {why}");
+        for part in array(&batch, "parts").map_err(|why| why.at("batch"))? {
+            let number = whole(part, "router").map_err(|why| why.at("batch"))?;
+            let told = |why: Unfit| why.at(format!("instance {number}"));
             let mut actions = Vec::new();
             for event in array(part, "arrivals").map_err(told)? {
                 actions.extend(self.event(number, now, event).map_err(told)?);
@@ -107,8 +109,8 @@
             self.instances.remove(&number);
             return Ok(Vec::new());
         }
-        let instance = self.instances.get_mut(&number).ok_or(format!("'{op}' before any 'boot'"))?;
-        instance.event(now, op, event).map_err(|why| format!("'{op}': {why}"))
+        let instance = self.instances.get_mut(&number).ok_or_else(|| Unfit::NotBooted(op.to_owned()))?;
+        instance.event(now, op, event).map_err(|why| why.at(format!("'{op}'")))
     }
 }
 
@@ -136,7 +138,7 @@
                     "FULL" => ListKind::Full,
                     "SAVED" => ListKind::Saved,
                     "FAILED" => ListKind::Failed,
-                    other => return Err(format!("field 'kind': '{other}' is not known")),
+                    other => return Err(Unfit::field("kind", format!("'{other}' is not known"))),
                 };
                 let entries =
                     maybe(event, "members").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
@@ -181,7 +183,7 @@
             "wakeup" => control.wake(reply, Token(whole(event, "token")?)),
             // Nothing is decided on these yet: no probe, message or order to load is ever sent.
             "probed" | "whisper" | "stands" => {}
-            other => return Err(format!("event '{other}' is not known")),
+            other => return Err(Unfit::Event(other.to_owned())),
         }
         Ok(std::mem::take(&mut reply.actions))
     }
@@ -198,7 +200,7 @@
         251 => Outcome::Broken,
         250 => Outcome::Cancelled,
         249 => Outcome::Moot,
-        other => return Err(format!("field 'code': {other} is not known")),
+        other => return Err(Unfit::field("code", format!("{other} is not known"))),
     })
 }
 
@@ -210,7 +212,7 @@
             "Ready" => Standing::Ready,
             "Terminating" => Standing::Draining,
             "Gone" => Standing::Gone,
-            other => return Err(format!("field 'condition': '{other}' is not known")),
+            other => return Err(Unfit::field("condition", format!("'{other}' is not known"))),
         },
         up_since: time_or_none(entry, "up-since")?,
         zone: place(&names.words.zones, "rack-zone")?.map(ZoneId),
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -13,18 +13,16 @@
     }
 }
 
-fn serve() -> Result<(), String> {
+fn serve() -> Result<(), Box<dyn std::error::Error>> {
     let mut host = Host::default();
     let mut output = io::stdout().lock();
     for line in io::stdin().lock().lines() {
-        let line = line.map_err(|e| format!("standard input: {e}"))?;
+        let line = line?;
         if line.trim().is_empty() {
             continue;
         }
         let reply = host.batch(&line)?;
-        writeln!(output, "{reply}")
-            .and_then(|()| output.flush())
-            .map_err(|e| format!("standard output: {e}"))?;
+        writeln!(output, "{reply}").and_then(|()| output.flush())?;
     }
     Ok(())
 }
--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -191,7 +191,7 @@
     let report = match played {
         Ok(report) => report,
         Err(why) => {
-            eprintln!("the drill could not be played: {why}");
+            crate::told("the drill could not be played: ", &why);
             return ExitCode::from(crate::serve::WRONG);
         }
     };
@@ -246,7 +246,7 @@
             let report = match played {
                 Ok(report) => report,
                 Err(why) => {
-                    eprintln!("the drill could not be played: {why}");
+                    crate::told("the drill could not be played: ", &why);
                     return wrong;
                 }
             };
@@ -328,7 +328,7 @@
     let report = match played {
         Ok(report) => report,
         Err(why) => {
-            eprintln!("the drill could not be played: {why}");
+            crate::told("the drill could not be played: ", &why);
             return wrong;
         }
     };
@@ -403,7 +403,7 @@
         let r = match played {
             Ok(report) => report,
             Err(why) => {
-                eprintln!("the drill could not be played: {why}");
+                crate::told("the drill could not be played: ", &why);
                 return wrong;
             }
         };
@@ -503,7 +503,7 @@
                 reports.push(report);
             }
             Err(why) => {
-                eprintln!("the drill could not be played: {why}");
+                crate::told("the drill could not be played: ", &why);
                 return wrong;
             }
         }
@@ -511,7 +511,7 @@
     if let Some(file) = chart {
         let named: Vec<_> = plays.iter().map(|(name, _)| *name).zip(&reports).collect();
         let drawn = applepond_drill::chart::draw(&named);
-        let written = drawn.and_then(|svg| std::fs::write(&file, svg).map_err(|e| e.to_string()));
+        let written = drawn.and_then(|svg| Ok(std::fs::write(&file, svg)?));
         if let Err(why) = written {
             eprintln!("{}: {why}", file.display());
             return wrong;
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -5,6 +5,7 @@
 use applepond_fleet::envelope::Key;
 use applepond_fleet::{Fleet, Place, Shared, View, ask, page};
 use applepond_gateway::deployment::FleetRow;
+use applepond_gateway::fault::NotTaken;
 use applepond_gateway::switch::merge;
 use applepond_gateway::{Deployment, Memory as Remembers, News, Page};
 use applepond_members::{Birth, RouterId};
@@ -36,7 +37,7 @@
     let fleet = match ask(at) {
         Ok(fleet) => fleet,
         Err(why) => {
-            eprintln!("{why}");
+            crate::told("", &why);
             return ExitCode::FAILURE;
         }
     };
@@ -63,22 +64,26 @@
     ExitCode::SUCCESS
 }
 
-fn keys(row: &FleetRow) -> Result<Vec<Key>, String> {
+fn keys(row: &FleetRow) -> Result<Vec<Key>, NotTaken> {
     let key = |file: &std::path::PathBuf| {
-        let secret = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
-        let short = || format!("{}: a key of 16 bytes at least is wanted", file.display());
+        let at = |why| NotTaken::KeyFile { file: file.display().to_string(), why };
+        let secret = std::fs::read(file).map_err(|e| at(e.to_string()))?;
+        let short = || at("a key of 16 bytes at least is wanted".to_owned());
         Key::from_secret(&secret).ok_or_else(short)
     };
     row.key_files.iter().map(key).collect()
 }
 
 /// A disk's fault as a drill names it.
-pub fn disk_fault(word: &str) -> Result<DiskFault, String> {
+pub fn disk_fault(word: &str) -> Result<DiskFault, clap::Error> {
     let late = |ms: &str| ms.parse().ok().map(|ms| DiskFault::Late(std::time::Duration::from_millis(ms)));
     match word {
         "lies" => Ok(DiskFault::Lies),
         "full" => Ok(DiskFault::Full),
-        _ => word.strip_prefix("late-").and_then(late).ok_or("late-MS, lies or full".to_owned()),
+        _ => word
+            .strip_prefix("late-")
+            .and_then(late)
+            .ok_or_else(|| clap::Error::raw(clap::error::ErrorKind::InvalidValue, "late-MS, lies or full\n")),
     }
 }
 
@@ -163,8 +168,8 @@
     row: &FleetRow,
     now: Micros,
     rig: &Rig,
-) -> Result<(Fleet, Rc<RefCell<View>>, Rc<RefCell<Memory>>), String> {
-    let random = || getrandom::u64().map_err(|e| format!("no random numbers: {e}"));
+) -> Result<(Fleet, Rc<RefCell<View>>, Rc<RefCell<Memory>>), NotTaken> {
+    let random = || getrandom::u64().map_err(|e| NotTaken::NoRandom(e.to_string()));
     let (seed, fresh) = (random()?, Birth(random()?));
     let who = (row.name.clone(), row.zone.clone(), row.listen);
     let (fleet, view) = Fleet::new(now, who, row.seeds.clone(), keys(row)?, seed, (rig.through, rig.guards));
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -68,6 +68,15 @@
     },
 }
 
+/// An error as an operator reads it: what happened, and what to do about it.
+fn told(what: &str, error: &dyn miette::Diagnostic) {
+    eprintln!("{what}{error}");
+    if let Some(help) = error.help() {
+        let code = error.code().map_or(String::new(), |c| format!(" ({c})"));
+        eprintln!("  what to do{code}: {help}");
+    }
+}
+
 fn main() -> ExitCode {
     match Line::parse().what {
         What::Serve { settings, listen, log, plant, fleet_through, disk, with_parent } => {
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -1,6 +1,7 @@
 //! `node`: one real router of the operators' platform.
 use applepond_node::{News, Node};
 use applepond_platform::config::{self, Start};
+use applepond_platform::fault::Unfit;
 use applepond_reactor::Reactor;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::cell::Cell;
@@ -14,9 +15,9 @@
 /// Longest wait of one turn: the machine's own tick ends it earlier.
 const TURN: Duration = Duration::from_secs(1);
 
-fn read(file: &PathBuf) -> Result<Start, String> {
-    let text = std::fs::read(file).map_err(|error| format!("{}: {error}", file.display()))?;
-    config::start(&text).map_err(|why| format!("{}: {why}", file.display()))
+fn read(file: &PathBuf) -> Result<Start, Unfit> {
+    let text = std::fs::read(file).map_err(|e| Unfit::Unread { file: file.clone(), why: e.to_string() })?;
+    config::start(&text).map_err(|why| why.at(file.display()))
 }
 
 /// Asked by the machine for what the process has been told by signals since.
@@ -37,7 +38,7 @@
     let start = match read(&file) {
         Ok(start) => start,
         Err(why) => {
-            eprintln!("{why}");
+            crate::told("", &why);
             return ExitCode::from(crate::serve::WRONG);
         }
     };
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -2,6 +2,7 @@
 use crate::fleet;
 use applepond::interface::Effect;
 use applepond_drill::saboteur::{PLANTS, Saboteur};
+use applepond_gateway::fault::NotTaken;
 use applepond_gateway::{Deployment, Gateway, News};
 use applepond_members::Standing;
 use applepond_reactor::{Machine, Reactor};
@@ -75,7 +76,7 @@
         if !asked.swap(false, Ordering::Relaxed) {
             return None;
         }
-        let new = read(&file).map_err(|_| "the file has faults".to_owned());
+        let new = read(&file).map_err(|_| NotTaken::Faults);
         Some(new.map(|new| Deployment { listen: listen.unwrap_or(new.listen), ..new }))
     }))
 }
@@ -119,7 +120,7 @@
         Some(file) => match Disk::open(file) {
             Ok(disk) => Some(Box::new(disk)),
             Err(why) => {
-                eprintln!("the record of chains cannot be used: {why}");
+                crate::told("the record of chains cannot be used: ", &why);
                 return ExitCode::from(WRONG);
             }
         },
@@ -139,7 +140,7 @@
     let fleet = match deployment.fleet.as_ref().map(|row| fleet::of(row, reactor.now(), rig)) {
         Some(Ok(fleet)) => Some(fleet),
         Some(Err(why)) => {
-            eprintln!("{why}");
+            crate::told("", &why);
             return ExitCode::from(WRONG);
         }
         None => None,
--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -2,6 +2,7 @@
 //! steps one by one with fixed limits, at the same load.
 use crate::audit::{Effect, Terms, Verdict, judge};
 use crate::day::{self, Day, HALLS, Part};
+use crate::fault::Unplayed;
 use crate::process::{Plan, start};
 use applepond_reactor::{Micros, Reactor};
 use applepond_record::{Disk, Record};
@@ -134,9 +135,9 @@
 }
 
 /// Plays it. An error is a fault of the files or processes, in words.
-pub fn chains(order: &Order<'_>, folder: &Path, progress: &mut dyn FnMut(&str)) -> Result<Report, String> {
-    let told = |e: std::io::Error| format!("{}: {e}", folder.display());
-    let epoll = |e: std::io::Error| format!("epoll: {e}");
+pub fn chains(order: &Order<'_>, folder: &Path, progress: &mut dyn FnMut(&str)) -> Result<Report, Unplayed> {
+    let told = |e: std::io::Error| Unplayed::machine(folder.display(), e);
+    let epoll = |e: std::io::Error| Unplayed::machine("epoll", e);
     std::fs::create_dir_all(folder).map_err(told)?;
     let plan = order.plan;
     let mut reactor = Reactor::new().map_err(epoll)?;
@@ -250,7 +251,7 @@
     }
     let mut records = Vec::new();
     for me in (0..plan.routers).filter(|_| order.kills > 0) {
-        records.push(Disk::open(&folder.join(format!("record-{me}"))).map_err(|e| e.to_string())?);
+        records.push(Disk::open(&folder.join(format!("record-{me}")))?);
     }
     let mut lasting = BTreeSet::new();
     ledger.read(|seen| {
--- a/crates/drill/src/chart.rs
+++ b/crates/drill/src/chart.rs
@@ -1,4 +1,5 @@
 //! Service and arrivals over time as an SVG picture: one row for service, one for what was asked.
+use crate::fault::Unplayed;
 use crate::storm::Report;
 use plotters::prelude::*;
 
@@ -10,11 +11,11 @@
 const TOP: f64 = 105.0;
 
 /// Draws plays of the same storm side by side, each under its name. An error is the drawing library's.
-pub fn draw(plays: &[(&str, &Report)]) -> Result<String, String> {
+pub fn draw(plays: &[(&str, &Report)]) -> Result<String, Unplayed> {
     let mut text = String::new();
     {
         let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
-        area.fill(&WHITE).map_err(|e| e.to_string())?;
+        area.fill(&WHITE).map_err(|e| Unplayed::machine("the chart", e))?;
         let rows = area.split_evenly((2, 1));
         let service = |r: &Report| -> Vec<(f64, f64)> {
             let share = |(n, (jobs, ok, _)): (usize, &(usize, usize, usize))| {
@@ -28,7 +29,7 @@
         let most = plays.iter().flat_map(|(_, r)| r.seconds.iter().map(|s| s.2)).max().unwrap_or(1);
         row(&rows[0], "in time, % of the jobs that came in the second", TOP, plays, &service)?;
         row(&rows[1], "asked, exchanges a second", 1.05 * most as f64, plays, &asked)?;
-        area.present().map_err(|e| e.to_string())?;
+        area.present().map_err(|e| Unplayed::machine("the chart", e))?;
     }
     Ok(text)
 }
@@ -39,8 +40,8 @@
     top: f64,
     plays: &[(&str, &Report)],
     points: &dyn Fn(&Report) -> Vec<(f64, f64)>,
-) -> Result<(), String> {
-    let told = |e: &dyn std::fmt::Display| e.to_string();
+) -> Result<(), Unplayed> {
+    let told = |e: &dyn std::fmt::Display| Unplayed::machine("the chart", e);
     // The last second is cut short by the end of the play.
     let end = plays.iter().map(|(_, r)| r.seconds.len().saturating_sub(2)).max().unwrap_or(1) as f64;
     let mut chart = ChartBuilder::on(area)
--- a/crates/drill/src/comeback.rs
+++ b/crates/drill/src/comeback.rs
@@ -2,6 +2,7 @@
 //! costs others. Judged from the sockets of workers, store, clients and the rig between the routers.
 use crate::audit::{Terms, Verdict, judge};
 use crate::day::{self, Day};
+use crate::fault::Unplayed;
 use crate::fleet::ports;
 use crate::links::Links;
 use crate::process::{Plan, Router, start};
@@ -156,12 +157,16 @@
 }
 
 /// Plays it; `progress` is told what happens.
-pub fn comeback(order: &Order<'_>, folder: &Path, progress: &mut dyn FnMut(&str)) -> Result<Report, String> {
-    let told = |e: std::io::Error| format!("{}: {e}", folder.display());
+pub fn comeback(
+    order: &Order<'_>,
+    folder: &Path,
+    progress: &mut dyn FnMut(&str),
+) -> Result<Report, Unplayed> {
+    let told = |e: std::io::Error| Unplayed::machine(folder.display(), e);
     std::fs::create_dir_all(folder).map_err(told)?;
     let plan = order.plan;
     let mut rng = Rand64::new(u128::from(plan.seed));
-    let mut reactor = Reactor::new().map_err(|e| format!("epoll: {e}"))?;
+    let mut reactor = Reactor::new().map_err(|e| Unplayed::machine("epoll", e))?;
     let links = Links::new(plan.seed).map_err(told)?;
     links.faults().counts = Some((ASK.to_vec(), BTreeMap::new()));
     let mut plan = Plan { through: Some(links.at), ..plan.clone() };
@@ -203,7 +208,7 @@
     let (mut dead, mut kills, mut last) = (Vec::new(), Vec::new(), None);
     let end = begin + BEFORE + DEAD + AFTER + 4 * S;
     while reactor.now() < end && (results.borrow().done < day.jobs.len() || last.is_none()) {
-        reactor.turn(Duration::from_millis(10)).map_err(|e| format!("epoll: {e}"))?;
+        reactor.turn(Duration::from_millis(10)).map_err(|e| Unplayed::machine("epoll", e))?;
         let now = reactor.now();
         while let Some((_, n)) = deaths.first().copied().filter(|(at, _)| now >= begin + BEFORE + at) {
             deaths.remove(0);
@@ -246,7 +251,7 @@
         }
     }
     for _ in 0..25 {
-        reactor.turn(Duration::from_millis(20)).map_err(|e| format!("epoll: {e}"))?;
+        reactor.turn(Duration::from_millis(20)).map_err(|e| Unplayed::machine("epoll", e))?;
     }
     drop(routers);
     let last = last.unwrap_or(starts);
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod chart;
 pub mod comeback;
 pub mod day;
+pub mod fault;
 pub mod fleet;
 pub mod links;
 pub mod members;
--- a/crates/drill/src/members.rs
+++ b/crates/drill/src/members.rs
@@ -1,5 +1,6 @@
 //! Routers that know of each other, as processes, with faults between them. What each takes the others for
 //! is asked of its state page, and judged against what the drill itself has done.
+use crate::fault::Unplayed;
 use crate::fleet::{ports, settings};
 use crate::links::Links;
 use crate::process::{Plan, Router, start};
@@ -67,10 +68,10 @@
 }
 
 impl Fleet<'_> {
-    fn start(&self, n: usize) -> Result<Router, String> {
+    fn start(&self, n: usize) -> Result<Router, Unplayed> {
         let file = self.folder.join(format!("r{n}.hcl"));
         let text = settings(n, &self.ports, &self.folder.join("key"));
-        std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+        std::fs::write(&file, text).map_err(|e| Unplayed::machine(file.display(), e))?;
         start(self.plan, file)
     }
 
@@ -117,7 +118,7 @@
     }
 
     /// Waits for one view of all that run; says how long it took.
-    fn one_view(&mut self, scene: &'static str, most: Duration) -> Result<(), String> {
+    fn one_view(&mut self, scene: &'static str, most: Duration) -> Result<(), Unplayed> {
         let begun = Instant::now();
         let live = self.runs.iter().filter(|r| **r).count();
         loop {
@@ -132,7 +133,7 @@
                 let counts: Vec<String> = views.iter().map(|v| v["live"].to_string()).collect();
                 let what = format!("{scene}: not within {} ms: {}", most.as_millis(), counts.join(" "));
                 self.breaks("one view after a fault", what);
-                return Err("what is next would be judged of a fleet that is not whole".to_owned());
+                return Err(Unplayed::NotWhole("the fleet is not whole after a fault".to_owned()));
             }
             std::thread::sleep(LOOK);
         }
@@ -149,7 +150,7 @@
     }
 
     /// Killed outright, one after the other, and started again.
-    fn kill(&mut self) -> Result<(), String> {
+    fn kill(&mut self) -> Result<(), Unplayed> {
         for _ in 0..3 {
             let dead = self.any();
             std::thread::sleep(Duration::from_millis(self.rng.rand_range(0..250)));
@@ -196,7 +197,7 @@
     }
 
     /// One way of one pair in eight.
-    fn one_way(&mut self) -> Result<(), String> {
+    fn one_way(&mut self) -> Result<(), Unplayed> {
         let ports = self.ports.clone();
         let rings = self.rings();
         let id = |n: usize| RouterId::named(&format!("r{n}"));
@@ -232,7 +233,7 @@
 
     /// One router hears a single other one, accuses most of its neighbours, and is heard by all; what one of
     /// them has to say comes late.
-    fn one_voice(&mut self) -> Result<(), String> {
+    fn one_voice(&mut self) -> Result<(), Unplayed> {
         let (rings, many) = (self.rings(), self.ports.len());
         let id = |n: usize| RouterId::named(&format!("r{n}"));
         let beside = |n: usize, of: usize| rings.beside(id(of)).contains(&id(n));
@@ -260,7 +261,7 @@
 
     /// Stopped for 1 s, for just longer than patience, and for 5 s; what is sent to it meanwhile is lost, but
     /// for the last words of a few: it has not heard most for long when it wakes.
-    fn stop(&mut self) -> Result<(), String> {
+    fn stop(&mut self) -> Result<(), Unplayed> {
         for (time, removed) in [(1_000, false), (2_200, false), (5_000, true)] {
             let stopped = self.any();
             let judge = (stopped + 1) % self.ports.len();
@@ -306,7 +307,7 @@
         Ok(())
     }
 
-    fn halves(&mut self) -> Result<(), String> {
+    fn halves(&mut self) -> Result<(), Unplayed> {
         let ports = self.ports.clone();
         let (one, other) = ports.split_at(ports.len() / 2);
         self.links.faults().part(one, other);
@@ -315,7 +316,7 @@
         self.one_view("halves", HEALS)
     }
 
-    fn play(&mut self, scene: &'static str) -> Result<(), String> {
+    fn play(&mut self, scene: &'static str) -> Result<(), Unplayed> {
         match scene {
             "kill" => return self.kill(),
             "one-way" => return self.one_way(),
@@ -345,8 +346,8 @@
     scenes: &[&'static str],
     folder: &Path,
     progress: &mut dyn FnMut(&str),
-) -> Result<Report, String> {
-    let told = |e: std::io::Error| format!("{}: {e}", folder.display());
+) -> Result<Report, Unplayed> {
+    let told = |e: std::io::Error| Unplayed::machine(folder.display(), e);
     std::fs::create_dir_all(folder).map_err(told)?;
     std::fs::write(folder.join("key"), format!("the secret of a drill's fleet, {}\n", plan.seed))
         .map_err(told)?;
--- a/crates/drill/src/process.rs
+++ b/crates/drill/src/process.rs
@@ -1,4 +1,5 @@
 //! A router as a process of its own, as every drill starts it.
+use crate::fault::Unplayed;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -34,7 +35,7 @@
     }
 }
 
-pub fn start(plan: &Plan, settings: PathBuf) -> Result<Router, String> {
+pub fn start(plan: &Plan, settings: PathBuf) -> Result<Router, Unplayed> {
     let mut command = Command::new(&plan.program);
     command.arg("serve").arg("--settings").arg(&settings).args(["--log", "json", "--with-parent"]);
     if let Some(plant) = &plan.plant {
@@ -44,9 +45,9 @@
         command.arg("--fleet-through").arg(rig.to_string());
     }
     let log = std::fs::OpenOptions::new().append(true).create(true).open(settings.with_extension("log"));
-    let log = log.map_err(|e| format!("{}: {e}", settings.display()))?;
+    let log = log.map_err(|e| Unplayed::machine(settings.display(), e))?;
     let child = command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log).spawn();
-    let mut child = child.map_err(|e| format!("{}: {e}", plan.program.display()))?;
+    let mut child = child.map_err(|e| Unplayed::machine(plan.program.display(), e))?;
     let mut line = String::new();
     let read = child.stdout.take().map(|out| BufReader::new(out).read_line(&mut line));
     let at = line.trim().strip_prefix("listening ").and_then(|a| a.parse().ok());
@@ -55,7 +56,7 @@
         Some(at) => Ok(router(at)),
         None => {
             drop(router(SocketAddr::from(([127, 0, 0, 1], 0))));
-            Err(format!("the router of {} did not start: {read:?}", settings.display()))
+            Err(Unplayed::NotStarted(format!("{}: {read:?}", settings.display())))
         }
     }
 }
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -1,6 +1,7 @@
 //! Plays a bad day: stand-ins in this process, each router in one of its own.
 use crate::audit::{Effect, Terms, Verdict, judge};
 use crate::day::{self, Day};
+use crate::fault::Unplayed;
 use crate::fleet::{fleet_block, ports};
 use crate::process::{Plan, start};
 use applepond_reactor::{Micros, Reactor};
@@ -49,10 +50,10 @@
     plan: &Plan,
     folder: &std::path::Path,
     progress: &mut dyn FnMut(&str),
-) -> Result<Report, String> {
-    let told = |e: std::io::Error| format!("{}: {e}", folder.display());
+) -> Result<Report, Unplayed> {
+    let told = |e: std::io::Error| Unplayed::machine(folder.display(), e);
     std::fs::create_dir_all(folder).map_err(told)?;
-    let mut reactor = Reactor::new().map_err(|e| format!("epoll: {e}"))?;
+    let mut reactor = Reactor::new().map_err(|e| Unplayed::machine("epoll", e))?;
     let begin = reactor.now() + SETTLES;
     let (store_at, hosts_at) = (day::address(0, 250), day::address(0, 251));
     let day = day::draw(plan.seed, begin, plan.workers, plan.routers, store_at);
@@ -99,7 +100,7 @@
     let (mut told_at, mut story) = (0, day.story.iter().peekable());
     let end = begin + day::LENGTH + TAIL;
     while reactor.now() < end && (results.borrow().done < day.jobs.len() || reactor.now() < until) {
-        reactor.turn(Duration::from_millis(20)).map_err(|e| format!("epoll: {e}"))?;
+        reactor.turn(Duration::from_millis(20)).map_err(|e| Unplayed::machine("epoll", e))?;
         let now = reactor.now();
         if now >= from && kills.is_empty() {
             // Outright, with whatever they hold.
@@ -137,7 +138,7 @@
     }
     // Answers that come too late, or a second time, are still seen.
     for _ in 0..25 {
-        reactor.turn(Duration::from_millis(20)).map_err(|e| format!("epoll: {e}"))?;
+        reactor.turn(Duration::from_millis(20)).map_err(|e| Unplayed::machine("epoll", e))?;
     }
     drop(routers);
     let terms =
--- a/crates/drill/src/storm.rs
+++ b/crates/drill/src/storm.rs
@@ -2,6 +2,7 @@
 //! back, and everything that waited asks at once.
 use crate::audit::{Effect, Terms, Verdict, judge};
 use crate::day::{self, Day, HALLS, Part};
+use crate::fault::Unplayed;
 use crate::process::{Plan, start};
 use applepond_reactor::{Micros, Reactor};
 use applepond_standins::client::{Client, Got, Planned};
@@ -139,9 +140,9 @@
     order: &Order<'_>,
     folder: &Path,
     progress: &mut dyn FnMut(&str),
-) -> Result<Report, String> {
-    let told = |e: std::io::Error| format!("{}: {e}", folder.display());
-    let epoll = |e: std::io::Error| format!("epoll: {e}");
+) -> Result<Report, Unplayed> {
+    let told = |e: std::io::Error| Unplayed::machine(folder.display(), e);
+    let epoll = |e: std::io::Error| Unplayed::machine("epoll", e);
     std::fs::create_dir_all(folder).map_err(told)?;
     let plan = order.plan;
     let mut reactor = Reactor::new().map_err(epoll)?;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,6 @@
 mod shared;
 mod shell;
 
-pub use ask::ask;
+pub use ask::{NoView, ask};
 pub use shared::{Place, Shared};
 pub use shell::{Fleet, View, page};
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -36,7 +36,7 @@
     names: Rc<[String]>,
     pub media: Option<String>,
     pub data: Vec<u8>,
-    bad: Option<String>,
+    bad: Option<Fault>,
 }
 
 impl Draft {
@@ -138,7 +138,7 @@
             reader.body(body, &mut self.draft)?;
         }
         match self.draft.bad.take() {
-            Some(why) => Err(Fault::new(400, "bad-time", why)),
+            Some(fault) => Err(fault),
             None => Ok(()),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod deployment;
 pub mod fate;
+pub mod fault;
 pub mod front;
 pub mod host_list;
 pub mod life;
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -1,5 +1,6 @@
 //! How long a job has.
 use applepond::interface::Micros;
+use applepond_http::Fault;
 
 /// µs kept back for the answer's way to the client: it must be there in time, not just sent in time.
 const WAY_BACK: Micros = 10_000;
@@ -13,18 +14,24 @@
     pub within: Option<Micros>,
 }
 
+/// A request whose time cannot be read is the client's to put right.
+fn bad(what: String) -> Fault {
+    Fault::new(400, "bad-time", what)
+}
+
 impl Asked {
     /// Reads one attribute; a fault says what was wanted.
-    pub fn attribute(&mut self, name: &str, value: &str) -> Result<(), String> {
+    pub fn attribute(&mut self, name: &str, value: &str) -> Result<(), Fault> {
         match name {
             "expirytime" => {
                 let at: jiff::Timestamp =
-                    value.parse().map_err(|_| format!("expirytime '{value}' is no RFC 3339 time"))?;
+                    value.parse().map_err(|_| bad(format!("expirytime '{value}' is no RFC 3339 time")))?;
                 self.expires = Some(at.as_microsecond().max(0) as Micros);
             }
             "timelimit" => {
-                let ms: u32 =
-                    value.parse().map_err(|_| format!("timelimit '{value}' is no whole number of ms"))?;
+                let ms: u32 = value
+                    .parse()
+                    .map_err(|_| bad(format!("timelimit '{value}' is no whole number of ms")))?;
                 self.within = Some(Micros::from(ms) * 1000);
             }
             _ => {}
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -1,6 +1,7 @@
 //! The instance itself: connects the clients' side, the module, the workers' side and the host list.
 use crate::claims::{Claim, Claims, Ending, Name};
 use crate::deployment::{Deployment, FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
+use crate::fault::NotTaken;
 use crate::front::{self, Ask, Caller, Draft, Patience, Told};
 use crate::host_list::{Entry, HostList, Taken};
 use crate::life::{Act, Acts, Lives, ended};
@@ -151,7 +152,7 @@
 }
 
 /// Asked once a `SWEEP` for new settings; an error where there are some that cannot be read.
-pub type News = Box<dyn FnMut() -> Option<Result<Deployment, String>>>;
+pub type News = Box<dyn FnMut() -> Option<Result<Deployment, NotTaken>>>;
 
 /// What outlasts this process, or comes from others of its kind: care to be taken, and never a permission.
 pub trait Memory {
@@ -263,13 +264,13 @@
     }
 
     /// Takes new settings, or keeps the old ones whole. What was taken in goes on under its old terms.
-    fn switch(&mut self, now: Micros, wire: &mut dyn Wire, new: Result<Deployment, String>) {
-        let only = |keys: switch::Refused| format!("only a restart can change: {}", keys.join(", "));
+    fn switch(&mut self, now: Micros, wire: &mut dyn Wire, new: Result<Deployment, NotTaken>) {
+        let only = |keys: switch::Refused| NotTaken::Restart(keys.join(", "));
         let merged = match new.and_then(|new| switch::merge(&self.deployment, new).map_err(only)) {
             Ok(merged) => merged,
             Err(why) => {
                 self.counts.kept += 1;
-                tracing::warn!(reason = "settings-kept", why, "the old settings hold");
+                tracing::warn!(reason = "settings-kept", %why, "the old settings hold");
                 return;
             }
         };
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -9,6 +9,7 @@
 use applepond_gateway::life::{Act, Acts, Lives, ended};
 use applepond_platform::call::{Ask, id_text};
 use applepond_platform::config::{Member, Start};
+use applepond_platform::fault::Unfit;
 use applepond_platform::line;
 use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
 use rustc_hash::FxHashMap;
@@ -45,7 +46,7 @@
 /// What the process is told from outside.
 pub enum News {
     /// The configuration was replaced; an error says why it cannot be read.
-    Again(Result<Box<Start>, String>),
+    Again(Result<Box<Start>, Unfit>),
     Leave,
 }
 
@@ -502,7 +503,7 @@
                     tracing::info!(names = %start.names, "a new configuration holds");
                     self.watch.moved(wire, start.names);
                 }
-                News::Again(Err(why)) => tracing::warn!(why, "the old configuration holds"),
+                News::Again(Err(why)) => tracing::warn!(%why, "the old configuration holds"),
                 News::Leave => _ = self.leaving.get_or_insert(now),
             }
         }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -81,7 +81,7 @@
                 None
             }
             Err(why) => {
-                tracing::debug!(why, "an answer of the name service is not taken");
+                tracing::debug!(%why, "an answer of the name service is not taken");
                 self.give_up(wire, now + ASK_AGAIN);
                 None
             }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,4 +1,5 @@
 //! What a router is told at its start, and again when the file is replaced.
+use crate::fault::Unfit;
 use crate::fields::*;
 use crate::rows::{self, Words};
 use applepond::interface::*;
@@ -50,7 +51,7 @@
 
 /// Reads a configuration; a fault names the field.
 pub fn start(text: &[u8]) -> Read<Start> {
-    let file: Value = serde_json::from_slice(text).map_err(|e| format!("no JSON: {e}"))?;
+    let file: Value = serde_json::from_slice(text).map_err(|e| Unfit::NoJson(e.to_string()))?;
     let settings = object(&file, "settings")?;
     let allowed = object(settings, "allowed")?;
     let limits = object(&file, "limits")?;
@@ -115,7 +116,7 @@
             "in_service" => Standing::Ready,
             "terminating" => Standing::Draining,
             "terminated" => Standing::Gone,
-            other => return Err(format!("field 'phase': '{other}' is not known")),
+            other => return Err(Unfit::field("phase", format!("'{other}' is not known"))),
         },
         up_since: time_or_none(entry, "up_since_ms")?,
         zone: zone.map(ZoneId),
--- a/crates/platform/src/fields.rs
+++ b/crates/platform/src/fields.rs
@@ -1,11 +1,12 @@
 //! Reads single fields of a decoded JSON object; a fault names the field.
+use crate::fault::Unfit;
 use applepond::interface::Micros;
 use serde_json::Value;
 
-pub type Read<T> = Result<T, String>;
+pub type Read<T> = Result<T, Unfit>;
 
 pub fn fault<T>(name: &str, want: &str) -> Read<T> {
-    Err(format!("field '{name}': {want}"))
+    Err(Unfit::field(name, want))
 }
 
 /// The field, or none where it is absent or null.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,6 +2,7 @@
 //! to and from model servers, answers of the name service. Bytes in, calls out; nothing here decides.
 pub mod call;
 pub mod config;
+pub mod fault;
 pub mod fields;
 pub mod line;
 pub mod names;
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -1,5 +1,6 @@
 //! The name service: queries for the list of model servers and what an answer says (RFC 1035, RFC 2782).
 use crate::config::Member;
+use crate::fault::NoAnswer;
 use crate::rows::Words;
 use applepond::interface::*;
 use simple_dns::rdata::RData;
@@ -30,22 +31,22 @@
 }
 
 /// Reads the answer to the query of this id; a fault says why it is none.
-pub fn answer(bytes: &[u8], id: u16, words: &Words) -> Result<Told, String> {
-    let packet = Packet::parse(bytes).map_err(|e| format!("cannot be read: {e:?}"))?;
+pub fn answer(bytes: &[u8], id: u16, words: &Words) -> Result<Told, NoAnswer> {
+    let packet = Packet::parse(bytes).map_err(|e| NoAnswer::Unreadable(format!("{e:?}")))?;
     if packet.id() != id || !packet.has_flags(PacketFlag::RESPONSE) {
-        return Err("answers another question".to_owned());
+        return Err(NoAnswer::Another);
     }
     if packet.has_flags(PacketFlag::TRUNCATION) {
-        return Err("is cut short".to_owned());
+        return Err(NoAnswer::Cut);
     }
     if packet.rcode() != RCODE::NoError {
-        return Err(format!("reports {:?}", packet.rcode()));
+        return Err(NoAnswer::Reports(format!("{:?}", packet.rcode())));
     }
     let serial = packet.name_servers.iter().find_map(|r| match &r.rdata {
         RData::SOA(soa) => Some(u64::from(soa.serial)),
         _ => None,
     });
-    let index = serial.ok_or("names no serial")?;
+    let index = serial.ok_or(NoAnswer::NoSerial)?;
     let mut addresses: HashMap<String, Ipv4Addr> = HashMap::new();
     let mut notes: HashMap<String, HashMap<String, Option<String>>> = HashMap::new();
     for record in packet.additional_records.iter().chain(&packet.answers) {
--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -1,5 +1,6 @@
 //! Start-up rows from the operators' settings: the same reading for the simulator's first message and for a
 //! real router's configuration.
+use crate::fault::Unfit;
 use crate::fields::*;
 use applepond::interface::*;
 use serde_json::Value;
@@ -16,7 +17,7 @@
     pub fn read(setup: &Value) -> Read<Self> {
         let plain = |name| -> Read<Vec<String>> {
             let list = maybe(setup, name).and_then(Value::as_array).into_iter().flatten();
-            list.map(|v| v.as_str().map(str::to_owned).ok_or(format!("field '{name}': texts are wanted")))
+            list.map(|v| v.as_str().map(str::to_owned).ok_or_else(|| Unfit::field(name, "texts are wanted")))
                 .collect()
         };
         let rows = |name| -> Read<Vec<String>> {
@@ -73,11 +74,11 @@
                 "all" => Within::Everywhere,
                 "zone" => Within::Zone,
                 "cell" => Within::Rack,
-                other => return Err(format!("field 'group': '{other}' is not known")),
+                other => return Err(Unfit::field("group", format!("'{other}' is not known"))),
             },
             window: time(row, "window")?,
         },
-        other => return Err(format!("field 'idempotency': '{other}' is not known")),
+        other => return Err(Unfit::field("idempotency", format!("'{other}' is not known"))),
     };
     Ok(WorkloadRow {
         effect,
