comeback: promises to clients, what is usual and the pace outlast the process

Need: a router that returned did not know whom it had told to come back when, so clients that kept to it looked like a storm of strangers. An age that nobody knows voids promises.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -146,6 +146,15 @@
     fn saw_load_time(&mut self, now: Micros, function: FunctionId, took: Micros) {
         self.0.borrow_mut().saw_load_time(now, function, took);
     }
+    fn saw_usual(&mut self, now: Micros, usual: [f64; 3]) {
+        self.0.borrow_mut().saw_usual(now, usual);
+    }
+    fn promised(&mut self, now: Micros, job: u64, wait: Micros) {
+        self.0.borrow_mut().promised(now, job, wait);
+    }
+    fn own(&mut self, now: Micros) -> Option<(Option<[f64; 3]>, Vec<(u64, Micros)>)> {
+        self.0.borrow_mut().own(now)
+    }
     fn recalls(&mut self, now: Micros) -> Vec<(ServerId, Micros, Learned)> {
         self.0.borrow_mut().recalls(now)
     }
--- a/crates/comeback/src/facts.rs
+++ b/crates/comeback/src/facts.rs
@@ -21,13 +21,24 @@
     Drain,
     /// µs that a function takes to load.
     LoadTime,
-    /// First tries a second that are usual at this router: its own, nobody else's.
+    /// What is usual at this router, by key: first tries and connections opened a second, and its pace. Its
+    /// own, nobody else's.
     Usual,
+    /// A job was told to come back after so many ms, by its digest. Its own too.
+    Promise,
 }
 
 impl What {
-    pub const EACH: [What; 7] =
-        [What::Room, What::Lag, What::Errors, What::Aside, What::Drain, What::LoadTime, What::Usual];
+    pub const EACH: [What; 8] = [
+        What::Room,
+        What::Lag,
+        What::Errors,
+        What::Aside,
+        What::Drain,
+        What::LoadTime,
+        What::Usual,
+        What::Promise,
+    ];
 
     /// µs from which on it counts less, and from which on it counts nothing.
     pub fn ages(self) -> (Micros, Micros) {
@@ -41,12 +52,14 @@
             What::Drain => (60 * S, 60 * S),
             What::LoadTime => (600 * S, 3_600 * S),
             What::Usual => (60 * S, 600 * S),
+            // Longer than any time to come back.
+            What::Promise => (30 * S, 30 * S),
         }
     }
 
     /// What others may say of it too.
     pub fn shared(self) -> bool {
-        self != What::Usual
+        !matches!(self, What::Usual | What::Promise)
     }
 }
 
--- a/crates/comeback/src/memory.rs
+++ b/crates/comeback/src/memory.rs
@@ -2,11 +2,18 @@
 //! of others as care to be taken once.
 use crate::{About, Fact, Facts, Micros, What};
 use applepond::interface::{FunctionId, Learned, ServerId, Standing};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 /// Weight from which on a worker that was in doubt is tried by one job first.
 const DOUBT: f64 = 0.5;
 
+/// Promises kept at most: those of the last moments, as older ones are over.
+const PROMISES_MOST: usize = 1_024;
+
+/// What is usual at a router: first tries and connections opened a second, and the pace of the fleet as it
+/// sees it.
+pub type Usual = [f64; 3];
+
 /// A worker in one of its lives.
 type Life = (ServerId, Micros);
 
@@ -15,6 +22,10 @@
     facts: Facts,
     /// Workers of which something is still to be recalled.
     wanted: BTreeSet<Life>,
+    /// Something of this router's own is still to be recalled.
+    own: bool,
+    /// Promises told in this life, the oldest first.
+    promises: VecDeque<u64>,
     /// Drains that the list has told in this life of the router: it may take them back.
     drained: BTreeSet<Life>,
 }
@@ -32,7 +43,8 @@
     pub fn take(&mut self, now: Micros, facts: &[Fact]) {
         for fact in facts {
             self.facts.note(now, *fact);
-            if !matches!(fact.about.what, What::LoadTime | What::Usual | What::Drain) {
+            self.own |= !fact.about.what.shared();
+            if fact.about.what.shared() && !matches!(fact.about.what, What::LoadTime | What::Drain) {
                 self.wanted.insert((ServerId(fact.about.key), fact.about.life));
             }
         }
@@ -59,6 +71,45 @@
         self.facts.note(now, Fact { about, value: took as f32, age: 0 });
     }
 
+    /// What is usual at this router, as it has seen itself.
+    pub fn saw_usual(&mut self, now: Micros, usual: Usual) {
+        for (key, value) in usual.into_iter().enumerate() {
+            let about = About { what: What::Usual, key: key as u64, life: 0 };
+            self.facts.note(now, Fact { about, value: value as f32, age: 0 });
+        }
+    }
+
+    /// A job was told to come back in so many µs.
+    pub fn promised(&mut self, now: Micros, job: u64, wait: Micros) {
+        let about = About { what: What::Promise, key: job, life: 0 };
+        self.facts.drop(&about);
+        self.facts.note(now, Fact { about, value: wait as f32 / 1e3, age: 0 });
+        self.promises.push_back(job);
+        if self.promises.len() > PROMISES_MOST {
+            let oldest = self.promises.pop_front();
+            oldest.into_iter().for_each(|job| self.facts.drop(&About { key: job, ..about }));
+        }
+    }
+
+    /// What was usual before the start, and promises that are still to be kept, with the µs that are
+    /// left; once.
+    pub fn own(&mut self, now: Micros) -> Option<(Option<Usual>, Vec<(u64, Micros)>)> {
+        if !std::mem::take(&mut self.own) {
+            return None;
+        }
+        let usual = |key| {
+            let about = About { what: What::Usual, key, life: 0 };
+            self.facts.get(now, &about).map(|f| f64::from(f.value))
+        };
+        let left = |f: Fact| {
+            let wait = (f.value.max(0.0) * 1e3) as Micros;
+            wait.checked_sub(f.age).filter(|left| *left > 0).map(|left| (f.about.key, left))
+        };
+        let promises = self.facts.all(now).filter(|f| f.about.what == What::Promise).filter_map(left);
+        let promises = promises.collect();
+        Some(((|| Some([usual(0)?, usual(1)?, usual(2)?]))(), promises))
+    }
+
     /// Only where the settings name none.
     pub fn load_time(&self, now: Micros, function: FunctionId) -> Option<Micros> {
         let about = About { what: What::LoadTime, key: function.0, life: 0 };
@@ -182,6 +233,31 @@
         assert_eq!(memory.facts().all(210 * S).count(), 1, "while the list says it, it is young");
     }
 
+    // What was promised and what was usual: this router's own, taken up once, and never given to others.
+    #[test]
+    fn promises_and_the_usual() {
+        let mut before = Memory::default();
+        before.saw_usual(S, [40.0, 2.0, 300.0]);
+        before.promised(S, 7, 3 * S);
+        before.promised(S, 8, 500_000);
+        let bytes = crate::write(1, Some(crate::Boot(1)), S, S, before.facts());
+        let facts = crate::read(1, Some(crate::Boot(1)), 2 * S, &bytes).expect("whole");
+        assert!(facts.iter().all(|f| !f.about.what.shared()));
+        let mut after = Memory::default();
+        after.take(2 * S, &facts);
+        let (usual, promises) = after.own(2 * S).expect("something");
+        assert_eq!(usual, Some([40.0, 2.0, 300.0]));
+        assert_eq!(promises.iter().map(|(job, _)| *job).collect::<Vec<_>>(), [7], "the other one is over");
+        assert!((1_990_000..=2_010_000).contains(&promises[0].1), "{promises:?}");
+        assert!(after.own(2 * S).is_none(), "once");
+        let unknown = crate::read(1, Some(crate::Boot(2)), 2 * S, &bytes).expect("whole");
+        let mut after = Memory::default();
+        after.take(2 * S, &unknown);
+        assert!(after.own(2 * S).is_none_or(|(_, promises)| promises.is_empty()), "nobody knows its age");
+        (0..3_000).for_each(|job| before.promised(S, 100 + job, S));
+        assert!(before.facts().len() <= PROMISES_MOST + 3);
+    }
+
     #[test]
     fn own_sight_is_young_and_takes_doubt_back() {
         let mut memory = Memory::default();
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -159,6 +159,13 @@
     /// What this router has seen of a worker that has answered it.
     fn saw(&mut self, now: Micros, server: ServerId, up_since: Micros, seen: &Learned);
     fn saw_load_time(&mut self, now: Micros, function: FunctionId, took: Micros);
+    /// What is usual here: first tries and connections opened a second, and the pace.
+    fn saw_usual(&mut self, now: Micros, usual: [f64; 3]);
+    /// A job was told to come back in so many µs.
+    fn promised(&mut self, now: Micros, job: u64, wait: Micros);
+    /// What was usual before the start, and promises still to be kept; once.
+    #[allow(clippy::type_complexity)] // two things that are taken up together
+    fn own(&mut self, now: Micros) -> Option<(Option<[f64; 3]>, Vec<(u64, Micros)>)>;
     /// What is still to be recalled; `recalled` once the module has taken it up.
     fn recalls(&mut self, now: Micros) -> Vec<(ServerId, Micros, Learned)>;
     fn recalled(&mut self, server: ServerId, up_since: Micros);
@@ -359,6 +366,10 @@
                         }
                         (_, None) => None,
                     };
+                    let digest = self.tasks.get(job).map(|t| t.of.digest);
+                    if let (Some(memory), Some(digest), Some(wait)) = (&mut self.memory, digest, come_back) {
+                        memory.promised(now, digest, wait);
+                    }
                     let fault =
                         Fault::new(503, "pushed-back", "there is no room in time; a retry does no harm");
                     let id = self.tasks.get(job).map(|t| t.of.name.1.clone());
@@ -669,6 +680,9 @@
             Passage::Back { .. } if !self.deployment.damping => Ok((client, digest, draft.retry)),
             Passage::Back { wait, why } => {
                 self.counts.damped += 1;
+                if let (Some(memory), Some(wait)) = (&mut self.memory, wait) {
+                    memory.promised(now, digest, wait);
+                }
                 tracing::debug!(id = draft.id, reason = why, "pushed back before the module");
                 let status = if why == "retry-budget" { 429 } else { 503 };
                 let fault =
@@ -958,6 +972,15 @@
     fn remember(&mut self, now: Micros, wire: &mut dyn Wire) {
         let Some(memory) = &mut self.memory else { return };
         self.control.clock(now);
+        if let Some((usual, promises)) = memory.own(now) {
+            if let Some([rate, opened, pace]) = usual {
+                self.gate.recall(now, (rate, opened), pace);
+            }
+            promises.into_iter().for_each(|(job, left)| self.gate.told(job, now + left));
+        }
+        if let Some((rate, opened)) = self.gate.watch().usual(now) {
+            memory.saw_usual(now, [rate, opened, self.gate.pace(now)]);
+        }
         for (server, up_since, told) in memory.recalls(now) {
             if self.control.recall(server, up_since, &told) {
                 memory.recalled(server, up_since);
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -19,6 +19,15 @@
     fn saw_load_time(&mut self, now: Micros, function: FunctionId, took: Micros) {
         self.0.borrow_mut().saw_load_time(now, function, took);
     }
+    fn saw_usual(&mut self, now: Micros, usual: [f64; 3]) {
+        self.0.borrow_mut().saw_usual(now, usual);
+    }
+    fn promised(&mut self, now: Micros, job: u64, wait: Micros) {
+        self.0.borrow_mut().promised(now, job, wait);
+    }
+    fn own(&mut self, now: Micros) -> Option<(Option<[f64; 3]>, Vec<(u64, Micros)>)> {
+        self.0.borrow_mut().own(now)
+    }
     fn recalls(&mut self, now: Micros) -> Vec<(ServerId, Micros, Learned)> {
         self.0.borrow_mut().recalls(now)
     }
@@ -108,3 +117,24 @@
     b.pass(2 * S);
     assert_eq!(ages(&b).iter().filter(|age| **age <= S).count(), 1, "the one that has answered");
 }
+
+// A job that was told to come back before the restart is known to have been, and the next promise is kept
+// too.
+#[test]
+fn promises_outlast_the_process() {
+    let (mut b, memory) = told(&[]);
+    b.gateway =
+        Gateway::new(b.now, deployment(0), Box::new(|_| ())).with_memory(Box::new(Shelf(memory.clone())));
+    b.gateway.start(b.now, &mut b.paper);
+    let client = b.asks("quote", "1");
+    b.pass(4 * S);
+    assert_eq!(b.statuses(client), [503], "nobody is there to serve it");
+    let promised = |memory: &Rc<RefCell<Memory>>, now| {
+        memory.borrow().facts().all(now).filter(|f| f.about.what == What::Promise).count()
+    };
+    assert_eq!(promised(&memory, b.now), 1);
+    let facts: Vec<Fact> = memory.borrow().facts().all(b.now).collect();
+    let (mut after, later) = told(&facts);
+    after.pass(S);
+    assert_eq!(later.borrow_mut().own(after.now), None, "taken up by the gateway");
+}
--- a/crates/storm/src/gate.rs
+++ b/crates/storm/src/gate.rs
@@ -233,6 +233,14 @@
         }
     }
 
+    /// What was usual before a restart, and the pace at which the fleet finished jobs then.
+    pub fn recall(&mut self, now: Micros, (rate, opened): (f64, f64), pace: f64) {
+        self.watch.recall(now, rate, opened);
+        if self.pace == 0.0 {
+            (self.pace, self.paced) = (pace, now);
+        }
+    }
+
     pub fn watch(&self) -> &Watch {
         &self.watch
     }
--- a/crates/storm/src/watch.rs
+++ b/crates/storm/src/watch.rs
@@ -100,6 +100,15 @@
         known(hour).or_else(|| known(hour + HOURS - 1)).map(|(rate, opened, _)| (rate, opened))
     }
 
+    /// What was usual before a restart, where this life has not seen enough of the hour itself: as little as
+    /// just counts, so that what comes soon weighs more.
+    pub fn recall(&mut self, now: Micros, rate: f64, opened: f64) {
+        let row = &mut self.usual[Self::hour(now)];
+        if row.2 < QUICK * 5.0 {
+            *row = (rate, opened, QUICK * 5.0);
+        }
+    }
+
     /// What speaks for a storm beside the share of retries: connections opened anew far above the usual, and
     /// times to come back that are not kept.
     pub fn speaks(&self, now: Micros) -> (bool, bool) {
