--- a/crates/comeback/src/memory.rs
+++ b/crates/comeback/src/memory.rs
@@ -14,6 +14,9 @@
 /// sees it.
 pub type Usual = [f64; 3];
 
+/// What was usual, and promises still to be kept with the µs that are left.
+pub type Own = (Option<Usual>, Vec<(u64, Micros)>);
+
 /// A worker in one of its lives.
 type Life = (ServerId, Micros);
 
@@ -93,7 +96,7 @@
 
     /// What was usual before the start, and promises that are still to be kept, with the µs that are
     /// left; once.
-    pub fn own(&mut self, now: Micros) -> Option<(Option<Usual>, Vec<(u64, Micros)>)> {
+    pub fn own(&mut self, now: Micros) -> Option<Own> {
         if !std::mem::take(&mut self.own) {
             return None;
         }
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -25,7 +25,7 @@
     fn promised(&mut self, now: Micros, job: u64, wait: Micros) {
         self.0.borrow_mut().promised(now, job, wait);
     }
-    fn own(&mut self, now: Micros) -> Option<(Option<[f64; 3]>, Vec<(u64, Micros)>)> {
+    fn own(&mut self, now: Micros) -> Option<applepond_comeback::Own> {
         self.0.borrow_mut().own(now)
     }
     fn recalls(&mut self, now: Micros) -> Vec<(ServerId, Micros, Learned)> {
