--- /dev/null
+++ b/crates/openings/src/fault.rs
@@ -0,0 +1,30 @@
+//! Why what is told or agreed on is not taken, and what an operator can do about it.
+use miette::Diagnostic;
+use thiserror::Error;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Diagnostic)]
+pub enum Unfit {
+    #[error("counts of openings that cannot be read")]
+    #[diagnostic(
+        code(openings::unreadable),
+        help("a router of another version: compare the versions of the routers; its counts are left out")
+    )]
+    Unreadable,
+    #[error("counts of openings that no sketch can have")]
+    #[diagnostic(
+        code(openings::unsound),
+        help("somebody with the fleet's key makes counts up: change the key files of all routers")
+    )]
+    Unsound,
+    #[error("a list of openings that cannot be read, or is longer than any")]
+    #[diagnostic(
+        code(openings::no_list),
+        help("routers of different versions agree on it: no opening is pinned until all are of one")
+    )]
+    NoList,
+}
+
+impl Unfit {
+    /// One of each, for the table of codes.
+    pub const EACH: [Unfit; 3] = [Unfit::Unreadable, Unfit::Unsound, Unfit::NoList];
+}
