serve counts openings over the fleet, agrees on the list and has pins ride on jobs; drill openings

Need: sketches, worth and leases stood on paper, and nothing used what the register agrees on. Change: `opening_by` and `opening_size_by` of a workload, `openings { ... }` in the fleet block; the gateway counts a job's opening when it is taken and writes its name, size and, while the list counts, a lease to the worker; panes go through the tallies, the convener proposes lists, the register holds them. The stand-in worker prepares openings by size, keeps some by last use, pinned ones last. `drill openings` with twenty processes and a client that loops at one router, judged at the workers.

--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -4,6 +4,7 @@
 use applepond_drill::chains::{self, PLAN};
 use applepond_drill::comeback;
 use applepond_drill::members;
+use applepond_drill::openings;
 use applepond_drill::process::Plan;
 use applepond_drill::run::{Report, bad_day};
 use applepond_drill::saboteur::PLANTS;
@@ -115,6 +116,30 @@
         #[arg(long)]
         keep: Option<std::path::PathBuf>,
     },
+    /// Jobs that begin alike: what pinned openings save, and who can have one pinned; judged at the workers.
+    Openings {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(5..=40))]
+        routers: u64,
+        #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u64).range(6..=40))]
+        workers: u64,
+        /// What happens in the middle of it.
+        #[arg(long, value_parser = openings::FAULTS, default_value = "none")]
+        fault: String,
+        /// `lru` pins nothing; `both` plays one after the other.
+        #[arg(long, value_parser = ["lru", "merged", "both"], default_value = "both")]
+        way: String,
+        /// Takes a guard out in every router, to prove the drill.
+        #[arg(long, value_parser = openings::PLANTS.map(|(name, _)| name))]
+        plant: Option<String>,
+        /// Prints each play as one JSON object.
+        #[arg(long)]
+        json: bool,
+        /// Keeps settings and logs of the routers in this folder.
+        #[arg(long)]
+        keep: Option<std::path::PathBuf>,
+    },
     /// One hall of three is cut, its clients keep asking, it comes back.
     RetryStorm {
         #[arg(long, default_value_t = 7)]
@@ -161,6 +186,7 @@
         Which::Chains { .. } => return chains_drill(which),
         Which::Members { .. } => return members_drill(which),
         Which::Comeback { .. } => return comeback_drill(which),
+        Which::Openings { .. } => return openings_drill(which),
     };
     if let Some(name) = plant.as_deref().filter(|p| PLANTS.iter().all(|(known, _, _)| known != p)) {
         let known: Vec<&str> = PLANTS.iter().map(|(known, _, _)| *known).collect();
@@ -449,6 +475,68 @@
     ExitCode::from(u8::from(broken))
 }
 
+fn openings_drill(which: Which) -> ExitCode {
+    let wrong = ExitCode::from(crate::serve::WRONG);
+    let Which::Openings { seed, routers, workers, fault, way, plant, json, keep } = which else {
+        return wrong;
+    };
+    let Ok(program) = std::env::current_exe() else { return wrong };
+    let (routers, workers) = (routers as usize, workers as usize);
+    let plan = Plan { program, seed, routers, workers, plant, through: None, die: 1, fleet: true };
+    let mut broken = false;
+    for way in openings::WAYS.iter().copied().filter(|w| way == "both" || way == *w) {
+        let own = std::env::temp_dir().join(format!("applepond-drill-{}", std::process::id()));
+        let folder = keep.clone().unwrap_or(own.clone());
+        let mut progress = |line: &str| {
+            if !json {
+                eprintln!("{line}");
+            }
+        };
+        let played =
+            openings::openings(&openings::Order { plan: &plan, fault: &fault, way }, &folder, &mut progress);
+        if keep.is_none() {
+            let _ = std::fs::remove_dir_all(&own);
+        }
+        let r = match played {
+            Ok(report) => report,
+            Err(why) => {
+                crate::told("the drill could not be played: ", &why);
+                return wrong;
+            }
+        };
+        broken |= !r.broken.is_empty();
+        let planted = openings::PLANTS.iter().filter(|(_, rule)| r.broken.contains_key(rule));
+        let planted: Vec<&str> = planted.map(|(name, _)| *name).collect();
+        if json {
+            println!(
+                "{}",
+                json!({"seed": seed, "routers": routers, "fault": fault, "way": way, "jobs": r.jobs,
+                    "in-time": r.in_time, "preparing-s": r.preparing, "prepared": r.prepared,
+                    "pinned": r.pinned, "most-at-one": r.most, "broken": r.broken, "looks-like": planted})
+            );
+            continue;
+        }
+        println!("openings, seed {seed}, {routers} routers, {fault}, {way}: {} jobs", r.jobs);
+        println!(
+            "  last 20 s: {:.1} % in time, {:.1} s of preparing for {} openings; {} came with a lease, {} at \
+             one worker at most",
+            100.0 * r.in_time,
+            r.preparing,
+            r.prepared,
+            r.pinned,
+            r.most
+        );
+        for (rule, faults) in &r.broken {
+            println!("  BROKEN {} time(s): {rule}", faults.len());
+            faults.iter().take(5).for_each(|f| println!("    {f}"));
+        }
+        if !planted.is_empty() {
+            println!("  as with: {}", planted.join(", "));
+        }
+    }
+    ExitCode::from(u8::from(broken))
+}
+
 fn storm_drill(which: Which) -> ExitCode {
     let wrong = ExitCode::from(crate::serve::WRONG);
     let Which::RetryStorm {
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -3,13 +3,14 @@
 use applepond_comeback::Memory;
 use applepond_fleet::desk::{DiskFault, Threads};
 use applepond_fleet::envelope::Key;
-use applepond_fleet::{Fleet, Place, Shared, View, ask, page};
-use applepond_gateway::deployment::FleetRow;
+use applepond_fleet::{Fleet, OpeningGuards, Place, Shared, View, ask, page};
+use applepond_gateway::deployment::{FleetRow, OpeningsRow};
 use applepond_gateway::fault::NotTaken;
 use applepond_gateway::switch::merge;
-use applepond_gateway::{Deployment, Memory as Remembers, News, Page};
+use applepond_gateway::{Deployment, Memory as Remembers, News, Openings as Counts, Page};
 use applepond_members::{Birth, RouterId};
 use applepond_members::{Count, Guards};
+use applepond_openings::Terms;
 use applepond_reactor::Micros;
 use clap::Subcommand;
 use serde_json::Value;
@@ -95,6 +96,8 @@
     pub disk: DiskFault,
     /// How it comes back.
     pub comeback: Return,
+    /// How openings are counted.
+    pub openings: OpeningGuards,
 }
 
 /// What a drill takes out of how a router comes back.
@@ -136,6 +139,32 @@
     keepers.iter().map(|k| RouterId::named(k)).collect()
 }
 
+fn terms(row: OpeningsRow) -> Terms {
+    Terms {
+        prepare: row.prepare as f64,
+        bytes: 1.0,
+        workers: 1.0,
+        price: row.price,
+        memory: row.memory as f64,
+        keeps: row.keeps as f64,
+    }
+}
+
+/// The fleet's counts of openings as the gateway uses them.
+pub struct Counter(pub Rc<RefCell<View>>);
+
+impl Counts for Counter {
+    fn uses(&mut self, name: &str, size: u32) {
+        self.0.borrow_mut().shared.iter_mut().for_each(|s| s.uses(name, size));
+    }
+    fn rides(&self, now: Micros, name: &str) -> Option<Micros> {
+        self.0.borrow().shared.as_ref().and_then(|s| s.rides(now, name))
+    }
+    fn workers(&mut self, ready: usize) {
+        self.0.borrow_mut().shared.iter_mut().for_each(|s| s.workers(ready));
+    }
+}
+
 /// The memory of a router as its gateway uses it.
 pub struct Shelf(pub Rc<RefCell<Memory>>, pub Return);
 
@@ -193,9 +222,11 @@
         founding: founding(row),
         keeps: row.votes.is_some(),
         snapshots: row.snapshot.is_some(),
+        openings: row.openings.map(terms),
     };
     let shared = Shared::new(now, place, memory.clone(), Box::new(desk), seed.rotate_left(31));
     let shared = shared.with_guards(rig.comeback.guards, rig.comeback.alone);
+    let shared = shared.with_opening_guards(rig.openings);
     view.borrow_mut().shared = Some(shared);
     Ok((fleet, view, memory))
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -86,9 +86,17 @@
             let guard = plant.as_deref().and_then(applepond_members::Guards::without);
             let guards = guard.unwrap_or(applepond_members::Guards::ALL);
             let comeback = fleet::Return::without(plant.as_deref());
-            let taken = guard.is_some() || comeback.is_some();
+            let lone = plant.as_deref() == Some("lone-voter-pins");
+            let openings = applepond_fleet::OpeningGuards { several: !lone };
+            let taken = guard.is_some() || comeback.is_some() || lone;
             let comeback = comeback.unwrap_or(fleet::Return::ALL);
-            let rig = fleet::Rig { through: fleet_through, guards, disk: disk.unwrap_or_default(), comeback };
+            let rig = fleet::Rig {
+                through: fleet_through,
+                guards,
+                disk: disk.unwrap_or_default(),
+                comeback,
+                openings,
+            };
             serve::serve(&settings, listen, log, plant.as_deref().filter(|_| !taken), &rig)
         }
         What::Node { config } => node::node(config),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -153,7 +153,8 @@
     let gateway = match &fleet {
         Some((_, view, memory)) => gateway
             .with_page("fleet", fleet::shown(view.clone()))
-            .with_memory(Box::new(fleet::Shelf(memory.clone(), rig.comeback))),
+            .with_memory(Box::new(fleet::Shelf(memory.clone(), rig.comeback)))
+            .with_openings(Box::new(fleet::Counter(view.clone()))),
         None => gateway,
     };
     let gateway = match record {
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -92,6 +92,8 @@
                 fall_span: 1000 * MS,
                 window: 3000 * MS,
                 seed: 1,
+                openings: 400,
+                prepare: 1_000,
             };
             let script = match named {
                 None => Vec::new(),
--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -128,6 +128,7 @@
             ignores: false,
             twin_after: (rng.rand_float() < 0.05).then(|| rng.rand_range(1..200) * MS),
             leaves_after: None,
+            opening: None,
             follow: order.plain.then(|| follow.clone()),
         });
     }
--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -80,6 +80,8 @@
         fall_span: S,
         window: WINDOW,
         seed: seed ^ n as u64,
+        openings: 400,
+        prepare: 1_000,
     }
 }
 
@@ -199,6 +201,7 @@
             ignores: false,
             twin_after: chance(rng, 0.05).then(|| rng.rand_range(1..60) * MS),
             leaves_after: chance(rng, 0.01).then(|| rng.rand_range(5..300) * MS),
+            opening: None,
             follow: None,
         });
     }
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod links;
 pub mod members;
+pub mod openings;
 pub mod process;
 pub mod run;
 pub mod saboteur;
--- a/crates/drill/src/storm.rs
+++ b/crates/drill/src/storm.rs
@@ -123,6 +123,7 @@
             ignores: (client as f64) < order.ignore * order.clients as f64,
             twin_after: None,
             leaves_after: None,
+            opening: None,
             follow: None,
         });
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,5 +7,5 @@
 mod shell;
 
 pub use ask::{NoView, ask};
-pub use shared::{Place, Shared};
+pub use shared::{OpeningGuards, Place, Shared};
 pub use shell::{Fleet, View, page};
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -2,20 +2,27 @@
 //! comes back. Letters go behind marks on the fleet's port, each for one process; nothing is decided
 //! here.
 use crate::desk::{Charter, Desk, Said};
+use applepond::interface::FunctionId;
 use applepond_accord::letter::Written;
 use applepond_accord::{self as accord, Register};
 use applepond_comeback::{self as comeback, EVERY, Fact, Memory, Peers, Stage, letter::Words};
 use applepond_members::{Birth, Members, RouterId};
+use applepond_openings::{List, OpeningId, PANES, Panes, Pins, Terms};
 use applepond_reactor::Micros;
 use applepond_tallies::{self as tallies, Key, Kind, Tallies};
 use serde_json::{Value, json};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// µs between two looks at the disks while they have something to answer.
 const LOOK: Micros = 2_000;
 /// Tallies: which line and number of a founding a router has last seen agreed on.
 const SEEN: Kind = Kind(1);
+/// Tallies: panes of openings, by their number's place among those that count.
+const PANE: Kind = Kind(2);
+/// Openings whose size is kept; a further one is never pinned.
+const SIZES_MOST: usize = 8_192;
 /// µs for which that counts: it only ever forbids, and who said it says it again.
 const SEEN_LIFE: Micros = 600_000_000;
 /// µs after which it is said again.
@@ -36,11 +43,34 @@
     /// What was last logged.
     stage: Stage,
     standstill: Option<accord::Standstill>,
+    openings: Option<Openings>,
     unread: u64,
     unusable: Option<String>,
     written: u64,
 }
 
+/// This router's counts of openings, and the list as it is held.
+struct Openings {
+    panes: Panes,
+    pins: Pins,
+    sizes: BTreeMap<OpeningId, u32>,
+    list: List,
+    /// Of which number that is.
+    number: u64,
+    guards: OpeningGuards,
+}
+
+/// Guards that a drill takes out.
+#[derive(Clone, Copy, Debug)]
+pub struct OpeningGuards {
+    /// No router speaks for more than its part.
+    pub several: bool,
+}
+
+impl OpeningGuards {
+    pub const ALL: OpeningGuards = OpeningGuards { several: true };
+}
+
 /// What a router is told of itself and its place.
 pub struct Place {
     pub me: RouterId,
@@ -52,6 +82,8 @@
     pub keeps: bool,
     /// It has one for its snapshot.
     pub snapshots: bool,
+    /// What openings cost, where they are pinned.
+    pub openings: Option<Terms>,
 }
 
 #[derive(Default)]
@@ -95,7 +127,8 @@
         desk: Box<dyn Desk>,
         seed: u64,
     ) -> Self {
-        let rows = [tallies::Row { kind: SEEN, life: SEEN_LIFE }];
+        let rows =
+            [tallies::Row { kind: SEEN, life: SEEN_LIFE }, tallies::Row { kind: PANE, life: Panes::LIFE }];
         let who = (place.me, place.birth);
         let register = || Register::new(now, who, &place.keepers, place.keeps, seed.rotate_left(7));
         Shared {
@@ -111,6 +144,14 @@
             seen: (None, 0),
             stage: Stage::Asking,
             standstill: None,
+            openings: place.openings.map(|terms| Openings {
+                panes: Panes::new(now),
+                pins: Pins::new(now, terms),
+                sizes: BTreeMap::new(),
+                list: List::default(),
+                number: 0,
+                guards: OpeningGuards::ALL,
+            }),
             unread: 0,
             unusable: None,
             written: 0,
@@ -135,7 +176,8 @@
 
     pub fn next(&self) -> Micros {
         let register = self.register.as_ref().map_or(Micros::MAX, Register::next);
-        self.tallies.next().min(register).min(self.peers.next()).min(self.next_snapshot)
+        let panes = self.openings.as_ref().map_or(Micros::MAX, |o| o.panes.next());
+        self.tallies.next().min(panes).min(register).min(self.peers.next()).min(self.next_snapshot)
     }
 
     /// When to look at the disks, while they owe an answer.
@@ -170,10 +212,77 @@
             // While the one before is being written this one is left out: the next is younger.
             self.desk.snapshot(bytes);
         }
+        self.count(now);
         self.tell(now);
         self.own(now, out.0)
     }
 
+    // ---- Openings ----------------------------------------------------------------------------
+
+    /// A job that was taken begins with this.
+    pub fn uses(&mut self, name: &str, size: u32) {
+        let Some(openings) = &mut self.openings else { return };
+        let id = OpeningId(FunctionId::named(name).0);
+        openings.panes.uses(id);
+        if size > 0 && (openings.sizes.len() < SIZES_MOST || openings.sizes.contains_key(&id)) {
+            openings.sizes.insert(id, size);
+        }
+    }
+
+    /// For how long the worker of a job that is written now may keep it.
+    pub fn rides(&self, now: Micros, name: &str) -> Option<Micros> {
+        let openings = self.openings.as_ref()?;
+        let held = self.register.as_ref()?.held(now)?;
+        // Guards against a list that is not the one agreed on now.
+        let same = held.agreed.number == openings.number;
+        let list = if same { &openings.list } else { &List::read(&held.agreed.value).ok()? };
+        list.rides(now, held.end, OpeningId(FunctionId::named(name).0))
+    }
+
+    pub fn workers(&mut self, ready: usize) {
+        self.openings.iter_mut().for_each(|o| o.pins.terms().workers = ready.max(1) as f64);
+    }
+
+    pub fn with_opening_guards(mut self, guards: OpeningGuards) -> Self {
+        self.openings.iter_mut().for_each(|o| o.guards = guards);
+        self
+    }
+
+    /// Tells the pane that is over, and proposes the next list where this router convenes.
+    fn count(&mut self, now: Micros) {
+        let Some(openings) = &mut self.openings else { return };
+        if let Some(over) = openings.panes.wake(now) {
+            let key = Key(over.pane % PANES);
+            // It has room for as many counters as it ever has.
+            let _ = self.tallies.put(now, PANE, key, &Panes::write(&over));
+        }
+        let Some(register) = &mut self.register else { return };
+        let Some(held) = register.held(now) else { return };
+        if held.agreed.number != openings.number {
+            openings.number = held.agreed.number;
+            openings.list = List::read(&held.agreed.value).unwrap_or_default();
+        }
+        if !register.convenes(now) {
+            return;
+        }
+        let guards = openings.guards;
+        let panes = self
+            .tallies
+            .known(now, PANE)
+            .filter_map(|t| Panes::read(t.key.0, t.value).ok().map(|told| (t.origin, told)));
+        let counted = if guards.several { Panes::fleet(panes) } else { Panes::unbounded(panes) };
+        let sizes = &openings.sizes;
+        let next = openings.pins.next(now, &openings.list, &counted, |id| sizes.get(&id).copied());
+        if let Some(next) = next {
+            tracing::info!(
+                reason = "openings",
+                pins = next.pins.len(),
+                "openings: another list is wished for"
+            );
+            register.wish(now, openings.number, next.write());
+        }
+    }
+
     /// What this router has to say to itself needs no network.
     fn own(&mut self, now: Micros, letters: Vec<(RouterId, Vec<u8>)>) -> Vec<(RouterId, Vec<u8>)> {
         let (mut others, mut own) = (Vec::new(), letters);
@@ -311,6 +420,7 @@
                 "keepers": held.map(|h| h.agreed.keepers.iter().map(|s| s.name.0).collect::<Vec<_>>()),
                 "standstill": standstill})
         });
+        let pins = self.openings.as_ref().map(|o| o.list.pins.len());
         let (origins, bytes) = self.tallies.size();
         let stage = match self.peers.stage() {
             Stage::Asking => "asking".to_owned(),
@@ -320,7 +430,7 @@
         let facts = self.memory.borrow().facts().len();
         let tallies = json!({"origins": origins, "bytes": bytes, "view": self.tallies.view(),
             "unread": self.unread});
-        json!({"agreed": agreed, "tallies": tallies,
+        json!({"agreed": agreed, "tallies": tallies, "pins": pins,
             "comeback": {"stage": stage, "asks": self.peers.asks(), "facts": facts,
                 "snapshots": self.written, "unusable": self.unusable}})
     }
--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -33,6 +33,8 @@
     /// Values of the event attribute `type`.
     pub types: Vec<String>,
     pub function_by: FunctionBy,
+    /// Attributes that name a job's opening and its size, where its jobs have one.
+    pub opening_by: Option<(String, String)>,
     pub time_limit: Micros,
     pub function: FunctionRow,
 }
@@ -58,8 +60,21 @@
     pub weight: f64,
 }
 
+/// What openings cost at a worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OpeningsRow {
+    /// µs to prepare a unit of an opening's size.
+    pub prepare: Micros,
+    /// Units that pins may take at a worker.
+    pub memory: u64,
+    /// µs of preparing a second that a unit kept at a worker has to save.
+    pub price: f64,
+    /// µs for which a worker keeps an opening by itself after its last use.
+    pub keeps: Micros,
+}
+
 /// Where this router stands among the others of its fleet.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct FleetRow {
     pub name: String,
     pub zone: String,
@@ -76,13 +91,17 @@
     pub founding: u64,
     /// Where this router's snapshot lies; without one it starts from its peers.
     pub snapshot: Option<PathBuf>,
+    /// What openings cost; without it none is pinned.
+    pub openings: Option<OpeningsRow>,
 }
 
 impl FleetRow {
     /// What only a restart can change: the others know this process by it.
     #[allow(clippy::type_complexity)] // compared, and nothing else
-    pub fn place(&self) -> (&str, &str, SocketAddr, &Option<PathBuf>, u64, &Option<PathBuf>) {
-        (&self.name, &self.zone, self.listen, &self.votes, self.founding, &self.snapshot)
+    pub fn place(
+        &self,
+    ) -> (&str, &str, SocketAddr, &Option<PathBuf>, u64, &Option<PathBuf>, Option<OpeningsRow>) {
+        (&self.name, &self.zone, self.listen, &self.votes, self.founding, &self.snapshot, self.openings)
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,4 +16,4 @@
 pub mod switch;
 
 pub use deployment::Deployment;
-pub use machine::{Gateway, Memory, News, Page};
+pub use machine::{Gateway, Memory, News, Openings, Page};
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -32,6 +32,8 @@
 const IDLE_RUN_ONCE: Micros = 500_000;
 /// µs between two looks for connections idle too long.
 const SWEEP: Micros = 1_000_000;
+/// Bytes of an opening's name at most; a longer one is none.
+const OPENING_MOST: usize = 200;
 /// µs after the start in which memory is looked at more often, and how often.
 const EARLY: Micros = 6_000_000;
 const EARLY_LOOK: Micros = 20_000;
@@ -65,6 +67,7 @@
     media: Option<String>,
     data: Rc<Vec<u8>>,
     row: FunctionRow,
+    opening: Option<Opening>,
     /// By the terms that it was taken under.
     effect: Effect,
     /// Its answer came from a copy that stood loaded.
@@ -87,10 +90,18 @@
     lines: Lines,
     media: Option<String>,
     data: Rc<Vec<u8>>,
+    opening: Option<Opening>,
     callers: Vec<Conn>,
     then: Option<chained::Then>,
 }
 
+/// What a job begins with, and how large that is; a worker that has prepared it is quicker.
+#[derive(Clone)]
+struct Opening {
+    name: String,
+    size: u32,
+}
+
 /// The connection to the host list.
 #[derive(Default)]
 struct Watch {
@@ -175,6 +186,16 @@
     fn load_time(&self, now: Micros, function: FunctionId) -> Option<Micros>;
 }
 
+/// Openings of jobs over the fleet.
+pub trait Openings {
+    /// A job that was taken begins with it.
+    fn uses(&mut self, name: &str, size: u32);
+    /// For how long the worker of a job that is written now may keep it for pinned.
+    fn rides(&self, now: Micros, name: &str) -> Option<Micros>;
+    /// How many workers are ready.
+    fn workers(&mut self, ready: usize);
+}
+
 /// A part of the state page, asked for when the page is.
 pub type Page = Box<dyn Fn(Micros) -> serde_json::Value>;
 
@@ -205,6 +226,7 @@
     on_listening: Box<dyn FnMut(std::net::SocketAddr)>,
     news: News,
     memory: Option<Box<dyn Memory>>,
+    openings: Option<Box<dyn Openings>>,
     /// The list's word on each worker, where memory may make something else of it.
     said_ready: BTreeMap<ServerId, Entry>,
     born: Micros,
@@ -246,6 +268,7 @@
             on_listening,
             news: Box::new(|| None),
             memory: None,
+            openings: None,
             said_ready: BTreeMap::new(),
             born: now,
             pages: Vec::new(),
@@ -264,6 +287,12 @@
         self
     }
 
+    /// Who counts openings over the fleet and says which ride on jobs.
+    pub fn with_openings(mut self, openings: Box<dyn Openings>) -> Self {
+        self.openings = Some(openings);
+        self
+    }
+
     /// A further part of the state page.
     pub fn with_page(mut self, name: &'static str, page: Page) -> Self {
         self.pages.push((name, page));
@@ -483,6 +512,15 @@
             .number("applepond-router", self.deployment.rows.me)
             .number("applepond-execution", n as u64)
             .number("applepond-time-left-ms", task.limit.saturating_sub(now) / 1000);
+        if let Some(opening) = &task.of.opening {
+            head = head
+                .field("applepond-opening", &opening.name)
+                .number("applepond-opening-size", u64::from(opening.size));
+            // Looked at as it is written: a list that is over pins nothing.
+            if let Some(lease) = self.openings.as_ref().and_then(|o| o.rides(now, &opening.name)) {
+                head = head.number("applepond-opening-lease-ms", lease / 1000);
+            }
+        }
         wire.write(conn, &head.body(&task.of.data));
     }
 
@@ -613,6 +651,12 @@
                 format!("the event does not name its function: {:?}", names.function_by),
             );
         };
+        let opening = names.opening_by.as_ref().and_then(|(by, size_by)| {
+            let name = draft.picked(by).filter(|name| (1..=OPENING_MOST).contains(&name.len()))?.to_owned();
+            // One of unknown size is prepared as any, and never pinned.
+            let size = draft.picked(size_by).and_then(|size| size.parse().ok()).unwrap_or(0);
+            Some(Opening { name, size })
+        });
         let Ok(customer) = self.customer(&draft) else {
             return refuse(422, "unknown-customer", "no such customer has a share here".to_owned());
         };
@@ -625,6 +669,9 @@
         };
         let (client, digest, retry) = self.admit(now, &draft, workload, left)?;
         self.counts.jobs += 1;
+        if let (Some(openings), Some(opening)) = (&mut self.openings, &opening) {
+            openings.uses(&opening.name, opening.size);
+        }
         let wanted = Wanted {
             name: name.clone(),
             client,
@@ -638,6 +685,7 @@
             lines: draft.lines,
             media: draft.media,
             data: Rc::new(draft.data),
+            opening,
             callers: vec![conn],
             then: None,
         };
@@ -760,6 +808,7 @@
             media: wanted.media,
             data: wanted.data,
             row,
+            opening: wanted.opening,
             effect: self.deployment.rows.workloads[wanted.workload].effect,
             stood: false,
             then: wanted.then,
@@ -957,6 +1006,9 @@
         if let Some(new) = (self.news)() {
             self.switch(now, wire, new);
         }
+        if let Some(openings) = &mut self.openings {
+            openings.workers(self.listed.iter().filter(|(_, w)| w.standing == Standing::Ready).count());
+        }
         self.after(now, wire, SWEEP, Box::new(|g, now, wire| g.sweep(now, wire)));
     }
 
@@ -1088,7 +1140,10 @@
         FunctionBy::Attribute(name) => Some(name.clone()),
         FunctionBy::Named(_) => None,
     };
-    deployment.workloads.iter().filter_map(by).chain([deployment.customer_by.clone()]).collect()
+    let openings = deployment.workloads.iter().filter_map(|w| w.opening_by.clone());
+    let openings = openings.flat_map(|(name, size)| [name, size]);
+    let functions = deployment.workloads.iter().filter_map(by);
+    functions.chain(openings).chain([deployment.customer_by.clone()]).collect()
 }
 
 /// A number of this instance's as the module's kind of id.
--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -561,6 +561,7 @@
             lines,
             media: chain.media.clone(),
             data: chain.data.clone(),
+            opening: None,
             callers: Vec::new(),
             then: Some(then),
         }
--- a/crates/gateway/tests/machine.rs
+++ b/crates/gateway/tests/machine.rs
@@ -1,5 +1,6 @@
 //! The instance on a paper wire: hard cases, each by the outcome that its peers see.
 mod common;
+use applepond::interface::Micros;
 use applepond_gateway::Deployment;
 use applepond_reactor::{Closed, Machine};
 use common::*;
@@ -488,3 +489,42 @@
         prop_assert_eq!(b.statuses(client).len(), 1);
     }
 }
+
+/// Leases by name, until a time.
+struct Leases(&'static str, Micros, std::rc::Rc<std::cell::RefCell<Vec<(String, u32)>>>);
+
+impl applepond_gateway::Openings for Leases {
+    fn uses(&mut self, name: &str, size: u32) {
+        self.2.borrow_mut().push((name.to_owned(), size));
+    }
+    fn rides(&self, now: Micros, name: &str) -> Option<Micros> {
+        (name == self.0 && now < self.1).then(|| self.1 - now)
+    }
+    fn workers(&mut self, _: usize) {}
+}
+
+// A job's opening goes to its worker, with a lease while the list has it; a job is counted when it is taken.
+#[test_case("opening: long", "size: 7", Some("applepond-opening-lease-ms: 2000"), &[("long", 7)]; "pinned")]
+#[test_case("opening: other", "size: 7", None, &[("other", 7)]; "not in the list")]
+#[test_case("opening: long", "size: seven", Some("lease-ms: 2000"), &[("long", 0)]; "of unknown size")]
+#[test_case("other: long", "size: 7", None, &[]; "without one")]
+fn openings_ride(by: &str, size: &str, lease: Option<&str>, counted: &[(&str, u32)]) {
+    let mut b = Bench::new(deployment(1));
+    let uses = std::rc::Rc::default();
+    let gateway = applepond_gateway::Gateway::new(b.now, deployment(1), Box::new(|_| ()));
+    let leases = Leases("long", b.now + 2 * S, std::rc::Rc::clone(&uses));
+    b.gateway = gateway.with_openings(Box::new(leases));
+    b.paper = Default::default();
+    b.gateway.start(b.now, &mut b.paper);
+    let client = b.caller();
+    let more = format!("ce-type: quote\r\nce-{by}\r\nce-opening{size}\r\n");
+    b.says(client, event("quote", "1").replace("ce-type: quote\r\n", &more).as_bytes());
+    let link = b.links()[0];
+    let told = b.told(link);
+    assert_eq!(told.contains("applepond-opening: "), !counted.is_empty(), "{told}");
+    assert_eq!(told.contains("applepond-opening-lease-ms"), lease.is_some(), "{told}");
+    assert!(lease.is_none_or(|l| told.contains(l)), "{told}");
+    let counted: Vec<(String, u32)> = counted.iter().map(|(n, s)| ((*n).to_owned(), *s)).collect();
+    assert_eq!(*uses.borrow(), counted);
+    assert!(told.contains("ce-type: quote"));
+}
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -41,6 +41,8 @@
         fall_span: S,
         window: 3 * S,
         seed: 1,
+        openings: 400,
+        prepare: 1_000,
     }
 }
 
@@ -103,6 +105,7 @@
         ignores: false,
         twin_after: None,
         leaves_after: None,
+        opening: None,
         follow: None,
     }
 }
--- a/crates/openings/src/decide.rs
+++ b/crates/openings/src/decide.rs
@@ -72,6 +72,11 @@
         Pins { terms, changed: now, since: BTreeMap::new() }
     }
 
+    /// What it costs now: workers come and go.
+    pub fn terms(&mut self) -> &mut Terms {
+        &mut self.terms
+    }
+
     /// µs of preparing saved a second, over all workers, less what its memory is worth: what a worker
     /// keeps by itself from one use to the next is no saving.
     pub fn worth(&self, per_s: f64, size: u32) -> f64 {
--- a/crates/openings/src/panes.rs
+++ b/crates/openings/src/panes.rs
@@ -77,6 +77,15 @@
     /// The fleet's uses: of each origin each pane once, however often it was told. `panes` are all that still
     /// count; who has told nothing is not in it, and not taken for one that sees nothing.
     pub fn fleet(panes: impl IntoIterator<Item = (RouterId, Told)>) -> Vec<Counted> {
+        Self::counted(panes, ONE_PART)
+    }
+
+    /// The same with whatever one router says, for drills.
+    pub fn unbounded(panes: impl IntoIterator<Item = (RouterId, Told)>) -> Vec<Counted> {
+        Self::counted(panes, 1.0)
+    }
+
+    fn counted(panes: impl IntoIterator<Item = (RouterId, Told)>, one_part: f64) -> Vec<Counted> {
         let mut each: BTreeMap<(RouterId, u64), Sketch> = BTreeMap::new();
         for (origin, told) in panes {
             each.insert((origin, told.pane), told.sketch);
@@ -101,7 +110,7 @@
             // Guards against one voice: nobody speaks for more than a part of all, the others' word for it.
             parts.sort_by(|a, b| b.total_cmp(a));
             let rest: f64 = parts[1..].iter().sum();
-            let most = rest * ONE_PART / (1.0 - ONE_PART);
+            let most = if one_part < 1.0 { rest * one_part / (1.0 - one_part) } else { f64::MAX };
             Counted { id, per_s: rest + parts[0].min(most), lacks, by }
         };
         uses.into_iter().map(counted).collect()
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -2,7 +2,9 @@
 use crate::sheet::{Fault, Part, Sheet};
 use applepond::interface::*;
 use applepond_gateway::Deployment;
-use applepond_gateway::deployment::{FleetRow, FunctionBy, FunctionRow, NamedWorker, WorkloadNames};
+use applepond_gateway::deployment::{
+    FleetRow, FunctionBy, FunctionRow, NamedWorker, OpeningsRow, WorkloadNames,
+};
 use applepond_members::NAME_MOST;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -254,6 +256,12 @@
     };
     // Both keys are known, whichever was given.
     let _ = (part.text("function", Some("")), part.text("function_by", Some("")));
+    let opening_by = part.text("opening_by", Some("")).filter(|_| part.has("opening_by"));
+    let size_by = part.text("opening_size_by", Some("")).filter(|_| part.has("opening_size_by"));
+    if opening_by.is_some() != size_by.is_some() {
+        let key = if opening_by.is_some() { "opening_by" } else { "opening_size_by" };
+        part.fault(&part.place_of(key), "one of opening_by and opening_size_by", "both, or neither");
+    }
     let row = function(part);
     let effect = match kind?.as_str() {
         "restartable" => Effect::Restartable,
@@ -273,6 +281,7 @@
         name: name.to_owned(),
         types: types?,
         function_by: function_by?,
+        opening_by: opening_by.zip(size_by),
         time_limit: time_limit?,
         function: row?,
     };
@@ -340,6 +349,17 @@
     if votes.is_some() && votes == snapshot {
         part.fault(&part.place_of("snapshot"), "one file for votes and snapshot", "two files");
     }
+    let openings = part.block("openings").map(|p| {
+        let prepare = p.time("prepare", None);
+        let memory = p.whole_number("memory", 1..1 << 32, None);
+        let price = p.number("price", 0.0..1e9, Some(0.0));
+        let keeps = p.time("keeps", Some(10 * S));
+        p.done();
+        Some(OpeningsRow { prepare: prepare?, memory: memory?, price: price?, keeps: keeps? })
+    });
+    if openings.is_some() && keepers.iter().flatten().next().is_none() {
+        part.fault(&part.place, "openings without keepers", "keepers = [...]: the list is agreed on");
+    }
     let founding = part.whole_number("founding", 1..1 << 32, Some(1));
     let key_files = key_files?.into_iter().map(PathBuf::from).collect();
     Some(FleetRow {
@@ -352,6 +372,10 @@
         votes,
         founding: founding?,
         snapshot,
+        openings: match openings {
+            Some(row) => Some(row?),
+            None => None,
+        },
     })
 }
 
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -112,6 +112,9 @@
 #[test_case("]\n}", "]\n  keepers = [\"a\", \"b\", \"a\"]\n}", "7:13: found 3 keepers"; "one twice")]
 #[test_case("]\n}", "]\n  keepers = [\"r1\"]\n}", "a keeper without a file"; "no votes")]
 #[test_case("]\n}", "]\n  votes = \"f\"\n  snapshot = \"f\"\n}", "8:14: found one file"; "one file")]
+#[test_case("]\n}", "]\n openings {\n prepare = \"1ms\"\n memory = 5\n }\n}", "openings without keepers";
+    "none agree")]
+#[test_case("]\n}", "]\n  openings {\n    memory = 0\n  }\n}", "8:14: found"; "no memory")]
 #[test_case("]\n}", "]\n  founding = 0\n}", "7:14: found"; "no founding")]
 #[test_case("seeds", "sedes", "5:3: found 'sedes' in block 'fleet'"; "misspelt")]
 fn fleet_faults(old: &str, new: &str, told: &str) {
@@ -119,3 +122,18 @@
     let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
     assert!(all.iter().any(|f| f.contains(told)), "{all:#?}");
 }
+
+// An opening has a name and a size, or the workload has none.
+#[test]
+fn half_an_opening() {
+    let one = GOOD.replacen("  types ", "  opening_by = \"opening\"\n  types ", 1);
+    assert_ne!(one, GOOD);
+    let faults = deployment(&one).expect_err("a fault");
+    assert!(
+        faults.iter().any(|f| f.to_string().contains("one of opening_by and opening_size_by")),
+        "{faults:?}"
+    );
+    let both = one.replacen("  opening_by", "  opening_size_by = \"size\"\n  opening_by", 1);
+    let by = deployment(&both).expect("no fault").workloads[0].opening_by.clone();
+    assert_eq!(by, Some(("opening".to_owned(), "size".to_owned())));
+}
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -48,6 +48,8 @@
     pub twin_after: Option<Micros>,
     /// Leaves without waiting for the answer.
     pub leaves_after: Option<Micros>,
+    /// What it begins with, and how large that is.
+    pub opening: Option<(String, u32)>,
     /// Asks for something else once this is finished.
     pub follow: Option<Follow>,
 }
@@ -164,7 +166,8 @@
         let left = ((p.at + p.limit).saturating_sub(now) / 1000).to_string();
         let (work, retry) = (p.work_ms.to_string(), (self.tries[exchange.job] > 1).to_string());
         let mark = p.fingerprint.to_string();
-        let attributes = [
+        let opening = p.opening.as_ref().map(|(name, size)| (name.as_str(), size.to_string()));
+        let mut attributes = vec![
             ("specversion", "1.0"),
             ("id", &p.id),
             ("source", &p.source),
@@ -176,6 +179,9 @@
             ("retry", &retry),
             ("fingerprint", &mark),
         ];
+        if let Some((name, size)) = &opening {
+            attributes.extend([("opening", *name), ("openingsize", size.as_str())]);
+        }
         let head = encode::request("POST", "/events", "router");
         let bytes = if p.structured {
             let mut event = json!({"datacontenttype": "application/json", "data": {"nights": 2}});
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -42,6 +42,25 @@
     /// µs for which repeats of fingerprinted jobs are dropped.
     pub window: Micros,
     pub seed: u64,
+    /// Units of openings that it keeps prepared; one takes so many µs a unit to prepare.
+    pub openings: u64,
+    pub prepare: Micros,
+}
+
+/// An opening as a request names it: its size, and for how long its lease has it kept.
+#[derive(Clone)]
+struct Opening {
+    name: Rc<str>,
+    size: u64,
+    lease: Micros,
+}
+
+/// One that is prepared.
+#[derive(Default)]
+struct Prepared {
+    size: u64,
+    used: Micros,
+    pinned: Micros,
 }
 
 /// How it behaves.
@@ -112,6 +131,7 @@
     note: &'static str,
     company: usize,
     running: bool,
+    opening: Option<Opening>,
 }
 
 /// What a result says beside its price, by its event: which hut, and whether it has free beds.
@@ -147,6 +167,7 @@
     answered: u64,
     /// What the result being written says.
     facts: (u64, bool),
+    prepared: BTreeMap<Rc<str>, Prepared>,
 }
 
 impl Worker {
@@ -166,6 +187,7 @@
             copies: BTreeMap::new(),
             fetches: BTreeMap::new(),
             pressed: VecDeque::new(),
+            prepared: BTreeMap::new(),
             wakes: Vec::new(),
             life: 0,
             answered: 0,
@@ -345,7 +367,18 @@
                 "begun"
             }
         };
-        self.jobs.insert(conn, Job { event, function, work, marked, note, company, running: false });
+        let opening =
+            Some(asked.field("applepond-opening")).filter(|name| !name.is_empty()).map(|name| Opening {
+                name: Rc::from(name),
+                size: asked.number("applepond-opening-size").unwrap_or(1),
+                lease: asked.number("applepond-opening-lease-ms").unwrap_or(0) * 1000,
+            });
+        if let Some(opening) = opening.as_ref().filter(|o| o.lease > 0) {
+            let (worker, opening) = (self.build.name.clone(), opening.name.clone());
+            self.ledger.write(now, Saw::Pinned { worker, router, opening });
+        }
+        let job = Job { event, function, work, marked, note, company, running: false, opening };
+        self.jobs.insert(conn, job);
         self.queue.push_back(conn);
         self.go_on(now, wire);
     }
@@ -378,14 +411,36 @@
             free -= 1;
             copy.running += 1;
             job.running = true;
-            let (worker, event, work) = (self.build.name.clone(), job.event.clone(), job.work);
+            let (worker, event, mut work) = (self.build.name.clone(), job.event.clone(), job.work);
+            let opening = job.opening.clone();
             self.queue.retain(|c| *c != conn);
             self.ledger.write(now, Saw::Began { worker, event });
+            work += opening.map_or(0, |opening| self.prepares(now, &opening));
             let at = now + (work as f64 / self.warmth(now)) as Micros;
             self.wake(wire, at, Then::Done(conn, self.life));
         }
     }
 
+    /// What a job has to wait for its opening: nothing where it is prepared. Where there is no room the one
+    /// longest not used goes, pinned ones last.
+    fn prepares(&mut self, now: Micros, opening: &Opening) -> Micros {
+        let pinned = now + opening.lease;
+        if let Some(kept) = self.prepared.get_mut(&opening.name) {
+            (kept.used, kept.pinned) = (now, kept.pinned.max(pinned));
+            return 0;
+        }
+        while self.prepared.values().map(|p| p.size).sum::<u64>() + opening.size > self.build.openings {
+            let oldest = self.prepared.iter().min_by_key(|(_, p)| (p.pinned > now, p.used));
+            let Some(oldest) = oldest.map(|(name, _)| name.clone()) else { break };
+            self.prepared.remove(&oldest);
+        }
+        self.prepared.insert(opening.name.clone(), Prepared { size: opening.size, used: now, pinned });
+        let took = opening.size * self.build.prepare;
+        let (worker, opening) = (self.build.name.clone(), opening.name.clone());
+        self.ledger.write(now, Saw::Prepared { worker, opening, took });
+        took
+    }
+
     fn done(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         let Some(job) = self.jobs.remove(&conn) else { return };
         if let Some(copy) = self.copies.get_mut(&job.function) {
