--- a/crates/drill/src/openings.rs
+++ b/crates/drill/src/openings.rs
@@ -37,7 +37,7 @@
 const PINNED: u64 = 4_000;
 /// An opening that one client asks for again and again at one router, and how often a second.
 const LOOP: &str = "loop";
-const LOOPS: f64 = 4.0;
+const LOOPS: f64 = 1.0;
 /// When routers die, and when they start again.
 const DIES: Micros = 30 * S;
 const STARTS: Micros = 33 * S;
@@ -88,7 +88,11 @@
         at += (-(1.0 - rng.rand_float()).ln() / (RATE + LOOPS) * S as f64) as Micros + 1;
         let mut job = drawn[n % drawn.len()].clone();
         (job.at, job.id, job.twin_after, job.leaves_after) = (at, format!("job-{n}"), None, None);
-        if rng.rand_float() < LOOPS / (RATE + LOOPS) {
+        if n < 3 {
+            // Once at each keeper's router: whoever proposes knows its size, and that it was asked for
+            // elsewhere.
+            (job.router, job.opening) = (n, Some((LOOP.to_owned(), SIZE)));
+        } else if rng.rand_float() < LOOPS / (RATE + LOOPS) {
             (job.router, job.opening) = (plan.routers - 1, Some((LOOP.to_owned(), SIZE)));
         } else {
             let drawn = rng.rand_float() * sums[OPENINGS as usize - 1];
