--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -7,7 +7,7 @@
 use applepond_reactor::Micros;
 use applepond_record::{SnapshotFile, StoreFault, VoteFile};
 use std::path::{Path, PathBuf};
-use std::sync::mpsc::{Receiver, SyncSender, TryRecvError, TrySendError, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TryRecvError, sync_channel};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -212,7 +212,7 @@
 
     fn snapshot(&mut self, bytes: Vec<u8>) -> bool {
         let Some(snapshots) = &self.snapshots else { return false };
-        let taken = !matches!(snapshots.try_send(bytes), Err(TrySendError::Full(_)));
+        let taken = snapshots.try_send(bytes).is_ok();
         self.waits += usize::from(taken);
         taken
     }
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -21,6 +21,8 @@
 const SEEN: Kind = Kind(1);
 /// Tallies: panes of openings, by their number's place among those that count.
 const PANE: Kind = Kind(2);
+/// µs between two looks at the counts of all routers, where this one convenes.
+const PROPOSE: Micros = 1_000_000;
 /// Openings whose size is kept; a further one is never pinned.
 const SIZES_MOST: usize = 8_192;
 /// µs for which that counts: it only ever forbids, and who said it says it again.
@@ -57,6 +59,8 @@
     list: List,
     /// Of which number that is.
     number: u64,
+    /// When the counts of all were last looked at.
+    looked: Micros,
     guards: OpeningGuards,
 }
 
@@ -150,6 +154,7 @@
                 sizes: BTreeMap::new(),
                 list: List::default(),
                 number: 0,
+                looked: now,
                 guards: OpeningGuards::ALL,
             }),
             unread: 0,
@@ -262,9 +267,11 @@
             openings.number = held.agreed.number;
             openings.list = List::read(&held.agreed.value).unwrap_or_default();
         }
-        if !register.convenes(now) {
+        // All panes of all routers are read for it, and the disks are looked at every other millisecond.
+        if !register.convenes(now) || now < openings.looked + PROPOSE {
             return;
         }
+        openings.looked = now;
         let guards = openings.guards;
         let panes = self
             .tallies
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -1077,6 +1077,10 @@
             self.links.remove(conn);
         }
         let mut entries = taken.entries.clone();
+        if taken.kind != ListKind::Changes {
+            // Who is not in it is gone: what was said of it before says nothing.
+            self.said_ready.clear();
+        }
         if let Some(memory) = &mut self.memory {
             for entry in &mut entries {
                 let is = memory.listed(now, entry.server, entry.up_since, entry.standing);
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -52,8 +52,10 @@
     let memory = Rc::new(RefCell::new(Memory::default()));
     memory.borrow_mut().take(now, facts);
     let gateway = Gateway::new(now, deployment(2), Box::new(|_| ()));
-    let gateway = gateway.with_memory(Box::new(Shelf(memory.clone())));
     let news = Rc::new(RefCell::new(None));
+    let found = news.clone();
+    let gateway = gateway.with_memory(Box::new(Shelf(memory.clone())));
+    let gateway = gateway.with_news(Box::new(move || found.borrow_mut().take().map(Ok)));
     let mut bench = Bench { gateway, paper: Paper::default(), now, news };
     bench.gateway.start(now, &mut bench.paper);
     (bench, memory)
@@ -61,7 +63,11 @@
 
 /// A job each for so many functions, so that each worker is the home of some.
 fn many(b: &mut Bench, from: usize) {
-    for n in from..from + 12 {
+    some(b, from..from + 12);
+}
+
+fn some(b: &mut Bench, which: std::ops::Range<usize>) {
+    for n in which {
         let client = b.caller();
         let event = event("quote", &n.to_string()).replace("subject: hut", &format!("subject: hut-{n}"));
         b.says(client, event.as_bytes());
@@ -138,3 +144,17 @@
     after.pass(S);
     assert_eq!(later.borrow_mut().own(after.now), None, "taken up by the gateway");
 }
+
+// A worker that a whole list leaves out is gone, with jobs still out there or not: what was said of it
+// before does not bring it back.
+#[test]
+fn who_is_gone_stays_so() {
+    let (mut b, _) = told(&[]);
+    some(&mut b, 0..3);
+    assert!(ports(&mut b).contains(&9002), "jobs are out there");
+    b.switches(deployment(1));
+    let before = ports(&mut b).len();
+    b.pass(S / 2);
+    many(&mut b, 12);
+    assert!(ports(&mut b)[before..].iter().all(|p| *p == 9001));
+}
