openings: what others have used fewer than six times does not count

Checked: the loop's opening was used once each at three other routers in the first pane; three uses in 5 s are 0.6 a second, of which the loop may add a third. Ruled out: the bound on one voice itself (cases hold). Change: uses by others have to be six at least (src/panes.rs); a case that fails without.

--- a/crates/openings/src/panes.rs
+++ b/crates/openings/src/panes.rs
@@ -1,6 +1,6 @@
 //! Panes of time: a router's own uses, what others tell of theirs, and the fleet's uses a second of each
 //! opening.
-use crate::{Micros, ONE_PART, OpeningId, PANE, PANES, Sketch, Unfit};
+use crate::{FEW, Micros, ONE_PART, OpeningId, PANE, PANES, Sketch, Unfit};
 use applepond_members::RouterId;
 use std::collections::BTreeMap;
 
@@ -96,22 +96,24 @@
             sum.merge(sketch);
             *panes += 1;
         }
-        let mut uses: BTreeMap<OpeningId, Vec<f64>> = BTreeMap::new();
+        let mut uses: BTreeMap<OpeningId, Vec<(f64, u64)>> = BTreeMap::new();
         let mut lacks = 0.0;
         for (sketch, panes) in of.values() {
             let seconds = (*panes).max(1) as f64 * PANE as f64 / 1e6;
             lacks += sketch.error() as f64 / seconds;
             for (id, count) in sketch.counts() {
-                uses.entry(id).or_default().push(count as f64 / seconds);
+                uses.entry(id).or_default().push((count as f64 / seconds, count));
             }
         }
-        let counted = |(id, mut parts): (OpeningId, Vec<f64>)| {
+        let counted = |(id, mut parts): (OpeningId, Vec<(f64, u64)>)| {
             let by = parts.len();
             // Guards against one voice: nobody speaks for more than a part of all, the others' word for it.
-            parts.sort_by(|a, b| b.total_cmp(a));
-            let rest: f64 = parts[1..].iter().sum();
+            parts.sort_by(|a, b| b.0.total_cmp(&a.0));
+            let others = parts[1..].iter().fold(0u64, |sum, (_, uses)| sum.saturating_add(*uses));
+            let rest: f64 = parts[1..].iter().map(|(per_s, _)| per_s).sum();
             let most = if one_part < 1.0 { rest * one_part / (1.0 - one_part) } else { f64::MAX };
-            Counted { id, per_s: rest + parts[0].min(most), lacks, by }
+            let few = one_part < 1.0 && others < FEW;
+            Counted { id, per_s: if few { 0.0 } else { rest + parts[0].0.min(most) }, lacks, by }
         };
         uses.into_iter().map(counted).collect()
     }
--- a/crates/openings/tests/openings.rs
+++ b/crates/openings/tests/openings.rs
@@ -106,6 +106,7 @@
 // One router speaks for a quarter at most, whatever it says; alone it says nothing.
 #[test_case(&[(1, 1_000_000)], 0.0; "alone")]
 #[test_case(&[(1, 1_000_000), (2, 15), (3, 15)], 8.0; "beside two")]
+#[test_case(&[(1, 1_000), (2, 2), (3, 3)], 0.0; "beside few")]
 #[test_case(&[(1, 50), (2, 50), (3, 50), (4, 50)], 40.0; "four alike")]
 fn one_voice(uses: &[(u64, u64)], want: f64) {
     let counted = Panes::fleet(uses.iter().map(|(origin, n)| pane(*origin, 1, &[(7, *n)])));
