From reading the change again: drains of workers that left, made-up disks, the floor of parts

Seen: a worker that drained and was then left out of a whole list kept its drain young for ever, one more for each such worker; words of disks had no bound against a liar; among how many the parts are divided was decided in the program's edge. Change: a whole list ends such drains (a case counts a thousand), 64 words at most, `Count::parts` in members with cases.

--- a/crates/accord/src/convener.rs
+++ b/crates/accord/src/convener.rs
@@ -259,6 +259,10 @@
             _ => {}
         }
         self.words.insert(seat, ballot);
+        // Guards against a liar that makes disks up: a word that is dropped is found out by another's.
+        if self.words.len() > WORDS_MOST {
+            self.words.pop_first();
+        }
         let Doing::Reading { heard, latest, asked } = &mut self.doing else { return None };
         heard.insert(seat.name, seat.disk);
         if accepted.as_ref().map(|(at, _)| at) > latest.as_ref().map(|(at, _)| at) {
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -34,6 +34,8 @@
 /// Keepers at most; an even number bears no more losses than one fewer.
 pub const KEEPERS_MOST: usize = 5;
 
+/// Disks whose words a convener keeps at most: keepers, and those that were lost lately.
+pub const WORDS_MOST: usize = 64;
 /// µs for which what was confirmed counts, from before the try that confirmed it.
 pub const LEASE: Micros = 3_000_000;
 /// µs between two confirmations by who convenes: two may be lost before anything ends.
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -194,6 +194,9 @@
         let made = self.0.borrow_mut().listed(now, server, up_since, is);
         if self.1.keeps_drains { made } else { is }
     }
+    fn whole(&mut self, named: &[(ServerId, Micros)]) {
+        self.0.borrow_mut().whole(named);
+    }
     fn load_time(&self, now: Micros, function: FunctionId) -> Option<Micros> {
         self.0.borrow().load_time(now, function)
     }
@@ -240,8 +243,6 @@
 /// and keys; where a key cannot be read, or another part needs a restart, nothing of the file is taken.
 pub fn counted(view: Rc<RefCell<View>>, mut held: Deployment, mut news: News) -> News {
     let begun = Instant::now();
-    // Guards against parts by a view that may be wrong: never of fewer routers than the settings name as the
-    // most, as only agreement could give the rest to those that are left.
     let mut most = held.rows.routers;
     let mut count = Count::new(most as usize);
     Box::new(move || {
@@ -271,8 +272,8 @@
         }
         let was = held.rows.routers;
         let live = view.borrow().members.live();
-        let counted = count.look(begun.elapsed().as_micros() as Micros, live) as u64;
-        held.rows.routers = counted.max(most);
+        let now = begun.elapsed().as_micros() as Micros;
+        held.rows.routers = count.parts(now, live, most as usize) as u64;
         (told || was != held.rows.routers).then(|| Ok(held.clone()))
     })
 }
--- a/crates/comeback/src/memory.rs
+++ b/crates/comeback/src/memory.rs
@@ -18,7 +18,7 @@
 pub type Own = (Option<Usual>, Vec<(u64, Micros)>);
 
 /// A worker in one of its lives.
-type Life = (ServerId, Micros);
+pub type Life = (ServerId, Micros);
 
 #[derive(Default)]
 pub struct Memory {
@@ -165,6 +165,16 @@
         is
     }
 
+    /// A whole list names these and nobody else: a drain of another one is over, and is not kept young
+    /// for ever.
+    pub fn whole(&mut self, named: &[Life]) {
+        let gone: Vec<Life> = self.drained.iter().copied().filter(|life| !named.contains(life)).collect();
+        for (server, up_since) in gone {
+            self.drained.remove(&(server, up_since));
+            self.facts.drop(&about(What::Drain, server, up_since));
+        }
+    }
+
     /// Drains that the list tells now stay young; called as often as snapshots are written.
     pub fn refresh(&mut self, now: Micros) {
         let drained = self.drained.iter().copied();
@@ -261,6 +271,18 @@
         assert!(before.facts().len() <= PROMISES_MOST + 3);
     }
 
+    // Who drained and is in no list any more: nothing of it is kept, however many come and go.
+    #[test]
+    fn a_whole_list_ends_drains() {
+        let mut memory = Memory::default();
+        for n in 0..1_000 {
+            memory.listed(S, ServerId(n), 5, Standing::Draining);
+            memory.whole(&[(ServerId(n), 5)]);
+        }
+        memory.refresh(S);
+        assert_eq!((memory.drained.len(), memory.facts().len()), (1, 1));
+    }
+
     #[test]
     fn own_sight_is_young_and_takes_doubt_back() {
         let mut memory = Memory::default();
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -182,6 +182,8 @@
     fn recalled(&mut self, server: ServerId, up_since: Micros);
     /// What is made of the list's word on a worker.
     fn listed(&mut self, now: Micros, server: ServerId, up_since: Micros, is: Standing) -> Standing;
+    /// A whole list names these lives of workers and nobody else.
+    fn whole(&mut self, named: &[(ServerId, Micros)]);
     /// How long a function takes to load, where the settings do not say.
     fn load_time(&self, now: Micros, function: FunctionId) -> Option<Micros>;
 }
@@ -1080,6 +1082,8 @@
         if taken.kind != ListKind::Changes {
             // Who is not in it is gone: what was said of it before says nothing.
             self.said_ready.clear();
+            let named: Vec<_> = taken.entries.iter().map(|e| (e.server, e.up_since)).collect();
+            self.memory.iter_mut().for_each(|memory| memory.whole(&named));
         }
         if let Some(memory) = &mut self.memory {
             for entry in &mut entries {
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -37,6 +37,9 @@
     fn listed(&mut self, now: Micros, server: ServerId, up_since: Micros, is: Standing) -> Standing {
         self.0.borrow_mut().listed(now, server, up_since, is)
     }
+    fn whole(&mut self, named: &[(ServerId, Micros)]) {
+        self.0.borrow_mut().whole(named);
+    }
     fn load_time(&self, now: Micros, function: FunctionId) -> Option<Micros> {
         self.0.borrow().load_time(now, function)
     }
--- a/crates/members/src/count.rs
+++ b/crates/members/src/count.rs
@@ -27,6 +27,12 @@
         self.distrusted
     }
 
+    /// Among how many what all share is divided here: never among fewer than the settings name as the most.
+    /// Guards against parts by a view that may be wrong; only agreement could give the rest to those left.
+    pub fn parts(&mut self, now: Micros, live: usize, most: usize) -> usize {
+        self.look(now, live).max(most)
+    }
+
     /// Takes notice of the view; the count that holds from now on, never below one.
     pub fn look(&mut self, now: Micros, live: usize) -> usize {
         let live = live.max(1);
@@ -50,6 +56,14 @@
 
     const S: Micros = 1_000_000;
 
+    #[test_case(25, 25; "more")]
+    #[test_case(6, 20; "most are gone, for a minute")]
+    fn parts(live: usize, want: usize) {
+        let mut count = Count::new(20);
+        let all: Vec<usize> = (0..60).map(|s| count.parts(s * S, live, 20)).collect();
+        assert!(all.iter().all(|parts| *parts == want), "{all:?}");
+    }
+
     // Each look: second, live routers, count that holds.
     #[test_case(&[(0, 21, 21), (1, 25, 25)]; "more at once")]
     #[test_case(&[(0, 18, 20), (1, 18, 20), (2, 18, 18)]; "fewer after a while")]
