--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -1,5 +1,5 @@
 //! `node`: one real router of the operators' platform.
-use applepond_node::{News, Node};
+use applepond_node::{End, News, Node};
 use applepond_platform::config::{self, Start};
 use applepond_platform::fault::Unfit;
 use applepond_reactor::Reactor;
@@ -52,18 +52,17 @@
             return ExitCode::FAILURE;
         }
     };
-    let over = Rc::new(Cell::new(false));
+    let over = Rc::new(Cell::new(None));
     let ends = over.clone();
-    reactor.add(Box::new(Node::new(reactor.now(), start, news, Box::new(move || ends.set(true)))));
-    // Over before its first turn: it could not listen, and has told why.
-    if over.get() {
-        return ExitCode::FAILURE;
-    }
-    while !over.get() {
+    reactor.add(Box::new(Node::new(reactor.now(), start, news, Box::new(move |end| ends.set(Some(end))))));
+    while over.get().is_none() {
         if let Err(error) = reactor.turn(TURN) {
             tracing::error!(%error, "epoll");
             return ExitCode::FAILURE;
         }
     }
-    ExitCode::SUCCESS
+    match over.get() {
+        Some(End::NoAddress) => ExitCode::FAILURE,
+        _ => ExitCode::SUCCESS,
+    }
 }
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -1,8 +1,8 @@
 //! What the operators' page of the standing test asks of the one process of `applepond node`, from outside.
 use serde_json::json;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -32,6 +32,26 @@
     .to_string()
 }
 
+/// The process with this configuration, which is written to a file of its own.
+fn started(name: &str, config: &str, log: Stdio) -> (Node, PathBuf) {
+    let file = std::env::temp_dir().join(format!("applepond-node-{}-{name}.json", std::process::id()));
+    std::fs::write(&file, config).expect("a file");
+    let mut line = Command::new(env!("CARGO_BIN_EXE_applepond"));
+    line.arg("node").env("PROXY_CONFIG", &file).stdout(Stdio::null()).stderr(log);
+    (Node(line.spawn().expect("it starts")), file)
+}
+
+fn ready(at: SocketAddr) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !check(at).is_some_and(|answer| answer.starts_with("HTTP/1.1 200")) {
+        assert!(Instant::now() < end, "it answers the check");
+    }
+}
+
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
 fn check(at: SocketAddr) -> Option<String> {
     let mut conn = TcpStream::connect(at).ok()?;
     conn.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
@@ -57,16 +77,9 @@
 // One process that starts no other; sockets over IPv4, and what epoll needs.
 #[test]
 fn one_process_and_plain_sockets() {
-    let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
-    let file = std::env::temp_dir().join(format!("applepond-node-{}.json", std::process::id()));
-    std::fs::write(&file, config(free)).expect("a file");
-    let mut line = Command::new(env!("CARGO_BIN_EXE_applepond"));
-    line.arg("node").env("PROXY_CONFIG", &file).stdout(Stdio::null()).stderr(Stdio::null());
-    let node = Node(line.spawn().expect("it starts"));
-    let end = Instant::now() + Duration::from_secs(20);
-    while !check(free).is_some_and(|answer| answer.starts_with("HTTP/1.1 200")) {
-        assert!(Instant::now() < end, "it answers the check");
-    }
+    let free = free();
+    let (node, file) = started("plain", &config(free), Stdio::null());
+    ready(free);
     let own = format!("/proc/{}", node.0.id());
     for task in entries(&format!("{own}/task")) {
         let children = std::fs::read_to_string(Path::new(&task).join("children")).unwrap_or_default();
@@ -109,17 +122,9 @@
 #[test]
 fn restarts_with_open_connections() {
     for signal in [rustix::process::Signal::TERM, rustix::process::Signal::KILL] {
-        let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
-        let file =
-            std::env::temp_dir().join(format!("applepond-node-{}-{signal:?}.json", std::process::id()));
-        std::fs::write(&file, config(free)).expect("a file");
-        let mut line = Command::new(env!("CARGO_BIN_EXE_applepond"));
-        line.arg("node").env("PROXY_CONFIG", &file).stdout(Stdio::null()).stderr(Stdio::null());
-        let mut node = Node(line.spawn().expect("it starts"));
-        let end = Instant::now() + Duration::from_secs(20);
-        while !check(free).is_some_and(|answer| answer.starts_with("HTTP/1.1 200")) {
-            assert!(Instant::now() < end, "it answers the check");
-        }
+        let free = free();
+        let (mut node, file) = started(&format!("{signal:?}"), &config(free), Stdio::null());
+        ready(free);
         let open = || TcpStream::connect(free).expect("it listens");
         let (idle, mut half, mut owed) = (open(), open(), open());
         let (first, second) = (call(1), call(2));
@@ -149,3 +154,38 @@
         std::fs::remove_file(&file).expect("written above");
     }
 }
+
+// The process before this one still holds the address: a restart waits for it, and is ready once it is free.
+#[test]
+fn an_address_that_is_still_in_use() {
+    let held = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = held.local_addr().expect("bound");
+    let (mut node, file) = started("held", &config(at), Stdio::piped());
+    let log = BufReader::new(node.0.stderr.take().expect("piped"));
+    let mut lines = log.lines().map(|line| line.expect("a log of text"));
+    assert!(lines.any(|line| line.contains("the address is still in use")), "it says so and goes on");
+    drop(held);
+    assert!(lines.any(|line| line.contains("listening")), "it does once it can");
+    ready(at);
+    std::fs::remove_file(&file).expect("written above");
+}
+
+// Signals that come together and more than once: each is taken, and the process ends once, by itself. It has
+// no list and its name service is silent.
+#[test]
+fn signals_together() {
+    use rustix::process::{Pid, Signal, kill_process};
+    let at = free();
+    let (mut node, file) = started("signals", &config(at), Stdio::null());
+    ready(at);
+    let mut owed = TcpStream::connect(at).expect("it listens");
+    owed.write_all(call(1).as_bytes()).expect("it reads");
+    assert!(check(at).is_some());
+    for signal in [Signal::HUP, Signal::TERM, Signal::HUP, Signal::TERM, Signal::INT] {
+        kill_process(Pid::from_child(&node.0), signal).expect("it runs");
+    }
+    let (answer, ended) = rest(owed);
+    assert!(ended && answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(node.0.wait().expect("it ends").success());
+    std::fs::remove_file(&file).expect("written above");
+}
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -49,7 +49,7 @@
     pub sent: Micros,
     /// When its time is up.
     until: Micros,
-    /// Its connection: the present one, or where its request was left without an answer.
+    /// Its connection: the one that it is on, or was on last.
     pub link: Option<Conn>,
     pub closed: bool,
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -18,8 +18,11 @@
 /// µs after which a new connection that has brought nothing may make room for others: a call follows its
 /// connection at once, give or take the way.
 const NEW_LIMIT: Micros = 200_000;
-/// Bytes of later requests that may wait behind one that is being answered; then reading pauses.
+/// Bytes of later requests that may wait behind one that is being answered. What comes beyond is read and
+/// dropped, as the client's end could not be seen behind it, and the connection goes with the answer.
 const AHEAD_MOST: usize = 32 * 1024;
+/// Bytes dropped at most before the connection is cut: a platform's client sends one request at a time.
+const DROPPED_MOST: usize = 1024 * 1024;
 
 #[derive(Clone, Copy, PartialEq)]
 pub enum Doing {
@@ -51,6 +54,8 @@
     pub job: Option<JobId>,
     /// It has been answered before, and nothing of its next request is here.
     idle: bool,
+    /// Bytes of later requests that were dropped.
+    dropped: usize,
     /// When patience with what is done now ends.
     pub until: Micros,
 }
@@ -63,22 +68,26 @@
             doing: Doing::Reading,
             job: None,
             idle: false,
+            dropped: 0,
             until: now + SILENT_LIMIT,
         }
     }
 
-    pub fn feed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+    /// Takes what came; false where the connection is to be cut.
+    pub fn feed(&mut self, now: Micros, bytes: &[u8]) -> bool {
         if self.doing == Doing::Leaving {
-            return;
+            return true;
         }
         if self.doing == Doing::Reading && self.decoder.idle() {
             self.until = now + SILENT_LIMIT;
             self.idle = false;
         }
-        self.decoder.feed(bytes);
-        if self.doing == Doing::Waiting && self.decoder.waiting() > AHEAD_MOST {
-            wire.reading(conn, false);
+        if self.dropped > 0 || self.doing == Doing::Waiting && self.decoder.waiting() > AHEAD_MOST {
+            self.dropped += bytes.len();
+        } else {
+            self.decoder.feed(bytes);
         }
+        self.dropped <= DROPPED_MOST
     }
 
     /// The next whole request with its body, if the one before has been answered.
@@ -115,7 +124,7 @@
         if self.doing != Doing::Waiting {
             return;
         }
-        let keep = self.part.keep && !last;
+        let keep = self.part.keep && !last && self.dropped == 0;
         let mut head = encode::response(reply.status);
         if let Some(wait) = reply.come_back {
             head = head.number("Back-Off-Ms", wait.div_ceil(1000));
@@ -129,7 +138,6 @@
             self.doing = Doing::Reading;
             self.until = now + IDLE_LIMIT;
             self.idle = self.decoder.idle();
-            wire.reading(conn, true);
         } else {
             self.leave(now, wire, conn);
         }
@@ -141,7 +149,8 @@
         self.leave(now, wire, conn);
     }
 
-    fn leave(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+    /// Nothing more is taken; the connection goes once all that is owed on it is out.
+    pub fn leave(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         self.doing = Doing::Leaving;
         self.idle = false;
         self.until = now + SILENT_LIMIT;
@@ -149,38 +158,51 @@
     }
 }
 
-/// Connections that wait for no job, by when patience with them ends: those that are new, amid a request or
-/// on their way out, and those that lie idle between two.
+/// Connections that wait for no job, by when patience with them ends: those that have brought nothing yet,
+/// those that lie idle between two requests, and those amid a request or on their way out.
 #[derive(Default)]
 pub struct Patience {
     silent: BTreeSet<(Micros, Conn)>,
     idle: BTreeSet<(Micros, Conn)>,
+    begun: BTreeSet<(Micros, Conn)>,
 }
 
 impl Patience {
-    fn of(&mut self, caller: &Caller) -> &mut BTreeSet<(Micros, Conn)> {
-        if caller.idle { &mut self.idle } else { &mut self.silent }
-    }
-
     pub fn insert(&mut self, conn: Conn, caller: &Caller) {
-        self.of(caller).insert((caller.until, conn));
+        let set = match caller.doing {
+            Doing::Reading if caller.idle => &mut self.idle,
+            Doing::Reading if caller.decoder.idle() => &mut self.silent,
+            _ => &mut self.begun,
+        };
+        set.insert((caller.until, conn));
     }
 
-    pub fn remove(&mut self, conn: Conn, caller: &Caller) -> bool {
-        self.of(caller).remove(&(caller.until, conn))
+    pub fn remove(&mut self, conn: Conn, caller: &Caller) {
+        let key = (caller.until, conn);
+        for set in [&mut self.silent, &mut self.idle, &mut self.begun] {
+            set.remove(&key);
+        }
     }
 
     /// One with which patience is over.
     pub fn over(&self, now: Micros) -> Option<Conn> {
         let first = |set: &BTreeSet<(Micros, Conn)>| set.first().filter(|(until, _)| *until <= now).copied();
-        first(&self.silent).or(first(&self.idle)).map(|(_, conn)| conn)
+        let [silent, idle, begun] = [&self.silent, &self.idle, &self.begun].map(first);
+        silent.or(begun).or(idle).map(|(_, conn)| conn)
+    }
+
+    /// Those that lie idle between two requests.
+    pub fn idle(&self) -> Vec<Conn> {
+        self.idle.iter().map(|(_, conn)| *conn).collect()
     }
 
-    /// The one to make room for another: the longest silent, then the longest idle. One that has just come is
-    /// the last, or a flood of idle ones would shut out whoever still has to ask.
-    pub fn least(&self, now: Micros) -> Option<Conn> {
-        let silent = self.silent.first();
-        let old = silent.filter(|(until, _)| now + SILENT_LIMIT >= until + NEW_LIMIT);
-        old.or(self.idle.first()).or(silent).map(|(_, conn)| *conn)
+    /// The one to make room for another: the longest silent, the longest idle, then the longest amid a
+    /// request. One that has just come is the last, or a flood of idle ones would shut out whoever still has
+    /// to ask. One that `owes` part of an answer goes only when its time is over.
+    pub fn least(&self, now: Micros, owes: impl Fn(Conn) -> bool) -> Option<Conn> {
+        let first = |set: &BTreeSet<(Micros, Conn)>| set.iter().find(|(_, conn)| !owes(*conn)).copied();
+        let old = |set| first(set).filter(|(until, _)| now + SILENT_LIMIT >= until + NEW_LIMIT);
+        let found = old(&self.silent).or_else(|| first(&self.idle)).or_else(|| old(&self.begun));
+        found.or_else(|| first(&self.silent)).map(|(_, conn)| conn)
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,4 +7,4 @@
 mod watch;
 mod workers;
 
-pub use machine::{News, Node};
+pub use machine::{End, News, Node};
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -2,7 +2,7 @@
 use crate::callers::{Caller, Doing, Patience, Reply};
 use crate::links::{Came, Item, Link};
 use crate::watch::Watch;
-use crate::workers::Workers;
+use crate::workers::{Worker, Workers};
 use applepond::control::Control;
 use applepond::interface::*;
 use applepond_gateway::fate::{self, Reached};
@@ -14,6 +14,8 @@
 use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, VecDeque};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 
 /// µs between two looks at connections, the name service and signals.
 const TICK: Micros = 50_000;
@@ -34,6 +36,8 @@
 /// µs in which a working connection says so: far above the way there and back, and above the pauses of a
 /// model server that is merely busy.
 const ECHO_LIMIT: Micros = 500_000;
+/// µs in which the address may still be held by the process before this one: a start has failed after 30 s.
+const LISTEN_LIMIT: Micros = 20_000_000;
 /// µs after the word to stop during which new connections and calls still come, and some to spare.
 const LEAVING: Micros = 900_000;
 
@@ -50,6 +54,15 @@
     Leave,
 }
 
+/// Why a router is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It was told to stop, and owes nothing.
+    Left,
+    /// Its address is not to be had.
+    NoAddress,
+}
+
 /// What this router keeps of a job beside its life.
 struct Task {
     caller: Option<Conn>,
@@ -80,7 +93,8 @@
     news: Box<dyn FnMut() -> Option<News>>,
     /// Since when this router is on its way out.
     leaving: Option<Micros>,
-    on_end: Box<dyn FnMut()>,
+    listener: Option<(Listener, SocketAddr)>,
+    on_end: Box<dyn FnMut(End)>,
 }
 
 impl Node {
@@ -90,7 +104,7 @@
         now: Micros,
         start: Start,
         news: Box<dyn FnMut() -> Option<News>>,
-        on_end: Box<dyn FnMut()>,
+        on_end: Box<dyn FnMut(End)>,
     ) -> Self {
         let mut acts = Acts::default();
         let control = Control::new(now, start.rows.clone(), &mut acts);
@@ -112,11 +126,17 @@
             next_step: 1,
             news,
             leaving: None,
+            listener: None,
             on_end,
             start,
         }
     }
 
+    /// Where it listens, once and as long as it does.
+    pub fn at(&self) -> Option<SocketAddr> {
+        self.listener.map(|(_, at)| at)
+    }
+
     /// Jobs, client connections, connections to model servers, and model servers that are kept.
     pub fn kept(&self) -> [usize; 4] {
         [self.lives.len(), self.callers.len(), self.links.len(), self.workers.len()]
@@ -196,14 +216,17 @@
     fn place(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize) {
         let Some(life) = self.lives.get_mut(job) else { return };
         let server = life.executions[n].server;
-        let Some(worker) = self.workers.get_mut(server).filter(|w| w.standing == Standing::Ready) else {
+        let wanted = !life.ended;
+        let ready = |w: &&mut Worker| wanted && w.standing == Standing::Ready;
+        let Some(worker) = self.workers.get_mut(server).filter(ready) else {
             return self.close(now, job, n, ended(Outcome::Moot));
         };
         let idle_limit = (self.start.terms.idle_limit as f64 * IDLE_PART) as Micros;
         let usable = worker.links.iter().copied().filter(|conn| {
             let link = &self.links[conn];
             let fresh = link.load() > 0 || now < link.busy + idle_limit;
-            // An answer to an earlier execution of the job may still come here under the same id.
+            // Another answer to an earlier execution of the job may still come here under the same id, also
+            // where it has had one.
             let used = life.executions[..n].iter().any(|e| e.link == Some(*conn));
             fresh && !used && link.load() < self.start.terms.streams
         });
@@ -246,6 +269,12 @@
                 Item::Rest(bytes) => (None, bytes),
                 Item::Run(job, n) => {
                     let Some(life) = self.lives.get(job) else { continue };
+                    // Guards against an execution that begins though nobody waits for its job any more, also
+                    // where executions that have begun may not be cancelled.
+                    if life.ended {
+                        self.close(now, job, n, ended(Outcome::Moot));
+                        continue;
+                    }
                     let mut bytes = life.of.head.clone();
                     line::rest(&mut bytes, life.limit.saturating_sub(now).div_ceil(1000), &life.of.body);
                     (Some((job, n)), bytes)
@@ -381,7 +410,8 @@
     fn part_with_callers(&mut self, now: Micros, wire: &mut dyn Wire) {
         loop {
             let many = self.callers.len() > self.callers_most;
-            let least = if many { self.patience.least(now) } else { None };
+            let owes = |conn| wire.unsent(conn) > 0;
+            let least = if many { self.patience.least(now, owes) } else { None };
             let Some(conn) = self.patience.over(now).or(least) else { return };
             wire.cut(conn);
             self.caller_gone(now, conn);
@@ -401,9 +431,6 @@
         for (job, answer, body) in came.answers {
             // Given up, told twice, or never asked for: nobody waits for it.
             let Some(n) = self.links.get_mut(&conn).and_then(|link| link.out.remove(&job)) else { continue };
-            if let Some(life) = self.lives.get_mut(job) {
-                life.executions[n].link = None;
-            }
             if answer.outcome == Outcome::Finished {
                 self.end(now, wire, job, Reply { body, ..Reply::bare(200) });
             }
@@ -494,8 +521,48 @@
         self.control.list(&mut self.acts, kind, &entries);
     }
 
+    // ---- The way out -------------------------------------------------------------------------
+
+    /// Ends once nothing is owed any more: whoever has connected is heard out, and each answer is with the
+    /// kernel and its client has ended too, or what the kernel has not delivered would go with the process.
+    /// Each connection takes one request more at the most, and patience bounds its silence.
+    fn wind_up(&mut self, now: Micros, wire: &mut dyn Wire) {
+        if let Some((listener, _)) = self.listener.take() {
+            wire.deafen(listener, true);
+        }
+        for conn in self.patience.idle() {
+            let caller = self.callers.get_mut(&conn).expect("idle ones are kept");
+            self.patience.remove(conn, caller);
+            caller.leave(now, wire, conn);
+            self.patience.insert(conn, caller);
+        }
+        if self.lives.is_empty() && self.callers.is_empty() {
+            (self.on_end)(End::Left);
+        }
+    }
+
     // ---- Now and then ------------------------------------------------------------------------
 
+    /// Listens, if need be as soon as the process before this one has given the address back.
+    fn listen(&mut self, now: Micros, wire: &mut dyn Wire, until: Micros) {
+        // One more than are kept open, so that a new one is seen and takes the place of another.
+        match wire.listen(self.start.listen, self.callers_most + 1) {
+            Ok((listener, at)) => {
+                tracing::info!(%at, "listening");
+                self.listener = Some((listener, at));
+            }
+            Err(error) if error.kind() == ErrorKind::AddrInUse && now < until => {
+                tracing::warn!(listen = %self.start.listen, "the address is still in use");
+                let step: Step = Box::new(move |node, now, wire| node.listen(now, wire, until));
+                self.after(now, wire, TICK, step);
+            }
+            Err(error) => {
+                tracing::error!(listen = %self.start.listen, %error, "cannot listen");
+                (self.on_end)(End::NoAddress);
+            }
+        }
+    }
+
     fn tick(&mut self, now: Micros, wire: &mut dyn Wire) {
         while let Some(news) = (self.news)() {
             match news {
@@ -514,8 +581,8 @@
         for conn in conns {
             self.sweep_link(now, wire, conn);
         }
-        if self.leaving.is_some_and(|since| now >= since + LEAVING) && self.lives.is_empty() {
-            (self.on_end)();
+        if self.leaving.is_some_and(|since| now >= since + LEAVING) {
+            self.wind_up(now, wire);
         }
         self.after(now, wire, TICK, Box::new(|node, now, wire| node.tick(now, wire)));
     }
@@ -526,19 +593,14 @@
         for (kind, list) in std::mem::take(&mut self.start.known) {
             self.listed(now, wire, kind, &list);
         }
-        // One more than are kept open, so that a new one is seen and takes the place of another.
-        match wire.listen(self.start.listen, self.callers_most + 1) {
-            Ok((_, at)) => tracing::info!(%at, "listening"),
-            Err(error) => {
-                tracing::error!(listen = %self.start.listen, %error, "cannot listen");
-                (self.on_end)();
-            }
-        }
+        self.listen(now, wire, now + LISTEN_LIMIT);
         self.tick(now, wire);
         self.settle(now, wire);
     }
 
     fn accepted(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, _: Listener) {
+        // Who hangs up wants no answer: what it asked for must not be sent on any more.
+        wire.hangup_first(conn);
         let caller = Caller::new(now);
         self.patience.insert(conn, &caller);
         self.callers.insert(conn, caller);
@@ -560,11 +622,16 @@
             if caller.doing == Doing::Reading {
                 self.patience.remove(conn, caller);
             }
-            caller.feed(now, wire, conn, bytes);
+            let fits = caller.feed(now, bytes);
             if caller.doing == Doing::Reading {
                 self.patience.insert(conn, caller);
             }
-            self.read_on(now, wire, conn);
+            if fits {
+                self.read_on(now, wire, conn);
+            } else {
+                wire.cut(conn);
+                self.caller_gone(now, conn);
+            }
         } else {
             self.link_bytes(now, wire, conn, bytes);
         }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -1,16 +1,19 @@
-//! A router on a paper wire, with model servers and clients played by hand.
+//! A router on a paper wire and one on real sockets, with model servers and clients played by hand.
 #![allow(dead_code)] // each table of cases uses its own part
 use applepond::interface::Standing;
-use applepond_node::{News, Node};
+use applepond_node::{End, News, Node};
 use applepond_platform::config::{self, Start};
-use applepond_reactor::{Closed, Conn, Listener, Machine, Micros};
+use applepond_reactor::{Closed, Conn, Listener, Machine, Micros, Reactor, Wake, Wire};
 use applepond_standins::paper::Paper;
 use serde_json::{Value, json};
 use simple_dns::rdata::{A, RData, SOA, SRV, TXT};
 use simple_dns::{CLASS, Name, Packet, PacketFlag, ResourceRecord};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
@@ -69,7 +72,7 @@
             now,
             start(file),
             Box::new(move || told.borrow_mut().pop()),
-            Box::new(move || ends.set(true)),
+            Box::new(move |end| ends.set(end == End::Left)),
         );
         let mut bench = Bench { node, paper: Paper::default(), now, news, over };
         bench.node.start(now, &mut bench.paper);
@@ -159,7 +162,7 @@
 }
 
 /// An answer of the name service; model servers that are gone have no records.
-fn answer(id: u16, serial: u32, start: &Start) -> Vec<u8> {
+pub fn answer(id: u16, serial: u32, start: &Start) -> Vec<u8> {
     let mut packet = Packet::new_reply(id);
     packet.set_flags(PacketFlag::RESPONSE);
     let record = |name: &str, data| {
@@ -205,3 +208,343 @@
         name(id)
     )
 }
+
+/// A machine that the test looks into while a reactor hosts it, and how many clients it was told of.
+struct Shared(Rc<RefCell<Node>>, Rc<Cell<usize>>);
+
+impl Machine for Shared {
+    fn start(&mut self, now: Micros, wire: &mut dyn Wire) {
+        self.0.borrow_mut().start(now, wire);
+    }
+    fn accepted(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, listener: Listener) {
+        self.1.set(self.1.get() + 1);
+        self.0.borrow_mut().accepted(now, wire, conn, listener);
+    }
+    fn connected(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        self.0.borrow_mut().connected(now, wire, conn);
+    }
+    fn bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        self.0.borrow_mut().bytes(now, wire, conn, bytes);
+    }
+    fn half_closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        self.0.borrow_mut().half_closed(now, wire, conn);
+    }
+    fn closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, why: Closed, sent: u64) {
+        self.0.borrow_mut().closed(now, wire, conn, why, sent);
+    }
+    fn told(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
+        self.0.borrow_mut().told(now, wire, conn, bytes);
+    }
+    fn flushed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        self.0.borrow_mut().flushed(now, wire, conn);
+    }
+    fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
+        self.0.borrow_mut().woken(now, wire, wake);
+    }
+}
+
+/// Longest wait for what a test waits for: beyond it the test has failed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A model server's end of one connection.
+pub struct Peer {
+    pub stream: TcpStream,
+    pub text: String,
+    /// Questions whether the connection works that were answered.
+    echoes: usize,
+}
+
+impl Peer {
+    /// Reads what is there; false once the router has ended.
+    pub fn read(&mut self) -> bool {
+        let mut buffer = [0; 64 * 1024];
+        loop {
+            match self.stream.read(&mut buffer) {
+                Ok(0) => return false,
+                Ok(n) => self.text.push_str(std::str::from_utf8(&buffer[..n]).expect("lines are text")),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+                Err(_) => return false,
+            }
+        }
+    }
+
+    /// Reads, and tells how often it has been asked whether the connection works.
+    fn reads_echoes(&mut self) -> usize {
+        self.read();
+        self.text.matches("\"ECHO\"").count().max(self.echoes)
+    }
+
+    pub fn says(&mut self, line: &str) {
+        self.stream.write_all(line.as_bytes()).expect("the router reads");
+    }
+
+    /// How often it was told this of a request.
+    pub fn told(&self, verb: &str, id: u64) -> usize {
+        let is = |l: &&str| l.starts_with(&format!("{{\"verb\":\"{verb}\",\"rid\":\"{}\"", name(id)));
+        self.text.lines().filter(is).count()
+    }
+}
+
+/// Done once, amid a tick.
+pub type Amid = Rc<RefCell<Option<Box<dyn FnOnce()>>>>;
+
+/// A router on real sockets that lives only while the test turns it: whatever clients and model servers do
+/// between two turns lies in the kernel when it looks, as after a standstill.
+pub struct Real {
+    pub reactor: Reactor,
+    pub node: Rc<RefCell<Node>>,
+    /// Clients that were accepted so far.
+    pub clients: Rc<Cell<usize>>,
+    pub at: SocketAddr,
+    pub servers: Vec<TcpListener>,
+    pub peers: Vec<Peer>,
+    pub names: UdpSocket,
+    pub file: Value,
+    pub news: Rc<RefCell<Vec<News>>>,
+    pub over: Rc<Cell<bool>>,
+    /// Done once when the machine next asks for news: after sockets were read, amid its tick.
+    pub amid: Amid,
+    /// Model servers read nothing.
+    pub deaf: bool,
+}
+
+impl Real {
+    pub fn new(servers: u16, change: impl FnOnce(&mut Value)) -> Self {
+        let listeners: Vec<_> =
+            (0..servers).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+        Self::at(listeners, change)
+    }
+
+    pub fn at(servers: Vec<TcpListener>, change: impl FnOnce(&mut Value)) -> Self {
+        let names = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        names.set_nonblocking(true).expect("set");
+        let mut file = file(servers.len() as u16);
+        file["listen"] = "127.0.0.1:0".into();
+        file["names"] = names.local_addr().expect("bound").to_string().into();
+        for (n, server) in servers.iter().enumerate() {
+            server.set_nonblocking(true).expect("set");
+            let at = server.local_addr().expect("bound").to_string();
+            file["known"]["updates"][0]["endpoints"]["members"][n]["host_port"] = at.into();
+        }
+        change(&mut file);
+        let mut reactor = Reactor::new().expect("epoll");
+        let (news, over) = (Rc::new(RefCell::new(Vec::<News>::new())), Rc::new(Cell::new(false)));
+        let amid: Amid = Rc::default();
+        let (told, ends, first) = (news.clone(), over.clone(), amid.clone());
+        let node = Node::new(
+            reactor.now(),
+            start(&file),
+            Box::new(move || {
+                if let Some(act) = first.borrow_mut().take() {
+                    act();
+                }
+                told.borrow_mut().pop()
+            }),
+            Box::new(move |_| ends.set(true)),
+        );
+        let node = Rc::new(RefCell::new(node));
+        let clients: Rc<Cell<usize>> = Rc::default();
+        reactor.add(Box::new(Shared(node.clone(), clients.clone())));
+        let at = node.borrow().at().expect("it listens");
+        Real {
+            reactor,
+            node,
+            clients,
+            at,
+            servers,
+            peers: Vec::new(),
+            names,
+            file,
+            news,
+            over,
+            amid,
+            deaf: false,
+        }
+    }
+
+    pub fn turn(&mut self) {
+        if self.over.get() {
+            // The process has ended.
+            self.reactor.remove(0);
+        }
+        self.reactor.turn(Duration::from_millis(5)).expect("a turn");
+        for server in &self.servers {
+            while let Ok((stream, _)) = server.accept() {
+                stream.set_nonblocking(true).expect("set");
+                self.peers.push(Peer { stream, text: String::new(), echoes: 0 });
+            }
+        }
+        for peer in &mut self.peers {
+            // Those that read nothing say all the same that they work.
+            let asked = if self.deaf { peer.echoes + 1 } else { peer.reads_echoes() };
+            for _ in std::mem::replace(&mut peer.echoes, asked)..asked {
+                let _ = peer.stream.write_all(b"{\"verb\":\"UP\",\"rid\":\"works\"}\n");
+            }
+        }
+    }
+
+    /// Nothing waits in the kernel: events come in the order in which they are made from now on.
+    pub fn quiet(&mut self) {
+        self.turn();
+        self.turn();
+    }
+
+    pub fn until(&mut self, what: &str, mut done: impl FnMut(&mut Self) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !done(self) {
+            assert!(Instant::now() < end, "did not come: {what}");
+            self.turn();
+        }
+    }
+
+    /// A client that the router has accepted.
+    pub fn client(&mut self) -> TcpStream {
+        self.accepted(TcpStream::connect(self.at).expect("it listens"))
+    }
+
+    /// The same, whose kernel keeps few bytes for it.
+    pub fn small_client(&mut self) -> TcpStream {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(2048).and_then(|()| socket.set_tcp_mss(536)).expect("set");
+        socket.connect(&self.at.into()).expect("it listens");
+        self.accepted(socket.into())
+    }
+
+    fn accepted(&mut self, stream: TcpStream) -> TcpStream {
+        let before = self.clients.get();
+        self.until("accepted", |r| r.clients.get() > before);
+        stream
+    }
+
+    /// A client whose request a model server has, and on which connection.
+    pub fn carried(&mut self, workload: &str, id: u64) -> (TcpStream, usize) {
+        let mut client = self.client();
+        client.write_all(call(workload, id).as_bytes()).expect("it reads");
+        (client, self.carries(id))
+    }
+
+    /// Lets the router stand still: all that happens meanwhile lies in the kernel when it looks again.
+    pub fn stands_still(&self, time: Micros) {
+        std::thread::sleep(Duration::from_micros(time));
+    }
+
+    pub fn leaves(&mut self) {
+        self.news.borrow_mut().push(News::Leave);
+    }
+
+    /// Reads so many answers with a body of 30,000 bytes on a connection that stays open.
+    pub fn reads_big(&mut self, client: &mut TcpStream, answers: usize) {
+        client.set_nonblocking(true).expect("set");
+        let mut all = Vec::new();
+        self.until("all answers", |_| {
+            if let Err(e) = client.read_to_end(&mut all) {
+                assert_eq!(e.kind(), ErrorKind::WouldBlock, "cut off after {} bytes", all.len());
+            }
+            all.iter().filter(|b| **b == b'x').count() == 30_000 * answers
+        });
+    }
+
+    /// The connection on which a model server has been told to run this.
+    pub fn carries(&mut self, id: u64) -> usize {
+        let on = |r: &Real| r.peers.iter().rposition(|peer| peer.told("DO", id) > 0);
+        self.until("sent on", |r| on(r).is_some());
+        on(self).expect("just seen")
+    }
+
+    /// One request from start to end, so that a connection to its model server stands.
+    pub fn served(&mut self, id: u64) {
+        let (mut client, link) = self.carried("quote", id);
+        self.peers[link].says(&word("OK", id));
+        client.set_nonblocking(true).expect("set");
+        let mut all = Vec::new();
+        self.until("answered", |_| {
+            let _ = client.read_to_end(&mut all);
+            all.ends_with(b"ok")
+        });
+    }
+
+    /// What a client still reads, up to the end of its connection.
+    pub fn rest(&mut self, mut client: TcpStream) -> String {
+        client.set_nonblocking(true).expect("set");
+        let mut all = Vec::new();
+        self.until("the end", |_| match client.read_to_end(&mut all) {
+            Ok(_) => true,
+            Err(e) => {
+                assert_eq!(e.kind(), ErrorKind::WouldBlock, "cut off after {} bytes", all.len());
+                false
+            }
+        });
+        String::from_utf8(all).expect("answers are text")
+    }
+
+    /// Closes a client and waits until the router's kernel knows of it, without a turn.
+    pub fn hangs_up(&self, client: TcpStream) {
+        let own = client.local_addr().expect("connected");
+        drop(client);
+        let end = Instant::now() + PATIENCE;
+        let hex = |at: SocketAddr| match at {
+            SocketAddr::V4(at) => format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port()),
+            SocketAddr::V6(_) => unreachable!("IPv4 alone"),
+        };
+        // Its own end, in the state that the peer has closed.
+        let ended = [hex(self.at), hex(own), "08".to_owned()];
+        loop {
+            let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+            let is = |l: &str| l.split_whitespace().skip(1).take(3).eq(ended.iter().map(String::as_str));
+            if table.lines().any(is) {
+                return;
+            }
+            assert!(Instant::now() < end, "the end has not come");
+        }
+    }
+
+    /// Ends the router, and all that model servers were ever told, connection by connection.
+    pub fn ends(mut self) -> Vec<Peer> {
+        self.turn();
+        let Real { reactor, node, servers, mut peers, .. } = self;
+        drop((reactor, node));
+        for server in &servers {
+            while let Ok((stream, _)) = server.accept() {
+                peers.push(Peer { stream, text: String::new(), echoes: 0 });
+            }
+        }
+        for peer in &mut peers {
+            peer.stream.set_nonblocking(false).expect("set");
+            while peer.read() {}
+        }
+        peers
+    }
+
+    /// Has the name service tell this list, as an event after all others, once it is asked.
+    pub fn lists(&mut self, start: &Start) {
+        let mut question = [0; 512];
+        let mut asked = None;
+        // What was asked before is not waited for any more.
+        while self.names.recv_from(&mut question).is_ok() {}
+        self.until("a question", |r| {
+            asked = r.names.recv_from(&mut question).ok();
+            asked.is_some()
+        });
+        let (_, from) = asked.expect("just seen");
+        let answer = answer(u16::from_be_bytes([question[0], question[1]]), 2, start);
+        self.names.send_to(&answer, from).expect("sent");
+    }
+}
+
+/// A model server whose kernel keeps few bytes, and the router's few for it: segments are small.
+pub fn small_server() -> TcpListener {
+    let server = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let socket = SockRef::from(&server);
+    socket.set_recv_buffer_size(4096).and_then(|()| socket.set_tcp_mss(536)).expect("set");
+    server
+}
+
+/// A good answer of 30,000 bytes, more than a small client's kernel takes.
+pub fn big(id: u64) -> String {
+    word("OK", id).replace("b2s=", &"eHh4".repeat(10_000))
+}
+
+/// How often model servers were told this of a request, over all connections.
+pub fn told(peers: &[Peer], verb: &str, id: u64) -> usize {
+    peers.iter().map(|peer| peer.told(verb, id)).sum()
+}
--- /dev/null
+++ b/crates/node/tests/ends.rs
@@ -0,0 +1,415 @@
+//! Every way in which something ends, on real sockets: the bad order lies in the kernel before the router
+//! looks. The rows of docs/ends.md name these cases.
+mod common;
+use applepond_node::News;
+use common::*;
+use std::cell::RefCell;
+use std::io::{Read, Write};
+use std::net::{TcpStream, UdpSocket};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+// ---- A client that has gone ------------------------------------------------------------------
+
+// A request and its client's end come in one batch, or the end waits behind bytes that are not read yet.
+#[test_case(0; "behind its request")]
+#[test_case(20_000; "behind its request and more")]
+fn hung_up_before_it_was_read(more: usize) {
+    let mut r = Real::new(1, |_| ());
+    r.served(1);
+    let mut client = r.client();
+    client.write_all(call("quote", 2).as_bytes()).expect("written");
+    client.set_nonblocking(true).expect("set");
+    let _ = client.write(&vec![b'x'; more]);
+    r.hangs_up(client);
+    r.until("seen", |r| r.node.borrow().kept()[..2] == [0, 0]);
+    assert_eq!(told(&r.ends(), "DO", 2), 0, "nobody waits for it");
+}
+
+// Behind a request that waits, a client sends more than is kept, and goes: its end lies behind all of that.
+#[test]
+fn hung_up_behind_bytes_that_nobody_keeps() {
+    let mut r = Real::new(1, |_| ());
+    let (mut client, link) = r.carried("quote", 1);
+    client.set_nonblocking(true).expect("set");
+    let piece = [b'x'; 64 * 1024];
+    while client.write(&piece).is_ok() {}
+    drop(client);
+    r.until("given up", |r| r.peers[link].told("UNDO", 1) == 1);
+    assert_eq!(r.node.borrow().kept()[..2], [0, 0]);
+}
+
+// What is sent behind a request and does not fit ends the connection, after the answer that is owed.
+#[test]
+fn more_than_is_kept_behind_a_request() {
+    let mut r = Real::new(1, |_| ());
+    let (mut client, link) = r.carried("quote", 1);
+    for id in 2..500 {
+        client.write_all(call("quote", id).as_bytes()).expect("read and dropped");
+        r.turn();
+    }
+    r.peers[link].says(&word("OK", 1));
+    let answer = r.rest(client);
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("Connection: close"), "{answer}");
+    assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
+}
+
+// A model server's word that leads to a further execution, and then the client's end, both before the router
+// looks: which of them came first may not count. Connections to both model servers stand, so that the
+// execution would leave at once.
+#[test_case("ERR"; "an error")]
+#[test_case("BUSY"; "full")]
+#[test_case("MISS"; "not loaded")]
+fn hung_up_beside_an_answer(verb: &str) {
+    let mut r = Real::new(2, |_| ());
+    let (_first, link) = r.carried("quote", 1);
+    r.peers[link].says(&word("ERR", 1));
+    r.until("sent on", |r| r.peers.len() == 2 && told(&r.peers, "DO", 1) == 2);
+    let other = 1 - link;
+    r.peers[other].says(&word("OK", 1));
+    let (client, link) = r.carried("quote", 2);
+    r.quiet();
+    r.peers[link].says(&word(verb, 2));
+    r.hangs_up(client);
+    r.until("seen", |r| r.node.borrow().kept()[..2] == [0, 1]);
+    assert_eq!(told(&r.ends(), "DO", 2), 1, "no further execution");
+}
+
+// The client goes while its execution waits for a connection that comes up.
+#[test_case(true; "executions may be cancelled")]
+#[test_case(false; "they may not: what has not begun is taken back all the same")]
+fn hung_up_while_connecting(cancel: bool) {
+    let mut r = Real::new(1, |file| file["settings"]["allowed"]["cancel"] = cancel.into());
+    let mut client = r.client();
+    client.write_all(call("quote", 1).as_bytes()).expect("written");
+    r.until("connecting", |r| r.node.borrow().kept()[2] == 1);
+    r.hangs_up(client);
+    r.until("seen", |r| r.node.borrow().kept()[..2] == [0, 0]);
+    assert_eq!(told(&r.ends(), "DO", 1), 0);
+}
+
+// It goes while its request is held here, and then a model server comes.
+#[test]
+fn hung_up_while_held() {
+    let mut r = Real::new(1, |file| {
+        file["known"]["updates"][0]["endpoints"]["members"][0]["phase"] = "terminating".into();
+    });
+    let mut client = r.client();
+    client.write_all(call("quote", 1).as_bytes()).expect("written");
+    r.until("held", |r| r.node.borrow().kept()[0] == 1);
+    let mut file = r.file.clone();
+    file["known"]["updates"][0]["endpoints"]["members"][0]["phase"] = "in_service".into();
+    r.lists(&start(&file));
+    r.hangs_up(client);
+    r.until("seen", |r| r.node.borrow().kept()[..2] == [0, 0]);
+    r.served(2);
+    assert_eq!(told(&r.ends(), "DO", 1), 0);
+}
+
+// It goes, and the router stands still past the time of the copy and of its next looks at what it holds.
+#[test]
+fn hung_up_before_the_hedge_delay() {
+    let mut r = Real::new(2, |_| ());
+    let (client, _) = r.carried("quote", 1);
+    r.hangs_up(client);
+    r.stands_still(900 * MS);
+    r.until("seen", |r| r.node.borrow().kept()[..2] == [0, 0]);
+    assert_eq!(told(&r.ends(), "DO", 1), 1, "no copy");
+}
+
+// A model server that reads nothing answers until the connection is full: one line has left in part, others
+// wait behind it. Their clients go: the part is made whole and given up, what waits is taken back.
+#[test]
+fn hung_up_amid_a_line() {
+    let mut r = Real::at(vec![small_server()], |_| ());
+    r.deaf = true;
+    let long = |id| {
+        let head = call("quote", id).replace("Content-Length: 2", "Content-Length: 16000");
+        head.replace("\r\n\r\nhi", &format!("\r\n\r\n{}", "y".repeat(16_000)))
+    };
+    let mut clients = Vec::new();
+    let mut next = 1;
+    while clients.len() < 3 {
+        let mut client = r.client();
+        client.write_all(long(next).as_bytes()).expect("written");
+        r.until("connected", |r| r.peers.len() == 1);
+        for _ in 0..20 {
+            r.peers[0].says(&word("OK", next));
+            r.turn();
+        }
+        // That answer is nobody's as long as its line has not begun to leave.
+        if r.node.borrow().kept()[0] > clients.len() {
+            clients.push(client);
+        }
+        next += 1;
+        assert!(next < 100, "the connection takes all");
+    }
+    for client in clients {
+        r.hangs_up(client);
+    }
+    r.until("seen", |r| r.node.borrow().kept()[0] == 0);
+    r.deaf = false;
+    r.served(next);
+    let peers = r.ends();
+    let lines = || peers.iter().flat_map(|peer| peer.text.lines());
+    assert!(lines().all(|l| serde_json::from_str::<serde_json::Value>(l).is_ok()), "whole lines");
+    let begun: Vec<usize> = (1..next).map(|id| told(&peers, "DO", id)).collect();
+    assert!(begun.iter().all(|n| *n <= 1) && begun.contains(&0), "{begun:?}");
+}
+
+// ---- The process -----------------------------------------------------------------------------
+
+/// A client that reads nothing, of forty requests that have been answered: most of it waits in the router.
+fn owed(r: &mut Real) -> TcpStream {
+    let mut client = r.small_client();
+    let calls: String = (1..=40).map(|id| call("quote", id)).collect();
+    client.write_all(calls.as_bytes()).expect("written");
+    for id in 1..=40 {
+        let link = r.carries(id);
+        r.peers[link].says(&big(id));
+    }
+    r.until("all answered", |r| r.node.borrow().kept()[0] == 0);
+    client
+}
+
+// An answer is in the router's own buffer when the time to end has come.
+#[test]
+fn leaving_with_answers_that_the_client_has_not_taken() {
+    let mut r = Real::new(1, |_| ());
+    let mut client = owed(&mut r);
+    r.leaves();
+    let begun = Instant::now();
+    r.until("1.2 s", |r| r.over.get() || begun.elapsed() > Duration::from_millis(1200));
+    assert!(!r.over.get(), "it still owes");
+    r.reads_big(&mut client, 40);
+    drop(client);
+    r.until("the end", |r| r.over.get());
+}
+
+// Bytes that come between the last look at the sockets and the end of the process would turn its close into a
+// reset, which takes the rest of the answer along: the connection is ended first, the client's end awaited.
+#[test]
+fn leaving_with_bytes_unread() {
+    let mut r = Real::new(1, |_| ());
+    let mut client = r.small_client();
+    client.write_all(call("quote", 1).as_bytes()).expect("written");
+    let link = r.carries(1);
+    r.leaves();
+    let begun = Instant::now();
+    r.until("1 s", |_| begun.elapsed() > Duration::from_secs(1));
+    let mut more = client.try_clone().expect("a descriptor");
+    *r.amid.borrow_mut() = Some(Box::new(move || more.write_all(b"more").expect("it stands")));
+    r.peers[link].says(&big(1));
+    r.until("the tick", |r| r.amid.borrow().is_none());
+    r.quiet();
+    let answer = r.rest(client);
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.matches('x').count() == 30_000, "{}", answer.len());
+    r.until("the end", |r| r.over.get());
+}
+
+// Clients connect and ask between the router's look at the sockets and its tick, up to the one in which it
+// stops listening: each is answered.
+#[test]
+fn leaving_with_clients_not_accepted_yet() {
+    let mut r = Real::new(1, |_| ());
+    r.served(1);
+    r.leaves();
+    let asked: Rc<RefCell<Vec<TcpStream>>> = Rc::default();
+    let (mut next, mut served) = (2, 2);
+    while r.node.borrow().at().is_some() || served < next {
+        if r.amid.borrow().is_none() && r.node.borrow().at().is_some() {
+            let (at, id, asked) = (r.at, next, asked.clone());
+            *r.amid.borrow_mut() = Some(Box::new(move || {
+                let mut client = TcpStream::connect(at).expect("it listens");
+                client.write_all(call("quote", id).as_bytes()).expect("written");
+                asked.borrow_mut().push(client);
+            }));
+            next += 1;
+        }
+        r.turn();
+        if served as usize - 2 < asked.borrow().len() {
+            let link = r.carries(served);
+            r.peers[link].says(&word("OK", served));
+            served += 1;
+        }
+    }
+    let asked = asked.take();
+    assert!(asked.len() > 10, "{}", asked.len());
+    for client in asked {
+        let answer = r.rest(client);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    r.until("the end", |r| r.over.get());
+}
+
+// ---- Time-outs and evictions -----------------------------------------------------------------
+
+/// Clients that have asked and lie idle, the oldest first, as many as are kept open.
+fn idle(r: &mut Real, count: usize) -> Vec<TcpStream> {
+    (0..count)
+        .map(|_| {
+            let mut client = r.client();
+            client.write_all(b"GET /check HTTP/1.1\r\nHost: a\r\n\r\n").expect("written");
+            let mut buffer = [0; 1024];
+            r.quiet();
+            assert!(client.read(&mut buffer).expect("an answer") > 0);
+            client
+        })
+        .collect()
+}
+
+// A newcomer is accepted in the batch in which a request comes on the connection that would make room.
+#[test]
+fn a_newcomer_beside_a_request() {
+    let mut r = Real::new(1, |file| file["limits"]["sockets"] = 16.into());
+    let mut clients = idle(&mut r, 8);
+    r.quiet();
+    let _newcomer = TcpStream::connect(r.at).expect("it listens");
+    let mut oldest = clients.remove(0);
+    oldest.write_all(call("quote", 1).as_bytes()).expect("written");
+    let link = r.carries(1);
+    r.peers[link].says(&word("OK", 1));
+    let mut answer = [0; 1024];
+    r.quiet();
+    let n = oldest.read(&mut answer).expect("an answer");
+    assert!(answer[..n].starts_with(b"HTTP/1.1 200"));
+}
+
+// The connection that has lain idle longest has not been delivered all of its answers.
+#[test]
+fn a_newcomer_beside_answers_on_their_way() {
+    let mut r = Real::new(1, |file| file["limits"]["sockets"] = 16.into());
+    let mut client = owed(&mut r);
+    let _others = idle(&mut r, 12);
+    r.reads_big(&mut client, 40);
+}
+
+// An answer lies in the kernel when the request's time runs out while the router stands still: it counts,
+// each time.
+#[test]
+fn an_answer_before_a_late_timer() {
+    let mut r = Real::new(1, |_| ());
+    let mut client = r.client();
+    let short = call("confirm", 1).replace("Budget-Ms: 2000", "Budget-Ms: 400");
+    client.write_all(short.as_bytes()).expect("written");
+    let link = r.carries(1);
+    r.peers[link].says(&word("OK", 1));
+    r.stands_still(500 * MS);
+    r.quiet();
+    let mut answer = [0; 1024];
+    let n = client.read(&mut answer).expect("an answer");
+    assert!(answer[..n].starts_with(b"HTTP/1.1 200"));
+}
+
+// ---- Connections to model servers ------------------------------------------------------------
+
+// An answer and a reset in one batch: the answer counts.
+#[test]
+fn an_answer_and_a_reset() {
+    let mut r = Real::new(1, |_| ());
+    let (client, link) = r.carried("confirm", 1);
+    r.peers[link].says(&word("OK", 1));
+    let peer = r.peers.remove(link);
+    socket2::SockRef::from(&peer.stream).set_linger(Some(Duration::ZERO)).expect("set");
+    drop(peer);
+    r.leaves();
+    let answer = r.rest(client);
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("ok"), "{answer}");
+}
+
+// A connection stands in the kernel when its time runs out while the router stands still.
+#[test]
+fn connected_before_a_late_timer() {
+    let mut r = Real::new(1, |_| ());
+    let mut client = r.client();
+    client.write_all(call("confirm", 1).as_bytes()).expect("written");
+    r.until("connecting", |r| r.node.borrow().kept()[2] == 1);
+    r.stands_still(300 * MS);
+    r.carries(1);
+    assert_eq!(told(&r.ends(), "DO", 1), 1);
+}
+
+// A model server that turned a request away and is asked again, says so a second time: that is no answer to
+// the second execution, which goes by another connection.
+#[test_case("BUSY"; "full")]
+#[test_case("MISS"; "not loaded")]
+fn a_second_answer_to_an_earlier_execution(verb: &str) {
+    let mut r = Real::new(1, |_| ());
+    let (client, first) = r.carried("confirm", 1);
+    r.peers[first].says(&word(verb, 1));
+    r.until("again", |r| told(&r.peers, "DO", 1) == 2);
+    r.peers[first].says(&word(verb, 1));
+    r.quiet();
+    let second = r.carries(1);
+    assert_ne!(second, first, "by another connection");
+    r.peers[second].says(&word("OK", 1));
+    r.leaves();
+    let answer = r.rest(client);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(told(&r.ends(), "DO", 1), 2);
+}
+
+// An answer after the word that gave it up, and one cut in the middle: nobody gets them.
+#[test]
+fn an_answer_after_it_was_given_up() {
+    let mut r = Real::new(1, |_| ());
+    let (client, link) = r.carried("quote", 1);
+    r.hangs_up(client);
+    r.until("given up", |r| r.peers[link].told("UNDO", 1) == 1);
+    r.peers[link].says(&word("OK", 1));
+    let (client, again) = r.carried("confirm", 2);
+    assert_eq!(again, link, "the connection is good");
+    r.peers[link].says(&word("OK", 2)[..40]);
+    drop(r.peers.remove(link));
+    r.leaves();
+    let answer = r.rest(client);
+    assert!(answer.starts_with("HTTP/1.1 502"), "it may have run: {answer}");
+    assert_eq!(told(&r.ends(), "DO", 2), 0, "and is not sent again");
+}
+
+// ---- The watch -------------------------------------------------------------------------------
+
+// The name service is gone (its port refuses), idle clients take every place, and then it is back with a
+// model server that has just come.
+#[test]
+fn the_service_comes_back_amid_a_crowd() {
+    let mut r = Real::new(1, |file| {
+        file["limits"]["sockets"] = 64.into();
+        file["known"]["updates"][0]["endpoints"]["members"][0]["phase"] = "terminating".into();
+    });
+    let names = r.names.local_addr().expect("bound");
+    r.names = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let _crowd: Vec<_> = (0..200).map(|_| TcpStream::connect(r.at).expect("it listens")).collect();
+    let begun = Instant::now();
+    r.until("refused a few times", |_| begun.elapsed() > Duration::from_millis(600));
+    r.names = UdpSocket::bind(names).expect("free again");
+    r.names.set_nonblocking(true).expect("set");
+    let mut file = r.file.clone();
+    file["known"]["updates"][0]["endpoints"]["members"][0]["phase"] = "in_service".into();
+    r.lists(&start(&file));
+    r.served(1);
+}
+
+// A new configuration moves the service amid a question: the old one's answer is nobody's.
+#[test]
+fn moved_amid_a_question() {
+    let mut r = Real::new(1, |_| ());
+    let mut question = [0; 512];
+    let mut asked = None;
+    r.until("a question", |r| {
+        asked = r.names.recv_from(&mut question).ok();
+        asked.is_some()
+    });
+    let old = std::mem::replace(&mut r.names, UdpSocket::bind("127.0.0.1:0").expect("a port"));
+    r.names.set_nonblocking(true).expect("set");
+    let mut new = r.file.clone();
+    new["names"] = r.names.local_addr().expect("bound").to_string().into();
+    r.news.borrow_mut().push(News::Again(Ok(Box::new(start(&new)))));
+    r.until("asked anew", |r| r.names.peek(&mut [0; 512]).is_ok());
+    let mut gone = r.file.clone();
+    gone["known"]["updates"][0]["endpoints"]["members"][0]["phase"] = "terminated".into();
+    let late = answer(u16::from_be_bytes([question[0], question[1]]), 9, &start(&gone));
+    old.send_to(&late, asked.expect("just seen").1).expect("sent");
+    r.served(1);
+}
--- a/crates/node/tests/machine.rs
+++ b/crates/node/tests/machine.rs
@@ -201,13 +201,19 @@
     }
     assert!(!b.over.get(), "new calls may still come");
     b.pass(S);
+    assert!(!b.over.get(), "the clients have not taken their answers yet");
+    b.breaks(early, Closed::Ended);
+    b.pass(100 * MS);
+    assert!(!b.over.get(), "one still has not");
+    b.breaks(late, Closed::Ended);
+    b.pass(100 * MS);
     assert!(b.over.get());
 }
 
 #[test]
 fn leaving_waits_for_what_is_held() {
     let mut b = Bench::new(1);
-    b.asks("confirm", 1);
+    let client = b.asks("confirm", 1);
     let link = b.carries(1);
     b.news.borrow_mut().push(News::Leave);
     for _ in 0..3 {
@@ -217,7 +223,9 @@
     assert!(!b.over.get());
     b.says(link, word("OK", 1).as_bytes());
     b.pass(100 * MS);
-    assert!(b.over.get());
+    assert!(!b.over.get() && b.paper.finished.contains(&client), "its answer is still on the way");
+    b.pass(2 * S);
+    assert!(b.over.get(), "and who never takes it is not waited for without end");
 }
 
 // A new configuration moves the name service; one that cannot be read changes nothing.
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -64,6 +64,10 @@
     fn sent(&self, conn: Conn) -> u64;
     /// Whether to read on; a paused connection pushes back on its peer.
     fn reading(&mut self, conn: Conn, on: bool);
+    /// From now on `half_closed` is told as soon as the kernel knows of the peer's end: also while reading is
+    /// paused, ahead of bytes not read yet and of all else that waits. For peers that mean by it that they
+    /// want nothing any more.
+    fn hangup_first(&mut self, _conn: Conn) {}
     /// Ends this side once all is written; nothing more is told but `closed`.
     fn finish(&mut self, conn: Conn);
     /// Drops the connection at once; nothing more is told of it.
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -16,8 +16,9 @@
 /// Bytes that may wait to be written on one connection; a machine that sees them piling up stops reading
 /// first.
 const OUT_MOST: usize = 4 * 1024 * 1024;
-/// Events taken from the kernel at a time.
-const EVENTS: usize = 512;
+/// Events taken from the kernel at a time: one for each descriptor of a large limit, as the order within a
+/// batch has to hold for all that waits.
+const EVENTS: usize = 4096;
 /// µs that timers may be late before sockets are read once more ahead of them: far above a busy turn.
 const LATE: Micros = 50_000;
 /// Datagrams read in one go, so that a process that stood still sees what waits before its timers fire, and a
@@ -44,6 +45,9 @@
     /// This side has ended, or will once `out` is empty.
     finishing: bool,
     peer_ended: bool,
+    /// The peer's end is told ahead of all else, once.
+    hangup_first: bool,
+    hangup_told: bool,
     /// All is written and this side has ended: the peer's end is awaited for `LINGER`.
     lingering: bool,
     /// The machine is to be told when `out` is empty.
@@ -80,6 +84,7 @@
 
 /// What is to be told to a machine once its present call has returned.
 enum Tell {
+    Accepted(usize, Conn, Listener),
     Closed(usize, Conn, Closed, u64),
     Flushed(usize, Conn),
 }
@@ -187,12 +192,22 @@
         if link.open && !link.peer_ended && (link.reading || link.finishing) {
             wanted |= epoll::EventFlags::IN;
         }
+        if link.open && link.hangup_first && !link.peer_ended && !link.finishing {
+            wanted |= epoll::EventFlags::RDHUP;
+        }
         if wanted != link.interest {
             link.interest = wanted;
             let _ = epoll::modify(&self.poll, &link.fd, epoll::EventData::new_u64(conn.0), wanted);
         }
     }
 
+    /// Whether this event is the end of a peer whose end comes first.
+    fn hangs_up(&self, data: u64, flags: epoll::EventFlags) -> bool {
+        let ends = epoll::EventFlags::RDHUP | epoll::EventFlags::HUP | epoll::EventFlags::ERR;
+        let first = |link: &Link| link.open && link.hangup_first && !link.finishing;
+        flags.intersects(ends) && self.links.get(&data).is_some_and(first)
+    }
+
     fn drop_link(&mut self, conn: Conn, tell: Option<Closed>) {
         let Some(link) = self.links.remove(&conn.0) else { return };
         if let Some(why) = tell {
@@ -231,6 +246,8 @@
             sent: 0,
             finishing: false,
             peer_ended: false,
+            hangup_first: false,
+            hangup_told: false,
             lingering: false,
             tell_flushed: false,
             wants_room: false,
@@ -351,6 +368,13 @@
         }
     }
 
+    fn hangup_first(&mut self, conn: Conn) {
+        if let Some(link) = self.core.links.get_mut(&conn.0) {
+            link.hangup_first = true;
+            self.core.touch(conn);
+        }
+    }
+
     fn finish(&mut self, conn: Conn) {
         if let Some(link) = self.core.links.get_mut(&conn.0).filter(|l| !l.finishing) {
             link.finishing = true;
@@ -380,6 +404,14 @@
 
     fn deafen(&mut self, listener: Listener, close: bool) {
         if close {
+            // Guards whoever has connected but was not accepted yet: the kernel would reset them.
+            while let Some(ear) = self.core.ears.get(&listener.0)
+                && let Ok(fd) = net::accept_with(&ear.fd, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC)
+            {
+                if let Some(conn) = self.core.add(self.machine, fd, true, None) {
+                    self.core.tell.push_back(Tell::Accepted(self.machine, conn, listener));
+                }
+            }
             self.core.ears.remove(&listener.0);
         } else if let Some(ear) = self.core.ears.get_mut(&listener.0) {
             ear.deaf = true;
@@ -463,6 +495,9 @@
                 Some(Tell::Closed(m, conn, why, sent)) => {
                     self.with(m, |m, now, wire| m.closed(now, wire, conn, why, sent));
                 }
+                Some(Tell::Accepted(m, conn, listener)) => {
+                    self.with(m, |m, now, wire| m.accepted(now, wire, conn, listener));
+                }
                 Some(Tell::Flushed(m, conn)) => self.with(m, |m, now, wire| m.flushed(now, wire, conn)),
                 None if self.core.dirty.is_empty() => return,
                 None => {}
@@ -504,7 +539,14 @@
             Ok(_) | Err(Errno::INTR) => {}
             Err(error) => return Err(refused(error)),
         }
-        let events = std::mem::take(&mut self.events);
+        let mut events = std::mem::take(&mut self.events);
+        // Guards against a request that is sent on though its client has left in the meantime, and against a
+        // newcomer that takes the place of a connection on which something lies unread.
+        events.sort_by_key(|event| match event.data.u64() {
+            data if self.core.hangs_up(data, event.flags) => 0,
+            data if self.core.ears.contains_key(&data) => 2,
+            _ => 1,
+        });
         for event in &events {
             self.event(event.data.u64(), event.flags);
         }
@@ -546,6 +588,16 @@
             self.settle();
             return;
         }
+        if self.core.hangs_up(data, flags) {
+            if let Some(link) = self.core.links.get_mut(&data) {
+                link.hangup_first = false;
+                link.hangup_told = true;
+            }
+            self.core.touch(conn);
+            self.with(machine, |m, now, wire| m.half_closed(now, wire, conn));
+            self.settle();
+            return;
+        }
         let hurt = flags.intersects(epoll::EventFlags::ERR | epoll::EventFlags::HUP);
         if flags.contains(epoll::EventFlags::IN) || hurt {
             self.read(machine, conn, hurt);
@@ -577,7 +629,7 @@
                 if link.finishing && link.out.is_empty() {
                     self.core.drop_link(conn, Some(Closed::Ended));
                 } else {
-                    let tell = !link.finishing;
+                    let tell = !link.finishing && !link.hangup_told;
                     self.core.touch(conn);
                     if tell {
                         self.with(machine, |m, now, wire| m.half_closed(now, wire, conn));
