Cold budgets after restarts amid a release; a repeat leaves while it would be known

Cold servers. A test of the module alone (tests/ramp.rs: 2, 20, 30 and 300 routers, paces of 5, 20 and 100 a worker; uneven traffic, too much work, restarts, lists told apart, errors with further executions, workers that leave, new versions) asks that all together send a worker that has just come at most N + 2 root N + 2 within the rule's span. To blame: capacity_per_weight divides the customers' shares by the most weight that this life has seen, and a router that starts amid a release did not count those that drain: it took each worker for three times as fast. `list` counts them at the first list.

A further execution of a fingerprinted job was judged by its window when it was ordered, and could leave up to the connect limit or a full connection later, when the worker would run it anew. `send` now names the time from which on nothing of it may leave (`repeat_until`), held where it is written, in both routers. The gateway also takes back what has not begun once its client has gone.

--- a/benches/crowd.rs
+++ b/benches/crowd.rs
@@ -26,7 +26,7 @@
 }
 
 impl Orders for Bench {
-    fn send(&mut self, job: JobId, _: ServerId, _: Micros) {
+    fn send(&mut self, job: JobId, _: ServerId, _: Micros, _: Micros) {
         let n = self.executions.entry(job.0).or_insert(0);
         if !self.silent {
             self.answers.push_back((self.now + 100 * MS, job, *n));
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -41,7 +41,8 @@
 }
 
 impl Orders for Reply<'_> {
-    fn send(&mut self, job: JobId, server: ServerId, patience: Micros) {
+    /// On the simulator's wire an execution leaves when it is ordered.
+    fn send(&mut self, job: JobId, server: ServerId, patience: Micros, _begin: Micros) {
         let server = &self.names.servers[&server];
         self.actions
             .push(json!({"op": "try", "msg-id": id_text(&job), "server": server, "patience": ms(patience)}));
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -7,7 +7,8 @@
 
 /// What the module ordered, until its call returns.
 pub enum Act {
-    Send(JobId, ServerId, Micros),
+    /// With the time that it has, and the time from which on it may not begin any more.
+    Send(JobId, ServerId, Micros, Micros),
     Cancel(JobId, usize),
     PushBack(JobId, Option<Micros>),
     Kill(JobId),
@@ -20,8 +21,8 @@
 pub struct Acts(pub VecDeque<Act>);
 
 impl Orders for Acts {
-    fn send(&mut self, job: JobId, server: ServerId, patience: Micros) {
-        self.0.push_back(Act::Send(job, server, patience));
+    fn send(&mut self, job: JobId, server: ServerId, patience: Micros, begin: Micros) {
+        self.0.push_back(Act::Send(job, server, patience, begin));
     }
     fn cancel(&mut self, job: JobId, execution: usize) {
         self.0.push_back(Act::Cancel(job, execution));
@@ -49,6 +50,8 @@
     pub sent: Micros,
     /// When its time is up.
     until: Micros,
+    /// From when on nothing of it may leave any more.
+    begin: Micros,
     /// Its connection: the one that it is on, or was on last.
     pub link: Option<Conn>,
     pub closed: bool,
@@ -65,6 +68,12 @@
 }
 
 impl<T> Life<T> {
+    /// Whether an execution of which nothing has left may still begin: somebody waits for its job, and where
+    /// it is a repeat, that would still be known.
+    pub fn may_begin(&self, now: Micros, n: usize) -> bool {
+        !self.ended && now < self.executions[n].begin
+    }
+
     pub fn out(&self) -> usize {
         self.executions.iter().filter(|e| !e.closed).count()
     }
@@ -121,13 +130,13 @@
         now: Micros,
         job: JobId,
         server: ServerId,
-        patience: Micros,
+        (patience, begin): (Micros, Micros),
         most: usize,
     ) -> Option<Result<usize, usize>> {
         let life = self.lives.get_mut(&job)?;
         let n = life.executions.len();
         let until = now + patience;
-        life.executions.push(Execution { server, sent: now, until, link: None, closed: false });
+        life.executions.push(Execution { server, sent: now, until, begin, link: None, closed: false });
         if life.ended || n >= most {
             return Some(Err(n));
         }
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -378,7 +378,9 @@
     fn carry_out(&mut self, now: Micros, wire: &mut dyn Wire) {
         while let Some(act) = self.acts.0.pop_front() {
             match act {
-                Act::Send(job, server, patience) => self.execute(now, wire, job, server, patience),
+                Act::Send(job, server, patience, begin) => {
+                    self.execute(now, wire, job, server, (patience, begin));
+                }
                 Act::Cancel(job, n) => {
                     self.drop_execution(now, wire, job, n, Outcome::Cancelled);
                 }
@@ -430,9 +432,16 @@
     }
 
     /// Begins one execution: on a connection that stands, else on a new one.
-    fn execute(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, server: ServerId, patience: Micros) {
+    fn execute(
+        &mut self,
+        now: Micros,
+        wire: &mut dyn Wire,
+        job: JobId,
+        server: ServerId,
+        times: (Micros, Micros),
+    ) {
         let most = self.deployment.rows.permits.executions;
-        match self.tasks.execute(now, job, server, patience, most) {
+        match self.tasks.execute(now, job, server, times, most) {
             Some(Ok(n)) => {
                 self.counts.executions += 1;
                 if let Some(worker) = self.listed.get_mut(server) {
@@ -494,7 +503,12 @@
         let Some(link) = self.links.get(&conn) else { return };
         let Some((job, n)) = link.carries else { return };
         let Some(worker) = self.listed.get(link.server) else { return };
-        // A drain was told while the connection was made: nothing new goes there.
+        // Its client has gone while the connection was made, or it is a repeat that would not be known now.
+        if !self.tasks.get(job).is_some_and(|task| task.may_begin(now, n)) {
+            self.drop_execution(now, wire, job, n, Outcome::Moot);
+            return;
+        }
+        // A drain was told meanwhile: nothing new goes there.
         if worker.standing != Standing::Ready {
             self.drop_execution(now, wire, job, n, Outcome::NoConnection);
             return;
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -169,7 +169,9 @@
 
     fn carry_out(&mut self, now: Micros, wire: &mut dyn Wire, act: Act) {
         match act {
-            Act::Send(job, server, patience) => self.execute(now, wire, job, server, patience),
+            Act::Send(job, server, patience, begin) => {
+                self.execute(now, wire, job, server, (patience, begin));
+            }
             Act::Cancel(job, n) => self.drop_execution(now, job, n, Outcome::Cancelled),
             Act::PushBack(job, come_back) => {
                 self.end(now, wire, job, Reply { come_back, ..Reply::bare(503) });
@@ -185,9 +187,16 @@
         }
     }
 
-    fn execute(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, server: ServerId, patience: Micros) {
+    fn execute(
+        &mut self,
+        now: Micros,
+        wire: &mut dyn Wire,
+        job: JobId,
+        server: ServerId,
+        times: (Micros, Micros),
+    ) {
         let most = self.start.rows.permits.executions;
-        match self.lives.execute(now, job, server, patience, most) {
+        match self.lives.execute(now, job, server, times, most) {
             Some(Ok(n)) => {
                 self.arm(now, wire);
                 self.place(now, wire, job, n);
@@ -216,7 +225,7 @@
     fn place(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize) {
         let Some(life) = self.lives.get_mut(job) else { return };
         let server = life.executions[n].server;
-        let wanted = !life.ended;
+        let wanted = life.may_begin(now, n);
         let ready = |w: &&mut Worker| wanted && w.standing == Standing::Ready;
         let Some(worker) = self.workers.get_mut(server).filter(ready) else {
             return self.close(now, job, n, ended(Outcome::Moot));
@@ -270,8 +279,9 @@
                 Item::Run(job, n) => {
                     let Some(life) = self.lives.get(job) else { continue };
                     // Guards against an execution that begins though nobody waits for its job any more, also
-                    // where executions that have begun may not be cancelled.
-                    if life.ended {
+                    // where those that have begun may not be cancelled, and against a repeat that a model
+                    // server would not know any more when its connection comes up late or takes nothing.
+                    if !life.may_begin(now, n) {
                         self.close(now, job, n, ended(Outcome::Moot));
                         continue;
                     }
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -368,6 +368,24 @@
     assert_eq!(told(&r.ends(), "DO", 2), 0, "and is not sent again");
 }
 
+// ---- The repeat window -----------------------------------------------------------------------
+
+// A repeat waits for its connection until the model server would not know it as one any more: it never
+// begins, and as the first may have run, nothing says that trying again is harmless.
+#[test]
+fn a_repeat_window_that_ends_before_the_repeat_leaves() {
+    let mut r = Real::new(2, |file| file["settings"]["lanes"][1]["window"] = 300.0.into());
+    let (client, link) = r.carried("hold", 1);
+    r.quiet();
+    r.peers[link].says(&word("ERR", 1));
+    r.until("a further execution", |r| r.node.borrow().kept()[2] == 2);
+    r.stands_still(400 * MS);
+    r.leaves();
+    let answer = r.rest(client);
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert_eq!(told(&r.ends(), "DO", 1), 1);
+}
+
 // ---- The watch -------------------------------------------------------------------------------
 
 // The name service is gone (its port refuses), idle clients take every place, and then it is back with a
--- a/src/control.rs
+++ b/src/control.rs
@@ -429,6 +429,11 @@
             orders.watch();
             return;
         }
+        if self.list_of == 0 {
+            // Who drains as this router starts is part of what the customers' shares are meant for.
+            let there = entries.iter().filter(|e| e.standing != Standing::Gone);
+            self.weight_most = there.map(|e| Server::new(self.now, e, &self.rows).weight).sum();
+        }
         if kind != ListKind::Changes {
             let named: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
             self.servers.iter_mut().filter(|(id, _)| !named.contains(id)).for_each(|(_, s)| s.open = false);
@@ -561,9 +566,7 @@
     }
 
     pub fn wake(&mut self, orders: &mut dyn Orders, token: Token) {
-        if let Some(step) = self.steps.remove(&token) {
-            step(self, orders, None);
-        }
+        self.steps.remove(&token).into_iter().for_each(|step| step(self, orders, None));
     }
 
     // ---- The ordinary path: home, next, hold, copy -----------------------------------------
@@ -743,7 +746,7 @@
         let now = self.now;
         let job = self.jobs.get_mut(&id).expect("only jobs that are held here are sent");
         let (function, workload, customer, n) = (job.function, job.workload, job.customer, job.tried.len());
-        let effect = job.effect;
+        let (effect, begin) = (job.effect, Self::repeat_until(job));
         let row = &self.workloads[workload.0];
         let s = self.servers.get_mut(&server).expect("place names known workers");
         job.tried.push(Tried { server, rack: s.rack, zone: s.zone, sent: now, closed: now, fate: Fate::Out });
@@ -760,7 +763,7 @@
         if now < s.up_since + self.rows.rules.warm_within && s.up_since > 0 {
             s.cold_sent.push((now, row.service / self.mean_service.max(1.0)));
         }
-        orders.send(id, server, job.limit - now);
+        orders.send(id, server, job.limit - now, begin);
         let then: Step = Box::new(move |c, o, answer| c.closed(o, id, n, answer.expect("what it ends with")));
         self.out.insert((id, n), Out { server, function, workload, customer, sent: now, serving, then });
         if !copy && self.rows.permits.second_copies && effect != Effect::RunOnce {
@@ -823,15 +826,19 @@
 
     // ---- Rules 1 and 2: one final answer, no effect twice ----------------------------------
 
+    /// Until when another execution of the job may begin.
+    fn repeat_until(job: &Job) -> Micros {
+        let risky = job.tried.iter().filter(|t| t.fate != Fate::NeverRan).map(|t| t.sent).min();
+        match (risky, job.effect) {
+            (None, _) | (_, Effect::Restartable) => Micros::MAX,
+            (Some(first), Effect::Fingerprinted { window, .. }) => (first + window).saturating_sub(BEAT),
+            (Some(_), Effect::RunOnce) => 0,
+        }
+    }
+
     /// Whether the job may have another execution at all; `may_send` tells where.
     fn repeat_allowed(&self, job: &Job) -> bool {
-        let risky = job.tried.iter().filter(|t| t.fate != Fate::NeverRan).map(|t| t.sent).min();
-        let allowed = match (risky, job.effect) {
-            (None, _) | (_, Effect::Restartable) => true,
-            (Some(first), Effect::Fingerprinted { window, .. }) => self.now + BEAT < first + window,
-            (Some(_), Effect::RunOnce) => false,
-        };
-        allowed && job.tried.len() < self.rows.permits.executions
+        self.now < Self::repeat_until(job) && job.tried.len() < self.rows.permits.executions
     }
 
     /// Every send passes here: the list, repeats and their group, and workers this job has just left.
@@ -975,20 +982,14 @@
                     }
                 }
             }
-            Outcome::Error => {
-                s.errors += age.max(FRESH) * (1.0 - s.errors);
-                if s.errors > ERRORS_HIGH || s.trickle.is_some() {
-                    self.set_aside(orders, out.server);
-                }
-            }
             Outcome::NoConnection => {
                 hold.serving_until = 0;
                 self.set_aside(orders, out.server);
             }
             // Connections break by themselves too. All that breaks at one moment is one sign, and a worker
             // that is gone refuses the next connection.
-            Outcome::Broken if s.broken < now => {
-                s.broken = now;
+            Outcome::Error | Outcome::Broken if answer.outcome == Outcome::Error || s.broken < now => {
+                s.broken = if answer.outcome == Outcome::Broken { now } else { s.broken };
                 s.errors += age.max(FRESH) * (1.0 - s.errors);
                 if s.errors > ERRORS_HIGH || s.trickle.is_some() {
                     self.set_aside(orders, out.server);
@@ -1003,7 +1004,7 @@
                 s.others += if answer.held.is_some() { 0.0 } else { others * answer.elapsed as f64 / SPAN };
                 Self::cut_room(s, now, row.start_target);
             }
-            Outcome::Broken | Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Error | Outcome::Broken | Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -252,7 +252,8 @@
 
 /// What the decisions may order. All take effect at the time of the call.
 pub trait Orders {
-    fn send(&mut self, job: JobId, server: ServerId, patience: Micros);
+    /// `begin`: the time from which on nothing of it may leave any more, as a repeat would not be known then.
+    fn send(&mut self, job: JobId, server: ServerId, patience: Micros, begin: Micros);
     fn cancel(&mut self, job: JobId, execution: usize);
     fn push_back(&mut self, job: JobId, come_back: Option<Micros>);
     fn kill(&mut self, job: JobId);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // each table of cases uses its own part
 use applepond::control::Control;
 use applepond::interface::*;
+use std::collections::BTreeMap;
 
 /// What the module ordered, in its order.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,11 +17,14 @@
 pub struct Record {
     pub did: Vec<Did>,
     pub timers: Vec<(Micros, Token)>,
+    /// From when on each last execution at a worker may not begin any more.
+    pub begin: BTreeMap<(JobId, ServerId), Micros>,
     pub now: Micros,
 }
 
 impl Orders for Record {
-    fn send(&mut self, job: JobId, server: ServerId, _patience: Micros) {
+    fn send(&mut self, job: JobId, server: ServerId, _patience: Micros, begin: Micros) {
+        self.begin.insert((job, server), begin);
         self.did.push(Did::Send(job, server));
     }
     fn cancel(&mut self, job: JobId, execution: usize) {
--- /dev/null
+++ b/tests/ramp.rs
@@ -0,0 +1,212 @@
+//! Rule 4 over the fleet: what all routers together send to a worker that has just come. Each router is an
+//! instance of the module with its own clock of events; workers answer after a time, cold ones later.
+mod common;
+use applepond::control::Control;
+use applepond::interface::*;
+use common::{Did, MS, Record, answer, listed, rows, server};
+use oorandom::Rand64;
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+const STEP: Micros = 5 * MS;
+const WORKERS: u64 = 12;
+/// Work of a job at a warm worker.
+const WORK: Micros = 60 * MS;
+
+/// What befalls the fleet beside the worker that comes.
+#[derive(Clone, Copy, Default)]
+struct Day {
+    routers: u64,
+    /// Jobs a second that one warm worker does.
+    pace: f64,
+    /// Jobs that come, as a part of what all workers do.
+    load: f64,
+    /// One in so many routers is born together with the worker.
+    restarted: u64,
+    /// The list reaches a router up to this much later.
+    late: Micros,
+    /// Of ten answers of the fresh worker so many are errors, which lead to further executions.
+    errors: u64,
+    /// So many of the other workers leave as it comes, draining first or gone at once: what was theirs looks
+    /// for a place.
+    drain: usize,
+    gone: usize,
+    /// Half of the functions come in a new version as it comes, which nobody has loaded.
+    versions: bool,
+}
+
+struct Router {
+    control: Control,
+    record: Record,
+    /// Jobs come here so many times as often as on average.
+    part: f64,
+    told: bool,
+    born: bool,
+    late: Micros,
+    answers: BTreeMap<(Micros, JobId, usize), ServerId>,
+    sent: BTreeMap<JobId, usize>,
+}
+
+impl Router {
+    fn start(day: &Day, me: u64, now: Micros, list: &[Listed]) -> (Control, Record) {
+        let effect = Effect::Restartable;
+        let mut rows = Startup { me, seed: me + 1, routers: day.routers, ..rows(effect) };
+        rows.customers = vec![CustomerRow { jobs_per_s: day.pace * WORKERS as f64 }];
+        let mut record = Record { now, ..Record::default() };
+        let mut control = Control::new(now, rows, &mut record);
+        control.list(&mut record, ListKind::Full, list);
+        (control, record)
+    }
+
+    /// Carries out what was ordered: when each execution at the fresh worker began.
+    fn settle(&mut self, fresh: ServerId, warmth: f64, rng: &mut Rand64, began: &mut Vec<Micros>) {
+        for did in std::mem::take(&mut self.record.did) {
+            let Did::Send(job, to) = did else { continue };
+            let n = self.sent.entry(job).or_default();
+            let slow = if to == fresh { warmth } else { 1.0 };
+            let work = -(rng.rand_float().max(1e-9)).ln() * WORK as f64 / slow;
+            self.answers.insert((self.record.now + work as Micros, job, *n), to);
+            *n += 1;
+            if to == fresh {
+                began.push(self.record.now);
+            }
+        }
+    }
+
+    fn wake(&mut self, until: Micros) {
+        while let Some(at) = (0..self.record.timers.len())
+            .filter(|i| self.record.timers[*i].0 <= until)
+            .min_by_key(|i| self.record.timers[*i])
+        {
+            let (_, token) = self.record.timers.swap_remove(at);
+            self.control.wake(&mut self.record, token);
+        }
+    }
+}
+
+/// The worst moment of the fresh worker's first seconds: what it got within a span, what was allowed.
+fn worst(day: Day, seed: u64) -> (f64, usize, f64) {
+    let rules = rows(Effect::Restartable).rules;
+    let mut rng = Rand64::new(u128::from(seed));
+    let begin = 100_000 * MS;
+    let birth = begin + 20_000 * MS;
+    let fresh = server(WORKERS);
+    let old: Vec<Listed> = (0..WORKERS).map(|n| listed(n, Standing::Ready, 0)).collect();
+    let mut new = old.clone();
+    new.push(listed(WORKERS, Standing::Ready, birth));
+    new[..day.drain].iter_mut().for_each(|entry| entry.standing = Standing::Draining);
+    new.drain(..day.gone);
+    let mut routers: Vec<Router> = (0..day.routers)
+        .map(|me| {
+            let (control, record) = Router::start(&day, me, begin, &old);
+            // Uneven: some have several times the mean.
+            let part = [0.3, 0.5, 0.7, 1.0, 2.5][me as usize % 5];
+            let late = rng.rand_range(0..day.late.max(1));
+            let (answers, sent) = (BTreeMap::new(), BTreeMap::new());
+            Router { control, record, part, told: false, born: false, late, answers, sent }
+        })
+        .collect();
+    let mut began = Vec::new();
+    let mut next = 0u64;
+    let mut now = begin;
+    while now < birth + 6_000 * MS {
+        now += STEP;
+        let warm = now.saturating_sub(birth) as f64 / rules.warm_within as f64;
+        let warmth = rules.cold_share + (1.0 - rules.cold_share) * warm;
+        for (me, r) in routers.iter_mut().enumerate() {
+            if day.restarted > 0 && now >= birth && (me as u64).is_multiple_of(day.restarted) && !r.born {
+                let (control, record) = Router::start(&day, me as u64, now, &new);
+                (r.control, r.record, r.born, r.told) = (control, record, true, true);
+                r.answers.clear();
+                r.sent.clear();
+            }
+            r.record.now = now;
+            r.control.clock(now);
+            if !r.told && now >= birth + r.late {
+                r.told = true;
+                r.control.list(&mut r.record, ListKind::Full, &new);
+            }
+            while let Some((&(at, job, n), &from)) = r.answers.first_key_value()
+                && at <= now
+            {
+                r.answers.pop_first();
+                let fails = from == fresh && rng.rand_range(0..10) < day.errors;
+                let outcome = if fails { Outcome::Error } else { Outcome::Finished };
+                let elapsed = (WORK as f64 / if from == fresh { warmth } else { 1.0 }) as Micros;
+                r.control.answered(&mut r.record, job, n, &Answer { elapsed, ..answer(outcome) });
+                r.settle(fresh, warmth, &mut rng, &mut began);
+            }
+            r.wake(now);
+            r.settle(fresh, warmth, &mut rng, &mut began);
+            let rate = day.pace * WORKERS as f64 * day.load * r.part / day.routers as f64;
+            let mut due = rate * STEP as f64 / 1e6;
+            while due > 0.0 {
+                if rng.rand_float() < due {
+                    next += 1;
+                    let mut id = [0; 36];
+                    id[..8].copy_from_slice(&next.to_le_bytes());
+                    // A few functions have most of the jobs.
+                    let function = (rng.rand_float().powi(3) * 60.0) as u64;
+                    let version = u64::from(day.versions && now >= birth && function.is_multiple_of(2));
+                    let arrival = Arrival {
+                        job: JobId(id),
+                        function: FunctionId::named(&format!("hut-{function}-{version}")),
+                        workload: WorkloadId(0),
+                        customer: Some(CustomerId(0)),
+                        left: 3000 * MS,
+                        lanes: 8,
+                        retry: rng.rand_range(0..10) == 0,
+                        load_time: Some(200 * MS),
+                        paid: 1.0,
+                    };
+                    r.control.job(&mut r.record, &arrival);
+                    r.settle(fresh, warmth, &mut rng, &mut began);
+                }
+                due -= 1.0;
+            }
+        }
+    }
+    let allowed = |at: Micros| {
+        let warm = at.saturating_sub(rules.fall_span).max(birth) - birth;
+        let warmth = rules.cold_share + (1.0 - rules.cold_share) * warm as f64 / rules.warm_within as f64;
+        let n = rules.fall_multiple * warmth * day.pace * rules.fall_span as f64 / 1e6;
+        n + 2.0 * n.sqrt() + 2.0
+    };
+    began.sort_unstable();
+    let within = |at: Micros| began.iter().filter(|b| **b + rules.fall_span > at && **b <= at).count();
+    let moments = began.iter().map(|at| (within(*at), allowed(*at)));
+    let most = moments.map(|(n, most)| (n as f64 / most, n, most));
+    most.max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or((0.0, 0, 1.0))
+}
+
+const EVEN: Day = Day {
+    routers: 0,
+    pace: 0.0,
+    load: 0.9,
+    restarted: 0,
+    late: 0,
+    errors: 0,
+    drain: 0,
+    gone: 0,
+    versions: false,
+};
+
+#[test_case(EVEN; "uneven traffic")]
+#[test_case(Day { load: 2.5, ..EVEN }; "two and a half times what fits")]
+#[test_case(Day { restarted: 2, ..EVEN }; "half of the routers restarted with it")]
+#[test_case(Day { restarted: 1, load: 2.5, ..EVEN }; "all of them, and too much work")]
+#[test_case(Day { late: 1_500 * MS, restarted: 3, ..EVEN }; "told up to a second and a half apart")]
+#[test_case(Day { errors: 5, load: 1.5, ..EVEN }; "errors, and further executions")]
+#[test_case(Day { drain: 9, ..EVEN }; "nine of twelve others leave")]
+#[test_case(Day { drain: 9, load: 2.5, restarted: 1, late: 500 * MS, ..EVEN }; "and all routers restarted")]
+#[test_case(Day { gone: 4, restarted: 1, ..EVEN }; "a third is gone at once, and all restarted")]
+#[test_case(Day { gone: 6, load: 2.5, restarted: 1, ..EVEN }; "half is gone at once, and all restarted")]
+#[test_case(Day { versions: true, ..EVEN }; "new versions on a quiet day")]
+fn the_sum_of_all_routers(day: Day) {
+    for routers in [2, 20, 30, 300] {
+        for pace in [5.0, 20.0, 100.0] {
+            let (part, got, most) = worst(Day { routers, pace, ..day }, 7 + routers);
+            assert!(part <= 1.0, "{routers} routers, pace {pace}: {got} within a span, {most:.1} allowed");
+        }
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -42,6 +42,20 @@
     assert_eq!(bench.ends(1), if again { vec![] } else { vec![Did::Kill(job(1))] });
 }
 
+// A further execution has to have left while its repeat would still be known; a first one has no such time.
+#[test_case(RACK, Some(3000 * MS - 20 * MS); "fingerprinted: to the end of its window, with care")]
+#[test_case(Effect::Restartable, None; "restartable")]
+fn begins_in_time(effect: Effect, within: Option<Micros>) {
+    let mut bench = Bench::new(rows(effect), 8);
+    let came = bench.record.now;
+    bench.arrive(1, "hut", 8000 * MS);
+    bench.pass(50 * MS);
+    bench.close(1, 0, &answer(Outcome::Error));
+    bench.pass(500 * MS);
+    let begin: Vec<Micros> = bench.sends(1).iter().map(|to| bench.record.begin[&(job(1), *to)]).collect();
+    assert_eq!(begin, [Micros::MAX, within.map_or(Micros::MAX, |within| came + within)]);
+}
+
 // Rule 1: every job ends once, before its client leaves, and nothing follows.
 #[test_case(Effect::Restartable, 0, 5000; "held without any worker")]
 #[test_case(Effect::RunOnce, 0, 5000; "run-once held without any worker")]
