--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -288,6 +288,19 @@
 /// Done once, amid a tick.
 pub type Amid = Rc<RefCell<Option<Box<dyn FnOnce()>>>>;
 
+/// What model servers do between two turns.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Doing {
+    /// They read, and say that their connections work.
+    Serves,
+    /// They read nothing and say all the same that they work.
+    Full,
+    /// They say nothing.
+    Mute,
+    /// They accept no connection.
+    Shut,
+}
+
 /// A router on real sockets that lives only while the test turns it: whatever clients and model servers do
 /// between two turns lies in the kernel when it looks, as after a standstill.
 pub struct Real {
@@ -304,8 +317,8 @@
     pub over: Rc<Cell<bool>>,
     /// Done once when the machine next asks for news: after sockets were read, amid its tick.
     pub amid: Amid,
-    /// Model servers read nothing.
-    pub deaf: bool,
+    /// What model servers do.
+    pub doing: Doing,
 }
 
 impl Real {
@@ -358,7 +371,7 @@
             news,
             over,
             amid,
-            deaf: false,
+            doing: Doing::Serves,
         }
     }
 
@@ -368,15 +381,18 @@
             self.reactor.remove(0);
         }
         self.reactor.turn(Duration::from_millis(5)).expect("a turn");
-        for server in &self.servers {
+        for server in self.servers.iter().filter(|_| self.doing != Doing::Shut) {
             while let Ok((stream, _)) = server.accept() {
                 stream.set_nonblocking(true).expect("set");
                 self.peers.push(Peer { stream, text: String::new(), echoes: 0 });
             }
         }
         for peer in &mut self.peers {
-            // Those that read nothing say all the same that they work.
-            let asked = if self.deaf { peer.echoes + 1 } else { peer.reads_echoes() };
+            let asked = match self.doing {
+                Doing::Serves => peer.reads_echoes(),
+                Doing::Full => peer.echoes + 1,
+                Doing::Mute | Doing::Shut => peer.echoes,
+            };
             for _ in std::mem::replace(&mut peer.echoes, asked)..asked {
                 let _ = peer.stream.write_all(b"{\"verb\":\"UP\",\"rid\":\"works\"}\n");
             }
@@ -539,6 +555,18 @@
     server
 }
 
+/// A model server whose queue of connections is full: those that come now do not stand.
+pub fn full_server() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).and_then(|()| socket.listen(0)).expect("a port");
+    let server = TcpListener::from(socket);
+    let at = server.local_addr().expect("bound");
+    let connect = || TcpStream::connect_timeout(&at, Duration::from_millis(100)).ok();
+    let queue = std::iter::from_fn(connect).collect();
+    (server, queue)
+}
+
 /// A good answer of 30,000 bytes, more than a small client's kernel takes.
 pub fn big(id: u64) -> String {
     word("OK", id).replace("b2s=", &"eHh4".repeat(10_000))
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -120,10 +120,13 @@
 
 // A model server that reads nothing answers until the connection is full: one line has left in part, others
 // wait behind it. Their clients go: the part is made whole and given up, what waits is taken back.
-#[test]
-fn hung_up_amid_a_line() {
-    let mut r = Real::at(vec![small_server()], |_| ());
-    r.deaf = true;
+#[test_case(true, false; "it reads on")]
+#[test_case(false, false; "it reads on, and executions may not be cancelled")]
+#[test_case(false, true; "it resets the connection, and they may not be cancelled")]
+fn hung_up_amid_a_line(cancel: bool, resets: bool) {
+    let allow = |file: &mut serde_json::Value| file["settings"]["allowed"]["cancel"] = cancel.into();
+    let mut r = Real::at(vec![small_server()], allow);
+    r.doing = Doing::Full;
     let long = |id| {
         let head = call("quote", id).replace("Content-Length: 2", "Content-Length: 16000");
         head.replace("\r\n\r\nhi", &format!("\r\n\r\n{}", "y".repeat(16_000)))
@@ -148,10 +151,24 @@
     for client in clients {
         r.hangs_up(client);
     }
-    r.until("seen", |r| r.node.borrow().kept()[0] == 0);
-    r.deaf = false;
+    r.until("seen", |r| r.node.borrow().kept()[1] == 0);
+    let mut first = resets.then(|| r.peers.remove(0));
+    if let Some(peer) = &mut first {
+        peer.read();
+        socket2::SockRef::from(&peer.stream).set_linger(Some(Duration::ZERO)).expect("set");
+    }
+    let first = first.map(|peer| peer.text);
+    r.doing = Doing::Serves;
+    // Where nothing may be cancelled, a line that had left in part is still owed an answer of its own.
+    r.until("all over", |r| r.node.borrow().kept()[0] <= usize::from(!cancel));
     r.served(next);
     let peers = r.ends();
+    if let Some(text) = first {
+        let begun = |id: u64| text.contains(&format!("DO\",\"rid\":\"{}", name(id)));
+        let anew = (1..next).filter(|id| !begun(*id)).map(|id| told(&peers, "DO", id)).sum::<usize>();
+        assert_eq!(anew, 0, "not on another connection either");
+        return;
+    }
     let lines = || peers.iter().flat_map(|peer| peer.text.lines());
     assert!(lines().all(|l| serde_json::from_str::<serde_json::Value>(l).is_ok()), "whole lines");
     let begun: Vec<usize> = (1..next).map(|id| told(&peers, "DO", id)).collect();
@@ -302,6 +319,43 @@
     assert!(answer[..n].starts_with(b"HTTP/1.1 200"));
 }
 
+// Silent clients, and one amid its request, are off within three seconds.
+#[test]
+fn silent_clients() {
+    let mut r = Real::new(1, |_| ());
+    let begun = Instant::now();
+    let (_silent, mut half) = (r.client(), r.client());
+    half.write_all(&call("quote", 1).as_bytes()[..60]).expect("written");
+    r.until("off", |r| r.node.borrow().kept()[1] == 0);
+    assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
+}
+
+// What a client is told in the end: a refusal only where no execution can have run, or running twice harms
+// nothing.
+#[test_case("confirm", "ERR", "502"; "run-once, and it may have run")]
+#[test_case("confirm", "MISS", "503"; "run-once, and it has not")]
+#[test_case("hold", "ERR", "502"; "keyed, by its group alone")]
+#[test_case("quote", "ERR", "503"; "idempotent")]
+fn refused_or_failed(workload: &str, verb: &str, status: &str) {
+    let mut r = Real::new(1, |file| file["settings"]["allowed"]["attempts-cap"] = 1.into());
+    let (client, link) = r.carried(workload, 1);
+    r.peers[link].says(&word(verb, 1));
+    r.leaves();
+    let answer = r.rest(client);
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+}
+
+// A client's further try comes to another router: the key is the same, so the model servers know it.
+#[test]
+fn a_further_try_at_another_router() {
+    let key = r#""uniq":"5c0f6e1a2b3d4c59a8b7c6d5e4f30211""#;
+    for id in [1, 2] {
+        let mut r = Real::new(1, |_| ());
+        let (_client, link) = r.carried("hold", id);
+        assert!(r.peers[link].text.contains(key), "{}", r.peers[link].text);
+    }
+}
+
 // ---- Connections to model servers ------------------------------------------------------------
 
 // An answer and a reset in one batch: the answer counts.
@@ -330,6 +384,61 @@
     assert_eq!(told(&r.ends(), "DO", 1), 1);
 }
 
+// A drain is told while an execution waits for a connection: it is taken back, and has not run.
+#[test]
+fn drained_while_connecting() {
+    let (server, queue) = full_server();
+    let mut r = Real::at(vec![server], |file| {
+        file["settings"]["allowed"]["connect-timeout"] = 5000.0.into();
+    });
+    r.doing = Doing::Shut;
+    let mut client = r.client();
+    client.write_all(call("confirm", 1).as_bytes()).expect("written");
+    r.until("connecting", |r| r.node.borrow().kept()[2] == 1);
+    let mut file = r.file.clone();
+    file["known"]["updates"][0]["endpoints"]["members"][0]["phase"] = "terminating".into();
+    r.lists(&start(&file));
+    r.until("taken in", |r| r.names.peek(&mut [0; 512]).is_ok());
+    drop(queue);
+    r.doing = Doing::Serves;
+    r.leaves();
+    let answer = r.rest(client);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert_eq!(told(&r.ends(), "DO", 1), 0);
+}
+
+// Another server has taken the address: its requests go by a connection of their own, and what is out at the
+// old one comes to its end.
+#[test]
+fn another_server_at_the_same_address() {
+    let mut r = Real::new(1, |_| ());
+    let (mut client, old) = r.carried("confirm", 1);
+    let mut file = r.file.clone();
+    file["known"]["updates"][0]["endpoints"]["members"][0]["id"] = "s-new".into();
+    r.lists(&start(&file));
+    r.until("taken in", |r| r.node.borrow().kept()[3] == 1 && r.names.peek(&mut [0; 512]).is_ok());
+    let (_client, new) = r.carried("confirm", 2);
+    assert_ne!(new, old);
+    r.peers[old].says(&word("OK", 1));
+    r.quiet();
+    let mut answer = [0; 1024];
+    let n = client.read(&mut answer).expect("an answer");
+    assert!(answer[..n].starts_with(b"HTTP/1.1 200"));
+    r.until("parted", |r| r.node.borrow().kept()[2] == 1);
+}
+
+// A connection that owes an answer and does not even say that it works: it may have run.
+#[test]
+fn a_mute_server() {
+    let mut r = Real::new(1, |_| ());
+    let (client, _) = r.carried("confirm", 1);
+    r.doing = Doing::Mute;
+    r.leaves();
+    let answer = r.rest(client);
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert_eq!(told(&r.ends(), "DO", 1), 1);
+}
+
 // A model server that turned a request away and is asked again, says so a second time: that is no answer to
 // the second execution, which goes by another connection.
 #[test_case("BUSY"; "full")]
