--- a/benches/crowd.rs
+++ b/benches/crowd.rs
@@ -55,7 +55,7 @@
 
 fn rows() -> Startup {
     let row = |start_target| WorkloadRow {
-        effect: Effect::Restartable,
+        effect: Effect::Idempotent,
         start_target,
         importance: 1.0,
         late_part: 0.2,
--- a/crates/chain/src/plan.rs
+++ b/crates/chain/src/plan.rs
@@ -278,8 +278,8 @@
                 let found = format!("undo \"{}\" that leads on", step.name);
                 fault(Some(n), Part::Next, found, "an undo without next, else or undo");
             }
-            if step.undo.is_some() && step.effect == Effect::Restartable {
-                let found = format!("an undo of the restartable \"{}\"", step.name);
+            if step.undo.is_some() && step.effect == Effect::Idempotent {
+                let found = format!("an undo of the idempotent \"{}\"", step.name);
                 fault(Some(n), Part::Undo, found, "an undo of a step whose effect lasts");
             }
             let known = |of: StepId| of == id || before[n].contains(&of);
--- a/crates/chain/src/run.rs
+++ b/crates/chain/src/run.rs
@@ -434,7 +434,7 @@
         self.cancel_rest(todo);
         let lasts = |s: &&StepId| {
             matches!(self.states[s.0], State::Ended(How::Finished | How::MayHaveRun))
-                && self.plan.step(**s).effect != Effect::Restartable
+                && self.plan.step(**s).effect != Effect::Idempotent
         };
         let ended = match self.order.iter().any(|s| lasts(&s)) {
             true => Ended::Failed(step, why),
--- a/crates/chain/tests/common/mod.rs
+++ b/crates/chain/tests/common/mod.rs
@@ -12,7 +12,7 @@
 /// A step of 100 ms at the least that leads nowhere.
 pub fn step(name: &str, effect: Effect) -> Step {
     let workload = match effect {
-        Effect::Restartable => 0,
+        Effect::Idempotent => 0,
         Effect::Fingerprinted { .. } => 1,
         Effect::RunOnce => 2,
     };
@@ -30,7 +30,7 @@
 }
 
 pub fn free(step: &str) -> Step {
-    self::step(step, Effect::Restartable)
+    self::step(step, Effect::Idempotent)
 }
 
 pub fn id(n: usize) -> StepId {
--- a/crates/chain/tests/plans.rs
+++ b/crates/chain/tests/plans.rs
@@ -26,7 +26,7 @@
 #[test_case(vec![step("a", RunOnce).or_else(&[to(1)]), Step { function: Function::Named("a".into()),
     ..step("b", RunOnce) }],
     "\"b\" repeats the run-once \"a\""; "a repeat of what may have run")]
-#[test_case(vec![free("a").undone_by(1), free("u")], "an undo of the restartable \"a\""; "nothing to undo")]
+#[test_case(vec![free("a").undone_by(1), free("u")], "an undo of the idempotent \"a\""; "nothing to undo")]
 #[test_case(vec![free("a").undone_by(1), step("u", RunOnce)], "undo \"u\" in a run-once workload";
     "an undo that runs once")]
 #[test_case(vec![free("a").undone_by(1).next(&[to(1)]), free("u")],
--- a/crates/chain/tests/runs.rs
+++ b/crates/chain/tests/runs.rs
@@ -61,7 +61,7 @@
 }
 
 // As long as nothing can have had an effect that lasts, the client may ask again.
-#[test_case(0, How::MayHaveRun, "pushed back at price: StepFailed"; "a restartable step may have run")]
+#[test_case(0, How::MayHaveRun, "pushed back at price: StepFailed"; "an idempotent step may have run")]
 #[test_case(0, How::NeverRan, "pushed back at price: StepFailed"; "it never ran")]
 fn pushed_back(n: usize, how: How, want: &str) {
     let mut b = Bench::new(booking());
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -115,7 +115,7 @@
         let _ = std::io::stdout().flush();
     });
     let lasts =
-        |d: &Deployment| d.chains.iter().flat_map(|c| &c.plan.steps).any(|s| s.effect != Effect::Restartable);
+        |d: &Deployment| d.chains.iter().flat_map(|c| &c.plan.steps).any(|s| s.effect != Effect::Idempotent);
     let record = match &deployment.record {
         Some(file) => match Disk::open(file) {
             Ok(disk) => Some(Box::new(disk)),
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -17,7 +17,7 @@
 /// What a second execution of an event's job would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
-    Restartable,
+    Idempotent,
     Fingerprinted,
     RunOnce,
 }
@@ -154,7 +154,7 @@
             Saw::Answered { exchange, status: 503 } => {
                 let Some(event) = asked.get(exchange) else { continue };
                 let effect = terms.effects.get(*event);
-                if effect != Some(&Effect::Restartable) && begun.contains_key(event) {
+                if effect != Some(&Effect::Idempotent) && begun.contains_key(event) {
                     verdict.fault(2, format!("job {event} was pushed back after it had begun"));
                 }
             }
@@ -259,7 +259,7 @@
     #[test_case(vec![(9 * S, asked("q")), (9 * S, Saw::Cut { exchange: 1 })], None;
     "cut by the drill's kill")]
     #[test_case(vec![(0, came("q", 1)), (1, began("q")), (2, came("q", 2)), (3, began("q"))], None;
-        "restartable twice")]
+        "idempotent twice")]
     #[test_case(vec![(0, came("c", 1)), (1, began("c")), (2, came("c", 1)), (3, began("c"))], Some(2);
         "run-once twice")]
     #[test_case(vec![(0, came("h", 1)), (1, began("h")), (2, came("h", 1)), (3, began("h"))], None;
@@ -281,7 +281,7 @@
     #[test_case(vec![(0, told(true)), (1, Saw::Rose { worker: name("w") }), (2, fell())], None;
         "pushed over before any was told that it started")]
     fn stories(ledger: Vec<(Micros, Saw)>, rule: Option<u8>) {
-        let effects = [("q", Effect::Restartable), ("h", Effect::Fingerprinted), ("c", Effect::RunOnce)];
+        let effects = [("q", Effect::Idempotent), ("h", Effect::Fingerprinted), ("c", Effect::RunOnce)];
         let terms = Terms {
             grace: 2 * S,
             window: 3 * S,
--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -74,7 +74,7 @@
         kind,
         function: price[function].as_str().unwrap_or("hold-hut-1").to_owned(),
         limit: (spent + LIMIT / 3).min(LIMIT),
-        restartable: false,
+        idempotent: false,
         fingerprint: kind == "hold",
         ..p.clone()
     };
@@ -119,7 +119,7 @@
             target: LIMIT,
             // A chain may be asked for again where it may have begun: there it joins, or goes on by its
             // record.
-            restartable: true,
+            idempotent: true,
             fingerprint: false,
             structured: false,
             router: rng.rand_range(0..order.plan.routers as u64) as usize,
@@ -226,7 +226,7 @@
         let id = job.id.strip_suffix("/price").unwrap_or(&job.id);
         let chain = format!("{} {id}", job.source);
         for (step, effect) in [
-            ("price", Effect::Restartable),
+            ("price", Effect::Idempotent),
             ("beds", Effect::Fingerprinted),
             ("second", Effect::Fingerprinted),
             ("confirm", Effect::RunOnce),
--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -192,7 +192,7 @@
             work_ms: rng.rand_range(30..90),
             limit: 4 * S,
             target: if kind == "confirm" { 750 * MS } else { S },
-            restartable: kind == "quote",
+            idempotent: kind == "quote",
             fingerprint: kind == "hold",
             structured: chance(rng, 0.3),
             router: rng.rand_range(0..routers as u64) as usize,
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -149,8 +149,8 @@
 
 /// What a second execution of each job would do.
 pub fn effects(day: &Day) -> BTreeMap<Event, Effect> {
-    let effect = |j: &applepond_standins::client::Planned| match (j.restartable, j.fingerprint) {
-        (true, _) => Effect::Restartable,
+    let effect = |j: &applepond_standins::client::Planned| match (j.idempotent, j.fingerprint) {
+        (true, _) => Effect::Idempotent,
         (_, true) => Effect::Fingerprinted,
         _ => Effect::RunOnce,
     };
--- a/crates/drill/src/storm.rs
+++ b/crates/drill/src/storm.rs
@@ -114,7 +114,7 @@
             work_ms: rng.rand_range(30..90),
             limit: LIMIT,
             target: if kind == "confirm" { 750 * MS } else { S },
-            restartable: kind == "quote",
+            idempotent: kind == "quote",
             fingerprint: kind == "hold",
             structured: false,
             router: client as usize % order.plan.routers,
@@ -243,8 +243,8 @@
         }
     }
     drop(routers);
-    let effect = |j: &Planned| match (j.restartable, j.fingerprint) {
-        (true, _) => Effect::Restartable,
+    let effect = |j: &Planned| match (j.idempotent, j.fingerprint) {
+        (true, _) => Effect::Idempotent,
         (_, true) => Effect::Fingerprinted,
         _ => Effect::RunOnce,
     };
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -49,12 +49,12 @@
 }
 
 /// Whether an ended job's answer is told again. A pushback invites another try, so that must be a new job. A
-/// kill promises nothing, and what may have run must not run again unless it is restartable.
+/// kill promises nothing, and what may have run must not run again unless it is idempotent.
 fn told_again(ending: Ending, effect: Effect) -> bool {
     match ending {
         Ending::Finished => true,
         Ending::PushedBack => false,
-        Ending::Killed => effect != Effect::Restartable,
+        Ending::Killed => effect != Effect::Idempotent,
     }
 }
 
@@ -150,10 +150,10 @@
         JobId([n; 36])
     }
 
-    #[test_case(Ending::Finished, Effect::Restartable, true; "finished: the work is done")]
+    #[test_case(Ending::Finished, Effect::Idempotent, true; "finished: the work is done")]
     #[test_case(Ending::Finished, Effect::RunOnce, true; "finished run-once")]
     #[test_case(Ending::PushedBack, Effect::RunOnce, false; "pushed back: a new try is invited")]
-    #[test_case(Ending::Killed, Effect::Restartable, false; "killed restartable may run again")]
+    #[test_case(Ending::Killed, Effect::Idempotent, false; "killed idempotent may run again")]
     #[test_case(Ending::Killed, MARKED, true; "killed fingerprinted may have run")]
     #[test_case(Ending::Killed, Effect::RunOnce, true; "killed run-once may have run")]
     fn after_the_end(ending: Ending, effect: Effect, again: bool) {
--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -219,7 +219,7 @@
         };
         let named = draft.picked(&chain_row.function_by).filter(|f| !f.is_empty()).map(str::to_owned);
         let digest_of_plan = digest(&plan, &self.deployment.workloads);
-        let lasts = plan.steps.iter().any(|s| s.effect != Effect::Restartable);
+        let lasts = plan.steps.iter().any(|s| s.effect != Effect::Idempotent);
         if lasts && draft.data.len() > ANSWER_MOST {
             return refuse(413, "large-chain", "the data of a chain with effects must fit its record");
         }
@@ -486,7 +486,7 @@
                 Do::Begin { step, function, until } => {
                     let effect = self.chains.open.get(&job).map(|c| c.run.plan().step(step).effect);
                     match effect {
-                        Some(Effect::Restartable) | None => self.begin_step(now, job, step, function, until),
+                        Some(Effect::Idempotent) | None => self.begin_step(now, job, step, function, until),
                         _ => self.chains.unwritten.push(Waiting { job, step, function, until }),
                     }
                 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -23,11 +23,11 @@
     pub news: Rc<RefCell<Option<Deployment>>>,
 }
 
-/// `workers` static workers; workloads `quote` (restartable), `hold` (fingerprinted) and `confirm`
+/// `workers` static workers; workloads `quote` (idempotent), `hold` (fingerprinted) and `confirm`
 /// (run-once), started within 500 ms, given up after 4 s, a load takes 100 ms.
 pub fn deployment(workers: u16) -> Deployment {
     let effects = [
-        ("quote", Effect::Restartable),
+        ("quote", Effect::Idempotent),
         ("hold", Effect::Fingerprinted { within: Within::Rack, window: 3 * S }),
         ("confirm", Effect::RunOnce),
     ];
--- a/crates/gateway/tests/machine.rs
+++ b/crates/gateway/tests/machine.rs
@@ -24,7 +24,7 @@
 
 // A client's retry joins the running job: one execution, one answer to each exchange; after the end it is
 // told again.
-#[test_case("quote"; "restartable")]
+#[test_case("quote"; "idempotent")]
 #[test_case("confirm"; "run-once")]
 fn retries_join(kind: &str) {
     let mut b = Bench::new(deployment(2));
@@ -107,7 +107,7 @@
     b.asks("confirm", "2");
     assert_eq!(b.paper.connects.len(), 2);
     b.asks("quote", "3");
-    assert_eq!(b.paper.connects.len(), 2, "a restartable one goes there still");
+    assert_eq!(b.paper.connects.len(), 2, "an idempotent one goes there still");
     b.pass(6 * S);
     assert!(b.paper.cut.contains(&b.paper.connects[1].0), "what hangs past the limit is cut");
 }
@@ -127,7 +127,7 @@
     assert_eq!(b.statuses(client), [200]);
 }
 
-#[test_case("quote", 503; "restartable is pushed back")]
+#[test_case("quote", 503; "idempotent is pushed back")]
 #[test_case("confirm", 504; "run-once is killed")]
 fn an_answer_after_the_time_limit(kind: &str, status: u16) {
     let mut b = Bench::new(deployment(1));
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -96,7 +96,7 @@
         work_ms: 1,
         limit: 4 * S,
         target: 2 * S,
-        restartable: kind == "quote",
+        idempotent: kind == "quote",
         fingerprint: kind == "hold",
         structured: n.is_multiple_of(2),
         router: 0,
@@ -160,7 +160,7 @@
     assert!(ends.keys().all(|got| wanted.contains(got)), "{ends:?}");
 }
 
-// A worker dies while it runs jobs, and comes back: restartable ones are answered by another.
+// A worker dies while it runs jobs, and comes back: idempotent ones are answered by another.
 #[test]
 fn a_worker_dies_with_its_jobs() {
     let mut fleet = fleet(2, &[]);
--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -67,7 +67,7 @@
 
 fn workload(row: &Value) -> Read<WorkloadRow> {
     let effect = match text(row, "idempotency")? {
-        "idempotent" => Effect::Restartable,
+        "idempotent" => Effect::Idempotent,
         "at_most_once" => Effect::RunOnce,
         "deduplicated" => Effect::Fingerprinted {
             within: match text(row, "group")? {
--- a/crates/record/src/kept.rs
+++ b/crates/record/src/kept.rs
@@ -77,7 +77,7 @@
 /// the first.
 fn again(effect: Effect, sent: Micros, now: Micros) -> bool {
     match effect {
-        Effect::Restartable => true,
+        Effect::Idempotent => true,
         Effect::Fingerprinted { within: Within::Everywhere, window } => now < sent + window,
         Effect::Fingerprinted { .. } | Effect::RunOnce => false,
     }
@@ -110,7 +110,7 @@
     const EVERYWHERE: Effect = Effect::Fingerprinted { within: Within::Everywhere, window: 3 * S };
     const RACK: Effect = Effect::Fingerprinted { within: Within::Rack, window: 3 * S };
 
-    #[test_case(Effect::Restartable, 9, None; "restartable: begun again")]
+    #[test_case(Effect::Idempotent, 9, None; "idempotent: begun again")]
     #[test_case(EVERYWHERE, 2, None; "fingerprinted everywhere, in its window: begun again")]
     #[test_case(EVERYWHERE, 3, Some(How::MayHaveRun); "past its window")]
     #[test_case(RACK, 2, Some(How::MayHaveRun); "fingerprinted by rack: which one is not known")]
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -264,7 +264,7 @@
     }
     let row = function(part);
     let effect = match kind?.as_str() {
-        "restartable" => Effect::Restartable,
+        "restartable" => Effect::Idempotent,
         "run-once" => Effect::RunOnce,
         _ => Effect::Fingerprinted {
             within: match within?.as_str() {
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -2,7 +2,7 @@
 //! leave.
 //!
 //! The contract of docs/gateway.md: a pushback may be retried by anybody, a connection that never stood too;
-//! what broke off in between only where the job is restartable.
+//! what broke off in between only where the job is idempotent.
 use crate::ledger::{Event, Ledger, Saw};
 use crate::wording::{Message, Talk};
 use applepond_http::decode::Side;
@@ -35,7 +35,7 @@
     /// µs that the client waits in all, and within which it hopes for an answer.
     pub limit: Micros,
     pub target: Micros,
-    pub restartable: bool,
+    pub idempotent: bool,
     pub fingerprint: bool,
     pub structured: bool,
     pub router: usize,
@@ -257,7 +257,7 @@
         let stays = self.plan[job].stays;
         let elsewhere = if stays.is_some() { router } else { (router + 1) % self.routers.borrow().len() };
         let wait = stays.unwrap_or(ELSEWHERE);
-        let may = never || self.plan[job].restartable;
+        let may = never || self.plan[job].idempotent;
         let goes_on = twin || may && self.again(now, wire, job, elsewhere, wait);
         if !goes_on {
             self.settle(now, job, Got::Broken);
--- a/src/control.rs
+++ b/src/control.rs
@@ -830,7 +830,7 @@
     fn repeat_until(job: &Job) -> Micros {
         let risky = job.tried.iter().filter(|t| t.fate != Fate::NeverRan).map(|t| t.sent).min();
         match (risky, job.effect) {
-            (None, _) | (_, Effect::Restartable) => Micros::MAX,
+            (None, _) | (_, Effect::Idempotent) => Micros::MAX,
             (Some(first), Effect::Fingerprinted { window, .. }) => (first + window).saturating_sub(BEAT),
             (Some(_), Effect::RunOnce) => 0,
         }
@@ -865,7 +865,7 @@
         let Some(job) = self.jobs.get(&id).filter(|j| !j.streaming) else { return };
         let may_have_run = job.tried.iter().any(|t| t.fate != Fate::NeverRan);
         let harmless = match job.effect {
-            Effect::Restartable => true,
+            Effect::Idempotent => true,
             Effect::Fingerprinted { within: Within::Everywhere, .. } if self.repeat_allowed(job) => true,
             _ => !may_have_run,
         };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -78,7 +78,7 @@
 /// What a second execution of a job would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
-    Restartable,
+    Idempotent,
     Fingerprinted { within: Within, window: Micros },
     RunOnce,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,7 +45,7 @@
 
 pub const MS: Micros = 1000;
 
-/// One restartable workload, no orders to load, one router.
+/// One idempotent workload, no orders to load, one router.
 pub fn rows(effect: Effect) -> Startup {
     Startup {
         seed: 7,
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -49,7 +49,7 @@
 
 impl Router {
     fn start(day: &Day, me: u64, now: Micros, list: &[Listed]) -> (Control, Record) {
-        let effect = Effect::Restartable;
+        let effect = Effect::Idempotent;
         let mut rows = Startup { me, seed: me + 1, routers: day.routers, ..rows(effect) };
         rows.customers = vec![CustomerRow { jobs_per_s: day.pace * WORKERS as f64 }];
         let mut record = Record { now, ..Record::default() };
@@ -86,7 +86,7 @@
 
 /// The worst moment of the fresh worker's first seconds: what it got within a span, what was allowed.
 fn worst(day: Day, seed: u64) -> (f64, usize, f64) {
-    let rules = rows(Effect::Restartable).rules;
+    let rules = rows(Effect::Idempotent).rules;
     let mut rng = Rand64::new(u128::from(seed));
     let begin = 100_000 * MS;
     let birth = begin + 20_000 * MS;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -8,8 +8,8 @@
 const ALL: Effect = Effect::Fingerprinted { within: Within::Everywhere, window: 3000 * MS };
 
 // Rule 2: what follows each way an execution can close, for each kind of effect.
-#[test_case(Effect::Restartable, Outcome::Error, 2, false; "restartable after an error runs again")]
-#[test_case(Effect::Restartable, Outcome::Full, 2, false; "restartable after full moves on")]
+#[test_case(Effect::Idempotent, Outcome::Error, 2, false; "idempotent after an error runs again")]
+#[test_case(Effect::Idempotent, Outcome::Full, 2, false; "idempotent after full moves on")]
 #[test_case(Effect::RunOnce, Outcome::Full, 2, false; "run-once after full moves on")]
 #[test_case(Effect::RunOnce, Outcome::Missing, 2, false; "run-once after a miss moves on")]
 #[test_case(Effect::RunOnce, Outcome::NoConnection, 2, false; "run-once without connection moves on")]
@@ -44,7 +44,7 @@
 
 // A further execution has to have left while its repeat would still be known; a first one has no such time.
 #[test_case(RACK, Some(3000 * MS - 20 * MS); "fingerprinted: to the end of its window, with care")]
-#[test_case(Effect::Restartable, None; "restartable")]
+#[test_case(Effect::Idempotent, None; "idempotent")]
 fn begins_in_time(effect: Effect, within: Option<Micros>) {
     let mut bench = Bench::new(rows(effect), 8);
     let came = bench.record.now;
@@ -57,10 +57,10 @@
 }
 
 // Rule 1: every job ends once, before its client leaves, and nothing follows.
-#[test_case(Effect::Restartable, 0, 5000; "held without any worker")]
+#[test_case(Effect::Idempotent, 0, 5000; "held without any worker")]
 #[test_case(Effect::RunOnce, 0, 5000; "run-once held without any worker")]
-#[test_case(Effect::Restartable, 0, 5; "client about to leave")]
-#[test_case(Effect::Restartable, 0, 45; "client leaves within two beats")]
+#[test_case(Effect::Idempotent, 0, 5; "client about to leave")]
+#[test_case(Effect::Idempotent, 0, 45; "client leaves within two beats")]
 fn held_jobs_end(effect: Effect, servers: u64, left_ms: Micros) {
     let mut bench = Bench::new(rows(effect), servers);
     bench.arrive(1, "hut", left_ms * MS);
@@ -72,7 +72,7 @@
 
 #[test]
 fn nothing_follows_the_end() {
-    let mut bench = Bench::new(rows(Effect::Restartable), 8);
+    let mut bench = Bench::new(rows(Effect::Idempotent), 8);
     let home = bench.warm("hut");
     bench.arrive(1, "hut", 5000 * MS);
     bench.pass(8000 * MS);
@@ -90,7 +90,7 @@
 #[test_case(Standing::Draining; "draining")]
 #[test_case(Standing::Gone; "gone")]
 fn told(standing: Standing) {
-    let mut bench = Bench::new(rows(Effect::Restartable), 8);
+    let mut bench = Bench::new(rows(Effect::Idempotent), 8);
     let home = bench.warm("hut");
     let n = (0..8).find(|n| server(*n) == home).expect("a listed worker");
     bench.arrive(1, "hut", 5000 * MS);
@@ -110,7 +110,7 @@
 #[test_case(0, 4; "just started")]
 #[test_case(10_000, 6; "warm")]
 fn cold(age_ms: Micros, sends: usize) {
-    let mut rows = rows(Effect::Restartable);
+    let mut rows = rows(Effect::Idempotent);
     rows.customers = vec![CustomerRow { jobs_per_s: 20.0 }];
     let mut bench = Bench::new(rows, 0);
     bench.list(&[listed(0, Standing::Ready, bench.record.now)]);
@@ -130,7 +130,7 @@
 fn cold_sum(routers: u64, asks: u8) {
     let mut sent = 0;
     for me in 0..routers {
-        let mut rows = Startup { me, seed: me, routers, ..rows(Effect::Restartable) };
+        let mut rows = Startup { me, seed: me, routers, ..rows(Effect::Idempotent) };
         rows.customers = vec![CustomerRow { jobs_per_s: 160.0 }];
         let mut bench = Bench::new(rows, 7);
         let now = bench.record.now;
@@ -153,7 +153,7 @@
 fn cold_after_waiting() {
     let mut sent = 0;
     for me in 0..200 {
-        let mut rows = Startup { me, seed: me, routers: 200, ..rows(Effect::Restartable) };
+        let mut rows = Startup { me, seed: me, routers: 200, ..rows(Effect::Idempotent) };
         rows.customers = vec![CustomerRow { jobs_per_s: 1600.0 }];
         let mut bench = Bench::new(rows, 20);
         for n in 100..110 {
@@ -171,7 +171,7 @@
 // once that is told.
 #[test]
 fn one_execution_at_a_time() {
-    let mut rows = rows(Effect::Restartable);
+    let mut rows = rows(Effect::Idempotent);
     rows.permits.second_copies = false;
     let mut bench = Bench::new(rows, 8);
     bench.warm("hut");
@@ -187,7 +187,7 @@
 // No more jobs are cancelled at workers that were set aside than can be sent on: the others stay there.
 #[test]
 fn a_cancel_is_paid_for_when_it_is_ordered() {
-    let mut rows = rows(Effect::Restartable);
+    let mut rows = rows(Effect::Idempotent);
     rows.permits.second_copies = false;
     let mut bench = Bench::new(rows, 8);
     let names: Vec<String> = (0..64).map(|n| format!("hut-{n}")).collect();
@@ -208,8 +208,8 @@
 
 // A switch of the rows: a job keeps its effect, and a copy that is out where none may be any more is taken
 // back.
-#[test_case(Effect::RunOnce, Effect::Restartable, 1, 1; "run-once stays so")]
-#[test_case(Effect::Restartable, Effect::RunOnce, 2, 0; "restartable stays so")]
+#[test_case(Effect::RunOnce, Effect::Idempotent, 1, 1; "run-once stays so")]
+#[test_case(Effect::Idempotent, Effect::RunOnce, 2, 0; "idempotent stays so")]
 fn switched(taken: Effect, then: Effect, sends: usize, kills: usize) {
     let mut bench = Bench::new(rows(taken), 8);
     bench.arrive(1, "hut", 5000 * MS);
@@ -220,12 +220,12 @@
 
 #[test]
 fn switched_off_copies() {
-    let mut bench = Bench::new(rows(Effect::Restartable), 8);
+    let mut bench = Bench::new(rows(Effect::Idempotent), 8);
     bench.warm("hut");
     bench.arrive(1, "hut", 5000 * MS);
     bench.pass(2600 * MS);
     assert_eq!(bench.sends(1).len(), 2);
-    let mut without = rows(Effect::Restartable);
+    let mut without = rows(Effect::Idempotent);
     without.permits.second_copies = false;
     bench.control.switch(&mut bench.record, without);
     let cancels = bench.record.did.iter().filter(|d| matches!(d, Did::Cancel(..)));
@@ -239,7 +239,7 @@
 #[test_case(5, 1.5, true, false, true; "of another life")]
 fn recalled(up_since: Micros, room: f64, aside: bool, taken: bool, as_before: bool) {
     let sends = |told: Option<Learned>| {
-        let mut bench = Bench::new(rows(Effect::Restartable), 1);
+        let mut bench = Bench::new(rows(Effect::Idempotent), 1);
         if let Some(told) = told {
             assert_eq!(bench.control.recall(server(0), up_since, &told), taken);
         }
