Deadline, not time limit: a request's, a workload's, and what waits by it

The settings' own words (time_limit, timelimit) stay, as files and clients of users hold them; the client stand-in's and the chain's fields keep theirs for now.

--- a/crates/chain/src/plan.rs
+++ b/crates/chain/src/plan.rs
@@ -341,7 +341,7 @@
         let least = self.shortest(StepId(0), &|id| self.step(id).at_least);
         if least > self.limit {
             let found = format!("{} ms at the least, {} ms in all", least / 1000, self.limit / 1000);
-            fault(Some(0), Part::AtLeast, found, "a plan that fits its time limit");
+            fault(Some(0), Part::AtLeast, found, "a plan that fits its deadline");
         }
         faults.sort();
         faults.dedup();
--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -35,7 +35,7 @@
     pub function_by: FunctionBy,
     /// Attributes that name a job's opening and its size, where its jobs have one.
     pub opening_by: Option<(String, String)>,
-    pub time_limit: Micros,
+    pub deadline: Micros,
     pub function: FunctionRow,
 }
 
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -60,7 +60,7 @@
 /// One job, from its arrival until its last execution has closed, and what its protocol keeps of it.
 pub struct Life<T> {
     pub came: Micros,
-    pub limit: Micros,
+    pub deadline: Micros,
     pub executions: Vec<Execution>,
     pub ended: bool,
     pub timed_out: bool,
@@ -118,8 +118,8 @@
         self.lives.get_mut(&job)
     }
 
-    pub fn begin(&mut self, job: JobId, came: Micros, limit: Micros, of: T) {
-        let life = Life { came, limit, executions: Vec::new(), ended: false, timed_out: false, of };
+    pub fn begin(&mut self, job: JobId, came: Micros, deadline: Micros, of: T) {
+        let life = Life { came, deadline, executions: Vec::new(), ended: false, timed_out: false, of };
         self.lives.insert(job, life);
     }
 
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -388,7 +388,7 @@
                     // In a storm the module's word stands, but all its pushbacks together would be a second
                     // wave.
                     let advised = self.damps().then(|| self.tasks.get(job)).flatten();
-                    let advised = advised.map(|t| (t.of.client, t.of.digest, t.limit.saturating_sub(now)));
+                    let advised = advised.map(|t| (t.of.client, t.of.digest, t.deadline.saturating_sub(now)));
                     let come_back = match (advised, come_back) {
                         (Some((client, name, left)), Some(_)) => self.gate.come_back(now, client, name, left),
                         (None, Some(wait)) => {
@@ -411,7 +411,7 @@
                 }
                 Act::Kill(job) => {
                     let Some(task) = self.tasks.get(job) else { continue };
-                    let late = task.timed_out || now >= task.limit;
+                    let late = task.timed_out || now >= task.deadline;
                     let fault = if late {
                         Fault::new(504, "killed-late", "no answer came in time; the job may have run")
                     } else {
@@ -527,7 +527,7 @@
             .number("applepond-memory-mb", u64::from(row.memory_mb))
             .number("applepond-router", self.deployment.rows.me)
             .number("applepond-execution", n as u64)
-            .number("applepond-time-left-ms", task.limit.saturating_sub(now) / 1000);
+            .number("applepond-time-left-ms", task.deadline.saturating_sub(now) / 1000);
         if let Some(opening) = &task.of.opening {
             head = head
                 .field("applepond-opening", &opening.name)
@@ -594,7 +594,7 @@
             executions = task.executions.len(),
             exchanges = task.of.callers.len(),
             took_us = now - task.came,
-            left_us = task.limit.saturating_sub(now),
+            left_us = task.deadline.saturating_sub(now),
             "job ended"
         );
         let callers = std::mem::take(&mut task.of.callers);
@@ -654,7 +654,7 @@
             let shown: String = draft.kind.escape_default().take(80).collect();
             return refuse(422, "unknown-workload", format!("no workload takes events of type '{shown}'"));
         };
-        let time_limit = self.deployment.workloads[workload].time_limit;
+        let deadline = self.deployment.workloads[workload].deadline;
         let names = &self.deployment.workloads[workload];
         let function = match &names.function_by {
             FunctionBy::Named(name) => Some(name.as_str()),
@@ -680,7 +680,7 @@
         if let Some(taken) = self.taken(now, conn, &name) {
             return taken;
         }
-        let Some(left) = limit::left(now, time_limit, draft.asked) else {
+        let Some(left) = limit::left(now, deadline, draft.asked) else {
             return refuse(504, "expired", "the event's time was up when it came".to_owned());
         };
         let (client, digest, retry) = self.admit(now, &draft, workload, left)?;
--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -627,7 +627,7 @@
     /// Begins an undo, and again until it has finished.
     fn undo(&mut self, now: Micros, job: JobId, step: StepId, function: String, last: Micros) {
         let Some(chain) = self.chains.open.get(&job) else { return };
-        let left = self.deployment.workloads[chain.run.plan().step(step).workload].time_limit;
+        let left = self.deployment.workloads[chain.run.plan().step(step).workload].deadline;
         let again = function.clone();
         let then: Then = Box::new(move |g, now, wire, end| {
             if end.told.ending != Ending::Finished && now < last {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -70,7 +70,7 @@
                 types: vec![name.to_string()],
                 function_by: FunctionBy::Attribute("subject".into()),
                 opening_by: Some(("opening".into(), "openingsize".into())),
-                time_limit: 4 * S,
+                deadline: 4 * S,
                 function: FunctionRow { lanes: 2, memory_mb: 1, load_time: Some(100 * MS) },
             })
             .collect(),
--- a/crates/gateway/tests/machine.rs
+++ b/crates/gateway/tests/machine.rs
@@ -129,7 +129,7 @@
 
 #[test_case("quote", 503; "idempotent is pushed back")]
 #[test_case("confirm", 504; "run-once is killed")]
-fn an_answer_after_the_time_limit(kind: &str, status: u16) {
+fn an_answer_after_the_deadline(kind: &str, status: u16) {
     let mut b = Bench::new(deployment(1));
     let client = b.asks(kind, "1");
     let link = b.links()[0];
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -100,8 +100,8 @@
         if self.doing != Doing::Reading {
             return None;
         }
-        let Start { words, rows, time_limits, .. } = start;
-        let mut incoming = Incoming { words, rows, time_limits, part: &mut self.part };
+        let Start { words, rows, deadlines, .. } = start;
+        let mut incoming = Incoming { words, rows, deadlines, part: &mut self.part };
         match self.decoder.step(&mut incoming) {
             Ok(Step::Done) => {
                 self.doing = Doing::Waiting;
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -177,7 +177,7 @@
                 self.end(now, wire, job, Reply { come_back, ..Reply::bare(503) });
             }
             Act::Kill(job) => {
-                let late = self.lives.get(job).is_some_and(|l| l.timed_out || now >= l.limit);
+                let late = self.lives.get(job).is_some_and(|l| l.timed_out || now >= l.deadline);
                 self.end(now, wire, job, Reply::bare(if late { 504 } else { 502 }));
             }
             Act::Wake(delay, token) => wire.wake_at(now + delay, Wake(token.0 << 1)),
@@ -286,7 +286,7 @@
                         continue;
                     }
                     let mut bytes = life.of.head.clone();
-                    line::rest(&mut bytes, life.limit.saturating_sub(now).div_ceil(1000), &life.of.body);
+                    line::rest(&mut bytes, life.deadline.saturating_sub(now).div_ceil(1000), &life.of.body);
                     (Some((job, n)), bytes)
                 }
             };
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -29,7 +29,7 @@
     pub words: &'a Words,
     pub rows: &'a Startup,
     /// The longest time that clients of each workload wait.
-    pub time_limits: &'a [Micros],
+    pub deadlines: &'a [Micros],
     pub part: &'a mut Part,
 }
 
@@ -103,7 +103,7 @@
             None if self.words.customers.is_empty() => None,
             None => return Err(bad("Account is not known")),
         };
-        let most = self.time_limits[workload] as f64 / 1000.0;
+        let most = self.deadlines[workload] as f64 / 1000.0;
         let left = budget.and_then(number).filter(|ms| *ms >= 1.0 && *ms <= most.max(1.0));
         let left = left.ok_or_else(|| bad("Budget-Ms: a number in range is wanted"))?;
         if !matches!(retry, None | Some("1")) {
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -42,7 +42,7 @@
     pub words: Words,
     pub terms: Terms,
     /// The longest time that clients of each workload wait.
-    pub time_limits: Vec<Micros>,
+    pub deadlines: Vec<Micros>,
     /// Number of the last event of the list.
     pub index: u64,
     /// The list's events up to now.
@@ -74,10 +74,7 @@
             connect_limit: time(allowed, "connect-timeout")?,
             idle_limit: time(allowed, "idle-close")?,
         },
-        time_limits: array(settings, "lanes")?
-            .iter()
-            .map(|row| time(row, "deadline"))
-            .collect::<Read<_>>()?,
+        deadlines: array(settings, "lanes")?.iter().map(|row| time(row, "deadline")).collect::<Read<_>>()?,
         index: whole(known, "index")?,
         words,
         known: events,
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -87,11 +87,11 @@
 
 /// A job, its head and body; an error is the status of what is no call.
 fn asked(request: &str) -> Result<(Arrival, Vec<u8>, Vec<u8>), u16> {
-    let (words, rows, time_limits) = rows();
+    let (words, rows, deadlines) = rows();
     let mut part = Part::default();
     let mut decoder = Decoder::new(Side::Server, 8192, BODY_MOST);
     decoder.feed(request.as_bytes());
-    let mut incoming = Incoming { words: &words, rows: &rows, time_limits: &time_limits, part: &mut part };
+    let mut incoming = Incoming { words: &words, rows: &rows, deadlines: &deadlines, part: &mut part };
     match decoder.step(&mut incoming) {
         Ok(Step::Done) => match part.ask {
             Some(Ask::Job(arrival, head)) => Ok((arrival, head, part.body)),
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -238,7 +238,7 @@
     if let (Some(target), Some(limit)) = (start_target, time_limit)
         && target > limit
     {
-        part.fault(&part.place_of("start_target"), "a start target past the time limit", "one within it");
+        part.fault(&part.place_of("start_target"), "a start target past the deadline", "one within it");
     }
     let importance = part.number("importance", 0.001..1e6, Some(1.0));
     let late_part = part.number("late_part", 0.0..1.0, Some(0.0));
@@ -282,7 +282,7 @@
         types: types?,
         function_by: function_by?,
         opening_by: opening_by.zip(size_by),
-        time_limit: time_limit?,
+        deadline: time_limit?,
         function: row?,
     };
     Some((rows, names))
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -25,7 +25,7 @@
 #[test]
 fn a_good_file_with_its_defaults() {
     let d = deployment(GOOD).expect("no fault");
-    assert_eq!((d.rows.routers, d.rows.permits.executions, d.workloads[0].time_limit), (1, 4, 5_000_000));
+    assert_eq!((d.rows.routers, d.rows.permits.executions, d.workloads[0].deadline), (1, 4, 5_000_000));
     assert!(!d.rows.limits_shared, "clients may name limits of their own");
     let shared = deployment(&GOOD.replace("zones", "limits_shared = true\nzones")).expect("no fault");
     assert!(shared.rows.limits_shared);
@@ -42,7 +42,7 @@
 #[test_case("fall_span", "fall_spam", "7:3: found 'fall_spam' in block 'rules'; wanted: one of"; "misspelt")]
 #[test_case("rules {", "rule {", "1:1: found no block 'rules'"; "block missing")]
 #[test_case("[\"quote\"]", "[]", "10:11: found no type"; "no type")]
-#[test_case("\"500ms\"", "\"6s\"", "12:18: found a start target past the time limit"; "target past limit")]
+#[test_case("\"500ms\"", "\"6s\"", "12:18: found a start target past the deadline"; "target past limit")]
 #[test_case("  zone = \"hall-a\"", "  zone = \"hall-x\"", "17:10: found zone"; "zone")]
 #[test_case("\"fingerprint", "", ""; "nothing replaced is no fault")]
 #[test_case("zones = [\"hall-a\"]", "zones = [", "found"; "syntax")]
--- a/crates/storm/src/gate.rs
+++ b/crates/storm/src/gate.rs
@@ -10,7 +10,7 @@
 
 /// µs in which a client's tries lose half their weight.
 const HALF_LIFE: Micros = 10_000_000;
-/// µs for which a job's name is known: longer than any time limit.
+/// µs for which a job's name is known: longer than any deadline.
 const KNOWN: Micros = 60_000_000;
 /// Retries that a client has in any case, and a first try earns on top: the usual fifth of retry budgets.
 const RETRIES_FREE: f32 = 3.0;
--- a/crates/waiting/benches/waiting.rs
+++ b/crates/waiting/benches/waiting.rs
@@ -13,7 +13,7 @@
 }
 
 fn row(n: u64) -> Row<u64, u64> {
-    Row { function: n % FUNCTIONS, workload: 0, limit: n + 1_000_000, bare: true, late: false }
+    Row { function: n % FUNCTIONS, workload: 0, deadline: n + 1_000_000, bare: true, late: false }
 }
 
 fn benches(c: &mut Criterion) {
--- a/crates/waiting/src/lib.rs
+++ b/crates/waiting/src/lib.rs
@@ -12,7 +12,7 @@
     pub function: F,
     pub workload: W,
     /// µs, a point in time at which its client leaves.
-    pub limit: u64,
+    pub deadline: u64,
     /// It has never been sent.
     pub bare: bool,
     /// It has lost its start target.
@@ -23,7 +23,7 @@
     rows: BTreeMap<Key<J>, Row<F, W>>,
     bare: BTreeMap<F, BTreeSet<Key<J>>>,
     sent_before: BTreeSet<Key<J>>,
-    limits: BTreeMap<W, BTreeSet<(u64, Key<J>)>>,
+    deadlines: BTreeMap<W, BTreeSet<(u64, Key<J>)>>,
     /// Those that have not lost their start target, by when they came.
     fresh: BTreeMap<W, BTreeSet<(u64, Key<J>)>>,
     late: BTreeMap<F, BTreeSet<(u64, Key<J>)>>,
@@ -35,7 +35,7 @@
             rows: BTreeMap::new(),
             bare: BTreeMap::new(),
             sent_before: BTreeSet::new(),
-            limits: BTreeMap::new(),
+            deadlines: BTreeMap::new(),
             fresh: BTreeMap::new(),
             late: BTreeMap::new(),
         }
@@ -69,7 +69,7 @@
         } else {
             self.sent_before.insert(key);
         }
-        self.limits.entry(row.workload).or_default().insert((row.limit, key));
+        self.deadlines.entry(row.workload).or_default().insert((row.deadline, key));
         if row.late {
             self.late.entry(row.function).or_default().insert((key.1, key));
         } else {
@@ -85,7 +85,7 @@
         } else {
             self.sent_before.remove(key);
         }
-        take(&mut self.limits, row.workload, &(row.limit, *key));
+        take(&mut self.deadlines, row.workload, &(row.deadline, *key));
         if row.late {
             take(&mut self.late, row.function, &(key.1, *key));
         } else {
@@ -113,8 +113,8 @@
 
     /// The workload's jobs whose client leaves until then, that moment included.
     pub fn leaving(&self, workload: W, until: u64) -> impl Iterator<Item = Key<J>> {
-        let set = self.limits.get(&workload).into_iter().flatten();
-        set.take_while(move |(limit, _)| *limit <= until).map(|(_, key)| *key)
+        let set = self.deadlines.get(&workload).into_iter().flatten();
+        set.take_while(move |(deadline, _)| *deadline <= until).map(|(_, key)| *key)
     }
 
     /// The workload's jobs with a start target to lose that came before then.
--- a/crates/waiting/tests/plain.rs
+++ b/crates/waiting/tests/plain.rs
@@ -27,10 +27,10 @@
     ) {
         let mut waiting = Waiting::default();
         let mut plain = Plain::new();
-        for (add, value, came, job, function, workload, limit, (bare, late)) in steps {
+        for (add, value, came, job, function, workload, deadline, (bare, late)) in steps {
             let key = (Reverse(value), came, job);
             if add {
-                let row = Row { function, workload, limit, bare, late };
+                let row = Row { function, workload, deadline, bare, late };
                 waiting.insert(key, row);
                 plain.insert(key, row);
             } else {
@@ -51,7 +51,7 @@
         heads.sort();
         prop_assert_eq!(waiting.heads().into_iter().collect::<Vec<_>>(), heads);
         for w in 0..2 {
-            let leaving = keys(&plain, |_, row| row.workload == w && row.limit <= at);
+            let leaving = keys(&plain, |_, row| row.workload == w && row.deadline <= at);
             prop_assert_eq!(sorted(waiting.leaving(w, at)), leaving);
             let fresh = keys(&plain, |k, row| row.workload == w && !row.late && k.1 < at);
             prop_assert_eq!(sorted(waiting.fresh_before(w, at)), fresh);
--- a/src/control.rs
+++ b/src/control.rs
@@ -145,7 +145,7 @@
     effect: Effect,
     customer: Option<CustomerId>,
     came: Micros,
-    limit: Micros,
+    deadline: Micros,
     value: u64,
     chance: u64,
     tried: Vec<Tried>,
@@ -525,7 +525,7 @@
             effect: row.effect,
             customer: arrival.customer,
             came: now.saturating_sub(waited),
-            limit: now + arrival.left,
+            deadline: now + arrival.left,
             value: (self.workloads[arrival.workload.0].importance * share * arrival.paid * 1000.0) as u64,
             chance: self.rng.rand_u64(),
             tried: Vec::new(),
@@ -588,7 +588,7 @@
     fn hold(&mut self, id: JobId) {
         let job = &self.jobs[&id];
         let (bare, late) = (job.tried.is_empty(), job.late);
-        let row = Row { function: job.function, workload: job.workload, limit: job.limit, bare, late };
+        let row = Row { function: job.function, workload: job.workload, deadline: job.deadline, bare, late };
         self.held.insert((Reverse(job.value), job.came, id), row);
     }
 
@@ -763,7 +763,7 @@
         if now < s.up_since + self.rows.rules.warm_within && s.up_since > 0 {
             s.cold_sent.push((now, row.service / self.mean_service.max(1.0)));
         }
-        orders.send(id, server, job.limit - now, begin);
+        orders.send(id, server, job.deadline - now, begin);
         let then: Step = Box::new(move |c, o, answer| c.closed(o, id, n, answer.expect("what it ends with")));
         self.out.insert((id, n), Out { server, function, workload, customer, sent: now, serving, then });
         if !copy && self.rows.permits.second_copies && effect != Effect::RunOnce {
@@ -778,7 +778,7 @@
     fn hedge(&mut self, orders: &mut dyn Orders, id: JobId, n: usize) {
         let Some(job) = self.jobs.get(&id) else { return };
         let alone = job.tried.len() == n + 1 && job.tried[n].fate == Fate::Out;
-        if !alone || job.streaming || !self.repeat_allowed(job) || job.limit <= self.now + LAST_CALL {
+        if !alone || job.streaming || !self.repeat_allowed(job) || job.deadline <= self.now + LAST_CALL {
             return;
         }
         if self.budget >= 1.0
@@ -816,7 +816,7 @@
         // A cancel was paid for when it was ordered, or many at once would end jobs that nothing is left for.
         let costs = job.tried[n].fate == Fate::MayHaveRun && answer.outcome != Outcome::Cancelled;
         let job = &self.jobs[&id];
-        if job.limit <= self.now + LAST_CALL || !self.repeat_allowed(job) || (costs && self.budget < 1.0) {
+        if job.deadline <= self.now + LAST_CALL || !self.repeat_allowed(job) || (costs && self.budget < 1.0) {
             self.give_up(orders, id);
             return;
         }
@@ -1156,7 +1156,7 @@
             let row = &self.workloads[job.workload.0];
             let done = now + row.service as Micros;
             if job.late && now >= key.1 + 2 * BEAT && !loading.contains(&job.function)
-                || done.max(now + LAST_CALL) >= job.limit
+                || done.max(now + LAST_CALL) >= job.deadline
             {
                 self.give_up(orders, key.2);
             } else if !job.late && done > key.1 + row.start_target {
