--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -118,14 +118,9 @@
     assert_eq!(told(&r.ends(), "DO", 1), 1, "no copy");
 }
 
-// A model server that reads nothing answers until the connection is full: one line has left in part, others
-// wait behind it. Their clients go: the part is made whole and given up, what waits is taken back.
-#[test_case(true, false; "it reads on")]
-#[test_case(false, false; "it reads on, and executions may not be cancelled")]
-#[test_case(false, true; "it resets the connection, and they may not be cancelled")]
-fn hung_up_amid_a_line(cancel: bool, resets: bool) {
-    let allow = |file: &mut serde_json::Value| file["settings"]["allowed"]["cancel"] = cancel.into();
-    let mut r = Real::at(vec![small_server()], allow);
+/// Fills a connection to a model server that reads nothing: clients whose lines wait here, behind one that
+/// has left in part, and the next id.
+fn fills(r: &mut Real) -> (Vec<TcpStream>, u64) {
     r.doing = Doing::Full;
     let long = |id| {
         let head = call("quote", id).replace("Content-Length: 2", "Content-Length: 16000");
@@ -148,6 +143,18 @@
         next += 1;
         assert!(next < 100, "the connection takes all");
     }
+    (clients, next)
+}
+
+// A model server that reads nothing answers until the connection is full: one line has left in part, others
+// wait behind it. Their clients go: the part is made whole and given up, what waits is taken back.
+#[test_case(true, false; "it reads on")]
+#[test_case(false, false; "it reads on, and executions may not be cancelled")]
+#[test_case(false, true; "it resets the connection, and they may not be cancelled")]
+fn hung_up_amid_a_line(cancel: bool, resets: bool) {
+    let allow = |file: &mut serde_json::Value| file["settings"]["allowed"]["cancel"] = cancel.into();
+    let mut r = Real::at(vec![small_server()], allow);
+    let (clients, next) = fills(&mut r);
     for client in clients {
         r.hangs_up(client);
     }
@@ -407,6 +414,25 @@
     assert_eq!(told(&r.ends(), "DO", 1), 0);
 }
 
+// A drain is told while a line has left in part, whose answer has come, and others wait behind it: nothing is
+// owed on the connection any more, and the others are taken back and have not run.
+#[test]
+fn drained_amid_a_line() {
+    let mut r = Real::at(vec![small_server()], |_| ());
+    let (clients, next) = fills(&mut r);
+    let mut file = r.file.clone();
+    file["known"]["updates"][0]["endpoints"]["members"][0]["phase"] = "terminating".into();
+    r.lists(&start(&file));
+    r.until("taken in", |r| r.names.peek(&mut [0; 512]).is_ok());
+    r.doing = Doing::Serves;
+    r.leaves();
+    let answers: Vec<String> = clients.into_iter().map(|client| r.rest(client)).collect();
+    assert!(answers.iter().all(|answer| answer.starts_with("HTTP/1.1 503")), "{answers:?}");
+    let peers = r.ends();
+    let begun: Vec<usize> = (1..next).map(|id| told(&peers, "DO", id)).collect();
+    assert!(begun.iter().all(|n| *n <= 1) && begun.contains(&0), "{begun:?}");
+}
+
 // Another server has taken the address: its requests go by a connection of their own, and what is out at the
 // old one comes to its end.
 #[test]
@@ -518,6 +544,22 @@
     r.served(1);
 }
 
+// The name service tells an older list, in which the model server is gone: it is none.
+#[test]
+fn an_older_list() {
+    let mut r = Real::new(1, |_| ());
+    let mut gone = r.file.clone();
+    r.lists(&start(&gone));
+    gone["known"]["updates"][0]["endpoints"]["members"][0]["phase"] = "terminated".into();
+    r.until("taken in", |r| r.names.peek(&mut [0; 512]).is_ok());
+    let mut question = [0; 512];
+    let (_, from) = r.names.recv_from(&mut question).expect("just seen");
+    let older = answer(u16::from_be_bytes([question[0], question[1]]), 1, &start(&gone));
+    r.names.send_to(&older, from).expect("sent");
+    r.until("asked again", |r| r.names.peek(&mut [0; 512]).is_ok());
+    r.served(1);
+}
+
 // A new configuration moves the service amid a question: the old one's answer is nobody's.
 #[test]
 fn moved_amid_a_question() {
