--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -328,3 +328,50 @@
     assert!(held <= 64 && crowd.len() == 300, "{held} descriptors");
     std::fs::remove_file(&file).expect("written above");
 }
+
+/// Clock ticks of the processor that a process has used.
+fn ticks(node: &Node) -> u64 {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", node.0.id())).expect("it runs");
+    let fields = stat.rsplit(')').next().expect("a name ends").split_whitespace();
+    fields.skip(11).take(2).map(|field| field.parse::<u64>().expect("a number")).sum()
+}
+
+// Fewer descriptors than the settings name: accepting and asking fail for a while, without eating the
+// processor, and once the crowd has gone whoever asks is served and the list is asked for.
+#[test]
+fn no_descriptor_is_left() {
+    let server = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let names = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let at = free();
+    let mut file = with_server(at, server.local_addr().expect("bound"));
+    serves(server);
+    file["names"] = names.local_addr().expect("bound").to_string().into();
+    let (node, file) = started("emfile", &file.to_string(), Stdio::null());
+    ready(at);
+    let limit = rustix::process::Rlimit { current: Some(16), maximum: Some(16) };
+    let pid = rustix::process::Pid::from_child(&node.0);
+    rustix::process::prlimit(Some(pid), rustix::process::Resource::Nofile, limit).expect("it runs");
+    let crowd: Vec<_> = (0..100).map(|_| TcpStream::connect(at).expect("its kernel takes them")).collect();
+    let own = format!("/proc/{}/fd", node.0.id());
+    let end = Instant::now() + Duration::from_secs(10);
+    while entries(&own).len() < 16 {
+        assert!(Instant::now() < end, "the crowd fills them");
+    }
+    let (before, begun) = (ticks(&node), Instant::now());
+    std::thread::sleep(Duration::from_millis(500));
+    // A tick is 10 ms: a thread that spins would use nearly all of them.
+    let (used, passed) = (ticks(&node) - before, begun.elapsed().as_millis() as u64 / 10);
+    assert!(used * 2 < passed, "{used} of {passed} ticks");
+    drop(crowd);
+    let end = Instant::now() + Duration::from_secs(10);
+    while status(at, &call(1)).is_none_or(|status| status != "200") {
+        assert!(Instant::now() < end, "who asks is served");
+    }
+    let mut question = [0; 512];
+    names.set_nonblocking(true).expect("set");
+    while names.recv(&mut question).is_ok() {}
+    names.set_nonblocking(false).expect("set");
+    names.set_read_timeout(Some(Duration::from_secs(5))).expect("a time");
+    names.recv(&mut question).expect("it asks on");
+    std::fs::remove_file(&file).expect("written above");
+}
