The bound on bytes dropped behind a request has a test

Read again: feed's 1 MiB had none, no other case failed with it out of the way. Guard out: the request is given up at its own time instead, and its client stays.

--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -40,6 +40,20 @@
     assert_eq!(r.node.borrow().kept()[..2], [0, 0]);
 }
 
+// A client that goes on sending without an end is cut, and its request given up, though it has not gone.
+#[test]
+fn no_end_of_bytes_behind_a_request() {
+    let mut r = Real::new(1, |_| ());
+    let (mut client, link) = r.carried("quote", 1);
+    client.set_nonblocking(true).expect("set");
+    let piece = [b'x'; 64 * 1024];
+    r.until("given up", |r| {
+        let _ = client.write(&piece);
+        r.peers[link].told("UNDO", 1) == 1
+    });
+    assert_eq!(r.node.borrow().kept()[..2], [0, 0]);
+}
+
 // What is sent behind a request and does not fit ends the connection, after the answer that is owed.
 #[test]
 fn more_than_is_kept_behind_a_request() {
