The last client of a process that ends, and what a batch grown old still holds

Three instants in which something was still owed, found by reading wind_up, turn and poll again; each was forced on real sockets first and failed: - node wind_up: the tick that stops listening accepts whoever waits in the queue, but the machine is told of them after the call; where nobody else was there it said "the end" in the same call, and the process left with the request unread ("it owes an answer"). leaving_with_clients_not_accepted_yet did not see it, as its earlier clients were still there. That tick never ends the process now. - reactor poll: a batch of events is as old as the look that brought it. A process that stood still amid one read a request whose client had left meanwhile and sent it on, as late as the standstill was long. A batch older than 50 ms is given up; level-triggered events come up again, ends first. - reactor turn: sockets were read once more only where a timer was late by 50 ms. A standstill of 70 ms that ends 12 ms after a timer's time let that timer (a copy, a time-out) go ahead of what lay in the kernel: [2] bytes read instead of [11]. Each timer now wants a look that is at most 50 ms old.

Ruled out while reading: stale events of connections that are gone (numbers are never given again), answers before resets, timers of connections that stand.

--- a/crates/drill/src/members.rs
+++ b/crates/drill/src/members.rs
@@ -93,7 +93,7 @@
     }
 
     /// Looks at all pages. A router that runs and that another takes for gone was removed wrongly, unless it
-    /// is one of `may`; one that is back where it was gone is there under a higher incarnation from the first.
+    /// is one of `may`; one that is back where it was gone is back under a higher incarnation.
     fn look(&mut self, scene: &str, may: &[usize]) -> Vec<Option<Value>> {
         let all: Vec<Option<Value>> = (0..self.ports.len()).map(|n| self.view(n)).collect();
         for (n, view) in all.iter().enumerate() {
--- a/crates/drill/tests/fleet.rs
+++ b/crates/drill/tests/fleet.rs
@@ -2,8 +2,8 @@
 use applepond_drill::fleet::ports;
 use std::net::UdpSocket;
 
-// Ports are free for a moment before routers take them: another drill that is given the same ones meanwhile has
-// them at an address of its own.
+// Ports are free for a moment before routers take them: another drill that is given the same ones meanwhile
+// has them at an address of its own.
 #[test]
 fn ports_that_another_drill_is_given_too() {
     let own = ports(12).expect("ports");
--- a/crates/members/tests/paper.rs
+++ b/crates/members/tests/paper.rs
@@ -279,8 +279,8 @@
     assert!((0..FLEET).all(|n| paper.live(n) == FLEET));
 }
 
-// Told by one voice that it is silent, or gone, a router says that it is there under a higher incarnation; with that
-// guard taken out it has nothing higher to say, however few voices it has heard.
+// Told by one voice that it is silent, or gone, a router says that it is there under a higher incarnation;
+// with that guard taken out it has nothing higher to say, however few voices it has heard.
 #[test_case(None, 1; "as in service")]
 #[test_case(Some("old-incarnation"), 0; "with the guard taken out")]
 fn a_lone_voice_is_refuted(without: Option<&str>, raised: u64) {
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -538,7 +538,8 @@
     /// Each connection takes one request more at the most, and patience bounds its silence.
     fn wind_up(&mut self, now: Micros, wire: &mut dyn Wire) {
         if let Some((listener, _)) = self.listener.take() {
-            wire.deafen(listener, true);
+            // Whoever connected last is told of only after this call, and may be owed something.
+            return wire.deafen(listener, true);
         }
         for conn in self.patience.idle() {
             let caller = self.callers.get_mut(&conn).expect("idle ones are kept");
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -209,8 +209,9 @@
     )
 }
 
-/// A machine that the test looks into while a reactor hosts it, and how many clients it was told of.
-struct Shared(Rc<RefCell<Node>>, Rc<Cell<usize>>);
+/// A machine that the test looks into while a reactor hosts it, how many clients it was told of, and what is
+/// done once after bytes that it was told.
+struct Shared(Rc<RefCell<Node>>, Rc<Cell<usize>>, Amid);
 
 impl Machine for Shared {
     fn start(&mut self, now: Micros, wire: &mut dyn Wire) {
@@ -225,6 +226,9 @@
     }
     fn bytes(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, bytes: &[u8]) {
         self.0.borrow_mut().bytes(now, wire, conn, bytes);
+        if let Some(act) = self.2.borrow_mut().take() {
+            act();
+        }
     }
     fn half_closed(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         self.0.borrow_mut().half_closed(now, wire, conn);
@@ -285,6 +289,27 @@
     }
 }
 
+/// Closes a client of a router that listens here and waits until its kernel knows of it.
+pub fn hang_up(at: SocketAddr, client: TcpStream) {
+    let own = client.local_addr().expect("connected");
+    drop(client);
+    let end = Instant::now() + PATIENCE;
+    let hex = |at: SocketAddr| match at {
+        SocketAddr::V4(at) => format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port()),
+        SocketAddr::V6(_) => unreachable!("IPv4 alone"),
+    };
+    // Its own end, in the state that the peer has closed.
+    let ended = [hex(at), hex(own), "08".to_owned()];
+    loop {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+        let is = |l: &str| l.split_whitespace().skip(1).take(3).eq(ended.iter().map(String::as_str));
+        if table.lines().any(is) {
+            return;
+        }
+        assert!(Instant::now() < end, "the end has not come");
+    }
+}
+
 /// Done once, amid a tick.
 pub type Amid = Rc<RefCell<Option<Box<dyn FnOnce()>>>>;
 
@@ -317,6 +342,8 @@
     pub over: Rc<Cell<bool>>,
     /// Done once when the machine next asks for news: after sockets were read, amid its tick.
     pub amid: Amid,
+    /// Done once after the next bytes that the machine is told, amid a batch.
+    pub between: Amid,
     /// What model servers do.
     pub doing: Doing,
 }
@@ -357,7 +384,8 @@
         );
         let node = Rc::new(RefCell::new(node));
         let clients: Rc<Cell<usize>> = Rc::default();
-        reactor.add(Box::new(Shared(node.clone(), clients.clone())));
+        let between: Amid = Rc::default();
+        reactor.add(Box::new(Shared(node.clone(), clients.clone(), between.clone())));
         let at = node.borrow().at().expect("it listens");
         Real {
             reactor,
@@ -371,6 +399,7 @@
             news,
             over,
             amid,
+            between,
             doing: Doing::Serves,
         }
     }
@@ -495,23 +524,7 @@
 
     /// Closes a client and waits until the router's kernel knows of it, without a turn.
     pub fn hangs_up(&self, client: TcpStream) {
-        let own = client.local_addr().expect("connected");
-        drop(client);
-        let end = Instant::now() + PATIENCE;
-        let hex = |at: SocketAddr| match at {
-            SocketAddr::V4(at) => format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port()),
-            SocketAddr::V6(_) => unreachable!("IPv4 alone"),
-        };
-        // Its own end, in the state that the peer has closed.
-        let ended = [hex(self.at), hex(own), "08".to_owned()];
-        loop {
-            let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
-            let is = |l: &str| l.split_whitespace().skip(1).take(3).eq(ended.iter().map(String::as_str));
-            if table.lines().any(is) {
-                return;
-            }
-            assert!(Instant::now() < end, "the end has not come");
-        }
+        hang_up(self.at, client);
     }
 
     /// Ends the router, and all that model servers were ever told, connection by connection.
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -27,6 +27,24 @@
     assert_eq!(told(&r.ends(), "DO", 2), 0, "nobody waits for it");
 }
 
+// The router stands still amid a batch, between another client's bytes and the request, and its client goes.
+#[test]
+fn hung_up_amid_a_batch() {
+    let mut r = Real::new(1, |_| ());
+    r.served(1);
+    let (mut other, mut client) = (r.client(), r.client());
+    r.quiet();
+    other.write_all(b"GET /check HTTP/1.1\r\nHost: a\r\n\r\n").expect("written");
+    client.write_all(call("quote", 2).as_bytes()).expect("written");
+    let at = r.at;
+    *r.between.borrow_mut() = Some(Box::new(move || {
+        hang_up(at, client);
+        std::thread::sleep(Duration::from_millis(60));
+    }));
+    r.until("seen", |r| r.node.borrow().kept()[1] == 1);
+    assert_eq!(told(&r.ends(), "DO", 2), 0, "nobody waits for it");
+}
+
 // Behind a request that waits, a client sends more than is kept, and goes: its end lies behind all of that.
 #[test]
 fn hung_up_behind_bytes_that_nobody_keeps() {
@@ -281,6 +299,32 @@
     r.until("the end", |r| r.over.get());
 }
 
+// The one client of a quiet router connects and asks amid the very tick in which the router stops listening:
+// nobody else is there, and nothing seems to be owed.
+#[test]
+fn leaving_as_the_last_client_connects() {
+    let mut r = Real::new(1, |_| ());
+    r.served(1);
+    r.leaves();
+    r.until("told to, and nobody is there", |r| r.news.borrow().is_empty() && r.node.borrow().kept()[1] == 0);
+    let at = r.at;
+    let asked: Rc<RefCell<Option<TcpStream>>> = Rc::default();
+    let put = asked.clone();
+    *r.amid.borrow_mut() = Some(Box::new(move || {
+        let mut client = TcpStream::connect(at).expect("it listens");
+        client.write_all(call("quote", 2).as_bytes()).expect("written");
+        *put.borrow_mut() = Some(client);
+    }));
+    r.stands_still(1_000 * MS);
+    r.until("the tick", |r| r.node.borrow().at().is_none());
+    assert!(!r.over.get(), "it owes an answer");
+    let link = r.carries(2);
+    r.peers[link].says(&word("OK", 2));
+    let answer = r.rest(asked.take().expect("it has connected"));
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    r.until("the end", |r| r.over.get());
+}
+
 // ---- Time-outs and evictions -----------------------------------------------------------------
 
 /// Clients that have asked and lie idle, the oldest first, as many as are kept open.
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -19,7 +19,8 @@
 /// Events taken from the kernel at a time: one for each descriptor of a large limit, as the order within a
 /// batch has to hold for all that waits.
 const EVENTS: usize = 4096;
-/// µs that timers may be late before sockets are read once more ahead of them: far above a busy turn.
+/// µs that timers may be late, and that the last look at sockets may be old, before sockets are looked at
+/// once more ahead of all else: far above a busy turn.
 const LATE: Micros = 50_000;
 /// Datagrams read in one go, so that a process that stood still sees what waits before its timers fire, and a
 /// flood of them does not starve connections.
@@ -109,6 +110,8 @@
     core: Core,
     events: Vec<epoll::Event>,
     buffer: Vec<u8>,
+    /// When the kernel was last asked what waits.
+    looked: Micros,
 }
 
 struct Port<'a> {
@@ -448,7 +451,8 @@
             origin: Instant::now(),
             epoch,
         };
-        Ok(Reactor { machines: Vec::new(), core, events: Vec::with_capacity(EVENTS), buffer: vec![0; READ] })
+        let (events, buffer) = (Vec::with_capacity(EVENTS), vec![0; READ]);
+        Ok(Reactor { machines: Vec::new(), core, events, buffer, looked: epoch })
     }
 
     pub fn now(&self) -> Micros {
@@ -516,6 +520,10 @@
             self.poll(Duration::ZERO)?;
         }
         for timer in self.core.wheel.due(self.core.now()) {
+            // The same where it stood still since that look, and the timer has become due only then.
+            if self.old() {
+                self.poll(Duration::ZERO)?;
+            }
             match timer {
                 Timer::Machine(m, wake) => self.with(m, |m, now, wire| m.woken(now, wire, wake)),
                 Timer::ConnectOver(conn) => {
@@ -531,6 +539,11 @@
         Ok(())
     }
 
+    /// Whether the last look at sockets is too old to act on.
+    fn old(&self) -> bool {
+        self.core.now() > self.looked + LATE
+    }
+
     /// Waits for sockets so long at most, and reads what is there.
     fn poll(&mut self, wait: Duration) -> io::Result<()> {
         let wait = Timespec { tv_sec: wait.as_secs() as i64, tv_nsec: i64::from(wait.subsec_nanos()) };
@@ -539,6 +552,7 @@
             Ok(_) | Err(Errno::INTR) => {}
             Err(error) => return Err(refused(error)),
         }
+        self.looked = self.core.now();
         let mut events = std::mem::take(&mut self.events);
         // Guards against a request that is sent on though its client has left in the meantime, and against a
         // newcomer that takes the place of a connection on which something lies unread.
@@ -548,6 +562,11 @@
             _ => 1,
         });
         for event in &events {
+            // Guards against a process that stood still amid a batch: a client whose request lies in it may
+            // have left since. What is left of it comes up again, in the order that holds then.
+            if self.old() {
+                break;
+            }
             self.event(event.data.u64(), event.flags);
         }
         self.events = events;
--- a/crates/reactor/tests/sockets.rs
+++ b/crates/reactor/tests/sockets.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const TURNS: usize = 2000;
 
@@ -171,6 +171,28 @@
     assert!(refused > 0 && seen.borrow().bytes <= 64 * 1024, "only the first piece was read");
 }
 
+// The same where it stood still past the time of a timer, which is late by a moment only.
+#[test]
+fn what_waits_is_read_before_a_timer_that_has_just_become_due() {
+    let other: Rc<RefCell<Option<TcpStream>>> = Rc::default();
+    let held = other.clone();
+    let act = Box::new(move |wire: &mut dyn Wire, _: Conn, _: &[u8]| {
+        if let Some(mut other) = held.take() {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_micros();
+            wire.wake_at(now as Micros + 58_000, Wake(1));
+            other.write_all(b"meanwhile").expect("it reads");
+            std::thread::sleep(Duration::from_millis(70));
+        }
+    });
+    let (mut reactor, seen) = probe(4, |_, _| {}, act);
+    let mut first = client(&seen);
+    *other.borrow_mut() = Some(client(&seen));
+    until(&mut reactor, || seen.borrow().conns.len() == 2);
+    first.write_all(b"go").expect("it reads");
+    until(&mut reactor, || !seen.borrow().woken.is_empty());
+    assert_eq!(seen.borrow().read, [b"go".len() + b"meanwhile".len()]);
+}
+
 // Guards against timers that fire before what waits in sockets is read, where the process stood still.
 #[test]
 fn what_waits_is_read_before_late_timers() {
