A further execution waits until the word that gives up the one before has left

Where a customer's settings forbid second copies, a worker that is set aside has its executions cancelled and sent on (control.rs hedge, closed). The node closed such an execution as soon as its UNDO was queued: the next one went out at once, also when the first one's connection took nothing and the UNDO lay here for as long as that lasted (drop_execution pushed a Rest item and closed; and of two dirty connections the later is written first, so even on free connections the new request left ahead of the UNDO). Two were out together.

Checked: forced on real sockets with a model server that reads nothing ("the first has not been given up yet", left 2, right 1). Now such an execution closes when the queue of its connection has left, or the connection has ended; a connection that waits for that is asked whether it works, so that a mute one is cut after 0.75 s. Where second copies are allowed, and for requests that have ended, nothing waits.

--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -26,6 +26,8 @@
     /// Executions of which at least a byte has left, by job: a model server gives back an id but once.
     pub out: BTreeMap<JobId, usize>,
     pub queue: VecDeque<Item>,
+    /// Executions that close as soon as all of the queue has left: the words that give them up wait in it.
+    pub given_up: Vec<(JobId, usize)>,
     /// When it last had something to do.
     pub busy: Micros,
     /// When bytes last came.
@@ -64,6 +66,7 @@
             parted: false,
             out: BTreeMap::new(),
             queue: VecDeque::new(),
+            given_up: Vec::new(),
             busy: now,
             heard: now,
             asked: None,
@@ -77,6 +80,11 @@
         self.out.len() + self.queue.iter().filter(|i| matches!(i, Item::Run(..))).count()
     }
 
+    /// Whether an answer is awaited on it, or that the word that gives one up leaves.
+    pub fn owes(&self) -> bool {
+        !self.out.is_empty() || !self.given_up.is_empty()
+    }
+
     /// Takes an execution back of which nothing has left.
     pub fn take_back(&mut self, job: JobId, n: usize) -> bool {
         let waits = |i: &Item| matches!(i, Item::Run(j, m) if *j == job && *m == n);
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -306,6 +306,10 @@
                 return;
             }
         }
+        let given_up = self.links.get_mut(&conn).filter(|l| l.open).map(|l| std::mem::take(&mut l.given_up));
+        for (job, n) in given_up.into_iter().flatten() {
+            self.close(now, job, n, ended(Outcome::Cancelled));
+        }
     }
 
     /// Ends an execution from this side, by a cancel or because its time is up. What has not left is taken
@@ -314,18 +318,28 @@
         let Some(life) = self.lives.get_mut(job) else { return };
         let Some(execution) = life.executions.get(n).filter(|e| !e.closed) else { return };
         life.timed_out |= outcome == Outcome::TimedOut;
+        // Whether the job may have another execution for this one, but not beside it.
+        let alone = outcome == Outcome::Cancelled && !life.ended && !self.start.rows.permits.second_copies;
         let mut outcome = outcome;
         if let Some(conn) = execution.link
             && let Some(link) = self.links.get_mut(&conn)
         {
             if link.take_back(job, n) {
                 outcome = fate::of_unsent(outcome);
-            } else {
-                link.out.remove(&job);
+            } else if link.out.remove(&job).is_some() {
                 let mut bytes = Vec::new();
                 line::undo(&mut bytes, id_text(&job));
                 link.queue.push_back(Item::Rest(bytes));
+                if alone {
+                    // Guards against two that are out together where that is forbidden: this one closes when
+                    // the word that gives it up has left.
+                    link.given_up.push((job, n));
+                    self.dirty.push(conn);
+                    return;
+                }
                 self.dirty.push(conn);
+            } else {
+                link.given_up.retain(|given_up| *given_up != (job, n));
             }
         }
         self.close(now, job, n, ended(outcome));
@@ -471,6 +485,9 @@
         for (job, n) in link.out {
             self.close(now, job, n, ended(fate::of_end(Reached::Written)));
         }
+        for (job, n) in link.given_up {
+            self.close(now, job, n, ended(Outcome::Cancelled));
+        }
         for item in link.queue {
             let Item::Run(job, n) = item else { continue };
             if link.open {
@@ -510,7 +527,7 @@
         };
         if over {
             self.link_over(now, wire, conn);
-        } else if link.open && link.asked.is_none() && !link.out.is_empty() && now >= link.heard + QUIET {
+        } else if link.open && link.asked.is_none() && link.owes() && now >= link.heard + QUIET {
             let mut bytes = Vec::new();
             line::echo(&mut bytes, ECHO_TAG);
             link.queue.push_back(Item::Rest(bytes));
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -158,7 +158,7 @@
         let head = call("quote", id).replace("Content-Length: 2", "Content-Length: 16000");
         head.replace("\r\n\r\nhi", &format!("\r\n\r\n{}", "y".repeat(16_000)))
     };
-    let mut clients = Vec::new();
+    let (mut clients, open) = (Vec::new(), r.node.borrow().kept()[0]);
     let mut next = 1;
     while clients.len() < 3 {
         let mut client = r.client();
@@ -169,7 +169,7 @@
             r.turn();
         }
         // That answer is nobody's as long as its line has not begun to leave.
-        if r.node.borrow().kept()[0] > clients.len() {
+        if r.node.borrow().kept()[0] > open + clients.len() {
             clients.push(client);
         }
         next += 1;
@@ -214,6 +214,46 @@
     assert!(begun.iter().all(|n| *n <= 1) && begun.contains(&0), "{begun:?}");
 }
 
+// Where no two executions may be out together, the word that gives the first up leaves ahead of the next: the
+// first one's connection takes nothing more, until the model server reads on, or the connection is cut.
+#[test_case(Doing::Serves, 2; "it reads on")]
+#[test_case(Doing::Mute, 2; "it does not even say that the connection works")]
+#[test_case(Doing::Full, 1; "it never reads")]
+fn a_cancel_that_cannot_leave(then: Doing, sent: usize) {
+    let mut r = Real::at(vec![small_server(), small_server()], |file| {
+        file["settings"]["allowed"]["second-copies"] = false.into();
+        file["settings"]["lanes"][0]["on-time"] = 300.0.into();
+    });
+    r.served(1001);
+    let (client, link) = r.carried("quote", 1000);
+    let (_others, next) = fills(&mut r);
+    // The other model server serves: what waits behind the full connection is sent on there after the delay.
+    let reads = |r: &mut Real| {
+        for peer in r.peers.iter_mut().enumerate().filter(|(n, _)| *n != link).map(|(_, peer)| peer) {
+            peer.read();
+            peer.says("{\"verb\":\"UP\",\"rid\":\"works\"}\n");
+            let asked: Vec<u64> = (1..next).filter(|id| peer.told("DO", *id) > 0).collect();
+            asked.into_iter().for_each(|id| peer.says(&word("OK", id)));
+        }
+        (1..next).map(|id| told(&r.peers, "DO", id)).sum::<usize>() > 0
+    };
+    r.until("sent on", reads);
+    r.quiet();
+    reads(&mut r);
+    assert_eq!(told(&r.peers, "DO", 1000), 1, "the first has not been given up yet");
+    r.doing = then;
+    r.until("sent on, or answered", |r| {
+        reads(r);
+        told(&r.peers, "DO", 1000) == 2 || r.node.borrow().kept()[0] == 0
+    });
+    assert_eq!(told(&r.peers, "DO", 1000), sent);
+    if sent == 1 {
+        r.leaves();
+        let answer = r.rest(client);
+        assert!(answer.starts_with("HTTP/1.1 50"), "{answer}");
+    }
+}
+
 // ---- The process -----------------------------------------------------------------------------
 
 /// A client that reads nothing, of forty requests that have been answered: most of it waits in the router.
