Servers whose zone or cell is not told share no group; a drain amid a line that is owed its answer, on sockets

Now a zone has to be known to be the same, and a server without a cell is in one of its own. keyed_by_zone failed before (left true, right false), as did an_entry_without_its_cell and a_list_without_cells (RackId(0) twice).

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -272,6 +272,27 @@
         }
     }
 
+    /// Reads a little of what is there.
+    pub fn sips(&mut self) {
+        let mut buffer = [0; 1024];
+        if let Ok(n) = self.stream.read(&mut buffer) {
+            self.text.push_str(std::str::from_utf8(&buffer[..n]).expect("lines are text"));
+        }
+    }
+
+    /// Bytes that the router has handed to its kernel: those read here, and those that wait at either end.
+    pub fn handed(&self) -> usize {
+        let (own, router) = (self.stream.local_addr(), self.stream.peer_addr());
+        let (own, router) = (hex(own.expect("connected")), hex(router.expect("connected")));
+        let waits = |row: &[String], at: usize| {
+            let bytes = row[4].split(':').nth(at).expect("two figures");
+            usize::from_str_radix(bytes, 16).expect("hex")
+        };
+        let all = sockets();
+        let row = |from: &str, to: &str| all.iter().find(|r| r[1] == from && r[2] == to).expect("it stands");
+        self.text.len() + waits(row(&own, &router), 1) + waits(row(&router, &own), 0)
+    }
+
     /// Reads, and tells how often it has been asked whether the connection works.
     fn reads_echoes(&mut self) -> usize {
         self.read();
@@ -294,22 +315,27 @@
     let own = client.local_addr().expect("connected");
     drop(client);
     let end = Instant::now() + PATIENCE;
-    let hex = |at: SocketAddr| match at {
-        SocketAddr::V4(at) => format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port()),
-        SocketAddr::V6(_) => unreachable!("IPv4 alone"),
-    };
     // Its own end, in the state that the peer has closed.
-    let ended = [hex(at), hex(own), "08".to_owned()];
-    loop {
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
-        let is = |l: &str| l.split_whitespace().skip(1).take(3).eq(ended.iter().map(String::as_str));
-        if table.lines().any(is) {
-            return;
-        }
+    while sockets().iter().all(|row| row[1..4] != [&*hex(at), &*hex(own), "08"]) {
         assert!(Instant::now() < end, "the end has not come");
     }
 }
 
+/// The kernel's table of connections, by columns: its own end, the peer's, state, bytes that wait.
+fn sockets() -> Vec<Vec<String>> {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+    let row = |line: &str| line.split_whitespace().map(str::to_owned).collect();
+    table.lines().skip(1).map(row).collect()
+}
+
+/// An address as that table has it.
+fn hex(at: SocketAddr) -> String {
+    match at {
+        SocketAddr::V4(at) => format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port()),
+        SocketAddr::V6(_) => unreachable!("IPv4 alone"),
+    }
+}
+
 /// Done once, amid a tick.
 pub type Amid = Rc<RefCell<Option<Box<dyn FnOnce()>>>>;
 
--- a/crates/node/tests/machine.rs
+++ b/crates/node/tests/machine.rs
@@ -343,3 +343,14 @@
     b.pass(600 * MS);
     assert!(b.paper.cut.contains(&link));
 }
+
+// The list of the start names no cells: no two model servers are in the same one, as far as is known.
+#[test]
+fn a_list_without_cells() {
+    let mut file = file(2);
+    for member in file["known"]["updates"][0]["endpoints"]["members"].as_array_mut().expect("two") {
+        member.as_object_mut().expect("an entry").remove("cell");
+    }
+    let racks: Vec<_> = start(&file).known[0].1.iter().map(|member| member.listed.rack).collect();
+    assert_ne!(racks[0], racks[1]);
+}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -104,6 +104,11 @@
     Ok((kind, members.iter().map(|m| member(m, words)).collect::<Read<_>>()?))
 }
 
+/// The cell that was told. A server of which none was told shares with nobody what it has seen.
+pub(crate) fn rack(name: &str, cell: Option<f64>) -> RackId {
+    RackId(cell.map_or_else(|| !((ServerId::named(name).0 >> 1) as i64), |cell| cell as i64))
+}
+
 fn member(entry: &Value, words: &Words) -> Read<Member> {
     let name = text_in(entry, "id")?;
     // As in answers of the name service: a zone that the settings do not name is none, and no failed start.
@@ -119,7 +124,7 @@
         },
         up_since: time_or_none(entry, "up_since_ms")?,
         zone: zone.map(ZoneId),
-        rack: RackId(number_or(entry, "cell", 0.0)? as i64),
+        rack: rack(&name, maybe(entry, "cell").map(|_| number(entry, "cell")).transpose()?),
         weight: number_or(entry, "size", 1.0)?,
     };
     Ok(Member { name, address: address(entry, "host_port")?, listed })
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -1,5 +1,5 @@
 //! The name service: queries for the list of model servers and what an answer says (RFC 1035, RFC 2782).
-use crate::config::Member;
+use crate::config::{Member, rack};
 use crate::fault::NoAnswer;
 use crate::rows::Words;
 use applepond::interface::*;
@@ -90,7 +90,7 @@
         standing: if priority == 0 { Standing::Ready } else { Standing::Draining },
         up_since: number("started")?.checked_mul(1000)?,
         zone: words.zones.iter().position(|z| z == zone).map(ZoneId),
-        rack: RackId(number("cell")? as i64),
+        rack: rack(name, note("cell").map(|v| v.parse::<u64>().map(|n| n as f64)).transpose().ok()?),
         weight: f64::from(weight) / WEIGHT_PARTS,
     };
     Some(Member { name: name.to_owned(), address, listed })
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -195,6 +195,22 @@
     assert_eq!((told.members.len(), told.left_out), (1, 1));
 }
 
+// Whose cell is not told, shares with nobody what it has seen: not with another such, nor with cell 0.
+#[test]
+fn an_entry_without_its_cell() {
+    let two = [ONE, Entry("s-2.room-1.hosts", 0, "started=0", true)];
+    let bytes = reply(Some(41), &two, |packet| {
+        for record in &mut packet.additional_records {
+            if let RData::TXT(_) = record.rdata {
+                record.rdata = RData::TXT(TXT::new().with_string("kind=std").expect("a short text"));
+            }
+        }
+    });
+    let told = names::answer(&bytes, 7, &rows().0).expect("a good answer");
+    let racks: Vec<RackId> = told.members.iter().map(|m| m.listed.rack).collect();
+    assert!(racks.len() == 2 && racks[0] != racks[1] && !racks.contains(&RackId(0)), "{racks:?}");
+}
+
 #[test_case(|p| p.set_id(8); "under another id")]
 #[test_case(|p| p.remove_flags(PacketFlag::RESPONSE); "a question")]
 #[test_case(|p| p.set_flags(PacketFlag::TRUNCATION); "marked as cut short")]
--- a/src/control.rs
+++ b/src/control.rs
@@ -852,7 +852,7 @@
             Effect::Fingerprinted { within, .. } => {
                 job.tried.iter().filter(|t| t.fate != Fate::NeverRan).all(|t| match within {
                     Within::Everywhere => true,
-                    Within::Zone => t.zone == s.zone,
+                    Within::Zone => t.zone.is_some() && t.zone == s.zone,
                     Within::Rack => t.rack == s.rack,
                 })
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -42,6 +42,21 @@
     assert_eq!(bench.ends(1), if again { vec![] } else { vec![Did::Kill(job(1))] });
 }
 
+// A zone that the settings do not name is none: two workers of such zones share no group that is known.
+#[test_case(Some(ZoneId(1)), true; "a zone that is named")]
+#[test_case(None, false; "zones that are not")]
+fn keyed_by_zone(zone: Option<ZoneId>, again: bool) {
+    let mut rows = rows(Effect::Fingerprinted { within: Within::Zone, window: 3000 * MS });
+    rows.permits.second_copies = false;
+    let mut bench = Bench::new(rows, 0);
+    let entry = |n| Listed { zone, ..listed(n, Standing::Ready, 0) };
+    bench.list(&(0..8).map(entry).collect::<Vec<_>>());
+    bench.arrive(1, "hut", 8000 * MS);
+    bench.close(1, 0, &answer(Outcome::Error));
+    bench.pass(1000 * MS);
+    assert_eq!(bench.sends(1).len() == 2, again);
+}
+
 // A further execution has to have left while its repeat would still be known; a first one has no such time.
 #[test_case(RACK, Some(3000 * MS - 20 * MS); "fingerprinted: to the end of its window, with care")]
 #[test_case(Effect::Idempotent, None; "idempotent")]
