--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -531,13 +531,13 @@
     assert!(begun.iter().all(|n| *n <= 1) && begun.contains(&0), "{begun:?}");
 }
 
-// A drain is told while a line has left in part that is still owed its answer: it is made whole, and the answer
-// counts.
+// A drain is told while a line has left in part that is still owed its answer: it is made whole, and the
+// answer counts.
 #[test]
 fn drained_amid_a_line_that_is_owed_its_answer() {
     let mut r = Real::at(vec![small_server()], |_| ());
     let (clients, next) = fills(&mut r);
-    // The part that has left is of a line whose answer has come. So much more has to leave for one of another.
+    // The part that has left is of a line whose answer has come. This much more is part of another one.
     let more = r.peers[0].handed() + 22_000;
     r.until("more has left", |r| {
         r.peers[0].sips();
@@ -553,10 +553,9 @@
     r.until("all over", |r| {
         let text = &r.peers[0].text;
         let whole = text.rfind('\n').map_or("", |end| &text[..end]);
-        let is = |id: &u64| whole.lines().any(|l| l.contains(&format!("DO\",\"rid\":\"{}", name(*id))));
-        let (came, waits) = std::mem::take(&mut owed).into_iter().partition(is);
+        let is = |id: &u64| whole.contains(&format!("DO\",\"rid\":\"{}", name(*id)));
+        let (came, waits): (Vec<u64>, _) = std::mem::take(&mut owed).into_iter().partition(is);
         owed = waits;
-        let came: Vec<u64> = came;
         came.into_iter().for_each(|id| r.peers[0].says(&word("OK", id)));
         r.node.borrow().kept()[0] == 0
     });
@@ -569,9 +568,11 @@
         let status = if owed.contains(&id) { "503" } else { "200" };
         assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{id}: {answer}");
     }
-    let amid =
-        ids.filter(|(id, _)| text[line..].starts_with(&format!("{{\"verb\":\"DO\",\"rid\":\"{}", name(*id))));
-    assert_eq!(amid.count(), 1, "the drain came amid one of these lines");
+    let begins = |id: u64| {
+        let head = format!("{{\"verb\":\"DO\",\"rid\":\"{}", name(id));
+        text[line..].starts_with(&head)
+    };
+    assert_eq!(ids.filter(|(id, _)| begins(*id)).count(), 1, "the drain came amid one of these lines");
     assert!(line < handed && !text[line..handed].contains('\n'));
     assert!(text.lines().all(|l| serde_json::from_str::<serde_json::Value>(l).is_ok()), "whole lines");
 }
