Where no descriptor is left for a server, the connection idle longest makes room

Settings with few descriptors and many model servers (sixteen and eight in the test) left some servers unused for good: place() closed the attempt as NoConnection where three eighths of the descriptors led to servers, and learn() set the server aside for it, longer each time, though nothing had been asked of it ("6 model servers of eight are used"). Idle connections to others stayed meanwhile for up to three quarters of the idle limit.

Now the connection that has lain idle longest is ended for one that is needed, never one that owes or carries anything; where none is idle the attempt closes as one that never ran and blames nobody. The test failed before; one answer is owed all the while on a connection that must not be the one that goes.

--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -85,6 +85,11 @@
         !self.out.is_empty() || !self.given_up.is_empty()
     }
 
+    /// Whether nobody would miss it.
+    pub fn idle(&self) -> bool {
+        self.load() == 0 && self.queue.is_empty() && !self.owes()
+    }
+
     /// Takes an execution back of which nothing has left.
     pub fn take_back(&mut self, job: JobId, n: usize) -> bool {
         let waits = |i: &Item| matches!(i, Item::Run(j, m) if *j == job && *m == n);
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -248,12 +248,16 @@
             |conn: &Conn| if spread { self.links[conn].load() } else { usize::MAX - self.links[conn].load() };
         let conn = match few.max_by_key(key) {
             Some(conn) => conn,
+            // That there is no descriptor is not this server's fault.
             None if self.links.len() >= self.links_most => {
+                if self.make_room(now, wire) {
+                    return self.place(now, wire, job, n);
+                }
                 tracing::warn!(
                     links = self.links.len(),
                     "no descriptor is left for a connection to a server"
                 );
-                return self.close(now, job, n, ended(Outcome::NoConnection));
+                return self.close(now, job, n, ended(Outcome::Moot));
             }
             _ => {
                 let conn = wire.connect(worker.address, self.start.terms.connect_limit);
@@ -267,6 +271,14 @@
         self.dirty.push(conn);
     }
 
+    /// Ends the connection to a server that has lain idle longest, for one that is needed.
+    fn make_room(&mut self, now: Micros, wire: &mut dyn Wire) -> bool {
+        let idle = self.links.iter().filter(|(_, link)| link.idle()).map(|(conn, link)| (link.busy, *conn));
+        let oldest = idle.min();
+        oldest.into_iter().for_each(|(_, conn)| self.link_over(now, wire, conn));
+        oldest.is_some()
+    }
+
     /// Writes what waits on a connection, as far as the kernel takes it: what it has not begun to take can
     /// still be taken back.
     fn pump(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -398,6 +398,36 @@
     assert!(answer[..n].starts_with(b"HTTP/1.1 200"));
 }
 
+// There are fewer descriptors than model servers: the connection that has lain idle longest makes room, not
+// one that owes an answer, and that none was left is not the fault of the server that needs one.
+#[test]
+fn more_servers_than_descriptors() {
+    let mut r = Real::new(8, |file| file["limits"]["sockets"] = 16.into());
+    let (mut owed, first) = r.carried("quote", 1);
+    let mut id = 2;
+    let mut reached = std::collections::BTreeSet::new();
+    while reached.len() < 8 {
+        assert!(id < 200, "{} model servers of eight are used", reached.len());
+        let mut client = r.client();
+        let function = format!("{id:016x}");
+        client.write_all(call("quote", id).replace(FUNCTION, &function).as_bytes()).expect("written");
+        let link = r.carries(id);
+        reached.insert(r.peers[link].stream.local_addr().expect("connected"));
+        r.peers[link].says(&word("OK", id));
+        let (mut answer, conns) = ([0; 1024], r.node.borrow().kept()[2]);
+        assert!(conns <= 6, "{conns} connections");
+        r.quiet();
+        let n = client.read(&mut answer).expect("an answer");
+        assert!(answer[..n].starts_with(b"HTTP/1.1 200"));
+        id += 1;
+    }
+    r.peers[first].says(&word("OK", 1));
+    r.quiet();
+    let mut answer = [0; 1024];
+    let n = owed.read(&mut answer).expect("an answer");
+    assert!(answer[..n].starts_with(b"HTTP/1.1 200"));
+}
+
 // The connection that has lain idle longest has not been delivered all of its answers.
 #[test]
 fn a_newcomer_beside_answers_on_their_way() {
