--- a/benches/crowd.rs
+++ b/benches/crowd.rs
@@ -20,14 +20,14 @@
     now: Micros,
     timers: BTreeSet<(Micros, Token)>,
     answers: VecDeque<(Micros, JobId, usize)>,
-    executions: std::collections::HashMap<[u8; 36], usize>,
+    attempts: std::collections::HashMap<[u8; 36], usize>,
     silent: bool,
     ended: u64,
 }
 
 impl Orders for Bench {
     fn send(&mut self, job: JobId, _: ServerId, _: Micros, _: Micros) {
-        let n = self.executions.entry(job.0).or_insert(0);
+        let n = self.attempts.entry(job.0).or_insert(0);
         if !self.silent {
             self.answers.push_back((self.now + 100 * MS, job, *n));
         }
@@ -67,7 +67,7 @@
         workloads: vec![row(500 * MS), row(600 * S)],
         customers: Vec::new(),
         permits: Permits {
-            executions: 4,
+            attempts: 4,
             cancel: true,
             second_copies: true,
             come_back: true,
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -41,15 +41,15 @@
 }
 
 impl Orders for Reply<'_> {
-    /// On the simulator's wire an execution leaves when it is ordered.
+    /// On the simulator's wire an attempt leaves when it is ordered.
     fn send(&mut self, job: JobId, server: ServerId, patience: Micros, _begin: Micros) {
         let server = &self.names.servers[&server];
         self.actions
             .push(json!({"op": "try", "msg-id": id_text(&job), "server": server, "patience": ms(patience)}));
     }
 
-    fn cancel(&mut self, job: JobId, execution: usize) {
-        self.actions.push(json!({"op": "call-off", "msg-id": id_text(&job), "send-no": execution}));
+    fn cancel(&mut self, job: JobId, attempt: usize) {
+        self.actions.push(json!({"op": "call-off", "msg-id": id_text(&job), "send-no": attempt}));
     }
 
     fn push_back(&mut self, job: JobId, come_back: Option<Micros>) {
--- a/crates/cli/src/drill.rs
+++ b/crates/cli/src/drill.rs
@@ -620,7 +620,7 @@
         .collect();
     json!({"seed": seed, "play": name, "before": r.before, "recovery_s": r.recovery, "peak": r.peak,
         "pushed_back": r.pushed_back, "fetches": r.fetches, "functions": r.functions,
-        "executions_each": {"before": r.executions.0, "after": r.executions.1},
+        "executions_each": {"before": r.attempts.0, "after": r.attempts.1},
         "got": got, "broken": broken, "cut": [r.cut.0, r.cut.1], "seconds": r.seconds})
 }
 
@@ -642,8 +642,8 @@
         report.peak, report.pushed_back, report.fetches, report.functions
     );
     println!(
-        "  executions begun for each job answered in time: {:.2} before the cut, {:.2} in the 10 s after it",
-        report.executions.0, report.executions.1
+        "  attempts begun for each job answered in time: {:.2} before the cut, {:.2} in the 10 s after it",
+        report.attempts.0, report.attempts.1
     );
     let got: Vec<String> = report.got.iter().map(|(got, n)| format!("{n} {got:?}")).collect();
     println!("  ends of jobs as clients saw them: {}", got.join(", "));
@@ -664,10 +664,10 @@
     println!("  ends of jobs as clients saw them: {}", got.join(", "));
     let v = &report.verdict;
     println!(
-        "  {} exchanges, {} executions begun, {} repeats dropped by racks, {} fetches; median {} ms, \
+        "  {} exchanges, {} attempts begun, {} repeats dropped by racks, {} fetches; median {} ms, \
          p99 {} ms",
         v.exchanges,
-        v.executions,
+        v.attempts,
         v.dropped_repeats,
         v.fetches,
         report.took.0 / 1000,
@@ -701,7 +701,7 @@
     let v = &report.verdict;
     let broken = faults(v);
     let all = json!({"seed": seed, "holds": report.holds(), "got": got, "broken": broken,
-        "exchanges": v.exchanges, "executions": v.executions, "fetches": v.fetches,
+        "exchanges": v.exchanges, "executions": v.attempts, "fetches": v.fetches,
         "median_us": report.took.0, "p99_us": report.took.1, "windows": report.windows});
     println!("{all}");
 }
--- a/crates/cli/tests/switch.rs
+++ b/crates/cli/tests/switch.rs
@@ -78,6 +78,6 @@
     request(&worker).write_all(DONE).expect("it waits");
     assert!(told(late).contains(" 200 OK"));
     worker.set_nonblocking(true).expect("a listener");
-    assert!(worker.accept().is_err(), "three jobs, three executions");
+    assert!(worker.accept().is_err(), "three jobs, three attempts");
     std::fs::remove_file(&file).expect("written above");
 }
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -14,7 +14,7 @@
 /// Faults told of one rule at most; the count goes on.
 const TOLD: usize = 5;
 
-/// What a second execution of an event's job would do.
+/// What a second attempt of an event's job would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
     Idempotent,
@@ -38,7 +38,7 @@
     /// By rule, how often broken and the first faults in words.
     pub broken: BTreeMap<u8, (usize, Vec<String>)>,
     pub exchanges: usize,
-    pub executions: usize,
+    pub attempts: usize,
     pub dropped_repeats: usize,
     pub fetches: usize,
 }
@@ -125,7 +125,7 @@
             Saw::Dropped { .. } => verdict.dropped_repeats += 1,
             Saw::Fetch { taken: true } => verdict.fetches += 1,
             Saw::Began { worker, event } => {
-                verdict.executions += 1;
+                verdict.attempts += 1;
                 let Some(now) = came.get(&(worker, event)) else { continue };
                 let before = begun.entry(event).or_default();
                 before.push(*now);
--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -242,7 +242,7 @@
         on_time(seen, &until, &mut verdict);
         verdict
     });
-    report.steps = report.verdict.executions;
+    report.steps = report.verdict.attempts;
     for (job, (got, _)) in day.jobs.iter().zip(&results.borrow().got) {
         if job.at >= begin + LOADS {
             report.chains += 1;
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -147,7 +147,7 @@
     Ok(report(&day, begin, &results.borrow(), verdict))
 }
 
-/// What a second execution of each job would do.
+/// What a second attempt of each job would do.
 pub fn effects(day: &Day) -> BTreeMap<Event, Effect> {
     let effect = |j: &applepond_standins::client::Planned| match (j.idempotent, j.fingerprint) {
         (true, _) => Effect::Idempotent,
--- a/crates/drill/src/storm.rs
+++ b/crates/drill/src/storm.rs
@@ -86,8 +86,8 @@
     /// Fetches from the store after the cut, and functions asked for in that time.
     pub fetches: usize,
     pub functions: usize,
-    /// Executions begun for each job answered in time: before the cut, and in the ten seconds after it.
-    pub executions: (f64, f64),
+    /// Attempts begun for each job answered in time: before the cut, and in the ten seconds after it.
+    pub attempts: (f64, f64),
     pub got: BTreeMap<Got, usize>,
 }
 
@@ -291,7 +291,7 @@
         let done: usize = report.seconds[span.clone()].iter().map(|s| s.1).sum();
         begun[span].iter().sum::<usize>() as f64 / done.max(1) as f64
     };
-    report.executions = (each(4..report.cut.0), each(from..to));
+    report.attempts = (each(4..report.cut.0), each(from..to));
     // The first seconds load everything; the last ones have no time left to be answered in.
     let steady = &report.seconds[4..report.cut.0];
     report.before = steady.iter().map(share).sum::<f64>() / steady.len().max(1) as f64;
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -1,7 +1,7 @@
 //! Which exchanges share a job, and what is told again after its end.
 //!
 //! A job's name is (`source`, `id`): CloudEvents makes two events with the same pair the same event. An
-//! exchange that names a running job joins it. After the end the answer is told again where another execution
+//! exchange that names a running job joins it. After the end the answer is told again where another attempt
 //! could do harm, or could only repeat work; it is remembered for a time, and up to a number and a sum of
 //! bytes.
 use applepond::interface::{Effect, JobId, Micros};
--- a/crates/gateway/src/fate.rs
+++ b/crates/gateway/src/fate.rs
@@ -1,4 +1,4 @@
-//! Whether an execution may have run, judged by what really happened on its connection.
+//! Whether an attempt may have run, judged by what really happened on its connection.
 use applepond::interface::Outcome;
 use applepond_reactor::Closed;
 
@@ -21,7 +21,7 @@
     }
 }
 
-/// What an ended connection means for the execution on it. A request of which no byte left has never run,
+/// What an ended connection means for the attempt on it. A request of which no byte left has never run,
 /// whatever the end looked like; one of which any byte left may have run, though the peer may never have read
 /// it.
 pub fn of_end(reached: Reached) -> Outcome {
@@ -37,7 +37,7 @@
     if outcome == Outcome::TimedOut { Outcome::NoConnection } else { Outcome::Moot }
 }
 
-/// Whether the same execution may go out once more on a new connection, without a word to the module: only
+/// Whether the same attempt may go out once more on a new connection, without a word to the module: only
 /// where a kept connection had been closed by the worker while it lay idle, and nothing of the request had
 /// left.
 pub fn again(reached: Reached, kept: bool, why: Closed) -> bool {
--- a/crates/gateway/src/host_list.rs
+++ b/crates/gateway/src/host_list.rs
@@ -23,7 +23,7 @@
     pub up_since: Micros,
     /// Connections that stand and carry nothing, each with when it fell idle; the latest last.
     pub idle: Vec<(Conn, Micros)>,
-    /// Executions out there.
+    /// Attempts out there.
     pub out: usize,
     /// This process of it has answered here.
     pub answered: bool,
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -1,4 +1,4 @@
-//! The life of a job and of its executions, whatever protocol they travel by: begun once, each execution
+//! The life of a job and of its attempts, whatever protocol they travel by: begun once, each attempt
 //! closed once, one end, and the queue of those whose time runs. Kept here for every router around the
 //! module.
 use applepond::interface::*;
@@ -24,8 +24,8 @@
     fn send(&mut self, job: JobId, server: ServerId, patience: Micros, begin: Micros) {
         self.0.push_back(Act::Send(job, server, patience, begin));
     }
-    fn cancel(&mut self, job: JobId, execution: usize) {
-        self.0.push_back(Act::Cancel(job, execution));
+    fn cancel(&mut self, job: JobId, attempt: usize) {
+        self.0.push_back(Act::Cancel(job, attempt));
     }
     fn push_back(&mut self, job: JobId, come_back: Option<Micros>) {
         self.0.push_back(Act::PushBack(job, come_back));
@@ -44,8 +44,8 @@
     }
 }
 
-/// One execution of a job.
-pub struct Execution {
+/// One attempt of a job.
+pub struct Attempt {
     pub server: ServerId,
     pub sent: Micros,
     /// When its time is up.
@@ -57,33 +57,33 @@
     pub closed: bool,
 }
 
-/// One job, from its arrival until its last execution has closed, and what its protocol keeps of it.
+/// One job, from its arrival until its last attempt has closed, and what its protocol keeps of it.
 pub struct Life<T> {
     pub came: Micros,
     pub deadline: Micros,
-    pub executions: Vec<Execution>,
+    pub attempts: Vec<Attempt>,
     pub ended: bool,
     pub timed_out: bool,
     pub of: T,
 }
 
 impl<T> Life<T> {
-    /// Whether an execution of which nothing has left may still begin: somebody waits for its job, and where
+    /// Whether an attempt of which nothing has left may still begin: somebody waits for its job, and where
     /// it is a repeat, that would still be known.
     pub fn may_begin(&self, now: Micros, n: usize) -> bool {
-        !self.ended && now < self.executions[n].begin
+        !self.ended && now < self.attempts[n].begin
     }
 
     pub fn out(&self) -> usize {
-        self.executions.iter().filter(|e| !e.closed).count()
+        self.attempts.iter().filter(|e| !e.closed).count()
     }
 }
 
 /// All jobs of one router.
 pub struct Lives<T> {
     lives: BTreeMap<JobId, Life<T>>,
-    /// Executions that are out, by when their time is up. One timer serves all of them: a timer for each
-    /// would outlive most executions by seconds.
+    /// Attempts that are out, by when their time is up. One timer serves all of them: a timer for each
+    /// would outlive most attempts by seconds.
     out: BTreeSet<(Micros, JobId, usize)>,
     /// When that timer fires, where one is set.
     armed: Option<Micros>,
@@ -104,7 +104,7 @@
         self.lives.is_empty()
     }
 
-    /// Jobs that have not ended, and executions that are out.
+    /// Jobs that have not ended, and attempts that are out.
     pub fn open(&self) -> (usize, usize) {
         let open = self.lives.values().filter(|l| !l.ended).count();
         (open, self.lives.values().map(Life::out).sum())
@@ -119,11 +119,11 @@
     }
 
     pub fn begin(&mut self, job: JobId, came: Micros, deadline: Micros, of: T) {
-        let life = Life { came, deadline, executions: Vec::new(), ended: false, timed_out: false, of };
+        let life = Life { came, deadline, attempts: Vec::new(), ended: false, timed_out: false, of };
         self.lives.insert(job, life);
     }
 
-    /// Begins an execution, by its number; none where there is no such job. An error is one that may not go
+    /// Begins an attempt, by its number; none where there is no such job. An error is one that may not go
     /// out: its job has ended, or has had as many as it may.
     pub fn execute(
         &mut self,
@@ -134,9 +134,9 @@
         most: usize,
     ) -> Option<Result<usize, usize>> {
         let life = self.lives.get_mut(&job)?;
-        let n = life.executions.len();
+        let n = life.attempts.len();
         let until = now + patience;
-        life.executions.push(Execution { server, sent: now, until, begin, link: None, closed: false });
+        life.attempts.push(Attempt { server, sent: now, until, begin, link: None, closed: false });
         if life.ended || n >= most {
             return Some(Err(n));
         }
@@ -151,7 +151,7 @@
         earlier.then(|| *self.armed.insert(until))
     }
 
-    /// An execution whose time is up, each once.
+    /// An attempt whose time is up, each once.
     pub fn due(&mut self, now: Micros) -> Option<(JobId, usize)> {
         self.armed = self.armed.filter(|at| *at > now);
         let (_, job, n) = *self.out.first().filter(|(until, _, _)| *until <= now)?;
@@ -159,14 +159,14 @@
         Some((job, n))
     }
 
-    /// Closes an execution: what the module is to be told of it, once. A job that has ended goes with the
+    /// Closes an attempt: what the module is to be told of it, once. A job that has ended goes with the
     /// last that is out.
     pub fn close(&mut self, now: Micros, job: JobId, n: usize, answer: Answer) -> Option<Answer> {
         let life = self.lives.get_mut(&job)?;
-        let execution = life.executions.get_mut(n).filter(|e| !e.closed)?;
-        execution.closed = true;
-        self.out.remove(&(execution.until, job, n));
-        let answer = Answer { closed: life.ended, elapsed: now - execution.sent, ..answer };
+        let attempt = life.attempts.get_mut(n).filter(|e| !e.closed)?;
+        attempt.closed = true;
+        self.out.remove(&(attempt.until, job, n));
+        let answer = Answer { closed: life.ended, elapsed: now - attempt.sent, ..answer };
         self.forget(job);
         Some(answer)
     }
@@ -191,7 +191,7 @@
     }
 }
 
-/// An execution's end that no answer tells more about.
+/// An attempt's end that no answer tells more about.
 pub fn ended(outcome: Outcome) -> Answer {
     Answer { outcome, closed: false, elapsed: 0, copy: Copy::Unsaid, company: 0, held: None, loads: None }
 }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -1,6 +1,6 @@
 //! The workers' side: what one connection to a worker carries, and how its answer is read.
 //!
-//! A connection carries one execution at a time. Ending it is the cancel: HTTP/1.1 has no other word for it
+//! A connection carries one attempt at a time. Ending it is the cancel: HTTP/1.1 has no other word for it
 //! that the worker sees on the same connection, and it reaches a worker that still reads the request as well
 //! as one that runs it.
 use applepond::interface::{Copy, JobId, ServerId};
@@ -117,7 +117,7 @@
     /// It carried an answer before.
     pub kept: bool,
     pub carries: Option<(JobId, usize)>,
-    /// Bytes that the kernel had taken before this execution's request.
+    /// Bytes that the kernel had taken before this attempt's request.
     pub sent_before: u64,
     pub decoder: Decoder,
     pub answering: Answering,
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -62,7 +62,7 @@
     function: String,
     /// Exchanges that wait for its answer.
     callers: Vec<Conn>,
-    /// What every execution sends after its own head.
+    /// What every attempt sends after its own head.
     lines: Lines,
     media: Option<String>,
     data: Rc<Vec<u8>>,
@@ -153,7 +153,7 @@
     finished: u64,
     pushed_back: u64,
     killed: u64,
-    executions: u64,
+    attempts: u64,
     refused: u64,
     /// Pushed back before the module.
     damped: u64,
@@ -382,7 +382,7 @@
                     self.execute(now, wire, job, server, (patience, begin));
                 }
                 Act::Cancel(job, n) => {
-                    self.drop_execution(now, wire, job, n, Outcome::Cancelled);
+                    self.drop_attempt(now, wire, job, n, Outcome::Cancelled);
                 }
                 Act::PushBack(job, come_back) => {
                     // In a storm the module's word stands, but all its pushbacks together would be a second
@@ -431,7 +431,7 @@
         }
     }
 
-    /// Begins one execution: on a connection that stands, else on a new one.
+    /// Begins one attempt: on a connection that stands, else on a new one.
     fn execute(
         &mut self,
         now: Micros,
@@ -440,10 +440,10 @@
         server: ServerId,
         times: (Micros, Micros),
     ) {
-        let most = self.deployment.rows.permits.executions;
+        let most = self.deployment.rows.permits.attempts;
         match self.tasks.execute(now, job, server, times, most) {
             Some(Ok(n)) => {
-                self.counts.executions += 1;
+                self.counts.attempts += 1;
                 if let Some(worker) = self.listed.get_mut(server) {
                     worker.out += 1;
                 }
@@ -463,14 +463,14 @@
 
     fn times_up(&mut self, now: Micros, wire: &mut dyn Wire) {
         while let Some((job, n)) = self.tasks.due(now) {
-            self.drop_execution(now, wire, job, n, Outcome::TimedOut);
+            self.drop_attempt(now, wire, job, n, Outcome::TimedOut);
         }
         self.arm(now, wire);
     }
 
     fn connect(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize) {
         let Some(task) = self.tasks.get_mut(job) else { return };
-        let server = task.executions[n].server;
+        let server = task.attempts[n].server;
         let run_once = task.of.effect == Effect::RunOnce;
         let Some(worker) = self.listed.get_mut(server).filter(|w| w.standing == Standing::Ready) else {
             self.close(now, job, n, ended(Outcome::NoConnection));
@@ -492,25 +492,25 @@
                 conn
             }
         };
-        task.executions[n].link = Some(conn);
+        task.attempts[n].link = Some(conn);
         if fresh {
             self.write(now, wire, conn);
         }
     }
 
-    /// Writes the request of the execution that a connection carries.
+    /// Writes the request of the attempt that a connection carries.
     fn write(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         let Some(link) = self.links.get(&conn) else { return };
         let Some((job, n)) = link.carries else { return };
         let Some(worker) = self.listed.get(link.server) else { return };
         // Its client has gone while the connection was made, or it is a repeat that would not be known now.
         if !self.tasks.get(job).is_some_and(|task| task.may_begin(now, n)) {
-            self.drop_execution(now, wire, job, n, Outcome::Moot);
+            self.drop_attempt(now, wire, job, n, Outcome::Moot);
             return;
         }
         // A drain was told meanwhile: nothing new goes there.
         if worker.standing != Standing::Ready {
-            self.drop_execution(now, wire, job, n, Outcome::NoConnection);
+            self.drop_attempt(now, wire, job, n, Outcome::NoConnection);
             return;
         }
         let Some(task) = self.tasks.get(job) else { return };
@@ -540,12 +540,12 @@
         wire.write(conn, &head.body(&task.of.data));
     }
 
-    /// Ends an execution from this side, by a cancel or because its time is up: the worker is told by the end
+    /// Ends an attempt from this side, by a cancel or because its time is up: the worker is told by the end
     /// of its connection, and whatever it answers after that is never read.
-    fn drop_execution(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize, outcome: Outcome) {
+    fn drop_attempt(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize, outcome: Outcome) {
         let Some(task) = self.tasks.get_mut(job) else { return };
-        let Some(execution) = task.executions.get_mut(n).filter(|e| !e.closed) else { return };
-        if let Some(conn) = execution.link.take() {
+        let Some(attempt) = task.attempts.get_mut(n).filter(|e| !e.closed) else { return };
+        if let Some(conn) = attempt.link.take() {
             wire.cut(conn);
             self.links.remove(&conn);
         }
@@ -553,14 +553,14 @@
         self.close(now, job, n, ended(outcome));
     }
 
-    /// Tells the module how an execution closed, once.
+    /// Tells the module how an attempt closed, once.
     fn close(&mut self, now: Micros, job: JobId, n: usize, answer: Answer) {
-        let server = self.tasks.get(job).map(|task| task.executions[n].server);
+        let server = self.tasks.get(job).map(|task| task.attempts[n].server);
         let Some(answer) = self.tasks.close(now, job, n, answer) else { return };
         if let Some(worker) = server.and_then(|server| self.listed.get_mut(server)) {
             worker.out = worker.out.saturating_sub(1);
         }
-        tracing::debug!(n, ?answer.outcome, answer.elapsed, "execution closed");
+        tracing::debug!(n, ?answer.outcome, answer.elapsed, "attempt closed");
         self.control.clock(now);
         self.control.answered(&mut self.acts, job, n, &answer);
     }
@@ -591,7 +591,7 @@
             workload = %self.deployment.workloads[task.of.workload].name,
             reason = told.reason,
             status = told.status,
-            executions = task.executions.len(),
+            executions = task.attempts.len(),
             exchanges = task.of.callers.len(),
             took_us = now - task.came,
             left_us = task.deadline.saturating_sub(now),
@@ -845,7 +845,7 @@
         }
         let Some(task) = self.tasks.get_mut(job) else { return };
         task.of.callers.retain(|c| *c != conn);
-        if task.of.callers.is_empty() && task.executions.is_empty() && !task.ended {
+        if task.of.callers.is_empty() && task.attempts.is_empty() && !task.ended {
             let Task { name: (source, id), .. } = &task.of;
             tracing::info!(%id, %source, reason = "client-left", "job ended");
             self.claims.drop(&task.of.name);
@@ -900,7 +900,7 @@
             "jobs": {"open": open, "taken": c.jobs,
                 "joined": c.joined, "told-again": c.again, "finished": c.finished,
                 "pushed-back": c.pushed_back, "killed": c.killed, "requests-refused": c.refused},
-            "executions": {"out": out, "begun": c.executions},
+            "executions": {"out": out, "begun": c.attempts},
             "remembered": self.claims.remembered(),
             "chains": self.chains.state(),
             "storm": self.storm_state(now),
@@ -934,12 +934,12 @@
             Ok(Decoded::Done) => self.link_answered(now, wire, conn),
             Err(fault) => {
                 tracing::warn!(reason = fault.reason, "a worker's answer cannot be read");
-                self.drop_execution(now, wire, job, n, Outcome::Broken);
+                self.drop_attempt(now, wire, job, n, Outcome::Broken);
             }
         }
     }
 
-    /// An answer is whole: the connection is free for the next, and the execution closes.
+    /// An answer is whole: the connection is free for the next, and the attempt closes.
     fn link_answered(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
         let Some(link) = self.links.get_mut(&conn) else { return };
         let mut answering = std::mem::take(&mut link.answering);
@@ -962,11 +962,11 @@
         }
         let outcome = fate::of_answer(answering.status, answering.mark.as_deref(), answering.event);
         if let Some(task) = self.tasks.get_mut(job) {
-            task.executions[n].link = None;
+            task.attempts[n].link = None;
             if outcome == Outcome::Finished && !task.ended {
                 task.of.stood = answering.copy != Copy::Begun && answering.copy != Copy::Awaited;
                 let mut lines = std::mem::take(&mut answering.lines);
-                lines.field("applepond-executions", &task.executions.len().to_string());
+                lines.field("applepond-executions", &task.attempts.len().to_string());
                 let body = std::mem::take(&mut answering.body);
                 let told = Told::finished(lines, body);
                 self.end(now, wire, job, Rc::new(told));
@@ -993,7 +993,7 @@
         }
         let reached = fate::reached(link.open, link.sent_before, sent);
         if let Some(task) = self.tasks.get_mut(job) {
-            task.executions[n].link = None;
+            task.attempts[n].link = None;
             if fate::again(reached, link.kept, why) && !task.ended {
                 self.connect(now, wire, job, n);
                 return;
--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -614,14 +614,14 @@
         let Some(task) = self.tasks.get_mut(job) else { return };
         task.ended = true;
         task.of.then = None;
-        let executions = task.executions.len();
+        let attempts = task.attempts.len();
         if task.out() == 0 {
             self.tasks.forget(job);
             self.control.clock(now);
             self.control.left(&mut self.acts, job);
             return;
         }
-        (0..executions).for_each(|n| self.drop_execution(now, wire, job, n, Outcome::Cancelled));
+        (0..attempts).for_each(|n| self.drop_attempt(now, wire, job, n, Outcome::Cancelled));
     }
 
     /// Begins an undo, and again until it has finished.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -48,7 +48,7 @@
                 .collect(),
             customers: vec![CustomerRow { jobs_per_s: 1000.0 }],
             permits: Permits {
-                executions: 4,
+                attempts: 4,
                 cancel: true,
                 second_copies: true,
                 come_back: true,
--- a/crates/gateway/tests/machine.rs
+++ b/crates/gateway/tests/machine.rs
@@ -22,7 +22,7 @@
     assert!(b.told(client).ends_with("{\"ok\": 1}") && b.told(client).contains("ce-type: result"));
 }
 
-// A client's retry joins the running job: one execution, one answer to each exchange; after the end it is
+// A client's retry joins the running job: one attempt, one answer to each exchange; after the end it is
 // told again.
 #[test_case("quote"; "idempotent")]
 #[test_case("confirm"; "run-once")]
--- a/crates/gateway/tests/switch.rs
+++ b/crates/gateway/tests/switch.rs
@@ -84,7 +84,7 @@
     assert_eq!((b.statuses(client), b.requests()), (vec![200], 3));
 }
 
-// Two executions are out when second copies are forbidden: one is taken back, and no job gets another.
+// Two attempts are out when second copies are forbidden: one is taken back, and no job gets another.
 #[test]
 fn copies_end_with_their_permit() {
     let mut b = Bench::new(deployment(3));
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -1,4 +1,4 @@
-//! Connections to model servers: many executions on each, their lines as long as the kernel has not taken
+//! Connections to model servers: many attempts on each, their lines as long as the kernel has not taken
 //! them, and answers as they come in.
 use applepond::interface::*;
 use applepond_http::Fault;
@@ -10,7 +10,7 @@
 
 /// What waits to be written.
 pub enum Item {
-    /// The line that runs this execution, not begun yet: it can be taken back.
+    /// The line that runs this attempt, not begun yet: it can be taken back.
     Run(JobId, usize),
     /// Bytes that must follow what is written already.
     Rest(Vec<u8>),
@@ -23,10 +23,10 @@
     pub since: Micros,
     /// It carries nothing new any more and goes when it owes nothing.
     pub parted: bool,
-    /// Executions of which at least a byte has left, by job: a model server gives back an id but once.
+    /// Attempts of which at least a byte has left, by job: a model server gives back an id but once.
     pub out: BTreeMap<JobId, usize>,
     pub queue: VecDeque<Item>,
-    /// Executions that close as soon as all of the queue has left: the words that give them up wait in it.
+    /// Attempts that close as soon as all of the queue has left: the words that give them up wait in it.
     pub given_up: Vec<(JobId, usize)>,
     /// When it last had something to do.
     pub busy: Micros,
@@ -75,7 +75,7 @@
         }
     }
 
-    /// Executions on it, written or not.
+    /// Attempts on it, written or not.
     pub fn load(&self) -> usize {
         self.out.len() + self.queue.iter().filter(|i| matches!(i, Item::Run(..))).count()
     }
@@ -90,7 +90,7 @@
         self.load() == 0 && self.queue.is_empty() && !self.owes()
     }
 
-    /// Takes an execution back of which nothing has left.
+    /// Takes an attempt back of which nothing has left.
     pub fn take_back(&mut self, job: JobId, n: usize) -> bool {
         let waits = |i: &Item| matches!(i, Item::Run(j, m) if *j == job && *m == n);
         let found = self.queue.iter().position(waits);
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -25,7 +25,7 @@
 /// for model servers; the rest is for the process itself and for connections on their way out.
 const CLIENT_PARTS: usize = 4;
 const WORKER_PARTS: usize = 3;
-/// Executions on one connection as long as there are descriptors for another: they are lost together.
+/// Attempts on one connection as long as there are descriptors for another: they are lost together.
 const TOGETHER: usize = 4;
 /// Part of the time after which model servers close idle connections at which this side does: a call must not
 /// cross their closing.
@@ -82,7 +82,7 @@
     links: FxHashMap<Conn, Link>,
     links_most: usize,
     workers: Workers,
-    /// Model servers that take executions, one at the least.
+    /// Model servers that take attempts, one at the least.
     fleet: usize,
     watch: Watch,
     /// Clients whose answer has gone out and whose next request may be here; links with something to write.
@@ -172,7 +172,7 @@
             Act::Send(job, server, patience, begin) => {
                 self.execute(now, wire, job, server, (patience, begin));
             }
-            Act::Cancel(job, n) => self.drop_execution(now, job, n, Outcome::Cancelled),
+            Act::Cancel(job, n) => self.drop_attempt(now, job, n, Outcome::Cancelled),
             Act::PushBack(job, come_back) => {
                 self.end(now, wire, job, Reply { come_back, ..Reply::bare(503) });
             }
@@ -195,7 +195,7 @@
         server: ServerId,
         times: (Micros, Micros),
     ) {
-        let most = self.start.rows.permits.executions;
+        let most = self.start.rows.permits.attempts;
         match self.lives.execute(now, job, server, times, most) {
             Some(Ok(n)) => {
                 self.arm(now, wire);
@@ -206,7 +206,7 @@
         }
     }
 
-    /// Sets the timer for the execution whose time is up first, unless one fires earlier anyway.
+    /// Sets the timer for the attempt whose time is up first, unless one fires earlier anyway.
     fn arm(&mut self, now: Micros, wire: &mut dyn Wire) {
         if let Some(until) = self.lives.arm() {
             let step: Step = Box::new(|node, now, wire| node.times_up(now, wire));
@@ -216,15 +216,15 @@
 
     fn times_up(&mut self, now: Micros, wire: &mut dyn Wire) {
         while let Some((job, n)) = self.lives.due(now) {
-            self.drop_execution(now, job, n, Outcome::TimedOut);
+            self.drop_attempt(now, job, n, Outcome::TimedOut);
         }
         self.arm(now, wire);
     }
 
-    /// Puts an execution on a connection that has room for it, a new one if need be.
+    /// Puts an attempt on a connection that has room for it, a new one if need be.
     fn place(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize) {
         let Some(life) = self.lives.get_mut(job) else { return };
-        let server = life.executions[n].server;
+        let server = life.attempts[n].server;
         let wanted = life.may_begin(now, n);
         let ready = |w: &&mut Worker| wanted && w.standing == Standing::Ready;
         let Some(worker) = self.workers.get_mut(server).filter(ready) else {
@@ -234,13 +234,13 @@
         let usable = worker.links.iter().copied().filter(|conn| {
             let link = &self.links[conn];
             let fresh = link.load() > 0 || now < link.busy + idle_limit;
-            // Another answer to an earlier execution of the job may still come here under the same id, also
+            // Another answer to an earlier attempt of the job may still come here under the same id, also
             // where it has had one.
-            let used = life.executions[..n].iter().any(|e| e.link == Some(*conn));
+            let used = life.attempts[..n].iter().any(|e| e.link == Some(*conn));
             fresh && !used && link.load() < self.start.terms.streams
         });
         // The fullest that is not full: connections that are seldom idle are few. All on one are lost with
-        // it, so one is full with a few executions, as long as there are descriptors for more.
+        // it, so one is full with a few attempts, as long as there are descriptors for more.
         let most = if self.links.len() < self.links_most { self.links_most / self.fleet } else { 0 };
         let spread = worker.links.len() < most;
         let few = usable.clone().filter(|conn| !spread || self.links[conn].load() < TOGETHER);
@@ -266,7 +266,7 @@
                 conn
             }
         };
-        life.executions[n].link = Some(conn);
+        life.attempts[n].link = Some(conn);
         self.links.get_mut(&conn).expect("just found").queue.push_back(Item::Run(job, n));
         self.dirty.push(conn);
     }
@@ -290,7 +290,7 @@
                 Item::Rest(bytes) => (None, bytes),
                 Item::Run(job, n) => {
                     let Some(life) = self.lives.get(job) else { continue };
-                    // Guards against an execution that begins though nobody waits for its job any more, also
+                    // Guards against an attempt that begins though nobody waits for its job any more, also
                     // where those that have begun may not be cancelled, and against a repeat that a model
                     // server would not know any more when its connection comes up late or takes nothing.
                     if !life.may_begin(now, n) {
@@ -324,16 +324,16 @@
         }
     }
 
-    /// Ends an execution from this side, by a cancel or because its time is up. What has not left is taken
+    /// Ends an attempt from this side, by a cancel or because its time is up. What has not left is taken
     /// back and has never run; what has is given up by a line.
-    fn drop_execution(&mut self, now: Micros, job: JobId, n: usize, outcome: Outcome) {
+    fn drop_attempt(&mut self, now: Micros, job: JobId, n: usize, outcome: Outcome) {
         let Some(life) = self.lives.get_mut(job) else { return };
-        let Some(execution) = life.executions.get(n).filter(|e| !e.closed) else { return };
+        let Some(attempt) = life.attempts.get(n).filter(|e| !e.closed) else { return };
         life.timed_out |= outcome == Outcome::TimedOut;
-        // Whether the job may have another execution for this one, but not beside it.
+        // Whether the job may have another attempt for this one, but not beside it.
         let alone = outcome == Outcome::Cancelled && !life.ended && !self.start.rows.permits.second_copies;
         let mut outcome = outcome;
-        if let Some(conn) = execution.link
+        if let Some(conn) = attempt.link
             && let Some(link) = self.links.get_mut(&conn)
         {
             if link.take_back(job, n) {
@@ -357,11 +357,11 @@
         self.close(now, job, n, ended(outcome));
     }
 
-    /// Tells the module how an execution closed, once.
+    /// Tells the module how an attempt closed, once.
     fn close(&mut self, now: Micros, job: JobId, n: usize, answer: Answer) {
-        let server = self.lives.get(job).map(|l| l.executions[n].server.0);
+        let server = self.lives.get(job).map(|l| l.attempts[n].server.0);
         if let Some(answer) = self.lives.close(now, job, n, answer) {
-            tracing::debug!(job = id_text(&job), n, server, ?answer, "execution closed");
+            tracing::debug!(job = id_text(&job), n, server, ?answer, "attempt closed");
             self.control.clock(now);
             self.control.answered(&mut self.acts, job, n, &answer);
         }
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -10,7 +10,7 @@
     pub address: SocketAddr,
     pub standing: Standing,
     pub up_since: Micros,
-    /// Connections that may carry new executions.
+    /// Connections that may carry new attempts.
     pub links: Vec<Conn>,
 }
 
@@ -26,7 +26,7 @@
         self.0.len()
     }
 
-    /// How many take new executions.
+    /// How many take new attempts.
     pub fn ready(&self) -> usize {
         self.0.values().filter(|w| w.standing == Standing::Ready).count()
     }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -153,7 +153,7 @@
         links.flat_map(|(c, _)| self.lines(*c)).filter(|(verb, rid)| verb == "DO" && *rid == name(id)).count()
     }
 
-    /// The connection that carries a job, with the last of its executions.
+    /// The connection that carries a job, with the last of its attempts.
     pub fn carries(&mut self, id: u64) -> Conn {
         let links = self.links();
         let on = links.iter().rev().find(|c| self.lines(**c).contains(&("DO".into(), name(id))));
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -87,9 +87,9 @@
     assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
 }
 
-// A model server's word that leads to a further execution, and then the client's end, both before the router
+// A model server's word that leads to a further attempt, and then the client's end, both before the router
 // looks: which of them came first may not count. Connections to both model servers stand, so that the
-// execution would leave at once.
+// attempt would leave at once.
 #[test_case("ERR"; "an error")]
 #[test_case("BUSY"; "full")]
 #[test_case("MISS"; "not loaded")]
@@ -105,11 +105,11 @@
     r.peers[link].says(&word(verb, 2));
     r.hangs_up(client);
     r.until("seen", |r| r.node.borrow().kept()[..2] == [0, 1]);
-    assert_eq!(told(&r.ends(), "DO", 2), 1, "no further execution");
+    assert_eq!(told(&r.ends(), "DO", 2), 1, "no further attempt");
 }
 
-// The client goes while its execution waits for a connection that comes up.
-#[test_case(true; "executions may be cancelled")]
+// The client goes while its attempt waits for a connection that comes up.
+#[test_case(true; "attempts may be cancelled")]
 #[test_case(false; "they may not: what has not begun is taken back all the same")]
 fn hung_up_while_connecting(cancel: bool) {
     let mut r = Real::new(1, |file| file["settings"]["allowed"]["cancel"] = cancel.into());
@@ -181,7 +181,7 @@
 // A model server that reads nothing answers until the connection is full: one line has left in part, others
 // wait behind it. Their clients go: the part is made whole and given up, what waits is taken back.
 #[test_case(true, false; "it reads on")]
-#[test_case(false, false; "it reads on, and executions may not be cancelled")]
+#[test_case(false, false; "it reads on, and attempts may not be cancelled")]
 #[test_case(false, true; "it resets the connection, and they may not be cancelled")]
 fn hung_up_amid_a_line(cancel: bool, resets: bool) {
     let allow = |file: &mut serde_json::Value| file["settings"]["allowed"]["cancel"] = cancel.into();
@@ -214,7 +214,7 @@
     assert!(begun.iter().all(|n| *n <= 1) && begun.contains(&0), "{begun:?}");
 }
 
-// Where no two executions may be out together, the word that gives the first up leaves ahead of the next: the
+// Where no two attempts may be out together, the word that gives the first up leaves ahead of the next: the
 // first one's connection takes nothing more, until the model server reads on, or the connection is cut.
 #[test_case(Doing::Serves, 2; "it reads on")]
 #[test_case(Doing::Mute, 2; "it does not even say that the connection works")]
@@ -465,7 +465,7 @@
     assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
 }
 
-// What a client is told in the end: a refusal only where no execution can have run, or running twice harms
+// What a client is told in the end: a refusal only where no attempt can have run, or running twice harms
 // nothing.
 #[test_case("confirm", "ERR", "502"; "run-once, and it may have run")]
 #[test_case("confirm", "MISS", "503"; "run-once, and it has not")]
@@ -519,7 +519,7 @@
     assert_eq!(told(&r.ends(), "DO", 1), 1);
 }
 
-// A drain is told while an execution waits for a connection: it is taken back, and has not run.
+// A drain is told while an attempt waits for a connection: it is taken back, and has not run.
 #[test]
 fn drained_while_connecting() {
     let (server, queue) = full_server();
@@ -640,10 +640,10 @@
 }
 
 // A model server that turned a request away and is asked again, says so a second time: that is no answer to
-// the second execution, which goes by another connection.
+// the second attempt, which goes by another connection.
 #[test_case("BUSY"; "full")]
 #[test_case("MISS"; "not loaded")]
-fn a_second_answer_to_an_earlier_execution(verb: &str) {
+fn a_second_answer_to_an_earlier_attempt(verb: &str) {
     let mut r = Real::new(1, |_| ());
     let (client, first) = r.carried("confirm", 1);
     r.peers[first].says(&word(verb, 1));
@@ -687,7 +687,7 @@
     let (client, link) = r.carried("hold", 1);
     r.quiet();
     r.peers[link].says(&word("ERR", 1));
-    r.until("a further execution", |r| r.node.borrow().kept()[2] == 2);
+    r.until("a further attempt", |r| r.node.borrow().kept()[2] == 2);
     r.stands_still(400 * MS);
     r.leaves();
     let answer = r.rest(client);
--- a/crates/node/tests/machine.rs
+++ b/crates/node/tests/machine.rs
@@ -70,7 +70,7 @@
 }
 
 #[test]
-fn executions_spread_over_connections() {
+fn attempts_spread_over_connections() {
     let mut b = Bench::new(1);
     for id in 1..=12 {
         b.asks("quote", id);
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -20,7 +20,7 @@
 /// How connections to model servers are to be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Terms {
-    /// Executions that one connection carries at a time.
+    /// Attempts that one connection carries at a time.
     pub streams: usize,
     /// A connection that does not stand within this time was none.
     pub connect_limit: Micros,
--- a/crates/platform/src/line.rs
+++ b/crates/platform/src/line.rs
@@ -8,13 +8,13 @@
 
 /// What a line of a model server tells.
 pub trait Words {
-    /// The end of an execution. Only a finished one brings a body; `elapsed` and `closed` are the owner's.
+    /// The end of an attempt. Only a finished one brings a body; `elapsed` and `closed` are the owner's.
     fn answer(&mut self, id: &str, answer: Answer, body: Vec<u8>);
     /// The connection works.
     fn works(&mut self, tag: &str);
 }
 
-/// The part of a line that runs a job that is the same for each of its executions, up to the time it has.
+/// The part of a line that runs a job that is the same for each of its attempts, up to the time it has.
 pub fn head(id: &str, workload: &str, function: &str, mark: Option<&str>) -> Vec<u8> {
     let mut out = Vec::with_capacity(192);
     let _ = write!(
@@ -40,7 +40,7 @@
     out.extend_from_slice(b"\"}\n");
 }
 
-/// Gives an execution up.
+/// Gives an attempt up.
 pub fn undo(out: &mut Vec<u8>, id: &str) {
     let _ = writeln!(out, r#"{{"verb":"UNDO","rid":{}}}"#, Value::from(id));
 }
--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -44,7 +44,7 @@
             .map(|row| number_or(row, "quota-per-s", 0.0).map(|jobs_per_s| CustomerRow { jobs_per_s }))
             .collect::<Read<_>>()?,
         permits: Permits {
-            executions: number_or(allowed, "attempts-cap", 1.0)? as usize,
+            attempts: number_or(allowed, "attempts-cap", 1.0)? as usize,
             cancel: mark(allowed, "cancel")?,
             second_copies: mark(allowed, "second-copies")?,
             come_back: mark(allowed, "retry-after")?,
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -45,13 +45,13 @@
     let zones = file.texts("zones", Some(Vec::new()));
     // All keys are read before any is missed, or the rest of a block would go unchecked.
     let permits = block(file, "permits", |p| {
-        let executions = p.whole_number("executions", 1..100, Some(4));
+        let attempts = p.whole_number("executions", 1..100, Some(4));
         let cancel = p.mark("cancel", Some(true));
         let second_copies = p.mark("second_copies", Some(true));
         let come_back = p.mark("come_back", Some(true));
         let come_back_max = p.time("come_back_max", Some(S));
         Some(Permits {
-            executions: executions? as usize,
+            attempts: attempts? as usize,
             cancel: cancel?,
             second_copies: second_copies?,
             come_back: come_back?,
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -25,7 +25,7 @@
 #[test]
 fn a_good_file_with_its_defaults() {
     let d = deployment(GOOD).expect("no fault");
-    assert_eq!((d.rows.routers, d.rows.permits.executions, d.workloads[0].deadline), (1, 4, 5_000_000));
+    assert_eq!((d.rows.routers, d.rows.permits.attempts, d.workloads[0].deadline), (1, 4, 5_000_000));
     assert!(!d.rows.limits_shared, "clients may name limits of their own");
     let shared = deployment(&GOOD.replace("zones", "limits_shared = true\nzones")).expect("no fault");
     assert!(shared.rows.limits_shared);
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,7 +12,7 @@
 //! 1. Set aside: a worker that errs, breaks or falls silent gets nothing, then a trickle that doubles.
 //! 2. Fresh workers: an even part, by chance, of a budget of work while a worker is cold.
 //! 3. Room: a bound on the jobs of all routers at a worker, moved by how late its answers are.
-//! 4. Further executions, within one budget shared with copies.
+//! 4. Further attempts, within one budget shared with copies.
 //! 5. Pushback: what waits here goes out by value and is pushed back once its start target is lost.
 //! 6. Loads: a bound on own loads under way.
 
@@ -29,9 +29,9 @@
 const BEAT: Micros = 20_000;
 /// µs assumed for a load where none was told or seen: the design's two seconds stand for twice this.
 const LOAD_UNTOLD: Micros = 1_000_000;
-/// Copies and further executions earned by one first try: they must not double the load.
+/// Copies and further attempts earned by one first try: they must not double the load.
 const BUDGET_PER_JOB: f64 = 0.05;
-/// Copies and further executions saved up at most: a short trouble's worth.
+/// Copies and further attempts saved up at most: a short trouble's worth.
 const BUDGET_MOST: f64 = 20.0;
 /// Part of the start target whose work at a full pace is a worker's room to begin with.
 const ROOM_PART: f64 = 0.5;
@@ -118,10 +118,10 @@
 
 // ---- What is kept ----------------------------------------------------------------------
 
-/// What to do with the result of a step: an execution's answer, or nothing but the time.
+/// What to do with the result of a step: an attempt's answer, or nothing but the time.
 type Step = Box<dyn FnOnce(&mut Control, &mut dyn Orders, Option<&Answer>)>;
 
-/// What is known of one execution with regard to a repeat.
+/// What is known of one attempt with regard to a repeat.
 #[derive(Clone, Copy, PartialEq)]
 enum Fate {
     Out,
@@ -153,7 +153,7 @@
     late: bool,
 }
 
-/// One execution that is out, also when its job has ended.
+/// One attempt that is out, also when its job has ended.
 struct Out {
     server: ServerId,
     function: FunctionId,
@@ -500,7 +500,7 @@
 
     pub fn job(&mut self, orders: &mut dyn Orders, arrival: &Arrival) {
         let now = self.now;
-        // Second tries earn nothing: in a storm of them copies and further executions would grow with it.
+        // Second tries earn nothing: in a storm of them copies and further attempts would grow with it.
         let earned = if arrival.retry { 0.0 } else { BUDGET_PER_JOB };
         self.budget = (self.budget + earned).min(BUDGET_MOST);
         self.rate = self.rate * (-((now - self.job_at) as f64) / SPAN).exp() + 1.0;
@@ -546,8 +546,8 @@
         }
     }
 
-    pub fn answered(&mut self, orders: &mut dyn Orders, job: JobId, execution: usize, answer: &Answer) {
-        let Some(out) = self.out.remove(&(job, execution)) else { return };
+    pub fn answered(&mut self, orders: &mut dyn Orders, job: JobId, attempt: usize, answer: &Answer) {
+        let Some(out) = self.out.remove(&(job, attempt)) else { return };
         self.learn(orders, &out, answer);
         (out.then)(self, orders, Some(answer));
         self.dispatch(orders);
@@ -598,7 +598,7 @@
         server.and_then(|s| s.holds.get(&function)).is_some_and(|h| h.loading.is_some())
     }
 
-    /// The worker for a job's next execution, or None where it has to wait here.
+    /// The worker for a job's next attempt, or None where it has to wait here.
     fn place(&mut self, id: JobId) -> Option<ServerId> {
         let now = self.now;
         let function = self.jobs[&id].function;
@@ -773,7 +773,7 @@
         }
     }
 
-    /// The one copy that follows an execution that has not finished within the hedge delay, or whose worker
+    /// The one copy that follows an attempt that has not finished within the hedge delay, or whose worker
     /// has been set aside.
     fn hedge(&mut self, orders: &mut dyn Orders, id: JobId, n: usize) {
         let Some(job) = self.jobs.get(&id) else { return };
@@ -797,7 +797,7 @@
         self.wake_then(orders, 2 * BEAT, Box::new(move |c, o, _| c.hedge(o, id, n)));
     }
 
-    /// An execution has closed: what its job does next.
+    /// An attempt has closed: what its job does next.
     fn closed(&mut self, orders: &mut dyn Orders, id: JobId, n: usize, answer: &Answer) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.tried[n].closed = self.now;
@@ -826,7 +826,7 @@
 
     // ---- Rules 1 and 2: one final answer, no effect twice ----------------------------------
 
-    /// Until when another execution of the job may begin.
+    /// Until when another attempt of the job may begin.
     fn repeat_until(job: &Job) -> Micros {
         let risky = job.tried.iter().filter(|t| t.fate != Fate::NeverRan).map(|t| t.sent).min();
         match (risky, job.effect) {
@@ -836,9 +836,9 @@
         }
     }
 
-    /// Whether the job may have another execution at all; `may_send` tells where.
+    /// Whether the job may have another attempt at all; `may_send` tells where.
     fn repeat_allowed(&self, job: &Job) -> bool {
-        self.now < Self::repeat_until(job) && job.tried.len() < self.rows.permits.executions
+        self.now < Self::repeat_until(job) && job.tried.len() < self.rows.permits.attempts
     }
 
     /// Every send passes here: the list, repeats and their group, and workers this job has just left.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -75,7 +75,7 @@
     Rack,
 }
 
-/// What a second execution of a job would do.
+/// What a second attempt of a job would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
     Idempotent,
@@ -102,7 +102,7 @@
 /// What a deployment allows.
 #[derive(Clone, Debug)]
 pub struct Permits {
-    pub executions: usize,
+    pub attempts: usize,
     pub cancel: bool,
     pub second_copies: bool,
     pub come_back: bool,
@@ -210,7 +210,7 @@
     pub paid: f64,
 }
 
-/// How one execution closed.
+/// How one attempt closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Finished,
@@ -234,7 +234,7 @@
     LoadFailed,
 }
 
-/// The result of one execution, whole.
+/// The result of one attempt, whole.
 #[derive(Clone, Debug)]
 pub struct Answer {
     pub outcome: Outcome,
@@ -254,7 +254,7 @@
 pub trait Orders {
     /// `begin`: the time from which on nothing of it may leave any more, as a repeat would not be known then.
     fn send(&mut self, job: JobId, server: ServerId, patience: Micros, begin: Micros);
-    fn cancel(&mut self, job: JobId, execution: usize);
+    fn cancel(&mut self, job: JobId, attempt: usize);
     fn push_back(&mut self, job: JobId, come_back: Option<Micros>);
     fn kill(&mut self, job: JobId);
     fn wake_after(&mut self, delay: Micros, token: Token);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -17,7 +17,7 @@
 pub struct Record {
     pub did: Vec<Did>,
     pub timers: Vec<(Micros, Token)>,
-    /// From when on each last execution at a worker may not begin any more.
+    /// From when on each last attempt at a worker may not begin any more.
     pub begin: BTreeMap<(JobId, ServerId), Micros>,
     pub now: Micros,
 }
@@ -27,8 +27,8 @@
         self.begin.insert((job, server), begin);
         self.did.push(Did::Send(job, server));
     }
-    fn cancel(&mut self, job: JobId, execution: usize) {
-        self.did.push(Did::Cancel(job, execution));
+    fn cancel(&mut self, job: JobId, attempt: usize) {
+        self.did.push(Did::Cancel(job, attempt));
     }
     fn push_back(&mut self, job: JobId, _come_back: Option<Micros>) {
         self.did.push(Did::PushBack(job));
@@ -54,7 +54,7 @@
         workloads: vec![WorkloadRow { effect, start_target: 500 * MS, importance: 1.0, late_part: 0.2 }],
         customers: vec![CustomerRow { jobs_per_s: 1000.0 }],
         permits: Permits {
-            executions: 4,
+            attempts: 4,
             cancel: true,
             second_copies: true,
             come_back: true,
@@ -135,8 +135,8 @@
         self.control.job(&mut self.record, &arrival);
     }
 
-    pub fn close(&mut self, n: u8, execution: usize, answer: &Answer) {
-        self.control.answered(&mut self.record, job(n), execution, answer);
+    pub fn close(&mut self, n: u8, attempt: usize, answer: &Answer) {
+        self.control.answered(&mut self.record, job(n), attempt, answer);
     }
 
     /// Lets time pass, with every timer that falls due.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -162,10 +162,10 @@
 }
 
 // Only what a customer asks beyond its share waits last; what is within it keeps its place.
-// In a storm of retries copies and further executions shrink: only first tries earn them.
+// In a storm of retries copies and further attempts shrink: only first tries earn them.
 #[test_case(false, true; "first tries")]
 #[test_case(true, false; "second tries")]
-fn further_executions_are_earned(retry: bool, earned: bool) {
+fn further_attempts_are_earned(retry: bool, earned: bool) {
     let mut bench = Bench::new(rows(Effect::Idempotent), 200);
     let fails = |bench: &mut Bench, n: u8| {
         bench.arrive(n, &format!("hut-{n}"), 5000 * MS);
@@ -201,11 +201,11 @@
 }
 
 /// One worker whose room is 10 jobs (a share of 40 jobs a second for half the start target): twenty functions
-/// are loaded there, then some executions time out, then one job comes for each function. How many go out?
+/// are loaded there, then some attempts time out, then one job comes for each function. How many go out?
 fn sent_of_twenty(routers: u64, time_outs: u8, timed_out_ms: Micros, overtaken: bool) -> usize {
     let mut rows = Startup { routers, ..rows(Effect::Idempotent) };
     rows.customers = vec![CustomerRow { jobs_per_s: 40.0 }];
-    rows.permits.executions = 1;
+    rows.permits.attempts = 1;
     let mut bench = Bench::new(rows, 1);
     for n in 1..21 {
         bench.arrive(n, &format!("hut-{n}"), 5000 * MS);
@@ -229,8 +229,8 @@
 // time-out tells that a worker is slow as an answer would, or a slowing worker would never seem full.
 #[test_case(1, 0, 0, false, 15..16; "one router fills the room by itself")]
 #[test_case(100, 0, 0, false, 3..12; "one of a hundred leaves room for the others")]
-#[test_case(1, 6, 300, false, 15..16; "executions that their clients gave up early say nothing")]
-#[test_case(1, 6, 900, false, 1..8; "executions past the start target say that it is slow")]
+#[test_case(1, 6, 300, false, 15..16; "attempts that their clients gave up early say nothing")]
+#[test_case(1, 6, 900, false, 1..8; "attempts past the start target say that it is slow")]
 #[test_case(1, 6, 900, true, 15..16; "unless it has answered later ones: those answers were lost")]
 fn room(routers: u64, time_outs: u8, late_ms: Micros, overtaken: bool, sends: std::ops::Range<usize>) {
     let sent = sent_of_twenty(routers, time_outs, late_ms, overtaken);
@@ -276,7 +276,7 @@
 fn run_once_passes_over(proved: bool, home_takes: bool) {
     let mut rows = rows(Effect::Idempotent);
     rows.workloads.push(WorkloadRow { effect: Effect::RunOnce, ..rows.workloads[0].clone() });
-    rows.permits.executions = 1;
+    rows.permits.attempts = 1;
     let mut bench = Bench::new(rows, 8);
     let home = bench.warm("hut");
     for n in 100..140 {
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -25,7 +25,7 @@
     restarted: u64,
     /// The list reaches a router up to this much later.
     late: Micros,
-    /// Of ten answers of the fresh worker so many are errors, which lead to further executions.
+    /// Of ten answers of the fresh worker so many are errors, which lead to further attempts.
     errors: u64,
     /// So many of the other workers leave as it comes, draining first or gone at once: what was theirs looks
     /// for a place.
@@ -58,7 +58,7 @@
         (control, record)
     }
 
-    /// Carries out what was ordered: when each execution at the fresh worker began.
+    /// Carries out what was ordered: when each attempt at the fresh worker began.
     fn settle(&mut self, fresh: ServerId, warmth: f64, rng: &mut Rand64, began: &mut Vec<Micros>) {
         for did in std::mem::take(&mut self.record.did) {
             let Did::Send(job, to) = did else { continue };
@@ -196,7 +196,7 @@
 #[test_case(Day { restarted: 2, ..EVEN }; "half of the routers restarted with it")]
 #[test_case(Day { restarted: 1, load: 2.5, ..EVEN }; "all of them, and too much work")]
 #[test_case(Day { late: 1_500 * MS, restarted: 3, ..EVEN }; "told up to a second and a half apart")]
-#[test_case(Day { errors: 5, load: 1.5, ..EVEN }; "errors, and further executions")]
+#[test_case(Day { errors: 5, load: 1.5, ..EVEN }; "errors, and further attempts")]
 #[test_case(Day { drain: 9, ..EVEN }; "nine of twelve others leave")]
 #[test_case(Day { drain: 9, load: 2.5, restarted: 1, late: 500 * MS, ..EVEN }; "and all routers restarted")]
 #[test_case(Day { gone: 4, restarted: 1, ..EVEN }; "a third is gone at once, and all restarted")]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -7,7 +7,7 @@
 const RACK: Effect = Effect::Fingerprinted { within: Within::Rack, window: 3000 * MS };
 const ALL: Effect = Effect::Fingerprinted { within: Within::Everywhere, window: 3000 * MS };
 
-// Rule 2: what follows each way an execution can close, for each kind of effect.
+// Rule 2: what follows each way an attempt can close, for each kind of effect.
 #[test_case(Effect::Idempotent, Outcome::Error, 2, false; "idempotent after an error runs again")]
 #[test_case(Effect::Idempotent, Outcome::Full, 2, false; "idempotent after full moves on")]
 #[test_case(Effect::RunOnce, Outcome::Full, 2, false; "run-once after full moves on")]
@@ -57,7 +57,7 @@
     assert_eq!(bench.sends(1).len() == 2, again);
 }
 
-// A further execution has to have left while its repeat would still be known; a first one has no such time.
+// A further attempt has to have left while its repeat would still be known; a first one has no such time.
 #[test_case(RACK, Some(3000 * MS - 20 * MS); "fingerprinted: to the end of its window, with care")]
 #[test_case(Effect::Idempotent, None; "idempotent")]
 fn begins_in_time(effect: Effect, within: Option<Micros>) {
@@ -185,7 +185,7 @@
 // Rule 2 where no second copy may run: a job at a worker that was set aside is cancelled first and sent on
 // once that is told.
 #[test]
-fn one_execution_at_a_time() {
+fn one_attempt_at_a_time() {
     let mut rows = rows(Effect::Idempotent);
     rows.permits.second_copies = false;
     let mut bench = Bench::new(rows, 8);
