A process that stood still asks for the list before it sends anything on

A server counts as told to drain 1.5 s after it did, and nothing new may reach it past the grace. A router that stood still for some seconds (stopped, or its machine was) went by the list of before: the request that lay in the kernel, an attempt whose connection stood by then, and a further attempt after a server's word all went out in the first batch, ahead of the tick that asks (node read_on, pump, woken). Found by reading which events come ahead of the tick; forced on real sockets, where the attempts went to the server that drained.

Now the watch knows when it last asked and had an answer or its time; over a second ago means that the process stood still. New requests and the module's timers wait for that question, 0.25 s at the most, and an attempt of which nothing has left closes as one that never ran. A service that is silent or down makes nothing stale, nor does a process without a descriptor for the question: both go by what is known.

Guards taken out one by one: read_on (case "a request has come" of the silent service), woken ("a request is held"), pump ("a connection stands"), the descriptor (no_descriptor_for_a_question): each named by its test.

--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -13,7 +13,7 @@
 use applepond_platform::line;
 use applepond_reactor::{Closed, Conn, Listener, Machine, Wake, Wire};
 use rustc_hash::FxHashMap;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
@@ -87,6 +87,8 @@
     watch: Watch,
     /// Clients whose answer has gone out and whose next request may be here; links with something to write.
     ready: VecDeque<Conn>,
+    /// Clients with a request that waits for the list, as this process has stood still.
+    later: BTreeSet<Conn>,
     dirty: Vec<Conn>,
     steps: BTreeMap<u64, Step>,
     next_step: u64,
@@ -119,8 +121,9 @@
             links_most: start.descriptors * WORKER_PARTS / 8,
             workers: Workers::default(),
             fleet: 1,
-            watch: Watch::new(start.names, start.index, start.rows.seed),
+            watch: Watch::new(now, start.names, start.index, start.rows.seed),
             ready: VecDeque::new(),
+            later: BTreeSet::new(),
             dirty: Vec::new(),
             steps: BTreeMap::new(),
             next_step: 1,
@@ -153,6 +156,9 @@
 
     /// Carries out what the module ordered, and what comes of that, until nothing is left.
     fn settle(&mut self, now: Micros, wire: &mut dyn Wire) {
+        if !self.later.is_empty() && !self.watch.stale(now) {
+            self.ready.extend(std::mem::take(&mut self.later));
+        }
         loop {
             while let Some(act) = self.acts.0.pop_front() {
                 self.carry_out(now, wire, act);
@@ -291,9 +297,10 @@
                 Item::Run(job, n) => {
                     let Some(life) = self.lives.get(job) else { continue };
                     // Guards against an attempt that begins though nobody waits for its job any more, also
-                    // where those that have begun may not be cancelled, and against a repeat that a model
-                    // server would not know any more when its connection comes up late or takes nothing.
-                    if !life.may_begin(now, n) {
+                    // where those that have begun may not be cancelled, against a repeat that a model server
+                    // would not know any more when its connection comes up late or takes nothing, and against
+                    // a server that drained, or went, while this process stood still and asked for no list.
+                    if !life.may_begin(now, n) || self.watch.stale(now) {
                         self.close(now, job, n, ended(Outcome::Moot));
                         continue;
                     }
@@ -389,6 +396,10 @@
 
     /// Takes the requests that are whole, as far as answers allow.
     fn read_on(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn) {
+        if self.watch.stale(now) {
+            self.later.insert(conn);
+            return;
+        }
         while let Some(caller) = self.callers.get_mut(&conn)
             && let Some(asked) = caller.next(wire, conn, &self.start)
         {
@@ -716,7 +727,10 @@
     }
 
     fn woken(&mut self, now: Micros, wire: &mut dyn Wire, wake: Wake) {
-        if wake.0 & 1 == 0 {
+        if wake.0 & 1 == 0 && self.watch.stale(now) {
+            // What the module would send now would not be let go.
+            wire.wake_at(now + TICK, wake);
+        } else if wake.0 & 1 == 0 {
             self.control.clock(now);
             self.control.wake(&mut self.acts, Token(wake.0 >> 1));
         } else if let Some(step) = self.steps.remove(&wake.0) {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -12,6 +12,9 @@
 const ANSWER_LIMIT: Micros = 200_000;
 /// µs before the next question after one that brought nothing: a service in trouble is not hammered.
 const ASK_AGAIN: Micros = 50_000;
+/// µs after a question that has had its time when this process must have stood still: twice what lies between
+/// two, and less than the 1.5 s after which an event counts as told.
+const STALE: Micros = 1_000_000;
 
 pub struct Watch {
     service: SocketAddr,
@@ -20,11 +23,19 @@
     index: u64,
     asking: Option<(Conn, u16, Micros)>,
     next: Micros,
+    /// When the last question was asked that has been answered or has had its time.
+    asked: Micros,
 }
 
 impl Watch {
-    pub fn new(service: SocketAddr, index: u64, seed: u64) -> Self {
-        Watch { service, rng: Rand32::new(seed), index, asking: None, next: 0 }
+    pub fn new(now: Micros, service: SocketAddr, index: u64, seed: u64) -> Self {
+        Watch { service, rng: Rand32::new(seed), index, asking: None, next: 0, asked: now }
+    }
+
+    /// Whether this process has not asked for so long that a server may have drained, and gone, without its
+    /// knowledge. A service that says nothing makes nothing stale: it has been asked.
+    pub fn stale(&self, now: Micros) -> bool {
+        now > self.asked + STALE
     }
 
     /// Another address from now on; the numbers continue.
@@ -36,8 +47,9 @@
     }
 
     fn give_up(&mut self, wire: &mut dyn Wire, next: Micros) {
-        if let Some((conn, _, _)) = self.asking.take() {
+        if let Some((conn, _, since)) = self.asking.take() {
             wire.cut(conn);
+            self.asked = since;
         }
         self.next = next;
     }
@@ -48,13 +60,17 @@
         if self.asking.is_some_and(|(_, _, since)| now >= since + ANSWER_LIMIT) {
             self.give_up(wire, now);
         }
-        if self.asking.is_none()
-            && now >= self.next
-            && let Some(conn) = wire.datagrams(self.service)
-        {
-            let id = self.rng.rand_u32() as u16;
-            wire.datagram(conn, &names::query(id));
-            self.asking = Some((conn, id, now));
+        if self.asking.is_some() || now < self.next && !self.stale(now) {
+            return;
+        }
+        match wire.datagrams(self.service) {
+            Some(conn) => {
+                let id = self.rng.rand_u32() as u16;
+                wire.datagram(conn, &names::query(id));
+                self.asking = Some((conn, id, now));
+            }
+            // No descriptor is left for a question: what is known has to do.
+            None => self.asked = now,
         }
     }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -436,12 +436,7 @@
             self.reactor.remove(0);
         }
         self.reactor.turn(Duration::from_millis(5)).expect("a turn");
-        for server in self.servers.iter().filter(|_| self.doing != Doing::Shut) {
-            while let Ok((stream, _)) = server.accept() {
-                stream.set_nonblocking(true).expect("set");
-                self.peers.push(Peer { stream, text: String::new(), echoes: 0 });
-            }
-        }
+        self.accepts();
         for peer in &mut self.peers {
             let asked = match self.doing {
                 Doing::Serves => peer.reads_echoes(),
@@ -454,6 +449,16 @@
         }
     }
 
+    /// Model servers accept who has connected.
+    fn accepts(&mut self) {
+        for server in self.servers.iter().filter(|_| self.doing != Doing::Shut) {
+            while let Ok((stream, _)) = server.accept() {
+                stream.set_nonblocking(true).expect("set");
+                self.peers.push(Peer { stream, text: String::new(), echoes: 0 });
+            }
+        }
+    }
+
     /// Nothing waits in the kernel: events come in the order in which they are made from now on.
     pub fn quiet(&mut self) {
         self.turn();
@@ -522,6 +527,16 @@
         on(self).expect("just seen")
     }
 
+    /// Which model server the first connection leads to; the router does not look meanwhile.
+    pub fn home(&mut self) -> usize {
+        while self.peers.is_empty() {
+            self.accepts();
+        }
+        let at = self.peers[0].stream.local_addr().expect("connected");
+        let found = self.servers.iter().position(|server| server.local_addr().is_ok_and(|own| own == at));
+        found.expect("one of them")
+    }
+
     /// One request from start to end, so that a connection to its model server stands.
     pub fn served(&mut self, id: u64) {
         let (mut client, link) = self.carried("quote", id);
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -718,6 +718,89 @@
     r.served(1);
 }
 
+/// What the router looks at when it goes on.
+#[derive(Clone, Copy, PartialEq)]
+enum Waits {
+    /// A request that nobody has read.
+    Request,
+    /// A connection that stands by now, with a request for it.
+    Connection,
+    /// The word of another server that it has failed.
+    Word,
+}
+
+// The router stands still, and a server begins to drain. What waits when it goes on is not sent there: the
+// list is asked for first.
+#[test_case(Waits::Request; "a request has come")]
+#[test_case(Waits::Connection; "a connection stands")]
+#[test_case(Waits::Word; "the other server has failed")]
+fn stood_still_while_a_server_drained(what: Waits) {
+    let mut r = Real::new(2, |file| {
+        file["settings"]["lanes"][0]["on-time"] = 4000.0.into();
+        file["settings"]["lanes"][0]["deadline"] = 5000.0.into();
+    });
+    let ask = |id| call("quote", id).replace("Budget-Ms: 2000", "Budget-Ms: 5000");
+    let mut client = r.client();
+    client.write_all(ask(1).as_bytes()).expect("written");
+    r.until("connecting", |r| r.node.borrow().kept()[2] == 1);
+    let draining = match what {
+        Waits::Connection => r.home(),
+        Waits::Request => {
+            let link = r.carries(1);
+            r.peers[link].says(&word("OK", 1));
+            r.quiet();
+            r.home()
+        }
+        Waits::Word => {
+            let link = r.carries(1);
+            r.peers[link].says(&word("ERR", 1));
+            1 - r.home()
+        }
+    };
+    if what == Waits::Request {
+        client.write_all(ask(2).as_bytes()).expect("written");
+    }
+    r.stands_still(1_100 * MS);
+    let mut file = r.file.clone();
+    file["known"]["updates"][0]["endpoints"]["members"][draining]["phase"] = "terminating".into();
+    r.lists(&start(&file));
+    let id = if what == Waits::Request { 2 } else { 1 };
+    let most = if what == Waits::Word { 2 } else { 1 };
+    r.until("sent on", |r| told(&r.peers, "DO", id) == most);
+    r.quiet();
+    let server = r.servers[draining].local_addr().expect("bound");
+    let there = r.peers.iter().filter(|p| p.stream.local_addr().is_ok_and(|at| at == server));
+    assert_eq!(there.map(|p| p.told("DO", id)).sum::<usize>(), 0, "not to the one that drains");
+}
+
+// It stands still, and the name service says nothing when it goes on: what is known has to do, and no attempt
+// is spent on waiting for it.
+#[test_case(false; "a request has come")]
+#[test_case(true; "a request is held")]
+fn stood_still_and_the_service_is_silent(held: bool) {
+    let mut r = Real::new(1, |file| {
+        file["settings"]["lanes"][0]["on-time"] = 4000.0.into();
+        file["settings"]["lanes"][0]["deadline"] = 5000.0.into();
+        file["settings"]["allowed"]["attempts-cap"] = (1 + usize::from(held)).into();
+    });
+    r.served(1);
+    let mut client = r.client();
+    let ask = call("quote", 2).replace("Budget-Ms: 2000", "Budget-Ms: 5000");
+    client.write_all(ask.as_bytes()).expect("written");
+    if held {
+        let link = r.carries(2);
+        r.peers[link].says(&word("BUSY", 2));
+        r.quiet();
+    }
+    r.stands_still(1_100 * MS);
+    r.until("sent on", |r| told(&r.peers, "DO", 2) == 1 + usize::from(held));
+    let link = r.carries(2);
+    r.peers[link].says(&word("OK", 2));
+    r.leaves();
+    let answer = r.rest(client);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 // The name service tells an older list, in which the model server is gone: it is none.
 #[test]
 fn an_older_list() {
--- a/crates/node/tests/machine.rs
+++ b/crates/node/tests/machine.rs
@@ -354,3 +354,14 @@
     let racks: Vec<_> = start(&file).known[0].1.iter().map(|member| member.listed.rack).collect();
     assert_ne!(racks[0], racks[1]);
 }
+
+// No descriptor is left for a question to the name service: what is known has to do.
+#[test]
+fn no_descriptor_for_a_question() {
+    let mut b = Bench::new(1);
+    b.paper.no_posts = usize::MAX;
+    b.pass(5 * S);
+    b.asks("quote", 1);
+    b.links();
+    assert_eq!(b.runs(1), 1);
+}
--- a/crates/standins/src/paper.rs
+++ b/crates/standins/src/paper.rs
@@ -51,6 +51,10 @@
         room
     }
     fn datagrams(&mut self, to: SocketAddr) -> Option<Conn> {
+        if let Some(left) = self.no_posts.checked_sub(1) {
+            self.no_posts = left;
+            return None;
+        }
         let conn = self.number();
         self.asked.insert(conn, to);
         Some(conn)
