Keyed, not fingerprinted: an effect known by its idempotency key has the standard term

In code and pages, all places: Effect::Keyed, keyed requests, idempotency key for the noun. Words of users stay: the settings' effect "fingerprinted" and the attribute ce-fingerprint.

--- a/crates/chain/tests/common/mod.rs
+++ b/crates/chain/tests/common/mod.rs
@@ -7,13 +7,13 @@
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
-pub const MARKED: Effect = Effect::Fingerprinted { within: Within::Rack, window: 3 * S };
+pub const MARKED: Effect = Effect::Keyed { within: Within::Rack, window: 3 * S };
 
 /// A step of 100 ms at the least that leads nowhere.
 pub fn step(name: &str, effect: Effect) -> Step {
     let workload = match effect {
         Effect::Idempotent => 0,
-        Effect::Fingerprinted { .. } => 1,
+        Effect::Keyed { .. } => 1,
         Effect::RunOnce => 2,
     };
     Step {
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
     Idempotent,
-    Fingerprinted,
+    Keyed,
     RunOnce,
 }
 
@@ -135,15 +135,11 @@
                     Some(Effect::RunOnce) if times > 1 => {
                         verdict.fault(2, format!("run-once job {event} began {times} times"));
                     }
-                    Some(Effect::Fingerprinted) if now.1 != rack => {
-                        verdict.fault(
-                            2,
-                            format!("fingerprinted job {event} began in racks {rack} and {}", now.1),
-                        );
+                    Some(Effect::Keyed) if now.1 != rack => {
+                        verdict.fault(2, format!("keyed job {event} began in racks {rack} and {}", now.1));
                     }
-                    Some(Effect::Fingerprinted) if now.0 > first + terms.window + PAUSES => {
-                        verdict
-                            .fault(2, format!("fingerprinted job {event} was sent again after its window"));
+                    Some(Effect::Keyed) if now.0 > first + terms.window + PAUSES => {
+                        verdict.fault(2, format!("keyed job {event} was sent again after its window"));
                     }
                     _ => {}
                 }
@@ -263,11 +259,11 @@
     #[test_case(vec![(0, came("c", 1)), (1, began("c")), (2, came("c", 1)), (3, began("c"))], Some(2);
         "run-once twice")]
     #[test_case(vec![(0, came("h", 1)), (1, began("h")), (2, came("h", 1)), (3, began("h"))], None;
-        "fingerprinted again in its rack")]
+        "keyed again in its rack")]
     #[test_case(vec![(0, came("h", 1)), (1, began("h")), (2, came("h", 2)), (3, began("h"))], Some(2);
-        "fingerprinted in another rack")]
+        "keyed in another rack")]
     #[test_case(vec![(0, came("h", 1)), (1, began("h")), (4 * S, came("h", 1)), (4 * S, began("h"))], Some(2);
-        "fingerprinted after its window")]
+        "keyed after its window")]
     #[test_case(vec![(0, asked("c")), (1, came("c", 1)), (2, began("c")), (3, answered(503))], Some(2);
         "pushed back after it began")]
     #[test_case(vec![(0, asked("c")), (1, came("c", 1)), (3, answered(503))], None; "pushed back unbegun")]
@@ -281,7 +277,7 @@
     #[test_case(vec![(0, told(true)), (1, Saw::Rose { worker: name("w") }), (2, fell())], None;
         "pushed over before any was told that it started")]
     fn stories(ledger: Vec<(Micros, Saw)>, rule: Option<u8>) {
-        let effects = [("q", Effect::Idempotent), ("h", Effect::Fingerprinted), ("c", Effect::RunOnce)];
+        let effects = [("q", Effect::Idempotent), ("h", Effect::Keyed), ("c", Effect::RunOnce)];
         let terms = Terms {
             grace: 2 * S,
             window: 3 * S,
--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -75,7 +75,7 @@
         function: price[function].as_str().unwrap_or("hold-hut-1").to_owned(),
         limit: (spent + LIMIT / 3).min(LIMIT),
         idempotent: false,
-        fingerprint: kind == "hold",
+        keyed: kind == "hold",
         ..p.clone()
     };
     match step {
@@ -120,7 +120,7 @@
             // A chain may be asked for again where it may have begun: there it joins, or goes on by its
             // record.
             idempotent: true,
-            fingerprint: false,
+            keyed: false,
             structured: false,
             router: rng.rand_range(0..order.plan.routers as u64) as usize,
             tries: u32::MAX,
@@ -227,8 +227,8 @@
         let chain = format!("{} {id}", job.source);
         for (step, effect) in [
             ("price", Effect::Idempotent),
-            ("beds", Effect::Fingerprinted),
-            ("second", Effect::Fingerprinted),
+            ("beds", Effect::Keyed),
+            ("second", Effect::Keyed),
             ("confirm", Effect::RunOnce),
         ] {
             effects.insert(Event::from(format!("{chain}/{step}")), effect);
--- a/crates/drill/src/day.rs
+++ b/crates/drill/src/day.rs
@@ -193,7 +193,7 @@
             limit: 4 * S,
             target: if kind == "confirm" { 750 * MS } else { S },
             idempotent: kind == "quote",
-            fingerprint: kind == "hold",
+            keyed: kind == "hold",
             structured: chance(rng, 0.3),
             router: rng.rand_range(0..routers as u64) as usize,
             tries: 3,
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -149,9 +149,9 @@
 
 /// What a second attempt of each job would do.
 pub fn effects(day: &Day) -> BTreeMap<Event, Effect> {
-    let effect = |j: &applepond_standins::client::Planned| match (j.idempotent, j.fingerprint) {
+    let effect = |j: &applepond_standins::client::Planned| match (j.idempotent, j.keyed) {
         (true, _) => Effect::Idempotent,
-        (_, true) => Effect::Fingerprinted,
+        (_, true) => Effect::Keyed,
         _ => Effect::RunOnce,
     };
     day.jobs.iter().map(|j| (Event::from(format!("{} {}", j.source, j.id)), effect(j))).collect()
--- a/crates/drill/src/storm.rs
+++ b/crates/drill/src/storm.rs
@@ -115,7 +115,7 @@
             limit: LIMIT,
             target: if kind == "confirm" { 750 * MS } else { S },
             idempotent: kind == "quote",
-            fingerprint: kind == "hold",
+            keyed: kind == "hold",
             structured: false,
             router: client as usize % order.plan.routers,
             tries: u32::MAX,
@@ -243,9 +243,9 @@
         }
     }
     drop(routers);
-    let effect = |j: &Planned| match (j.idempotent, j.fingerprint) {
+    let effect = |j: &Planned| match (j.idempotent, j.keyed) {
         (true, _) => Effect::Idempotent,
-        (_, true) => Effect::Fingerprinted,
+        (_, true) => Effect::Keyed,
         _ => Effect::RunOnce,
     };
     let named = |j: &Planned| (Event::from(format!("{} {}", j.source, j.id)), effect(j));
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -140,7 +140,7 @@
     use applepond::interface::Within;
     use test_case::test_case;
 
-    const MARKED: Effect = Effect::Fingerprinted { within: Within::Rack, window: 1 };
+    const MARKED: Effect = Effect::Keyed { within: Within::Rack, window: 1 };
 
     fn name(n: u32) -> Name {
         (Rc::from("/desk"), Rc::from(n.to_string()))
@@ -154,7 +154,7 @@
     #[test_case(Ending::Finished, Effect::RunOnce, true; "finished run-once")]
     #[test_case(Ending::PushedBack, Effect::RunOnce, false; "pushed back: a new try is invited")]
     #[test_case(Ending::Killed, Effect::Idempotent, false; "killed idempotent may run again")]
-    #[test_case(Ending::Killed, MARKED, true; "killed fingerprinted may have run")]
+    #[test_case(Ending::Killed, MARKED, true; "killed keyed may have run")]
     #[test_case(Ending::Killed, Effect::RunOnce, true; "killed run-once may have run")]
     fn after_the_end(ending: Ending, effect: Effect, again: bool) {
         let mut claims = Claims::new(1000, 10, 1000);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -23,12 +23,12 @@
     pub news: Rc<RefCell<Option<Deployment>>>,
 }
 
-/// `workers` static workers; workloads `quote` (idempotent), `hold` (fingerprinted) and `confirm`
+/// `workers` static workers; workloads `quote` (idempotent), `hold` (keyed) and `confirm`
 /// (run-once), started within 500 ms, given up after 4 s, a load takes 100 ms.
 pub fn deployment(workers: u16) -> Deployment {
     let effects = [
         ("quote", Effect::Idempotent),
-        ("hold", Effect::Fingerprinted { within: Within::Rack, window: 3 * S }),
+        ("hold", Effect::Keyed { within: Within::Rack, window: 3 * S }),
         ("confirm", Effect::RunOnce),
     ];
     let address = |n: u16| SocketAddr::from(([127, 0, 0, 1], 9000 + n));
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -97,7 +97,7 @@
         limit: 4 * S,
         target: 2 * S,
         idempotent: kind == "quote",
-        fingerprint: kind == "hold",
+        keyed: kind == "hold",
         structured: n.is_multiple_of(2),
         router: 0,
         tries: 1,
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -109,7 +109,7 @@
         if !matches!(retry, None | Some("1")) {
             return Err(bad("Attempt-Again: 1 is wanted, or nothing"));
         }
-        let marked = matches!(self.rows.workloads[workload].effect, Effect::Fingerprinted { .. });
+        let marked = matches!(self.rows.workloads[workload].effect, Effect::Keyed { .. });
         let mark = match mark {
             Some(mark) if !hex(mark, 32) => return Err(bad("Once-Key: 32 hex digits are wanted")),
             None if marked => return Err(bad("Once-Key is wanted")),
--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -69,7 +69,7 @@
     let effect = match text(row, "idempotency")? {
         "idempotent" => Effect::Idempotent,
         "at_most_once" => Effect::RunOnce,
-        "deduplicated" => Effect::Fingerprinted {
+        "deduplicated" => Effect::Keyed {
             within: match text(row, "group")? {
                 "all" => Within::Everywhere,
                 "zone" => Within::Zone,
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -126,7 +126,7 @@
 #[test_case("Budget-Ms: 1500", "Budget-Ms: 1601", 400; "more time than its workload has")]
 #[test_case("Budget-Ms: 1500", "Budget-Ms: 1500\r\nBudget-Ms: 9", 400; "time given twice")]
 #[test_case("Attempt-Again: 1", "Attempt-Again: yes", 400; "retry")]
-#[test_case("Once-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n", "", 400; "no fingerprint")]
+#[test_case("Once-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n", "", 400; "no idempotency key")]
 #[test_case("lanes:2", "lanes:0", 400; "no lanes")]
 #[test_case("lanes:2", "lanes:many", 400; "lanes that are no number")]
 #[test_case("lanes:2", "lanes:99999999999", 400; "too many lanes")]
--- a/crates/record/src/kept.rs
+++ b/crates/record/src/kept.rs
@@ -72,14 +72,14 @@
     }
 }
 
-/// Whether a step that was sent, and whose end is not known, may be sent once more. A fingerprint helps
+/// Whether a step that was sent, and whose end is not known, may be sent once more. An idempotency key helps
 /// only where the repeat is known by whoever gets it: after a kill nobody here knows which rack or zone got
 /// the first.
 fn again(effect: Effect, sent: Micros, now: Micros) -> bool {
     match effect {
         Effect::Idempotent => true,
-        Effect::Fingerprinted { within: Within::Everywhere, window } => now < sent + window,
-        Effect::Fingerprinted { .. } | Effect::RunOnce => false,
+        Effect::Keyed { within: Within::Everywhere, window } => now < sent + window,
+        Effect::Keyed { .. } | Effect::RunOnce => false,
     }
 }
 
@@ -107,13 +107,13 @@
     use test_case::test_case;
 
     const S: Micros = 1_000_000;
-    const EVERYWHERE: Effect = Effect::Fingerprinted { within: Within::Everywhere, window: 3 * S };
-    const RACK: Effect = Effect::Fingerprinted { within: Within::Rack, window: 3 * S };
+    const EVERYWHERE: Effect = Effect::Keyed { within: Within::Everywhere, window: 3 * S };
+    const RACK: Effect = Effect::Keyed { within: Within::Rack, window: 3 * S };
 
     #[test_case(Effect::Idempotent, 9, None; "idempotent: begun again")]
-    #[test_case(EVERYWHERE, 2, None; "fingerprinted everywhere, in its window: begun again")]
+    #[test_case(EVERYWHERE, 2, None; "keyed everywhere, in its window: begun again")]
     #[test_case(EVERYWHERE, 3, Some(How::MayHaveRun); "past its window")]
-    #[test_case(RACK, 2, Some(How::MayHaveRun); "fingerprinted by rack: which one is not known")]
+    #[test_case(RACK, 2, Some(How::MayHaveRun); "keyed by rack: which one is not known")]
     #[test_case(Effect::RunOnce, 0, Some(How::MayHaveRun); "run-once")]
     fn sent_without_an_end(effect: Effect, later_s: u64, want: Option<How>) {
         let step = Step {
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -220,14 +220,14 @@
 
 fn workload(name: &str, part: &Part<'_>) -> Option<(WorkloadRow, WorkloadNames)> {
     let kind = part.one_of("effect", &["restartable", "fingerprinted", "run-once"], None);
-    let fingerprinted = kind.as_deref() == Some("fingerprinted");
-    let (within, window) = if fingerprinted {
+    let keyed = kind.as_deref() == Some("fingerprinted");
+    let (within, window) = if keyed {
         (part.one_of("within", &["everywhere", "zone", "rack"], None), part.time("window", None))
     } else {
         for key in ["within", "window"].into_iter().filter(|k| part.has(k)) {
             part.fault(
                 &part.place_of(key),
-                format!("{key} of a workload that carries no fingerprint"),
+                format!("{key} of a workload that carries no idempotency key"),
                 "no such key",
             );
         }
@@ -266,7 +266,7 @@
     let effect = match kind?.as_str() {
         "restartable" => Effect::Idempotent,
         "run-once" => Effect::RunOnce,
-        _ => Effect::Fingerprinted {
+        _ => Effect::Keyed {
             within: match within?.as_str() {
                 "everywhere" => Within::Everywhere,
                 "zone" => Within::Zone,
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -67,8 +67,8 @@
 }
 
 #[test_case("effect = \"fingerprinted\"", 2; "window and group are wanted")]
-#[test_case("effect = \"run-once\"\n  window = \"3s\"", 1; "a window without a fingerprint")]
-fn fingerprints(effect: &str, faults: usize) {
+#[test_case("effect = \"run-once\"\n  window = \"3s\"", 1; "a window without an idempotency key")]
+fn keyed(effect: &str, faults: usize) {
     let text = GOOD.replace("effect = \"restartable\"", effect);
     assert_eq!(deployment(&text).expect_err("faults").len(), faults);
 }
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -36,7 +36,7 @@
     pub limit: Micros,
     pub target: Micros,
     pub idempotent: bool,
-    pub fingerprint: bool,
+    pub keyed: bool,
     pub structured: bool,
     pub router: usize,
     pub tries: u32,
@@ -165,7 +165,7 @@
         let p = &self.plan[exchange.job];
         let left = ((p.at + p.limit).saturating_sub(now) / 1000).to_string();
         let (work, retry) = (p.work_ms.to_string(), (self.tries[exchange.job] > 1).to_string());
-        let mark = p.fingerprint.to_string();
+        let mark = p.keyed.to_string();
         let opening = p.opening.as_ref().map(|(name, size)| (name.as_str(), size.to_string()));
         let mut attributes = vec![
             ("specversion", "1.0"),
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -15,7 +15,7 @@
 const HUTS: u64 = 12;
 const FREE: u64 = 7;
 
-/// What fingerprints a rack has seen end well, and until when it drops their repeats.
+/// What idempotency keys a rack has seen end well, and until when it drops their repeats.
 pub type Rack = Rc<RefCell<BTreeMap<Event, Micros>>>;
 
 /// What a worker is.
@@ -39,7 +39,7 @@
     /// Falls over when sent over `fall_multiple` times what it can do, over `fall_span`.
     pub fall_multiple: f64,
     pub fall_span: Micros,
-    /// µs for which repeats of fingerprinted jobs are dropped.
+    /// µs for which repeats of keyed jobs are dropped.
     pub window: Micros,
     pub seed: u64,
     /// Units of openings that it keeps prepared; one takes so many µs a unit to prepare.
--- a/src/control.rs
+++ b/src/control.rs
@@ -831,7 +831,7 @@
         let risky = job.tried.iter().filter(|t| t.fate != Fate::NeverRan).map(|t| t.sent).min();
         match (risky, job.effect) {
             (None, _) | (_, Effect::Idempotent) => Micros::MAX,
-            (Some(first), Effect::Fingerprinted { window, .. }) => (first + window).saturating_sub(BEAT),
+            (Some(first), Effect::Keyed { window, .. }) => (first + window).saturating_sub(BEAT),
             (Some(_), Effect::RunOnce) => 0,
         }
     }
@@ -849,7 +849,7 @@
             return false;
         }
         match job.effect {
-            Effect::Fingerprinted { within, .. } => {
+            Effect::Keyed { within, .. } => {
                 job.tried.iter().filter(|t| t.fate != Fate::NeverRan).all(|t| match within {
                     Within::Everywhere => true,
                     Within::Zone => t.zone.is_some() && t.zone == s.zone,
@@ -866,7 +866,7 @@
         let may_have_run = job.tried.iter().any(|t| t.fate != Fate::NeverRan);
         let harmless = match job.effect {
             Effect::Idempotent => true,
-            Effect::Fingerprinted { within: Within::Everywhere, .. } if self.repeat_allowed(job) => true,
+            Effect::Keyed { within: Within::Everywhere, .. } if self.repeat_allowed(job) => true,
             _ => !may_have_run,
         };
         if harmless {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -63,11 +63,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub usize);
 
-/// A small set of model servers that know each other's fingerprints.
+/// A small set of model servers that know each other's idempotency keys.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RackId(pub i64);
 
-/// Where a repeat of a fingerprinted job is dropped.
+/// Where a repeat of a keyed job is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Within {
     Everywhere,
@@ -79,7 +79,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
     Idempotent,
-    Fingerprinted { within: Within, window: Micros },
+    Keyed { within: Within, window: Micros },
     RunOnce,
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,8 +4,8 @@
 use common::*;
 use test_case::test_case;
 
-const RACK: Effect = Effect::Fingerprinted { within: Within::Rack, window: 3000 * MS };
-const ALL: Effect = Effect::Fingerprinted { within: Within::Everywhere, window: 3000 * MS };
+const RACK: Effect = Effect::Keyed { within: Within::Rack, window: 3000 * MS };
+const ALL: Effect = Effect::Keyed { within: Within::Everywhere, window: 3000 * MS };
 
 // Rule 2: what follows each way an attempt can close, for each kind of effect.
 #[test_case(Effect::Idempotent, Outcome::Error, 2, false; "idempotent after an error runs again")]
@@ -17,7 +17,7 @@
 #[test_case(Effect::RunOnce, Outcome::Broken, 1, true; "run-once after a break is killed")]
 #[test_case(Effect::RunOnce, Outcome::TimedOut, 1, true; "run-once after a time-out is killed")]
 #[test_case(Effect::RunOnce, Outcome::Cancelled, 1, true; "run-once after a cancel is killed")]
-#[test_case(ALL, Outcome::Error, 2, false; "fingerprinted everywhere runs again")]
+#[test_case(ALL, Outcome::Error, 2, false; "keyed everywhere runs again")]
 fn after(effect: Effect, outcome: Outcome, sends: usize, killed: bool) {
     let mut bench = Bench::new(rows(effect), 8);
     bench.arrive(1, "hut", 5000 * MS);
@@ -28,7 +28,7 @@
 
 #[test_case(0, true; "inside the window it runs again in its rack")]
 #[test_case(3000, false; "after the window it never does")]
-fn fingerprinted(wait_ms: Micros, again: bool) {
+fn keyed(wait_ms: Micros, again: bool) {
     let mut rows = rows(RACK);
     rows.permits.second_copies = false;
     let mut bench = Bench::new(rows, 8);
@@ -46,7 +46,7 @@
 #[test_case(Some(ZoneId(1)), true; "a zone that is named")]
 #[test_case(None, false; "zones that are not")]
 fn keyed_by_zone(zone: Option<ZoneId>, again: bool) {
-    let mut rows = rows(Effect::Fingerprinted { within: Within::Zone, window: 3000 * MS });
+    let mut rows = rows(Effect::Keyed { within: Within::Zone, window: 3000 * MS });
     rows.permits.second_copies = false;
     let mut bench = Bench::new(rows, 0);
     let entry = |n| Listed { zone, ..listed(n, Standing::Ready, 0) };
@@ -58,7 +58,7 @@
 }
 
 // A further attempt has to have left while its repeat would still be known; a first one has no such time.
-#[test_case(RACK, Some(3000 * MS - 20 * MS); "fingerprinted: to the end of its window, with care")]
+#[test_case(RACK, Some(3000 * MS - 20 * MS); "keyed: to the end of its window, with care")]
 #[test_case(Effect::Idempotent, None; "idempotent")]
 fn begins_in_time(effect: Effect, within: Option<Micros>) {
     let mut bench = Bench::new(rows(effect), 8);
