At-most-once, not run-once: an effect that may happen once has the standard term

Words of users stay: the settings' effect "run-once", in settings, in the messages of faults in chains that name it, and in the pages on chains.

--- a/crates/chain/src/plan.rs
+++ b/crates/chain/src/plan.rs
@@ -270,7 +270,7 @@
                 let found = format!("step \"{}\" both on the way and as an undo", step.name);
                 fault(Some(n), Part::Step, found, "an undo of its own");
             }
-            if is_undo && step.effect == Effect::RunOnce {
+            if is_undo && step.effect == Effect::AtMostOnce {
                 let found = format!("undo \"{}\" in a run-once workload", step.name);
                 fault(Some(n), Part::Step, found, "one that may be repeated until it is done");
             }
@@ -296,10 +296,11 @@
                 let found = format!("function from \"{}.{field}\"", self.step(*of).name);
                 fault(Some(n), Part::Function, found, "a step that always finishes before this one");
             }
-            // A run-once step that failed may have run: whoever goes on by running it again assumes a repeat.
+            // An at-most-once step that failed may have run: whoever goes on by running it again assumes a
+            // repeat.
             for to in step.or_else.iter().flat_map(|b| b.go.steps()) {
                 let other = self.step(to);
-                if step.effect == Effect::RunOnce
+                if step.effect == Effect::AtMostOnce
                     && (other.workload, &other.function) == (step.workload, &step.function)
                 {
                     let found = format!("\"{}\" repeats the run-once \"{}\"", other.name, step.name);
@@ -328,7 +329,8 @@
                             }
                         }
                         if matches!(branch.go, Go::First(..))
-                            && let Some(arm) = arms.iter().find(|a| self.step(**a).effect == Effect::RunOnce)
+                            && let Some(arm) =
+                                arms.iter().find(|a| self.step(**a).effect == Effect::AtMostOnce)
                         {
                             let found =
                                 format!("run-once \"{}\" among the first of several", self.step(*arm).name);
--- a/crates/chain/tests/common/mod.rs
+++ b/crates/chain/tests/common/mod.rs
@@ -14,7 +14,7 @@
     let workload = match effect {
         Effect::Idempotent => 0,
         Effect::Keyed { .. } => 1,
-        Effect::RunOnce => 2,
+        Effect::AtMostOnce => 2,
     };
     Step {
         name: name.to_owned(),
--- a/crates/chain/tests/plans.rs
+++ b/crates/chain/tests/plans.rs
@@ -1,7 +1,7 @@
 //! Plans looked at as a whole.
 mod common;
 
-use applepond::interface::Effect::RunOnce;
+use applepond::interface::Effect::AtMostOnce;
 use applepond_chain::*;
 use common::*;
 use test_case::test_case;
@@ -12,7 +12,7 @@
     "a loop")]
 #[test_case(vec![free("a").or_else(&[to(0)])], "step \"a\" leads back"; "a step that repeats itself")]
 #[test_case(vec![free("a"), free("b")], "step \"b\" that nothing leads to"; "not reached")]
-#[test_case(vec![step("a", RunOnce).or_else(&[to(1)]), step("b", RunOnce).function_from(0, "x")],
+#[test_case(vec![step("a", AtMostOnce).or_else(&[to(1)]), step("b", AtMostOnce).function_from(0, "x")],
     "function from \"a.x\""; "a result that is not there after a failure")]
 #[test_case(vec![free("a").next(&[when("x", "1", 1), to(2)]), free("b").next(&[to(2)]),
     free("c").function_from(1, "x")],
@@ -23,11 +23,11 @@
 #[test_case(vec![free("a").next(&[first(&[1, 2], Some(3))]), free("b"), free("c"),
     free("d").function_from(1, "x")],
     "function from \"b.x\""; "a result of one of several")]
-#[test_case(vec![step("a", RunOnce).or_else(&[to(1)]), Step { function: Function::Named("a".into()),
-    ..step("b", RunOnce) }],
+#[test_case(vec![step("a", AtMostOnce).or_else(&[to(1)]), Step { function: Function::Named("a".into()),
+    ..step("b", AtMostOnce) }],
     "\"b\" repeats the run-once \"a\""; "a repeat of what may have run")]
 #[test_case(vec![free("a").undone_by(1), free("u")], "an undo of the idempotent \"a\""; "nothing to undo")]
-#[test_case(vec![free("a").undone_by(1), step("u", RunOnce)], "undo \"u\" in a run-once workload";
+#[test_case(vec![free("a").undone_by(1), step("u", AtMostOnce)], "undo \"u\" in a run-once workload";
     "an undo that runs once")]
 #[test_case(vec![free("a").undone_by(1).next(&[to(1)]), free("u")],
     "step \"u\" both on the way and as an undo";
@@ -40,8 +40,8 @@
 #[test_case(vec![free("a").next(&[all(&[1], None)]), free("b")], "a fork of 1 arm(s)"; "a fork of one")]
 #[test_case(vec![free("a").next(&[all(&[1, 2], None)]), free("b").next(&[to(3)]), free("c"), free("d")],
     "arm \"b\" that leads on by itself"; "an arm that leads on")]
-#[test_case(vec![free("a").next(&[first(&[1, 2], None)]), step("b", RunOnce), free("c")],
-    "run-once \"b\" among the first of several"; "a run-once step that may run in vain")]
+#[test_case(vec![free("a").next(&[first(&[1, 2], None)]), step("b", AtMostOnce), free("c")],
+    "run-once \"b\" among the first of several"; "an at-most-once step that may run in vain")]
 #[test_case((0..60).map(|n| free(&n.to_string()).next(&[to((n + 1) % 60)])).collect(), "60 steps";
     "without end")]
 #[test_case((0..30).map(|n| Step { at_least: 500 * MS,
@@ -59,7 +59,7 @@
     "x")]; "all of several")]
 #[test_case(vec![free("a").next(&[first(&[1, 2], Some(3))]), free("b"), free("c"), free("d")];
     "the first of several")]
-#[test_case(vec![step("a", RunOnce).or_else(&[to(1)]).undone_by(2), step("b", RunOnce),
+#[test_case(vec![step("a", AtMostOnce).or_else(&[to(1)]).undone_by(2), step("b", AtMostOnce),
     free("u").function_from(0, "place")]; "another hut, and an undo")]
 #[test_case(vec![free("a").next(&[to(1)]), Step { at_least: 9 * S, ..free("b").optional() }];
     "long but optional")]
--- a/crates/chain/tests/runs.rs
+++ b/crates/chain/tests/runs.rs
@@ -1,7 +1,7 @@
 //! Chains step by step: what is begun, left out, refused, cancelled and taken back.
 mod common;
 
-use applepond::interface::Effect::RunOnce;
+use applepond::interface::Effect::AtMostOnce;
 use applepond_chain::*;
 use common::*;
 use std::collections::BTreeMap;
@@ -18,7 +18,7 @@
             .next(&[when("free", "yes", 3), to(2)])
             .or_else(&[to(2)]),
         step("beds-2", MARKED).undone_by(5).next(&[to(3)]),
-        step("confirm", RunOnce),
+        step("confirm", AtMostOnce),
         step("release", MARKED).function_from(0, "hut"),
         step("release-2", MARKED),
     ]
@@ -104,7 +104,7 @@
     let steps = vec![
         free("price").next(&[to(1)]),
         free("photos").optional().next(&[to(2)]),
-        step("confirm", RunOnce),
+        step("confirm", AtMostOnce),
     ];
     let mut b = Bench::new(steps);
     b.begin();
@@ -116,7 +116,7 @@
     let steps = vec![
         free("price").next(&[to(1)]),
         free("photos").optional().next(&[to(2)]),
-        step("confirm", RunOnce),
+        step("confirm", AtMostOnce),
     ];
     let mut b = Bench::new(steps);
     b.begin();
--- a/crates/drill/src/audit.rs
+++ b/crates/drill/src/audit.rs
@@ -19,7 +19,7 @@
 pub enum Effect {
     Idempotent,
     Keyed,
-    RunOnce,
+    AtMostOnce,
 }
 
 /// What the auditor is told beside the ledger: the terms, not the routers' word.
@@ -132,8 +132,8 @@
                 let (first, rack) = before[0];
                 let times = before.len();
                 match terms.effects.get(event) {
-                    Some(Effect::RunOnce) if times > 1 => {
-                        verdict.fault(2, format!("run-once job {event} began {times} times"));
+                    Some(Effect::AtMostOnce) if times > 1 => {
+                        verdict.fault(2, format!("at-most-once job {event} began {times} times"));
                     }
                     Some(Effect::Keyed) if now.1 != rack => {
                         verdict.fault(2, format!("keyed job {event} began in racks {rack} and {}", now.1));
@@ -257,7 +257,7 @@
     #[test_case(vec![(0, came("q", 1)), (1, began("q")), (2, came("q", 2)), (3, began("q"))], None;
         "idempotent twice")]
     #[test_case(vec![(0, came("c", 1)), (1, began("c")), (2, came("c", 1)), (3, began("c"))], Some(2);
-        "run-once twice")]
+        "at-most-once twice")]
     #[test_case(vec![(0, came("h", 1)), (1, began("h")), (2, came("h", 1)), (3, began("h"))], None;
         "keyed again in its rack")]
     #[test_case(vec![(0, came("h", 1)), (1, began("h")), (2, came("h", 2)), (3, began("h"))], Some(2);
@@ -277,7 +277,7 @@
     #[test_case(vec![(0, told(true)), (1, Saw::Rose { worker: name("w") }), (2, fell())], None;
         "pushed over before any was told that it started")]
     fn stories(ledger: Vec<(Micros, Saw)>, rule: Option<u8>) {
-        let effects = [("q", Effect::Idempotent), ("h", Effect::Keyed), ("c", Effect::RunOnce)];
+        let effects = [("q", Effect::Idempotent), ("h", Effect::Keyed), ("c", Effect::AtMostOnce)];
         let terms = Terms {
             grace: 2 * S,
             window: 3 * S,
--- a/crates/drill/src/chains.rs
+++ b/crates/drill/src/chains.rs
@@ -229,7 +229,7 @@
             ("price", Effect::Idempotent),
             ("beds", Effect::Keyed),
             ("second", Effect::Keyed),
-            ("confirm", Effect::RunOnce),
+            ("confirm", Effect::AtMostOnce),
         ] {
             effects.insert(Event::from(format!("{chain}/{step}")), effect);
         }
--- a/crates/drill/src/run.rs
+++ b/crates/drill/src/run.rs
@@ -152,7 +152,7 @@
     let effect = |j: &applepond_standins::client::Planned| match (j.idempotent, j.keyed) {
         (true, _) => Effect::Idempotent,
         (_, true) => Effect::Keyed,
-        _ => Effect::RunOnce,
+        _ => Effect::AtMostOnce,
     };
     day.jobs.iter().map(|j| (Event::from(format!("{} {}", j.source, j.id)), effect(j))).collect()
 }
--- a/crates/drill/src/storm.rs
+++ b/crates/drill/src/storm.rs
@@ -246,7 +246,7 @@
     let effect = |j: &Planned| match (j.idempotent, j.keyed) {
         (true, _) => Effect::Idempotent,
         (_, true) => Effect::Keyed,
-        _ => Effect::RunOnce,
+        _ => Effect::AtMostOnce,
     };
     let named = |j: &Planned| (Event::from(format!("{} {}", j.source, j.id)), effect(j));
     let kills = (0..plan.routers).filter(|n| struck(*n)).map(|n| (n as u64, cut, heal));
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -151,11 +151,11 @@
     }
 
     #[test_case(Ending::Finished, Effect::Idempotent, true; "finished: the work is done")]
-    #[test_case(Ending::Finished, Effect::RunOnce, true; "finished run-once")]
-    #[test_case(Ending::PushedBack, Effect::RunOnce, false; "pushed back: a new try is invited")]
+    #[test_case(Ending::Finished, Effect::AtMostOnce, true; "finished at-most-once")]
+    #[test_case(Ending::PushedBack, Effect::AtMostOnce, false; "pushed back: a new try is invited")]
     #[test_case(Ending::Killed, Effect::Idempotent, false; "killed idempotent may run again")]
     #[test_case(Ending::Killed, MARKED, true; "killed keyed may have run")]
-    #[test_case(Ending::Killed, Effect::RunOnce, true; "killed run-once may have run")]
+    #[test_case(Ending::Killed, Effect::AtMostOnce, true; "killed at-most-once may have run")]
     fn after_the_end(ending: Ending, effect: Effect, again: bool) {
         let mut claims = Claims::new(1000, 10, 1000);
         assert_eq!(claims.claim(0, &name(1)), Claim::New);
@@ -173,7 +173,7 @@
         let mut claims = Claims::new(1000, most, bytes);
         for n in 0..100 {
             claims.begin(name(n), job(n as u8));
-            claims.end(u64::from(n), &name(n), Ending::Finished, Effect::RunOnce, Rc::new(()), 9);
+            claims.end(u64::from(n), &name(n), Ending::Finished, Effect::AtMostOnce, Rc::new(()), 9);
             assert!(claims.remembered() <= 4);
         }
         assert_eq!(
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -27,9 +27,9 @@
 /// µs after which an idle connection is not used any more: shorter than a worker keeps it, so that the
 /// worker's own closing does not meet a request on its way.
 const IDLE_LIMIT: Micros = 4_000_000;
-/// µs of idleness after which a connection carries no run-once job: should the worker have closed it after
-/// all, the job would count as one that may have run.
-const IDLE_RUN_ONCE: Micros = 500_000;
+/// µs of idleness after which a connection carries no at-most-once job: should the worker have closed it
+/// after all, the job would count as one that may have run.
+const IDLE_AT_MOST_ONCE: Micros = 500_000;
 /// µs between two looks for connections idle too long.
 const SWEEP: Micros = 1_000_000;
 /// Bytes of an opening's name at most; a longer one is none.
@@ -471,12 +471,12 @@
     fn connect(&mut self, now: Micros, wire: &mut dyn Wire, job: JobId, n: usize) {
         let Some(task) = self.tasks.get_mut(job) else { return };
         let server = task.attempts[n].server;
-        let run_once = task.of.effect == Effect::RunOnce;
+        let at_most_once = task.of.effect == Effect::AtMostOnce;
         let Some(worker) = self.listed.get_mut(server).filter(|w| w.standing == Standing::Ready) else {
             self.close(now, job, n, ended(Outcome::NoConnection));
             return;
         };
-        let rested = if run_once { IDLE_RUN_ONCE } else { IDLE_LIMIT };
+        let rested = if at_most_once { IDLE_AT_MOST_ONCE } else { IDLE_LIMIT };
         // The latest of them is the freshest; where that is too old, all are, and the sweep takes them.
         let fresh = worker.idle.last().is_some_and(|(_, since)| now < since + rested);
         let conn = match if fresh { worker.idle.pop() } else { None } {
--- a/crates/gateway/src/machine/chained.rs
+++ b/crates/gateway/src/machine/chained.rs
@@ -716,7 +716,7 @@
         }
         self.gate.ended(now, told.ending == Ending::Finished, told.ending == Ending::PushedBack);
         // What may have run must not run again here, whatever the effect of the step that failed.
-        self.claims.end(now, &chain.name, told.ending, Effect::RunOnce, told.clone(), told.bytes());
+        self.claims.end(now, &chain.name, told.ending, Effect::AtMostOnce, told.clone(), told.bytes());
         tracing::info!(
             id = %id,
             source = %chain.name.0,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -24,12 +24,12 @@
 }
 
 /// `workers` static workers; workloads `quote` (idempotent), `hold` (keyed) and `confirm`
-/// (run-once), started within 500 ms, given up after 4 s, a load takes 100 ms.
+/// (at-most-once), started within 500 ms, given up after 4 s, a load takes 100 ms.
 pub fn deployment(workers: u16) -> Deployment {
     let effects = [
         ("quote", Effect::Idempotent),
         ("hold", Effect::Keyed { within: Within::Rack, window: 3 * S }),
-        ("confirm", Effect::RunOnce),
+        ("confirm", Effect::AtMostOnce),
     ];
     let address = |n: u16| SocketAddr::from(([127, 0, 0, 1], 9000 + n));
     Deployment {
--- a/crates/gateway/tests/machine.rs
+++ b/crates/gateway/tests/machine.rs
@@ -25,7 +25,7 @@
 // A client's retry joins the running job: one attempt, one answer to each exchange; after the end it is
 // told again.
 #[test_case("quote"; "idempotent")]
-#[test_case("confirm"; "run-once")]
+#[test_case("confirm"; "at-most-once")]
 fn retries_join(kind: &str) {
     let mut b = Bench::new(deployment(2));
     let clients = [b.asks(kind, "1"), b.asks(kind, "1"), b.asks(kind, "1")];
@@ -57,11 +57,11 @@
     assert_eq!((b.statuses(first), b.statuses(again)), (vec![503], vec![503]));
 }
 
-// Run-once, by what had left when the connection ended.
+// At-most-once, by what had left when the connection ended.
 #[test_case(false, Closed::Never, 2, None; "never open: sent elsewhere")]
 #[test_case(true, Closed::Reset, 1, Some(502); "open and written: may have run")]
 #[test_case(true, Closed::Ended, 1, Some(502); "closed by the worker after it was written")]
-fn run_once(open: bool, why: Closed, requests: usize, status: Option<u16>) {
+fn at_most_once(open: bool, why: Closed, requests: usize, status: Option<u16>) {
     let mut b = Bench::new(deployment(3));
     let client = b.asks("confirm", "1");
     let (link, _) = b.paper.connects[0];
@@ -98,7 +98,7 @@
 }
 
 #[test]
-fn an_old_kept_connection_carries_no_run_once_job() {
+fn an_old_kept_connection_carries_no_at_most_once_job() {
     let mut b = Bench::new(deployment(1));
     b.asks("quote", "1");
     let link = b.links()[0];
@@ -128,7 +128,7 @@
 }
 
 #[test_case("quote", 503; "idempotent is pushed back")]
-#[test_case("confirm", 504; "run-once is killed")]
+#[test_case("confirm", 504; "at-most-once is killed")]
 fn an_answer_after_the_deadline(kind: &str, status: u16) {
     let mut b = Bench::new(deployment(1));
     let client = b.asks(kind, "1");
@@ -166,7 +166,7 @@
 }
 
 #[test]
-fn full_by_its_mark_moves_a_run_once_job_on() {
+fn full_by_its_mark_moves_a_at_most_once_job_on() {
     let mut b = Bench::new(deployment(2));
     let client = b.asks("confirm", "1");
     let link = b.links()[0];
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -132,14 +132,14 @@
     assert!(ok >= 500 && ok + ends.get(&Got::PushedBack).unwrap_or(&0) == 1_000, "{ends:?}");
 }
 
-// Workers that break off, hang, talk nonsense: a run-once job begins at most once and has its one answer.
+// Workers that break off, hang, talk nonsense: an at-most-once job begins once and has its one answer.
 #[test_case(Mood::CutAnswers, &[Got::Killed, Got::PushedBack]; "cut")]
 #[test_case(Mood::Garbage, &[Got::Killed, Got::PushedBack]; "garbage")]
 #[test_case(Mood::FailFast(1.0), &[Got::Killed, Got::PushedBack]; "fail")]
 #[test_case(Mood::Hang, &[Got::Killed, Got::PushedBack]; "hang")]
 #[test_case(Mood::TwoAnswers, &[Got::Finished, Got::PushedBack]; "two answers")]
 #[test_case(Mood::RefuseAll, &[Got::PushedBack, Got::PushedBack]; "full")]
-fn run_once_among_bad_workers(mood: Mood, wanted: &[Got]) {
+fn at_most_once_among_bad_workers(mood: Mood, wanted: &[Got]) {
     let mut fleet = fleet(3, &[(0, Turn::Mood(mood))]);
     let at = fleet.reactor.now() + 50 * MS;
     let plan = (0..40).map(|n| planned(at + n as Micros * 5 * MS, n, "confirm")).collect();
--- a/crates/gateway/tests/switch.rs
+++ b/crates/gateway/tests/switch.rs
@@ -60,7 +60,8 @@
     assert_eq!((again.workloads.len(), again.customers.len()), (3, 2), "a switch to and fro adds nothing");
 }
 
-// A run-once job that was out at the switch stays one, though its workload may be repeated now; the next may.
+// An at-most-once job that was out at the switch stays one, though its workload may be repeated now; the next
+// may.
 #[test]
 fn a_job_keeps_the_terms_it_was_taken_under() {
     let mut b = Bench::new(deployment(3));
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -467,8 +467,8 @@
 
 // What a client is told in the end: a refusal only where no attempt can have run, or running twice harms
 // nothing.
-#[test_case("confirm", "ERR", "502"; "run-once, and it may have run")]
-#[test_case("confirm", "MISS", "503"; "run-once, and it has not")]
+#[test_case("confirm", "ERR", "502"; "at-most-once, and it may have run")]
+#[test_case("confirm", "MISS", "503"; "at-most-once, and it has not")]
 #[test_case("hold", "ERR", "502"; "keyed, by its group alone")]
 #[test_case("quote", "ERR", "503"; "idempotent")]
 fn refused_or_failed(workload: &str, verb: &str, status: &str) {
--- a/crates/node/tests/machine.rs
+++ b/crates/node/tests/machine.rs
@@ -35,7 +35,7 @@
 
 // What has left on a lost connection may have run; what has not goes out on another.
 #[test_case("quote", &[], 2; "idempotent: once more, elsewhere")]
-#[test_case("confirm", &[502], 1; "run-once: may have run")]
+#[test_case("confirm", &[502], 1; "at-most-once: may have run")]
 fn a_connection_breaks(workload: &str, told: &[u16], runs: usize) {
     let mut b = Bench::new(2);
     let client = b.asks(workload, 1);
--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -68,7 +68,7 @@
 fn workload(row: &Value) -> Read<WorkloadRow> {
     let effect = match text(row, "idempotency")? {
         "idempotent" => Effect::Idempotent,
-        "at_most_once" => Effect::RunOnce,
+        "at_most_once" => Effect::AtMostOnce,
         "deduplicated" => Effect::Keyed {
             within: match text(row, "group")? {
                 "all" => Within::Everywhere,
--- a/crates/record/src/kept.rs
+++ b/crates/record/src/kept.rs
@@ -79,7 +79,7 @@
     match effect {
         Effect::Idempotent => true,
         Effect::Keyed { within: Within::Everywhere, window } => now < sent + window,
-        Effect::Keyed { .. } | Effect::RunOnce => false,
+        Effect::Keyed { .. } | Effect::AtMostOnce => false,
     }
 }
 
@@ -114,7 +114,7 @@
     #[test_case(EVERYWHERE, 2, None; "keyed everywhere, in its window: begun again")]
     #[test_case(EVERYWHERE, 3, Some(How::MayHaveRun); "past its window")]
     #[test_case(RACK, 2, Some(How::MayHaveRun); "keyed by rack: which one is not known")]
-    #[test_case(Effect::RunOnce, 0, Some(How::MayHaveRun); "run-once")]
+    #[test_case(Effect::AtMostOnce, 0, Some(How::MayHaveRun); "at-most-once")]
     fn sent_without_an_end(effect: Effect, later_s: u64, want: Option<How>) {
         let step = Step {
             name: "a".into(),
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -265,7 +265,7 @@
     let row = function(part);
     let effect = match kind?.as_str() {
         "restartable" => Effect::Idempotent,
-        "run-once" => Effect::RunOnce,
+        "run-once" => Effect::AtMostOnce,
         _ => Effect::Keyed {
             within: match within?.as_str() {
                 "everywhere" => Within::Everywhere,
--- a/src/control.rs
+++ b/src/control.rs
@@ -605,7 +605,7 @@
         self.order(function);
         let job = &self.jobs[&id];
         let row = &self.workloads[job.workload.0];
-        let risky = job.effect == Effect::RunOnce && self.workloads.iter().any(|w| w.effect != job.effect);
+        let risky = job.effect == Effect::AtMostOnce && self.workloads.iter().any(|w| w.effect != job.effect);
         let (mut home, mut warm, mut next, mut presumed) = (None, None, None, false);
         // Jobs a µs that the other routers are taken to have of this function: as many as this one had before
         // this job, or a rare function's only job would look like one of many.
@@ -766,7 +766,7 @@
         orders.send(id, server, job.deadline - now, begin);
         let then: Step = Box::new(move |c, o, answer| c.closed(o, id, n, answer.expect("what it ends with")));
         self.out.insert((id, n), Out { server, function, workload, customer, sent: now, serving, then });
-        if !copy && self.rows.permits.second_copies && effect != Effect::RunOnce {
+        if !copy && self.rows.permits.second_copies && effect != Effect::AtMostOnce {
             // The design's delay: twice the load time and the start target.
             let delay = 2 * self.load_time(function) + row.start_target;
             self.wake_then(orders, delay, Box::new(move |c, o, _| c.hedge(o, id, n)));
@@ -832,7 +832,7 @@
         match (risky, job.effect) {
             (None, _) | (_, Effect::Idempotent) => Micros::MAX,
             (Some(first), Effect::Keyed { window, .. }) => (first + window).saturating_sub(BEAT),
-            (Some(_), Effect::RunOnce) => 0,
+            (Some(_), Effect::AtMostOnce) => 0,
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -80,7 +80,7 @@
 pub enum Effect {
     Idempotent,
     Keyed { within: Within, window: Micros },
-    RunOnce,
+    AtMostOnce,
 }
 
 /// One row a workload.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -35,7 +35,7 @@
 }
 
 #[test_case(Effect::Idempotent, true, 2; "a copy follows")]
-#[test_case(Effect::RunOnce, true, 1; "never of a run-once job")]
+#[test_case(Effect::AtMostOnce, true, 1; "never of an at-most-once job")]
 #[test_case(Effect::Idempotent, false, 1; "nor where second copies are not allowed")]
 fn hedge(effect: Effect, second_copies: bool, sends: usize) {
     let mut rows = rows(effect);
@@ -101,7 +101,7 @@
 #[test_case(1, false; "one slow job")]
 #[test_case(2, true; "two answers owed")]
 fn silence(jobs: u8, aside: bool) {
-    let mut rows = rows(Effect::RunOnce);
+    let mut rows = rows(Effect::AtMostOnce);
     rows.workloads[0].start_target = 1000 * MS;
     let mut bench = Bench::new(rows, 8);
     let home = bench.warm("hut");
@@ -269,13 +269,13 @@
     assert_eq!(bench.sends(3).len() == 1, spreads);
 }
 
-// A run-once job does not try out a worker that was set aside, nor does it wait for it while loads are
+// An at-most-once job does not try out a worker that was set aside, nor does it wait for it while loads are
 // jammed: it passes it over until a job that can be repeated has found out.
 #[test_case(false, false; "on trial")]
 #[test_case(true, true; "proved by another job")]
-fn run_once_passes_over(proved: bool, home_takes: bool) {
+fn at_most_once_passes_over(proved: bool, home_takes: bool) {
     let mut rows = rows(Effect::Idempotent);
-    rows.workloads.push(WorkloadRow { effect: Effect::RunOnce, ..rows.workloads[0].clone() });
+    rows.workloads.push(WorkloadRow { effect: Effect::AtMostOnce, ..rows.workloads[0].clone() });
     rows.permits.attempts = 1;
     let mut bench = Bench::new(rows, 8);
     let home = bench.warm("hut");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -10,13 +10,13 @@
 // Rule 2: what follows each way an attempt can close, for each kind of effect.
 #[test_case(Effect::Idempotent, Outcome::Error, 2, false; "idempotent after an error runs again")]
 #[test_case(Effect::Idempotent, Outcome::Full, 2, false; "idempotent after full moves on")]
-#[test_case(Effect::RunOnce, Outcome::Full, 2, false; "run-once after full moves on")]
-#[test_case(Effect::RunOnce, Outcome::Missing, 2, false; "run-once after a miss moves on")]
-#[test_case(Effect::RunOnce, Outcome::NoConnection, 2, false; "run-once without connection moves on")]
-#[test_case(Effect::RunOnce, Outcome::Error, 1, true; "run-once after an error is killed")]
-#[test_case(Effect::RunOnce, Outcome::Broken, 1, true; "run-once after a break is killed")]
-#[test_case(Effect::RunOnce, Outcome::TimedOut, 1, true; "run-once after a time-out is killed")]
-#[test_case(Effect::RunOnce, Outcome::Cancelled, 1, true; "run-once after a cancel is killed")]
+#[test_case(Effect::AtMostOnce, Outcome::Full, 2, false; "at-most-once after full moves on")]
+#[test_case(Effect::AtMostOnce, Outcome::Missing, 2, false; "at-most-once after a miss moves on")]
+#[test_case(Effect::AtMostOnce, Outcome::NoConnection, 2, false; "at-most-once without connection moves on")]
+#[test_case(Effect::AtMostOnce, Outcome::Error, 1, true; "at-most-once after an error is killed")]
+#[test_case(Effect::AtMostOnce, Outcome::Broken, 1, true; "at-most-once after a break is killed")]
+#[test_case(Effect::AtMostOnce, Outcome::TimedOut, 1, true; "at-most-once after a time-out is killed")]
+#[test_case(Effect::AtMostOnce, Outcome::Cancelled, 1, true; "at-most-once after a cancel is killed")]
 #[test_case(ALL, Outcome::Error, 2, false; "keyed everywhere runs again")]
 fn after(effect: Effect, outcome: Outcome, sends: usize, killed: bool) {
     let mut bench = Bench::new(rows(effect), 8);
@@ -73,7 +73,7 @@
 
 // Rule 1: every job ends once, before its client leaves, and nothing follows.
 #[test_case(Effect::Idempotent, 0, 5000; "held without any worker")]
-#[test_case(Effect::RunOnce, 0, 5000; "run-once held without any worker")]
+#[test_case(Effect::AtMostOnce, 0, 5000; "at-most-once held without any worker")]
 #[test_case(Effect::Idempotent, 0, 5; "client about to leave")]
 #[test_case(Effect::Idempotent, 0, 45; "client leaves within two beats")]
 fn held_jobs_end(effect: Effect, servers: u64, left_ms: Micros) {
@@ -223,8 +223,8 @@
 
 // A switch of the rows: a job keeps its effect, and a copy that is out where none may be any more is taken
 // back.
-#[test_case(Effect::RunOnce, Effect::Idempotent, 1, 1; "run-once stays so")]
-#[test_case(Effect::Idempotent, Effect::RunOnce, 2, 0; "idempotent stays so")]
+#[test_case(Effect::AtMostOnce, Effect::Idempotent, 1, 1; "at-most-once stays so")]
+#[test_case(Effect::Idempotent, Effect::AtMostOnce, 2, 0; "idempotent stays so")]
 fn switched(taken: Effect, then: Effect, sends: usize, kills: usize) {
     let mut bench = Bench::new(rows(taken), 8);
     bench.arrive(1, "hut", 5000 * MS);
