Tests of the drill's auditor, chart and links and of the members' count move to test files

Of files that this work touched, claims and limit of the gateway keep theirs, as they look at what no other package may see.

--- a/crates/drill/src/chart.rs
+++ b/crates/drill/src/chart.rs
@@ -73,16 +73,3 @@
         .draw()
         .map_err(|e| told(&e))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn both_plays_and_the_cut_are_in_the_picture() {
-        let report = Report { seconds: vec![(10, 9, 20); 30], cut: (5, 12), ..Report::default() };
-        let text = draw(&[("damping on", &report), ("damping off", &report)]).expect("a picture");
-        assert!(text.contains("<svg") && text.contains("damping on") && text.contains("damping off"));
-        assert!(text.matches("<polyline").count() >= 4, "two rows of two lines");
-    }
-}
--- a/crates/drill/src/links.rs
+++ b/crates/drill/src/links.rs
@@ -146,30 +146,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    // Guards: a cut is of one way alone, and what waits on a connection comes after it.
-    #[test]
-    fn a_connection_under_a_cut() {
-        let links = Links::new(1).expect("a socket");
-        let server = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let to = server.local_addr().expect("bound");
-        let from = SocketAddr::from(([127, 0, 0, 9], 1));
-        let mut near = TcpStream::connect(links.connection(from, to).expect("a port")).expect("it listens");
-        let (mut far, _) = server.accept().expect("a connection");
-        links.faults().cut.insert((to, from));
-        (near.write_all(b"there"), far.write_all(b"back!")).0.expect("it reads");
-        let mut got = [0; 5];
-        far.read_exact(&mut got).expect("the other way is whole");
-        assert_eq!(&got, b"there");
-        near.set_read_timeout(Some(Duration::from_millis(50))).expect("a time");
-        assert!(near.read_exact(&mut got).is_err(), "cut");
-        links.faults().cut.clear();
-        near.set_read_timeout(Some(Duration::from_secs(10))).expect("a time");
-        near.read_exact(&mut got).expect("after the cut");
-        assert_eq!(&got, b"back!");
-    }
-}
--- /dev/null
+++ b/crates/drill/tests/parts.rs
@@ -0,0 +1,137 @@
+//! Cases of single modules of this package.
+
+mod audit {
+    use applepond_drill::audit::*;
+    use applepond_reactor::Micros;
+    use applepond_standins::ledger::Saw;
+
+    use std::rc::Rc;
+    use test_case::test_case;
+
+    const S: Micros = 1_000_000;
+
+    fn name(text: &str) -> Rc<str> {
+        Rc::from(text)
+    }
+
+    fn came(event: &str, rack: i64) -> Saw {
+        Saw::Came { worker: name("w"), rack, router: 0, event: name(event) }
+    }
+
+    fn began(event: &str) -> Saw {
+        Saw::Began { worker: name("w"), event: name(event) }
+    }
+
+    fn asked(event: &str) -> Saw {
+        Saw::Asked { exchange: 1, router: 0, event: name(event), limit: 4 * S }
+    }
+
+    fn told(ready: bool) -> Saw {
+        Saw::Told { router: 0, worker: name("w"), ready, started: 1 }
+    }
+
+    fn answered(status: u16) -> Saw {
+        Saw::Answered { exchange: 1, status }
+    }
+
+    fn fell() -> Saw {
+        Saw::Fell { worker: name("w"), by: vec![0, 0, 1] }
+    }
+
+    // Each story with the one rule that it breaks, beside its sound twin.
+    #[test_case(vec![(0, asked("q")), (S, answered(200))], None; "answered")]
+    #[test_case(vec![(0, asked("q")), (S, answered(200)), (S, answered(200))], Some(1); "answered twice")]
+    #[test_case(vec![(0, asked("q")), (S, answered(200)), (S, Saw::Stray { exchange: 1 })], Some(1); "stray")]
+    #[test_case(vec![(0, asked("q")), (5 * S, answered(200))], Some(1); "too late")]
+    #[test_case(vec![(0, asked("q")), (S, Saw::Cut { exchange: 1 })], Some(1); "cut")]
+    #[test_case(vec![(0, asked("q")), (5 * S, Saw::GaveUp { exchange: 1 })], Some(1); "never answered")]
+    #[test_case(vec![(0, asked("q"))], Some(1); "left open")]
+    #[test_case(vec![(0, asked("q")), (S, Saw::Left { exchange: 1 })], None; "client left")]
+    #[test_case(vec![(9 * S, asked("q")), (9 * S, Saw::Cut { exchange: 1 })], None;
+    "cut by the drill's kill")]
+    #[test_case(vec![(0, came("q", 1)), (1, began("q")), (2, came("q", 2)), (3, began("q"))], None;
+        "idempotent twice")]
+    #[test_case(vec![(0, came("c", 1)), (1, began("c")), (2, came("c", 1)), (3, began("c"))], Some(2);
+        "at-most-once twice")]
+    #[test_case(vec![(0, came("h", 1)), (1, began("h")), (2, came("h", 1)), (3, began("h"))], None;
+        "keyed again in its rack")]
+    #[test_case(vec![(0, came("h", 1)), (1, began("h")), (2, came("h", 2)), (3, began("h"))], Some(2);
+        "keyed in another rack")]
+    #[test_case(vec![(0, came("h", 1)), (1, began("h")), (4 * S, came("h", 1)), (4 * S, began("h"))], Some(2);
+        "keyed after its window")]
+    #[test_case(vec![(0, asked("c")), (1, came("c", 1)), (2, began("c")), (3, answered(503))], Some(2);
+        "pushed back after it began")]
+    #[test_case(vec![(0, asked("c")), (1, came("c", 1)), (3, answered(503))], None; "pushed back unbegun")]
+    #[test_case(vec![(0, told(false)), (S, came("q", 1))], None; "within the grace")]
+    #[test_case(vec![(0, told(false)), (3 * S, came("q", 1))], Some(3); "past the grace")]
+    #[test_case(vec![(0, told(false)), (S, told(false)), (2 * S + S / 2, came("q", 1))], Some(3);
+        "told again, the first notice counts")]
+    #[test_case(vec![(0, told(false)), (S, told(true)), (3 * S, came("q", 1))], None; "ready again")]
+    #[test_case(vec![(0, Saw::Rose { worker: name("w") }), (1, told(true)), (2, fell())], Some(4);
+    "pushed over")]
+    #[test_case(vec![(0, told(true)), (1, Saw::Rose { worker: name("w") }), (2, fell())], None;
+        "pushed over before any was told that it started")]
+    fn stories(ledger: Vec<(Micros, Saw)>, rule: Option<u8>) {
+        let effects = [("q", Effect::Idempotent), ("h", Effect::Keyed), ("c", Effect::AtMostOnce)];
+        let terms = Terms {
+            grace: 2 * S,
+            window: 3 * S,
+            effects: effects.into_iter().map(|(n, e)| (name(n), e)).collect(),
+            kills: vec![(0, 9 * S, 10 * S)],
+            end: Micros::MAX,
+        };
+        let ledger: Vec<_> = ledger;
+        let mut verdict = judge(&ledger, &terms);
+        if rule != Some(1) {
+            // These stories end before their answers.
+            verdict.broken.remove(&1);
+        }
+        let rules: Vec<u8> = verdict.broken.keys().copied().collect();
+        assert_eq!(rules, rule.into_iter().collect::<Vec<_>>(), "{:?}", verdict.broken);
+    }
+}
+
+mod chart {
+    use applepond_drill::chart::*;
+
+    use applepond_drill::storm::Report;
+
+    #[test]
+    fn both_plays_and_the_cut_are_in_the_picture() {
+        let report = Report { seconds: vec![(10, 9, 20); 30], cut: (5, 12), ..Report::default() };
+        let text = draw(&[("damping on", &report), ("damping off", &report)]).expect("a picture");
+        assert!(text.contains("<svg") && text.contains("damping on") && text.contains("damping off"));
+        assert!(text.matches("<polyline").count() >= 4, "two rows of two lines");
+    }
+}
+
+mod links {
+    use applepond_drill::links::*;
+
+    use std::io::{Read, Write};
+    use std::net::{SocketAddr, TcpListener, TcpStream};
+
+    use std::time::Duration;
+
+    // Guards: a cut is of one way alone, and what waits on a connection comes after it.
+    #[test]
+    fn a_connection_under_a_cut() {
+        let links = Links::new(1).expect("a socket");
+        let server = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let to = server.local_addr().expect("bound");
+        let from = SocketAddr::from(([127, 0, 0, 9], 1));
+        let mut near = TcpStream::connect(links.connection(from, to).expect("a port")).expect("it listens");
+        let (mut far, _) = server.accept().expect("a connection");
+        links.faults().cut.insert((to, from));
+        (near.write_all(b"there"), far.write_all(b"back!")).0.expect("it reads");
+        let mut got = [0; 5];
+        far.read_exact(&mut got).expect("the other way is whole");
+        assert_eq!(&got, b"there");
+        near.set_read_timeout(Some(Duration::from_millis(50))).expect("a time");
+        assert!(near.read_exact(&mut got).is_err(), "cut");
+        links.faults().cut.clear();
+        near.set_read_timeout(Some(Duration::from_secs(10))).expect("a time");
+        near.read_exact(&mut got).expect("after the cut");
+        assert_eq!(&got, b"back!");
+    }
+}
