Workers without a rack in serve share none either; a server that has gone needs no address at the start

The same reading as of lists without cells stood twice more: the host list of serve and static workers in its settings took a rack that is not named for rack 0, one group for all (host_list.rs, settings instance.rs). One place says it now for all of them, RackId::alone.

A start failed where the events so far tell that a server is "terminated" and not where it was: the protocol says that later events hold only what has changed, and its example does not settle it (config.rs member).

Each of the three tests fails with its mend taken out.

--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -1,5 +1,5 @@
 //! What an instance is given at its start: the module's rows, and the names and addresses around them.
-use applepond::interface::{Micros, Startup};
+use applepond::interface::{Micros, RackId, Startup};
 use applepond_chain::Plan;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -56,7 +56,7 @@
     pub name: String,
     pub address: SocketAddr,
     pub zone: Option<usize>,
-    pub rack: i64,
+    pub rack: RackId,
     pub weight: f64,
 }
 
--- a/crates/gateway/src/fate.rs
+++ b/crates/gateway/src/fate.rs
@@ -54,37 +54,3 @@
         _ => Outcome::Error,
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use test_case::test_case;
-
-    #[test_case(false, 0, 0, Outcome::NoConnection; "never open")]
-    #[test_case(true, 0, 0, Outcome::NoConnection; "open, nothing written")]
-    #[test_case(true, 700, 700, Outcome::NoConnection; "kept, nothing of this one written")]
-    #[test_case(true, 700, 701, Outcome::Broken; "kept, one byte written")]
-    #[test_case(true, 0, 9000, Outcome::Broken; "all written")]
-    fn ends(open: bool, before: u64, sent: u64, want: Outcome) {
-        assert_eq!(of_end(reached(open, before, sent)), want);
-    }
-
-    #[test_case(Reached::NothingWritten, true, Closed::Reset, true; "kept and closed meanwhile")]
-    #[test_case(Reached::NothingWritten, false, Closed::Reset, false; "a new one: the worker is in trouble")]
-    #[test_case(Reached::Written, true, Closed::Reset, false; "a byte has left: it may have run")]
-    #[test_case(Reached::NotOpen, false, Closed::Never, false; "refused")]
-    fn once_more(reached: Reached, kept: bool, why: Closed, want: bool) {
-        assert_eq!(again(reached, kept, why), want);
-    }
-
-    #[test_case(200, None, true, Outcome::Finished; "finished")]
-    #[test_case(200, None, false, Outcome::Error; "garbage with a good status")]
-    #[test_case(503, Some("full"), false, Outcome::Full; "full, by the worker's own mark")]
-    #[test_case(503, None, false, Outcome::Error; "503 of who knows whom proves nothing")]
-    #[test_case(404, Some("missing"), false, Outcome::Missing; "missing")]
-    #[test_case(404, None, false, Outcome::Error; "404 without the mark")]
-    #[test_case(500, Some("full"), false, Outcome::Error; "a mark that does not fit its status")]
-    fn answers(status: u16, mark: Option<&str>, event: bool, want: Outcome) {
-        assert_eq!(of_answer(status, mark, event), want);
-    }
-}
--- a/crates/gateway/src/host_list.rs
+++ b/crates/gateway/src/host_list.rs
@@ -160,59 +160,14 @@
         other => return Err(Unlisted::field("standing", format!("{name} is {other:?}"))),
     };
     let zone = worker["zone"].as_str().and_then(|z| zones.iter().position(|known| known == z)).map(ZoneId);
+    let server = ServerId::named(name);
     let entry = Entry {
-        server: ServerId::named(name),
+        server,
         standing,
         up_since: worker["started"].as_u64().unwrap_or(0).saturating_mul(1000),
         zone,
-        rack: RackId(worker["rack"].as_i64().unwrap_or(0)),
+        rack: worker["rack"].as_i64().map_or_else(|| RackId::alone(server), RackId),
         weight: worker["weight"].as_f64().unwrap_or(1.0),
     };
     Ok((name.to_owned(), address, entry))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use test_case::test_case;
-
-    fn full(standing: &str, started: u64) -> String {
-        format!(
-            r#"{{"kind":"full","workers":[{{"name":"w","address":"127.0.0.1:9","standing":"{standing}",
-            "started":{started},"zone":"b","rack":3,"weight":2.5}}]}}"#
-        )
-    }
-
-    #[test_case("", "no JSON"; "empty")]
-    #[test_case("{\"kind\":\"some\"}", "'kind'"; "kind")]
-    #[test_case("{\"kind\":\"full\"}", "'workers': no array"; "no workers")]
-    #[test_case("{\"kind\":\"full\",\"workers\":[{}]}", "'workers[0]': 'name'"; "no name")]
-    #[test_case(&full("tired", 0), "'standing': w"; "standing")]
-    #[test_case("{\"kind\":\"full\",\"workers\":[{\"name\":\"w\",\"address\":\"here\"}]}", "'address': w";
-    "address")]
-    fn a_line_that_cannot_be_read_changes_nothing(line: &str, why: &str) {
-        let mut hosts = HostList::default();
-        hosts.line(full("ready", 7).as_bytes(), &[]).expect("a good line");
-        let fault = hosts.line(line.as_bytes(), &[]).expect_err("a fault");
-        assert!(fault.to_string().contains(why), "{fault}");
-        assert_eq!(hosts.iter().next().map(|(_, w)| w.standing), Some(Standing::Ready));
-    }
-
-    #[test_case(&full("ready", 7), false, Some(Standing::Ready); "the same again")]
-    #[test_case(&full("ready", 8), true, Some(Standing::Ready); "restarted")]
-    #[test_case(&full("draining", 7), true, Some(Standing::Draining); "draining")]
-    #[test_case("{\"kind\":\"full\",\"workers\":[]}", true, None; "left out of a full list")]
-    #[test_case("{\"kind\":\"changes\",\"workers\":[]}", false, Some(Standing::Ready); "no change")]
-    fn idle_connections_go_with_what_they_led_to(line: &str, cut: bool, standing: Option<Standing>) {
-        let mut hosts = HostList::default();
-        let zones = ["a".to_owned(), "b".to_owned()];
-        let taken = hosts.line(full("ready", 7).as_bytes(), &zones).expect("a good line");
-        let first = &taken.entries[0];
-        assert_eq!((first.up_since, first.zone, first.rack.0, first.weight), (7000, Some(ZoneId(1)), 3, 2.5));
-        let id = ServerId::named("w");
-        hosts.get_mut(id).expect("known").idle.push((Conn(5), 0));
-        let taken = hosts.line(line.as_bytes(), &zones).expect("a good line");
-        assert_eq!(taken.cut, if cut { vec![Conn(5)] } else { vec![] });
-        assert_eq!(hosts.get(id).map(|w| w.standing), standing);
-    }
-}
--- a/crates/gateway/src/machine.rs
+++ b/crates/gateway/src/machine.rs
@@ -330,7 +330,7 @@
             standing: Standing::Ready,
             up_since: 0,
             zone: w.zone.map(ZoneId),
-            rack: RackId(w.rack),
+            rack: w.rack,
             weight: w.weight,
         };
         let named = self.deployment.workers.iter().map(|w| (w.name.clone(), w.address, entry(w)));
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -85,7 +85,7 @@
                 name: format!("w{n}"),
                 address: address(n),
                 zone: Some(0),
-                rack: 0,
+                rack: RackId(0),
                 weight: 1.0,
             })
             .collect(),
--- /dev/null
+++ b/crates/gateway/tests/parts.rs
@@ -0,0 +1,94 @@
+//! Cases of single modules of this package.
+
+mod fate {
+    use applepond::interface::Outcome;
+    use applepond_gateway::fate::*;
+    use applepond_reactor::Closed;
+    use test_case::test_case;
+
+    #[test_case(false, 0, 0, Outcome::NoConnection; "never open")]
+    #[test_case(true, 0, 0, Outcome::NoConnection; "open, nothing written")]
+    #[test_case(true, 700, 700, Outcome::NoConnection; "kept, nothing of this one written")]
+    #[test_case(true, 700, 701, Outcome::Broken; "kept, one byte written")]
+    #[test_case(true, 0, 9000, Outcome::Broken; "all written")]
+    fn ends(open: bool, before: u64, sent: u64, want: Outcome) {
+        assert_eq!(of_end(reached(open, before, sent)), want);
+    }
+
+    #[test_case(Reached::NothingWritten, true, Closed::Reset, true; "kept and closed meanwhile")]
+    #[test_case(Reached::NothingWritten, false, Closed::Reset, false; "a new one: the worker is in trouble")]
+    #[test_case(Reached::Written, true, Closed::Reset, false; "a byte has left: it may have run")]
+    #[test_case(Reached::NotOpen, false, Closed::Never, false; "refused")]
+    fn once_more(reached: Reached, kept: bool, why: Closed, want: bool) {
+        assert_eq!(again(reached, kept, why), want);
+    }
+
+    #[test_case(200, None, true, Outcome::Finished; "finished")]
+    #[test_case(200, None, false, Outcome::Error; "garbage with a good status")]
+    #[test_case(503, Some("full"), false, Outcome::Full; "full, by the worker's own mark")]
+    #[test_case(503, None, false, Outcome::Error; "503 of who knows whom proves nothing")]
+    #[test_case(404, Some("missing"), false, Outcome::Missing; "missing")]
+    #[test_case(404, None, false, Outcome::Error; "404 without the mark")]
+    #[test_case(500, Some("full"), false, Outcome::Error; "a mark that does not fit its status")]
+    fn answers(status: u16, mark: Option<&str>, event: bool, want: Outcome) {
+        assert_eq!(of_answer(status, mark, event), want);
+    }
+}
+
+mod host_list {
+    use applepond_gateway::host_list::*;
+
+    use applepond::interface::{ServerId, Standing, ZoneId};
+    use applepond_reactor::Conn;
+
+    use test_case::test_case;
+
+    fn full(standing: &str, started: u64) -> String {
+        format!(
+            r#"{{"kind":"full","workers":[{{"name":"w","address":"127.0.0.1:9","standing":"{standing}",
+            "started":{started},"zone":"b","rack":3,"weight":2.5}}]}}"#
+        )
+    }
+
+    // Whose rack is not told, shares with nobody what it has seen.
+    #[test]
+    fn workers_without_racks() {
+        let line = r#"{"kind":"full","workers":[{"name":"w","address":"127.0.0.1:9","standing":"ready"},
+            {"name":"v","address":"127.0.0.1:8","standing":"ready"}]}"#;
+        let taken = HostList::default().line(line.replace('\n', "").as_bytes(), &[]).expect("a good line");
+        assert_ne!(taken.entries[0].rack, taken.entries[1].rack);
+    }
+
+    #[test_case("", "no JSON"; "empty")]
+    #[test_case("{\"kind\":\"some\"}", "'kind'"; "kind")]
+    #[test_case("{\"kind\":\"full\"}", "'workers': no array"; "no workers")]
+    #[test_case("{\"kind\":\"full\",\"workers\":[{}]}", "'workers[0]': 'name'"; "no name")]
+    #[test_case(&full("tired", 0), "'standing': w"; "standing")]
+    #[test_case("{\"kind\":\"full\",\"workers\":[{\"name\":\"w\",\"address\":\"here\"}]}", "'address': w";
+    "address")]
+    fn a_line_that_cannot_be_read_changes_nothing(line: &str, why: &str) {
+        let mut hosts = HostList::default();
+        hosts.line(full("ready", 7).as_bytes(), &[]).expect("a good line");
+        let fault = hosts.line(line.as_bytes(), &[]).expect_err("a fault");
+        assert!(fault.to_string().contains(why), "{fault}");
+        assert_eq!(hosts.iter().next().map(|(_, w)| w.standing), Some(Standing::Ready));
+    }
+
+    #[test_case(&full("ready", 7), false, Some(Standing::Ready); "the same again")]
+    #[test_case(&full("ready", 8), true, Some(Standing::Ready); "restarted")]
+    #[test_case(&full("draining", 7), true, Some(Standing::Draining); "draining")]
+    #[test_case("{\"kind\":\"full\",\"workers\":[]}", true, None; "left out of a full list")]
+    #[test_case("{\"kind\":\"changes\",\"workers\":[]}", false, Some(Standing::Ready); "no change")]
+    fn idle_connections_go_with_what_they_led_to(line: &str, cut: bool, standing: Option<Standing>) {
+        let mut hosts = HostList::default();
+        let zones = ["a".to_owned(), "b".to_owned()];
+        let taken = hosts.line(full("ready", 7).as_bytes(), &zones).expect("a good line");
+        let first = &taken.entries[0];
+        assert_eq!((first.up_since, first.zone, first.rack.0, first.weight), (7000, Some(ZoneId(1)), 3, 2.5));
+        let id = ServerId::named("w");
+        hosts.get_mut(id).expect("known").idle.push((Conn(5), 0));
+        let taken = hosts.line(line.as_bytes(), &zones).expect("a good line");
+        assert_eq!(taken.cut, if cut { vec![Conn(5)] } else { vec![] });
+        assert_eq!(hosts.get(id).map(|w| w.standing), standing);
+    }
+}
--- a/crates/node/tests/machine.rs
+++ b/crates/node/tests/machine.rs
@@ -3,6 +3,7 @@
 use applepond_node::News;
 use applepond_reactor::Closed;
 use common::*;
+use serde_json::json;
 use test_case::test_case;
 
 #[test]
@@ -344,6 +345,16 @@
     assert!(b.paper.cut.contains(&link));
 }
 
+// The events of the start tell that a model server has gone, and not where it was.
+#[test]
+fn gone_without_an_address() {
+    let mut file = file(2);
+    let gone = json!({"index": 2, "endpoints": {"members": [{"id": "s-1", "phase": "terminated"}]}});
+    file["known"]["updates"].as_array_mut().expect("events").push(gone);
+    let b = Bench::with(&file);
+    assert_eq!(b.node.kept()[3], 1);
+}
+
 // The list of the start names no cells: no two model servers are in the same one, as far as is known.
 #[test]
 fn a_list_without_cells() {
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -104,18 +104,14 @@
     Ok((kind, members.iter().map(|m| member(m, words)).collect::<Read<_>>()?))
 }
 
-/// The cell that was told. A server of which none was told shares with nobody what it has seen.
-pub(crate) fn rack(name: &str, cell: Option<f64>) -> RackId {
-    RackId(cell.map_or_else(|| !((ServerId::named(name).0 >> 1) as i64), |cell| cell as i64))
-}
-
 fn member(entry: &Value, words: &Words) -> Read<Member> {
     let name = text_in(entry, "id")?;
     // As in answers of the name service: a zone that the settings do not name is none, and no failed start.
     let zone = maybe(entry, "locality").and_then(Value::as_str);
     let zone = zone.and_then(|zone| words.zones.iter().position(|known| known == zone));
+    let server = ServerId::named(&name);
     let listed = Listed {
-        server: ServerId::named(&name),
+        server,
         standing: match text(entry, "phase")? {
             "in_service" => Standing::Ready,
             "terminating" => Standing::Draining,
@@ -124,8 +120,16 @@
         },
         up_since: time_or_none(entry, "up_since_ms")?,
         zone: zone.map(ZoneId),
-        rack: rack(&name, maybe(entry, "cell").map(|_| number(entry, "cell")).transpose()?),
+        rack: match maybe(entry, "cell") {
+            Some(_) => RackId(number(entry, "cell")? as i64),
+            None => RackId::alone(server),
+        },
         weight: number_or(entry, "size", 1.0)?,
     };
-    Ok(Member { name, address: address(entry, "host_port")?, listed })
+    let address = match maybe(entry, "host_port") {
+        // Of one that has gone, nobody needs to know where it was.
+        None if listed.standing == Standing::Gone => SocketAddr::from(([0, 0, 0, 0], 0)),
+        _ => address(entry, "host_port")?,
+    };
+    Ok(Member { name, address, listed })
 }
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -1,5 +1,5 @@
 //! The name service: queries for the list of model servers and what an answer says (RFC 1035, RFC 2782).
-use crate::config::{Member, rack};
+use crate::config::Member;
 use crate::fault::NoAnswer;
 use crate::rows::Words;
 use applepond::interface::*;
@@ -85,12 +85,16 @@
     let (name, zone) = (labels.next()?, labels.next()?);
     let note = |name: &str| notes.get(name).and_then(Option::as_deref);
     let number = |name: &str| note(name).map_or(Some(0), |v| v.parse::<u64>().ok());
+    let server = ServerId::named(name);
     let listed = Listed {
-        server: ServerId::named(name),
+        server,
         standing: if priority == 0 { Standing::Ready } else { Standing::Draining },
         up_since: number("started")?.checked_mul(1000)?,
         zone: words.zones.iter().position(|z| z == zone).map(ZoneId),
-        rack: rack(name, note("cell").map(|v| v.parse::<u64>().map(|n| n as f64)).transpose().ok()?),
+        rack: match note("cell") {
+            Some(_) => RackId(number("cell")? as i64),
+            None => RackId::alone(server),
+        },
         weight: f64::from(weight) / WEIGHT_PARTS,
     };
     Some(Member { name: name.to_owned(), address, listed })
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -395,5 +395,6 @@
     }
     let rack = part.whole_number("rack", 0..1 << 40, Some(0));
     let weight = part.number("weight", 0.001..1e6, Some(1.0));
-    Some(NamedWorker { name, address: address?, zone: place, rack: rack? as i64, weight: weight? })
+    let rack = if part.has("rack") { RackId(rack? as i64) } else { RackId::alone(ServerId::named(&name)) };
+    Some(NamedWorker { name, address: address?, zone: place, rack, weight: weight? })
 }
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -32,6 +32,17 @@
     assert_eq!((d.workers[0].zone, d.rows.rules.fall_multiple), (Some(0), 2.5));
 }
 
+// Whose rack is not named, shares with nobody what it has seen.
+#[test]
+fn workers_without_racks() {
+    let two = format!("{GOOD}worker \"w2\" {{\n  address = \"127.0.0.1:9002\"\n}}\n");
+    let d = deployment(&two).expect("no fault");
+    assert_ne!(d.workers[0].rack, d.workers[1].rack);
+    let named = two.replace("address =", "rack = 0\n  address =");
+    let d = deployment(&named).expect("no fault");
+    assert_eq!(d.workers[0].rack, d.workers[1].rack);
+}
+
 #[test_case("listen = \"127.0.0.1:0\"", "listen = 8080", "1:10: found listen = `8080`; wanted: an address";
     "address")]
 #[test_case("listen = \"127.0.0.1:0\"\n", "", "1:1: found no listen in the file"; "missing")]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -67,6 +67,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RackId(pub i64);
 
+impl RackId {
+    /// The one of a server of which none was told: it shares with nobody what it has seen.
+    pub fn alone(server: ServerId) -> Self {
+        RackId(!((server.0 >> 1) as i64))
+    }
+}
+
 /// Where a repeat of a keyed job is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Within {
