--- /dev/null
+++ b/crates/rendezvous/tests/order.rs
@@ -0,0 +1,223 @@
+//! The kept prefix beside a plain sort of all members.
+use applepond_rendezvous::{Draw, Members, PREFIX_FIRST, Prefix};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+/// Exponential scores of a mixed pair, as weighted rendezvous hashing draws them.
+struct Exponential;
+
+impl Draw for Exponential {
+    type Key = u64;
+    type Member = u64;
+
+    fn digest(member: u64) -> u64 {
+        member.wrapping_mul(0xd6e8_feb8_6659_fd93)
+    }
+
+    fn hash(key: u64, digest: u64) -> u64 {
+        let mut bits = key.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ digest;
+        bits = (bits ^ (bits >> 32)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        bits = (bits ^ (bits >> 29)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        bits ^ (bits >> 32)
+    }
+
+    fn score(hash: u64, weight: f64) -> f64 {
+        -(((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64).ln() / weight
+    }
+
+    fn least_hash(cutoff: f64, weight: f64) -> u64 {
+        (((-cutoff * weight).exp() * (1.0 - 1e-9) * (1u64 << 53) as f64) as u64).saturating_sub(1) << 11
+    }
+}
+
+/// A draw that puts everything at one score, so that the members' own order decides.
+struct Level;
+
+impl Draw for Level {
+    type Key = u64;
+    type Member = u64;
+
+    fn digest(_: u64) -> u64 {
+        0
+    }
+
+    fn hash(_: u64, _: u64) -> u64 {
+        u64::MAX
+    }
+
+    fn score(_: u64, _: f64) -> f64 {
+        0.25
+    }
+
+    fn least_hash(_: f64, _: f64) -> u64 {
+        0
+    }
+}
+
+fn sorted<D: Draw<Key = u64, Member = u64>>(plain: &BTreeMap<u64, f64>, key: u64) -> Vec<u64> {
+    let scored =
+        plain.iter().map(|(member, weight)| (D::score(D::hash(key, D::digest(*member)), *weight), *member));
+    let mut scored: Vec<(f64, u64)> = scored.collect();
+    scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+    scored.into_iter().map(|(_, member)| member).collect()
+}
+
+fn walk<D: Draw<Key = u64, Member = u64>>(
+    members: &Members<D>,
+    prefix: &mut Prefix<u64>,
+    key: u64,
+    places: usize,
+) -> Vec<u64> {
+    prefix.refresh(members, key);
+    (0..places).map_while(|place| prefix.get(members, key, place)).map(|ranked| ranked.member).collect()
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A member's weight, or that it is none.
+    Set {
+        member: u64,
+        weight: Option<f64>,
+    },
+    /// Many at once: a rack or a zone comes or goes.
+    SetMany {
+        first: u64,
+        number: u64,
+        weight: Option<f64>,
+    },
+    Walk {
+        key: u64,
+        places: usize,
+    },
+    /// The key is forgotten.
+    Evict {
+        key: u64,
+    },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let weight = || {
+        prop_oneof![
+            2 => Just(None),
+            6 => prop::sample::select(vec![1.0, 2.0, 4.0, 8.0]).prop_map(Some),
+            2 => (0.001f64..1000.0).prop_map(Some),
+        ]
+    };
+    let set = (0u64..400, weight()).prop_map(|(member, weight)| Step::Set { member, weight });
+    let many = (0u64..400, 1u64..200, weight()).prop_map(|(first, number, weight)| Step::SetMany {
+        first,
+        number,
+        weight,
+    });
+    let walk = (0u64..4, prop_oneof![8 => 0usize..12, 2 => 0usize..450])
+        .prop_map(|(key, places)| Step::Walk { key, places });
+    let evict = (0u64..4).prop_map(|key| Step::Evict { key });
+    prop::collection::vec(prop_oneof![4 => set, 1 => many, 6 => walk, 1 => evict], 1..120)
+}
+
+proptest! {
+    #[test]
+    fn as_a_plain_sort(steps in steps()) {
+        let mut members = Members::<Exponential>::default();
+        let mut plain = BTreeMap::new();
+        let mut prefixes: BTreeMap<u64, Prefix<u64>> = BTreeMap::new();
+        for step in steps {
+            let (first, number, weight) = match step {
+                Step::Set { member, weight } => (member, 1, weight),
+                Step::SetMany { first, number, weight } => (first, number, weight),
+                Step::Walk { key, places } => {
+                    let prefix = prefixes.entry(key).or_default();
+                    let mut expected = sorted::<Exponential>(&plain, key);
+                    expected.truncate(places);
+                    prop_assert_eq!(walk(&members, prefix, key, places), expected);
+                    continue;
+                }
+                Step::Evict { key } => {
+                    prefixes.remove(&key);
+                    continue;
+                }
+            };
+            for member in first..first + number {
+                members.set(member, weight);
+                match weight {
+                    Some(weight) => _ = plain.insert(member, weight),
+                    None => _ = plain.remove(&member),
+                }
+            }
+            prop_assert_eq!(members.len(), plain.len());
+            let total: f64 = plain.values().sum();
+            prop_assert!((members.total_weight() - total).abs() <= 1e-9 * total.max(1.0));
+            let least = plain.values().copied().fold(f64::INFINITY, f64::min);
+            prop_assert_eq!(members.least_weight().unwrap_or(f64::INFINITY), least);
+        }
+    }
+}
+
+/// More changes than the log keeps lie between two walks.
+#[test]
+fn a_prefix_that_fell_behind_the_log() {
+    let mut members = Members::<Exponential>::default();
+    let mut plain = BTreeMap::new();
+    let mut prefix = Prefix::default();
+    for round in 0..4u64 {
+        for member in 0..3_000 {
+            let weight = 1.0 + ((member + round) % 3) as f64;
+            members.set(member * 7 + round, Some(weight));
+            plain.insert(member * 7 + round, weight);
+        }
+        let expected: Vec<u64> = sorted::<Exponential>(&plain, 9).into_iter().take(40).collect();
+        assert_eq!(walk(&members, &mut prefix, 9, 40), expected);
+    }
+}
+
+#[test]
+fn equal_scores_go_by_member() {
+    let mut members = Members::<Level>::default();
+    let mut prefix = Prefix::default();
+    for member in (0..50).rev() {
+        members.set(member, Some(1.0));
+    }
+    assert_eq!(walk(&members, &mut prefix, 0, 50), (0..50).collect::<Vec<_>>());
+    members.set(10, None);
+    members.set(60, Some(1.0));
+    let expected: Vec<u64> = (0..61).filter(|m| *m != 10 && (*m < 50 || *m == 60)).collect();
+    assert_eq!(walk(&members, &mut prefix, 0, 60), expected);
+}
+
+#[test]
+fn a_prefix_is_as_long_as_what_is_walked() {
+    let mut members = Members::<Exponential>::default();
+    (0..30_000).for_each(|member| members.set(member, Some(1.0)));
+    let mut longest = 0;
+    for key in 0..50 {
+        let mut prefix = Prefix::default();
+        walk(&members, &mut prefix, key, 2);
+        longest = longest.max(prefix.len());
+    }
+    assert!(longest <= 4 * PREFIX_FIRST, "{longest} kept for two places");
+    let mut prefix = Prefix::default();
+    walk(&members, &mut prefix, 3, 3_000);
+    assert!(prefix.len() >= 3_000);
+    for _ in 0..200 {
+        walk(&members, &mut prefix, 3, 2);
+    }
+    assert!(prefix.len() <= 8 * PREFIX_FIRST, "{} kept long after a long walk", prefix.len());
+}
+
+#[test]
+fn nobody_is_there() {
+    let mut members = Members::<Exponential>::default();
+    let mut prefix = Prefix::default();
+    assert_eq!(walk(&members, &mut prefix, 1, 3), Vec::<u64>::new());
+    members.set(5, Some(1.0));
+    assert_eq!(walk(&members, &mut prefix, 1, 3), vec![5]);
+    members.set(5, None);
+    assert_eq!(walk(&members, &mut prefix, 1, 3), Vec::<u64>::new());
+    assert!(members.is_empty() && prefix.is_empty());
+}
+
+#[test]
+#[should_panic(expected = "positive")]
+fn weights_are_positive() {
+    Members::<Exponential>::default().set(1, Some(0.0));
+}
--- /dev/null
+++ b/crates/scale/src/router.rs
@@ -0,0 +1,400 @@
+//! One hollow router: the decisions alone, driven through simulated time.
+use crate::traffic::Popularity;
+use applepond::control::Control;
+use applepond::interface::*;
+use oorandom::Rand64;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+/// How long a worker keeps an idle copy of a function.
+const KEEP: Micros = 60 * SECOND;
+/// How long a call runs at a warm worker, and how much longer where the copy is loaded first.
+const SERVICE: Micros = 50 * MS;
+const LOAD: Micros = 400 * MS;
+/// Calls that workers can do, as a multiple of those that come.
+const CAPACITY: f64 = 1.4;
+
+/// What a fleet is made of, and what one of its routers meets.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Workers in the list.
+    pub workers: usize,
+    /// Routers of the fleet, this one included.
+    pub routers: u64,
+    /// Functions that are called.
+    pub functions: usize,
+    /// Calls a second at this router.
+    pub calls_per_s: f64,
+    /// Changes of the list a second: a worker drains, goes or comes.
+    pub list_changes_per_s: f64,
+}
+
+/// The fleet that decides the design (`docs/CAPACITY.md`), seen by one router.
+pub const AHEAD: Size = Size {
+    workers: 30_000,
+    routers: 7_000,
+    functions: 290_000,
+    calls_per_s: 124.0,
+    list_changes_per_s: 10.0,
+};
+
+/// Real time of the calls of one kind of event.
+#[derive(Clone, Debug, Default)]
+pub struct Cost {
+    took: Vec<Duration>,
+}
+
+impl Cost {
+    /// How many events there were.
+    pub fn events(&self) -> usize {
+        self.took.len()
+    }
+
+    /// The sum over all events.
+    pub fn total(&self) -> Duration {
+        self.took.iter().sum()
+    }
+
+    /// The mean in µs; 0 without events.
+    pub fn mean_us(&self) -> f64 {
+        self.total().as_secs_f64() * 1e6 / self.took.len().max(1) as f64
+    }
+
+    /// The time that this part of the events did not exceed, in µs.
+    pub fn quantile_us(&self, part: f64) -> f64 {
+        let mut sorted = self.took.clone();
+        sorted.sort_unstable();
+        let place = ((sorted.len() as f64 * part) as usize).min(sorted.len().saturating_sub(1));
+        sorted.get(place).map_or(0.0, |took| took.as_secs_f64() * 1e6)
+    }
+}
+
+/// Watches one router's memory: what its events allocate and do not free.
+struct Meter {
+    /// Bytes allocated and not freed by the whole process.
+    live_bytes: fn() -> u64,
+    state: i64,
+}
+
+impl Meter {
+    /// Runs one event, with its time and what it leaves allocated.
+    fn run<T>(&mut self, cost: &mut Cost, event: impl FnOnce() -> T) -> T {
+        let before = (self.live_bytes)();
+        let begun = Instant::now();
+        let result = event();
+        let took = begun.elapsed();
+        self.state += (self.live_bytes)() as i64 - before as i64;
+        cost.took.push(took);
+        result
+    }
+}
+
+/// What a stretch of simulated time cost, by kind of event.
+#[derive(Clone, Debug, Default)]
+pub struct Costs {
+    /// Requests that came.
+    pub requests: Cost,
+    /// Answers of workers.
+    pub answers: Cost,
+    /// Timers, the regular look among them.
+    pub timers: Cost,
+    /// Changes of the list.
+    pub lists: Cost,
+    /// Simulated time.
+    pub span: Duration,
+}
+
+impl Costs {
+    /// µs for a call in the mean: its request and its answers.
+    pub fn call_us(&self) -> f64 {
+        let both = self.requests.total() + self.answers.total();
+        both.as_secs_f64() * 1e6 / self.requests.events().max(1) as f64
+    }
+
+    /// The part of a core that all events take.
+    pub fn core(&self) -> f64 {
+        let all = [&self.requests, &self.answers, &self.timers, &self.lists];
+        all.iter().map(|cost| cost.total()).sum::<Duration>().as_secs_f64() / self.span.as_secs_f64()
+    }
+}
+
+/// What the router ordered, carried out in simulated time.
+#[derive(Default)]
+struct World {
+    now: Micros,
+    timers: BTreeSet<(Micros, Token)>,
+    sent: Vec<(JobId, ServerId)>,
+    cancelled: Vec<(JobId, usize)>,
+    ended: Vec<JobId>,
+}
+
+impl Orders for World {
+    fn send(&mut self, job: JobId, server: ServerId, _: Micros, _: Micros) {
+        self.sent.push((job, server));
+    }
+    fn cancel(&mut self, job: JobId, attempt: usize) {
+        self.cancelled.push((job, attempt));
+    }
+    fn push_back(&mut self, job: JobId, _: Option<Micros>) {
+        self.ended.push(job);
+    }
+    fn kill(&mut self, job: JobId) {
+        self.ended.push(job);
+    }
+    fn wake_after(&mut self, delay: Micros, token: Token) {
+        self.timers.insert((self.now + delay, token));
+    }
+    fn note(&mut self, _: &str) {}
+    fn watch(&mut self) {}
+}
+
+/// A request under way and its attempts so far.
+struct Request {
+    function: usize,
+    attempts: usize,
+}
+
+/// How requests ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ends {
+    /// A worker served them.
+    pub served: u64,
+    /// The router refused them or gave them up.
+    pub given_up: u64,
+}
+
+/// One router with its workers and clients.
+pub struct HollowRouter {
+    control: Control,
+    meter: Meter,
+    world: World,
+    size: Size,
+    popularity: Popularity,
+    rng: Rand64,
+    workers: Vec<ServerId>,
+    next_worker: u64,
+    next_request: u64,
+    requests: HashMap<[u8; 36], Request>,
+    answers: BTreeMap<(Micros, JobId, usize), ServerId>,
+    /// Until when a worker keeps a copy that this router's calls brought there.
+    copies: HashMap<(u64, usize), Micros>,
+    /// How requests ended so far.
+    pub ends: Ends,
+}
+
+fn startup(size: &Size) -> Startup {
+    Startup {
+        seed: 1,
+        me: 0,
+        routers: size.routers,
+        workloads: vec![WorkloadRow {
+            effect: Effect::Idempotent,
+            start_target: SECOND,
+            importance: 1.0,
+            late_part: 0.2,
+        }],
+        customers: vec![CustomerRow { jobs_per_s: size.calls_per_s * size.routers as f64 * CAPACITY }],
+        permits: Permits {
+            attempts: 4,
+            cancel: true,
+            second_copies: true,
+            come_back: true,
+            come_back_max: SECOND,
+        },
+        rules: RuleFigures {
+            cold_share: 0.2,
+            warm_within: 10 * SECOND,
+            fall_multiple: 2.0,
+            fall_span: SECOND,
+        },
+        over_share: 0.1,
+        keep: KEEP,
+        tells_company: true,
+        weights_shared: true,
+        limits_shared: false,
+        list_by_asking: false,
+    }
+}
+
+fn listed(server: ServerId, standing: Standing, up_since: Micros) -> Listed {
+    let rack = RackId((server.0 % 1000) as i64);
+    Listed { server, standing, up_since, zone: Some(ZoneId((server.0 % 12) as usize)), rack, weight: 1.0 }
+}
+
+fn request_id(number: u64) -> JobId {
+    let mut id = [b'0'; 36];
+    id[..8].copy_from_slice(&number.to_be_bytes());
+    JobId(id)
+}
+
+impl HollowRouter {
+    /// A router that has just started and been told the whole list. `live_bytes` tells what the process has
+    /// allocated and not freed.
+    pub fn start(size: Size, popularity: Popularity, seed: u64, live_bytes: fn() -> u64) -> Self {
+        let mut world = World { now: 1_000 * SECOND, ..World::default() };
+        let before = live_bytes();
+        let mut control = Control::new(world.now, startup(&size), &mut world);
+        let mut meter = Meter { live_bytes, state: live_bytes() as i64 - before as i64 };
+        let workers: Vec<ServerId> =
+            (0..size.workers).map(|n| ServerId::named(&format!("worker-{n}"))).collect();
+        let list: Vec<Listed> = workers.iter().map(|id| listed(*id, Standing::Ready, 0)).collect();
+        meter.run(&mut Cost::default(), || control.list(&mut world, ListKind::Full, &list));
+        HollowRouter {
+            control,
+            meter,
+            world,
+            size,
+            popularity,
+            rng: Rand64::new(u128::from(seed)),
+            next_worker: workers.len() as u64,
+            workers,
+            next_request: 0,
+            requests: HashMap::new(),
+            answers: BTreeMap::new(),
+            copies: HashMap::new(),
+            ends: Ends::default(),
+        }
+    }
+
+    /// Bytes that the router's decisions hold at present.
+    pub fn state_bytes(&self) -> u64 {
+        self.meter.state.max(0) as u64
+    }
+
+    /// Functions that the router knows at present.
+    pub fn functions(&self) -> usize {
+        self.control.functions()
+    }
+
+    /// Plays so much simulated time, or until so much real time has gone by.
+    pub fn play(&mut self, span: Duration, real_time: Duration) -> Costs {
+        let mut costs = Costs::default();
+        let (begun, from) = (Instant::now(), self.world.now);
+        let until = from + span.as_micros() as Micros;
+        let mut next_call = from;
+        let mut next_change = from;
+        while self.world.now < until && begun.elapsed() < real_time {
+            let due = [
+                next_call,
+                next_change,
+                self.world.timers.first().map_or(Micros::MAX, |(at, _)| *at),
+                self.answers.first_key_value().map_or(Micros::MAX, |((at, _, _), _)| *at),
+            ];
+            let now = due.into_iter().min().unwrap_or(until).max(self.world.now);
+            self.world.now = now;
+            self.control.clock(now);
+            if due[3] <= now {
+                self.answer(&mut costs);
+            } else if due[2] <= now {
+                self.meter.run(&mut costs.timers, || {
+                    let (_, token) = self.world.timers.pop_first().expect("it is due");
+                    self.control.wake(&mut self.world, token);
+                });
+            } else if due[1] <= now {
+                next_change = now + self.wait(self.size.list_changes_per_s);
+                self.change_list(&mut costs);
+            } else {
+                next_call = now + self.wait(self.size.calls_per_s);
+                self.call(&mut costs);
+            }
+            self.carry_out();
+        }
+        costs.span = Duration::from_micros(self.world.now - from);
+        costs
+    }
+
+    /// The time to the next of events that come by chance at this rate.
+    fn wait(&mut self, per_s: f64) -> Micros {
+        if per_s == 0.0 {
+            return 1_000_000 * SECOND;
+        }
+        (-self.rng.rand_float().max(1e-12).ln() / per_s * 1e6) as Micros
+    }
+
+    fn call(&mut self, costs: &mut Costs) {
+        let function = self.popularity.next(&mut self.rng);
+        let id = request_id(self.next_request);
+        self.next_request += 1;
+        self.requests.insert(id.0, Request { function, attempts: 0 });
+        let arrival = Arrival {
+            job: id,
+            function: FunctionId::named(&format!("function-{function}")),
+            workload: WorkloadId(0),
+            customer: Some(CustomerId(0)),
+            left: 5 * SECOND,
+            lanes: 8,
+            retry: false,
+            load_time: Some(LOAD),
+            paid: 1.0,
+        };
+        self.meter.run(&mut costs.requests, || self.control.job(&mut self.world, &arrival));
+    }
+
+    /// A worker drains and goes, or a new one comes, in turn: the size of the list stays.
+    fn change_list(&mut self, costs: &mut Costs) {
+        let place = self.rng.rand_range(0..self.workers.len() as u64) as usize;
+        let entry = if self.workers.len() >= self.size.workers {
+            listed(self.workers.swap_remove(place), Standing::Gone, 0)
+        } else {
+            let id = ServerId::named(&format!("worker-{}", self.next_worker));
+            self.next_worker += 1;
+            self.workers.push(id);
+            listed(id, Standing::Ready, self.world.now)
+        };
+        self.meter.run(&mut costs.lists, || self.control.list(&mut self.world, ListKind::Changes, &[entry]));
+    }
+
+    fn answer(&mut self, costs: &mut Costs) {
+        let ((_, job, attempt), server) = self.answers.pop_first().expect("it is due");
+        let Some(request) = self.requests.get(&job.0) else { return };
+        let function = request.function;
+        let fleet_per_s = self.popularity.part(function) * self.size.calls_per_s * self.size.routers as f64;
+        let copy = (server.0, function);
+        let stood = self.copies.get(&copy).is_some_and(|until| *until > self.world.now);
+        self.copies.insert(copy, self.world.now + KEEP);
+        let answer = Answer {
+            outcome: Outcome::Finished,
+            closed: true,
+            elapsed: if stood { SERVICE } else { SERVICE + LOAD },
+            copy: if stood { Copy::Stood } else { Copy::Begun },
+            company: (fleet_per_s * SERVICE as f64 / 1e6).min(4.0) as u32,
+            held: Some(2.0),
+            loads: Some(0.1),
+        };
+        self.meter.run(&mut costs.answers, || self.control.answered(&mut self.world, job, attempt, &answer));
+        self.requests.remove(&job.0);
+        self.ends.served += 1;
+    }
+
+    /// Whether the worker holds a copy: this router brought it there, or the others keep it loaded.
+    fn stands(&self, server: ServerId, function: usize) -> bool {
+        let own = self.copies.get(&(server.0, function)).is_some_and(|until| *until > self.world.now);
+        let fleet_per_s = self.popularity.part(function) * self.size.calls_per_s * self.size.routers as f64;
+        own || fleet_per_s * (KEEP as f64 / 1e6) > 3.0
+    }
+
+    fn carry_out(&mut self) {
+        // Buffers stay, or what they hold would count as the router's.
+        let mut sent = std::mem::take(&mut self.world.sent);
+        for (job, server) in sent.drain(..) {
+            let Some(request) = self.requests.get_mut(&job.0) else { continue };
+            let attempt = request.attempts;
+            request.attempts += 1;
+            let function = request.function;
+            let stands = self.stands(server, function);
+            if stands {
+                self.copies.insert((server.0, function), self.world.now + KEEP);
+            }
+            let took = if stands { SERVICE } else { SERVICE + LOAD };
+            self.answers.insert((self.world.now + took, job, attempt), server);
+        }
+        self.world.sent = sent;
+        self.world.cancelled.clear();
+        for job in self.world.ended.drain(..) {
+            self.requests.remove(&job.0);
+            self.ends.given_up += 1;
+        }
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -16,12 +16,17 @@
 //! 5. Pushback: what waits here goes out by value and is pushed back once its start target is lost.
 //! 6. Loads: a bound on own loads under way.
 
+use crate::functions::Functions;
 use crate::interface::*;
+use crate::requests::{Fate, Job, Tried};
+use crate::servers::{Holding, Server, Servers};
+use applepond_rendezvous::{Draw, Prefix, PrefixCache, Ranked};
 use applepond_waiting::{Row, Waiting};
 use oorandom::Rand64;
 use std::cell::LazyCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
+use std::num::NonZeroUsize;
 
 // ---- Constants: unit, and why this size ------------------------------------------------
 
@@ -111,6 +116,15 @@
 const SHARE_SPAN: f64 = 2_000_000.0;
 /// µs after which a function that nobody asks for, and that no worker may hold, is forgotten.
 const FORGET: Micros = 60_000_000;
+/// Functions known at most: several times those that a router meets within `FORGET` of each other. Beyond it
+/// those without an open job that were called longest ago go first.
+const FUNCTIONS_MOST: usize = 8_192;
+/// Functions of which the first workers are kept: those of some minutes, as a search costs a hundred calls.
+const PREFIXES_MOST: NonZeroUsize = NonZeroUsize::new(8_192).expect("above zero");
+/// Workers looked at for one that may begin a load: if none of so many takes it, the fleet is full.
+const WALK_MOST: usize = 256;
+/// Factor on what was heard of the others' jobs at each beat.
+pub(crate) const FADE: f64 = 1.0 - BEAT as f64 / SPAN;
 /// µs before the client's time is up at which a held job is ended: more than one beat.
 const LAST_CALL: Micros = 30_000;
 /// µs named at least as a time to come back.
@@ -121,38 +135,6 @@
 /// What to do with the result of a step: an attempt's answer, or nothing but the time.
 type Step = Box<dyn FnOnce(&mut Control, &mut dyn Orders, Option<&Answer>)>;
 
-/// What is known of one attempt with regard to a repeat.
-#[derive(Clone, Copy, PartialEq)]
-enum Fate {
-    Out,
-    MayHaveRun,
-    NeverRan,
-}
-
-struct Tried {
-    server: ServerId,
-    rack: RackId,
-    zone: Option<ZoneId>,
-    sent: Micros,
-    closed: Micros,
-    fate: Fate,
-}
-
-struct Job {
-    function: FunctionId,
-    workload: WorkloadId,
-    /// By the terms that it was taken under.
-    effect: Effect,
-    customer: Option<CustomerId>,
-    came: Micros,
-    deadline: Micros,
-    value: u64,
-    chance: u64,
-    tried: Vec<Tried>,
-    streaming: bool,
-    late: bool,
-}
-
 /// One attempt that is out, also when its job has ended.
 struct Out {
     server: ServerId,
@@ -164,57 +146,6 @@
     then: Step,
 }
 
-#[derive(Default)]
-struct Function {
-    lanes: u32,
-    load_time: Option<Micros>,
-    last: Micros,
-    rate: f64,
-    order: Vec<ServerId>,
-    order_of: u64,
-    /// Workers that may hold it, so that nobody has to ask all of them.
-    at: BTreeSet<ServerId>,
-}
-
-/// What this router knows of one function at one worker.
-#[derive(Default, Clone)]
-struct Holding {
-    out: u32,
-    /// Jobs of other routers for the function there, as told or as this router's own ones let expect.
-    others: f64,
-    serving_until: Micros,
-    loading: Option<Micros>,
-    full_until: Micros,
-}
-
-#[derive(Default)]
-struct Server {
-    open: bool,
-    up_since: Micros,
-    zone: Option<ZoneId>,
-    rack: RackId,
-    weight: f64,
-    out: u32,
-    waiting: u32,
-    others: f64,
-    room: f64,
-    least: f64,
-    lag: f64,
-    cut_at: Micros,
-    heard: Micros,
-    /// When the latest sent of the jobs that it has answered was sent.
-    proved: Micros,
-    errors: f64,
-    broken: Micros,
-    aside: Option<Micros>,
-    backoff: Micros,
-    trickle: Option<u32>,
-    cold_sent: Vec<(Micros, f64)>,
-    /// Customers that it turns away though it has room, and until when that is believed.
-    shut: BTreeMap<CustomerId, Micros>,
-    holds: BTreeMap<FunctionId, Holding>,
-}
-
 impl Server {
     fn new(now: Micros, entry: &Listed, rows: &Startup) -> Self {
         Server {
@@ -222,7 +153,9 @@
             up_since: entry.up_since,
             zone: entry.zone,
             rack: entry.rack,
-            weight: if rows.weights_shared && entry.weight > 0.0 { entry.weight } else { 1.0 },
+            weight: Some(entry.weight)
+                .filter(|w| rows.weights_shared && *w > 0.0 && w.is_finite())
+                .unwrap_or(1.0),
             cut_at: now,
             heard: now,
             backoff: ASIDE,
@@ -230,14 +163,9 @@
         }
     }
 
-    /// Own jobs there that run or are about to: those that wait for a load take no core.
-    fn running(&self) -> f64 {
-        f64::from(self.out.saturating_sub(self.waiting))
-    }
-
     /// With many routers the own ones say little, so what is heard of the others' ones counts too.
-    fn busy(&self) -> f64 {
-        self.running() + self.others
+    fn busy(&self, beat: u64) -> f64 {
+        self.running() + self.others.at(beat)
     }
 
     fn aside(&self, now: Micros) -> bool {
@@ -249,6 +177,33 @@
     }
 }
 
+/// The hash order of a function: weighted rendezvous, the same at all routers.
+pub(crate) struct HashOrder;
+
+impl Draw for HashOrder {
+    type Key = FunctionId;
+    type Member = ServerId;
+
+    fn digest(id: ServerId) -> u64 {
+        digest_second(id.0)
+    }
+
+    fn hash(function: FunctionId, digest: u64) -> u64 {
+        mix_digest(function.0, digest)
+    }
+
+    fn score(hash: u64, weight: f64) -> f64 {
+        let draw = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+        -draw.ln() / weight
+    }
+
+    fn least_hash(cutoff: f64, weight: f64) -> u64 {
+        // A little less than the hash of that score, so that no rounding leaves one out.
+        let draw = (-cutoff * weight).exp() * (1.0 - 1e-9);
+        ((draw * (1u64 << 53) as f64) as u64).saturating_sub(1) << 11
+    }
+}
+
 /// The table of workloads: a row each, only what is read.
 struct Workload {
     effect: Effect,
@@ -291,8 +246,10 @@
     rows: Startup,
     workloads: Vec<Workload>,
     customers: Vec<Customer>,
-    servers: BTreeMap<ServerId, Server>,
-    functions: BTreeMap<FunctionId, Function>,
+    servers: Servers,
+    functions: Functions,
+    /// The first workers of functions' hash orders, as far as they are walked.
+    prefixes: PrefixCache<HashOrder>,
     jobs: BTreeMap<JobId, Job>,
     /// Jobs that wait here: most valuable first, then oldest.
     held: Waiting<JobId, FunctionId, WorkloadId>,
@@ -301,7 +258,8 @@
     out: BTreeMap<(JobId, usize), Out>,
     steps: BTreeMap<Token, Step>,
     next_token: u64,
-    list_of: u64,
+    /// A list has come.
+    listed: bool,
     budget: f64,
     loads: f64,
     loads_cut: Micros,
@@ -317,6 +275,8 @@
     weight_least: f64,
     weight_most: f64,
     busy_per_weight: f64,
+    /// Jobs a µs that a weight of workers does, and the mean usual time, as last weighed.
+    pace: (f64, f64),
     mean_service: f64,
     mean_target: f64,
     born: Micros,
@@ -334,15 +294,16 @@
             mean_service: rows.mean_target() * SERVICE_START,
             mean_target: rows.mean_target(),
             rows,
-            servers: BTreeMap::new(),
-            functions: BTreeMap::new(),
+            servers: Servers::default(),
+            functions: Functions::default(),
+            prefixes: PrefixCache::with_most(PREFIXES_MOST),
             jobs: BTreeMap::new(),
             held: Waiting::default(),
             loading: BTreeSet::new(),
             out: BTreeMap::new(),
             steps: BTreeMap::new(),
             next_token: 0,
-            list_of: 0,
+            listed: false,
             budget: BUDGET_MOST / 2.0,
             loads: LOADS_START,
             loads_cut: now,
@@ -355,6 +316,7 @@
             weight_least: 0.0,
             weight_most: 0.0,
             busy_per_weight: 0.0,
+            pace: (0.0, 0.0),
             born: now,
         };
         if control.rows.list_by_asking {
@@ -418,9 +380,10 @@
     pub fn recall(&mut self, id: ServerId, up_since: Micros, told: &Learned) -> bool {
         let same = |s: &&mut Server| s.up_since == up_since && s.room > 0.0;
         let Some(s) = self.servers.get_mut(&id).filter(same) else { return false };
-        s.room = s.room.min(told.room.max(s.least));
+        s.room = s.room.min(told.room.max(Self::room_least(self.pace, s.weight)));
         (s.lag, s.errors) = (s.lag.max(told.lag), s.errors.max(told.errors));
         s.trickle = s.trickle.or(told.aside.then_some(1));
+        self.servers.doubt(id);
         true
     }
 
@@ -429,59 +392,60 @@
             orders.watch();
             return;
         }
-        if self.list_of == 0 {
+        if !std::mem::replace(&mut self.listed, true) {
             // Who drains as this router starts is part of what the customers' shares are meant for.
             let there = entries.iter().filter(|e| e.standing != Standing::Gone);
             self.weight_most = there.map(|e| Server::new(self.now, e, &self.rows).weight).sum();
         }
         if kind != ListKind::Changes {
             let named: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
-            self.servers.iter_mut().filter(|(id, _)| !named.contains(id)).for_each(|(_, s)| s.open = false);
+            let unnamed = self.servers.iter().filter(|(id, s)| s.open && !named.contains(id));
+            let unnamed: Vec<ServerId> = unnamed.map(|(id, _)| *id).collect();
+            unnamed.into_iter().for_each(|id| self.servers.change(id, |s| s.open = false));
         }
         for entry in entries {
-            let known = self.servers.get_mut(&entry.server);
-            match known {
+            let told = Server::new(self.now, entry, &self.rows);
+            let id = entry.server;
+            match self.servers.get(&id) {
                 Some(s) if s.up_since == entry.up_since || entry.standing != Standing::Ready => {
-                    let told = Server::new(self.now, entry, &self.rows);
-                    (s.open, s.zone, s.rack, s.weight) = (told.open, told.zone, told.rack, told.weight);
-                }
-                Some(s) => {
-                    // Restarted: empty, cold, and nothing that was learned of it holds but what is out there.
-                    let new = Server::new(self.now, entry, &self.rows);
-                    let old = std::mem::replace(s, new);
-                    (s.out, s.waiting) = (old.out, old.waiting);
-                    let out =
-                        |(f, h): (&FunctionId, &Holding)| (*f, Holding { out: h.out, ..Holding::default() });
-                    s.holds = old.holds.iter().filter(|(_, h)| h.out > 0).map(out).collect();
+                    self.servers.change(id, |s| {
+                        (s.open, s.zone, s.rack, s.weight) = (told.open, told.zone, told.rack, told.weight);
+                    });
                 }
-                None if entry.standing == Standing::Ready => {
-                    self.servers.insert(entry.server, Server::new(self.now, entry, &self.rows));
+                Some(_) => {
+                    let lost = self.servers.change(id, |s| s.succeed(told));
+                    self.functions.lost(id, &lost);
                 }
+                None if entry.standing == Standing::Ready => self.servers.insert(id, told),
                 None => {}
             }
         }
-        self.servers.retain(|_, s| s.open || s.out > 0);
-        self.functions.values_mut().for_each(|f| f.at.retain(|id| self.servers.contains_key(id)));
-        self.list_of += 1;
+        for (id, gone) in self.servers.take_gone() {
+            self.functions.lost(id, &gone.holds);
+        }
         self.weigh();
         self.dispatch(orders);
     }
 
     fn weigh(&mut self) {
-        let open = || self.servers.values().filter(|s| s.open);
-        self.weight = open().map(|s| s.weight).sum::<f64>().max(1e-9);
-        self.weight_least = open().map(|s| s.weight).fold(f64::MAX, f64::min);
+        self.weight = self.servers.open().total_weight().max(1e-9);
+        self.weight_least = self.servers.open().least_weight().unwrap_or(f64::MAX);
         self.weight_most = self.weight_most.max(self.weight);
-        self.busy_per_weight = open().map(Server::busy).sum::<f64>() / self.weight;
-        let pace = self.capacity_per_weight();
-        for s in self.servers.values_mut() {
-            s.least = (pace * s.weight * self.mean_service * ROOM_LEAST).clamp(1.0, ROOM_MOST);
-            if s.room == 0.0 && pace > 0.0 {
-                s.room = (pace * s.weight * self.mean_target * ROOM_PART).clamp(s.least, ROOM_MOST);
-            }
+        self.busy_per_weight = self.servers.busy() / self.weight;
+        let pace = (self.capacity_per_weight(), self.mean_service);
+        self.pace = pace;
+        if pace.0 > 0.0 {
+            let target = self.mean_target;
+            let most = |s: &Server| pace.0 * s.weight * target * ROOM_PART;
+            self.servers.give_room(|s| most(s).clamp(Self::room_least(pace, s.weight), ROOM_MOST));
         }
     }
 
+    /// Jobs of all routers at a worker of this weight at least.
+    fn room_least((pace, service): (f64, f64), weight: f64) -> f64 {
+        (pace * weight * service * ROOM_LEAST).clamp(1.0, ROOM_MOST)
+    }
+
     /// A faded count of jobs as a rate; a router that has just started has not seen a whole span yet.
     fn per_us(&self, count: f64) -> f64 {
         let seen = 1.0 - (-((self.now - self.born) as f64) / SPAN).exp();
@@ -505,7 +469,10 @@
         self.budget = (self.budget + earned).min(BUDGET_MOST);
         self.rate = self.rate * (-((now - self.job_at) as f64) / SPAN).exp() + 1.0;
         self.job_at = now;
-        let function = self.functions.entry(arrival.function).or_default();
+        if self.functions.len() >= FUNCTIONS_MOST && self.functions.get(arrival.function).is_none() {
+            self.evict();
+        }
+        let function = self.functions.called(arrival.function);
         function.lanes = arrival.lanes.max(1);
         function.load_time = arrival.load_time.or(function.load_time);
         function.rate = function.rate * (-((now - function.last) as f64) / SPAN).exp() + 1.0;
@@ -534,6 +501,7 @@
         };
         let came = job.came;
         let waits = self.held.highest(job.function).is_some_and(|value| value >= job.value);
+        self.forget(arrival.job);
         self.jobs.insert(arrival.job, job);
         self.hold(arrival.job);
         let place = if waits { None } else { self.place(arrival.job) };
@@ -600,9 +568,16 @@
 
     /// The worker for a job's next attempt, or None where it has to wait here.
     fn place(&mut self, id: JobId) -> Option<ServerId> {
-        let now = self.now;
         let function = self.jobs[&id].function;
-        self.order(function);
+        let mut order = self.prefixes.take(self.servers.open(), function);
+        let place = self.walk(id, function, &mut order);
+        self.prefixes.put(function, order);
+        place
+    }
+
+    /// Walks the function's order for a job.
+    fn walk(&mut self, id: JobId, function: FunctionId, order: &mut Prefix<ServerId>) -> Option<ServerId> {
+        let (now, beat) = (self.now, self.servers.beat());
         let job = &self.jobs[&id];
         let row = &self.workloads[job.workload.0];
         let risky = job.effect == Effect::AtMostOnce && self.workloads.iter().any(|w| w.effect != job.effect);
@@ -621,34 +596,45 @@
         let gate = LazyCell::new(|| (self.loading.iter().filter(loads).count() as f64) < self.loads);
         // Nor while loads jam everywhere: each further one makes the others late, and moves no job in time.
         let jam = self.under_way > LOADS_CALM;
-        let order = &self.functions[&function].order;
-        let mut walk = order.iter().enumerate().peekable();
-        let mut tail = Vec::new().into_iter();
+        let (open, holders) = (self.servers.open(), self.functions[&function].at.len());
+        let (mut next_place, mut looked) = (0, 0);
+        let mut tail: Option<std::vec::IntoIter<Ranked<ServerId>>> = None;
         loop {
             // With the home known, and a next one or none wanted, only those that serve matter. Where the
             // rest of the order is long, they are sought by themselves.
-            let settled = beyond <= takes * self.weight_least
-                && home.is_some()
-                && (next.is_some() || jam || *pending || !*gate);
-            let long = settled && walk.len() > WALK_LONG * (1 + self.functions[&function].at.len());
-            if let Some((_, from)) = walk.peek().filter(|_| long) {
-                tail = self.serving_from(function, **from).into_iter();
-                walk = order[..0].iter().enumerate().peekable();
+            let settled = home.is_some()
+                && (looked >= WALK_MOST
+                    || beyond <= takes * self.weight_least && (next.is_some() || jam || *pending || !*gate));
+            let left = open.len().saturating_sub(next_place);
+            if tail.is_none()
+                && settled
+                && left > WALK_LONG * (1 + holders)
+                && let Some(from) = order.get(open, function, next_place)
+            {
+                tail = Some(self.serving_from(function, &from).into_iter());
             }
-            let Some((place, id)) = walk.next().or_else(|| tail.next().map(|id| (0, id))) else { break };
-            let server = &self.servers[id];
+            let (place, found) = match &mut tail {
+                Some(tail) => (0, tail.next()),
+                None => (next_place, order.get(open, function, next_place)),
+            };
+            let Some(Ranked { weight, member: id, .. }) = &found else { break };
+            next_place += 1;
+            // The lane bound where own jobs say little: what all routers are taken to bring beyond a worker's
+            // part moves on, by chance, so that their shares come out even.
+            let part = takes * weight;
+            let moves_on = beyond > part && part_of_one(mix(job.chance, place as u64)) >= part / beyond;
             // A job that cannot be repeated passes a worker over until another has found out how it is.
-            if server.aside(now) || server.trickle == Some(1) && risky {
+            let passed = |s: &Server| s.aside(now) || s.trickle == Some(1) && risky;
+            if self.servers.doubtful(id) && passed(&self.servers[id]) {
                 continue;
             }
-            // The lane bound where own jobs say little: what all routers are taken to bring beyond a worker's
-            // part moves on, by chance, so that their shares come out even.
-            let part = takes * server.weight;
-            if beyond > part && part_of_one(mix(job.chance, place as u64)) >= part / beyond {
+            if moves_on {
                 beyond -= part;
                 continue;
             }
-            let hold = server.holds.get(&function);
+            let server = &self.servers[id];
+            looked += 1;
+            let (hold, elsewhere) = (server.holds.get(&function), server.others.at(beat));
             // What the other routers are taken to keep loaded at the home stands there for this one too.
             let kept = home.is_none() && beyond.min(part) * self.rows.keep as f64 >= KEPT_JOBS;
             let known = hold.is_some_and(|h| h.serving_until > now);
@@ -656,7 +642,7 @@
             if !serving && (settled || next.is_some()) {
                 continue;
             }
-            let (own, others, full) = hold.map_or((0, 0.0, 0), |h| (h.out, h.others, h.full_until));
+            let (own, others, full) = hold.map_or((0, 0.0, 0), |h| (h.out, h.others.at(beat), h.full_until));
             let fresh = self.warmth(server);
             let crowd = CROWD_FREE + CROWD * self.busy_per_weight * server.weight;
             // In a crowd the functions with most jobs there move on; a small one stays and spares a load.
@@ -664,7 +650,7 @@
             // What is heard of the others is old and seen alike by all: a hard bound would shut the worker
             // for all of them at once and for long, so each job meets its own part of their crowd.
             let met = 1.0 - part_of_one(mix(job.chance, id.0)) / 2.0;
-            let crowded = server.running() + met * server.others >= server.room.min(crowd) * small * fresh;
+            let crowded = server.running() + met * elsewhere >= server.room.min(crowd) * small * fresh;
             let lanes = f64::from(self.functions[&function].lanes);
             let filled = f64::from(own) + met * others >= lanes;
             let shut = job.customer.and_then(|c| server.shut.get(&c)).is_some_and(|until| now < *until);
@@ -672,14 +658,14 @@
             let room = !filled && !crowded && open();
             // What the other routers alone fill is no crowd that is gone in a moment.
             let lasting =
-                || small == 1.0 && server.others >= server.room.min(crowd) || others >= lanes || !open();
+                || small == 1.0 && elsewhere >= server.room.min(crowd) || others >= lanes || !open();
             presumed |= home.is_none() && serving && !known;
             home = home.or_else(|| Some((*id, serving, room, lasting())));
             if serving && room {
                 warm = Some(*id);
                 break;
             }
-            let idle = server.busy() <= SPREAD_IDLE * self.busy_per_weight * server.weight;
+            let idle = server.busy(beat) <= SPREAD_IDLE * self.busy_per_weight * server.weight;
             if !serving && room && next.is_none() && (idle || home.is_none_or(|h| !h.1)) {
                 next = Some(*id);
             }
@@ -690,6 +676,7 @@
                 let until = now + self.load_time(function);
                 let hold = self.servers.get_mut(&home).expect("listed").holds.entry(function).or_default();
                 hold.serving_until = until;
+                self.servers.schedule(home);
             }
             return warm;
         }
@@ -706,40 +693,18 @@
         if *pending || !*gate || jam || (home_serves && patient) { None } else { next }
     }
 
-    /// A worker's draw in a function's order; the lowest comes first.
-    fn draw(function: FunctionId, id: ServerId, weight: f64) -> f64 {
-        let draw = ((mix(function.0, id.0) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-        -draw.ln() / weight
-    }
-
     /// Workers that serve the function, in its order, from this one on.
-    fn serving_from(&self, function: FunctionId, from: ServerId) -> Vec<&ServerId> {
-        let place = |id: &ServerId| (Self::draw(function, *id, self.servers[id].weight), *id);
-        let order = |a: &(f64, ServerId), b: &(f64, ServerId)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
-        let first = place(&from);
+    fn serving_from(&self, function: FunctionId, from: &Ranked<ServerId>) -> Vec<Ranked<ServerId>> {
+        let ranked = |id: &ServerId| {
+            let weight = self.servers[id].weight;
+            Ranked { score: HashOrder::score(mix(function.0, id.0), weight), weight, member: *id }
+        };
         let serves =
-            |id: &&ServerId| self.servers.get(*id).is_some_and(|s| s.open && s.serving(self.now, function));
-        let serving = self.functions[&function].at.iter().filter(serves).map(|id| (place(id), id));
-        let mut serving: Vec<_> = serving.filter(|(at, _)| order(at, &first).is_ge()).collect();
-        serving.sort_by(|(a, _), (b, _)| order(a, b));
-        serving.into_iter().map(|(_, id)| id).collect()
-    }
-
-    /// The function's hash order over the workers that the list holds ready: weighted rendezvous.
-    fn order(&mut self, function: FunctionId) {
-        let entry = self.functions.get_mut(&function).expect("a job names its function before it is placed");
-        if entry.order_of == self.list_of {
-            return;
-        }
-        let mut scored: Vec<(f64, ServerId)> = self
-            .servers
-            .iter()
-            .filter(|(_, s)| s.open)
-            .map(|(id, s)| (Self::draw(function, *id, s.weight), *id))
-            .collect();
-        scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        entry.order = scored.into_iter().map(|(_, id)| id).collect();
-        entry.order_of = self.list_of;
+            |id: &&ServerId| self.servers.get(id).is_some_and(|s| s.open && s.serving(self.now, function));
+        let serving = self.functions[&function].at.iter().filter(serves).map(ranked);
+        let mut serving: Vec<_> = serving.filter(|at| at.order(from).is_ge()).collect();
+        serving.sort_by(Ranked::order);
+        serving
     }
 
     fn send(&mut self, orders: &mut dyn Orders, id: JobId, server: ServerId, copy: bool) {
@@ -748,7 +713,10 @@
         let (function, workload, customer, n) = (job.function, job.workload, job.customer, job.tried.len());
         let (effect, begin) = (job.effect, Self::repeat_until(job));
         let row = &self.workloads[workload.0];
+        let start_target = row.start_target;
+        let before = self.servers.jobs_at(server);
         let s = self.servers.get_mut(&server).expect("place names known workers");
+        let job = self.jobs.get_mut(&id).expect("as above");
         job.tried.push(Tried { server, rack: s.rack, zone: s.zone, sent: now, closed: now, fate: Fate::Out });
         let serving = s.serving(now, function);
         let hold = s.holds.entry(function).or_default();
@@ -757,18 +725,19 @@
             hold.loading = Some(now);
             self.loading.insert((function, server));
         }
-        self.functions.get_mut(&function).expect("placed before").at.insert(server);
+        self.functions.get_mut(function).expect("placed before").at.insert(server);
         s.out += 1;
         s.waiting += u32::from(!serving);
         if now < s.up_since + self.rows.rules.warm_within && s.up_since > 0 {
-            s.cold_sent.push((now, row.service / self.mean_service.max(1.0)));
+            s.cold_sent.push((now + self.rows.rules.fall_span, row.service / self.mean_service.max(1.0)));
         }
         orders.send(id, server, job.deadline - now, begin);
+        self.servers.account(server, before);
         let then: Step = Box::new(move |c, o, answer| c.closed(o, id, n, answer.expect("what it ends with")));
         self.out.insert((id, n), Out { server, function, workload, customer, sent: now, serving, then });
         if !copy && self.rows.permits.second_copies && effect != Effect::AtMostOnce {
             // The design's delay: twice the load time and the start target.
-            let delay = 2 * self.load_time(function) + row.start_target;
+            let delay = 2 * self.load_time(function) + start_target;
             self.wake_then(orders, delay, Box::new(move |c, o, _| c.hedge(o, id, n)));
         }
     }
@@ -890,19 +859,27 @@
     fn forget(&mut self, id: JobId) {
         if let Some(job) = self.jobs.remove(&id) {
             self.held.remove(&(Reverse(job.value), job.came, id));
+            self.functions.over(job.function);
         }
     }
 
     // ---- What answers teach ----------------------------------------------------------------
 
     fn learn(&mut self, orders: &mut dyn Orders, out: &Out, answer: &Answer) {
-        let now = self.now;
+        let before = self.servers.jobs_at(out.server);
+        self.learn_from(orders, out, answer);
+        self.servers.account(out.server, before);
+    }
+
+    fn learn_from(&mut self, orders: &mut dyn Orders, out: &Out, answer: &Answer) {
+        let (now, beat) = (self.now, self.servers.beat());
         let usual = self.load_time(out.function) as f64;
         let others = (self.rows.routers - 1) as f64;
+        let pace = self.pace;
         let Some(s) = self.servers.get_mut(&out.server) else { return };
         let row = &mut self.workloads[out.workload.0];
-        let function = self.functions.get_mut(&out.function);
-        function.into_iter().for_each(|f| _ = f.at.insert(out.server));
+        let mut function = self.functions.get_mut(out.function);
+        function.iter_mut().for_each(|f| _ = f.at.insert(out.server));
         let hold = s.holds.entry(out.function).or_default();
         // Rare answers weigh more each: with many routers the one before is long past.
         let age = 1.0 - (-((now - s.heard) as f64) / SPAN).exp();
@@ -918,10 +895,12 @@
         }
         if self.rows.tells_company && matches!(answer.outcome, Outcome::Finished | Outcome::Full) {
             let told = f64::from(answer.company) * others / (others + 1.0);
-            hold.others += CROWD_FRESH * (told - hold.others);
+            let known = hold.others.at_mut(beat);
+            *known += CROWD_FRESH * (told - *known);
         }
         if let Some(held) = answer.held {
-            s.others += CROWD_FRESH * (held * others / (others + 1.0) - s.others);
+            let known = s.others.at_mut(beat);
+            *known += CROWD_FRESH * (held * others / (others + 1.0) - *known);
         }
         self.under_way += SERVICE_FRESH * (answer.loads.unwrap_or(0.0) - self.under_way);
         let stood = answer.copy == Copy::Stood || (answer.copy == Copy::Unsaid && out.serving);
@@ -940,12 +919,12 @@
                     }
                     // Each other router is taken to have as many there, on average, as this one.
                     let mean = others * answer.elapsed as f64 / SPAN;
-                    hold.others += if self.rows.tells_company { 0.0 } else { mean };
-                    s.others += if answer.held.is_some() { 0.0 } else { mean };
+                    *hold.others.at_mut(beat) += if self.rows.tells_company { 0.0 } else { mean };
+                    *s.others.at_mut(beat) += if answer.held.is_some() { 0.0 } else { mean };
                     s.lag += age.max(FRESH) * (part - s.lag);
                     if s.lag > LAG_HIGH {
-                        Self::cut_room(s, now, row.start_target);
-                    } else if s.lag < LAG_LOW && s.busy() + 2.0 >= s.room {
+                        Self::cut_room(s, now, row.start_target, (pace, beat));
+                    } else if s.lag < LAG_LOW && s.busy(beat) + 2.0 >= s.room {
                         s.room = (s.room + 1.0 / s.room).min(ROOM_MOST);
                     }
                 }
@@ -959,8 +938,8 @@
                         self.loads_slow();
                     } else {
                         self.loads = (self.loads + 0.5).min(ROOM_MOST);
-                        let load_time = &mut self.functions.get_mut(&out.function).expect("kept").load_time;
-                        *load_time = load_time.or(Some(answer.elapsed.saturating_sub(row.service as Micros)));
+                        let took = answer.elapsed.saturating_sub(row.service as Micros);
+                        function.into_iter().for_each(|f| f.load_time = f.load_time.or(Some(took)));
                     }
                 }
             }
@@ -977,8 +956,9 @@
                         s.shut.insert(customer, now + SHUT_REST);
                     }
                     _ => {
-                        s.others = s.others.max(s.room * others / (others + 1.0));
-                        Self::cut_room(s, now, row.start_target / 4);
+                        let known = s.others.at_mut(beat);
+                        *known = known.max(s.room * others / (others + 1.0));
+                        Self::cut_room(s, now, row.start_target / 4, (pace, beat));
                     }
                 }
             }
@@ -1001,16 +981,17 @@
                 if answer.elapsed > row.start_target && s.proved <= out.sent =>
             {
                 s.lag += age.max(FRESH) * (answer.elapsed as f64 / row.start_target as f64 - s.lag);
-                s.others += if answer.held.is_some() { 0.0 } else { others * answer.elapsed as f64 / SPAN };
-                Self::cut_room(s, now, row.start_target);
+                *s.others.at_mut(beat) +=
+                    if answer.held.is_some() { 0.0 } else { others * answer.elapsed as f64 / SPAN };
+                Self::cut_room(s, now, row.start_target, (pace, beat));
             }
             Outcome::Error | Outcome::Broken | Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
         }
     }
 
-    fn cut_room(s: &mut Server, now: Micros, rest: Micros) {
+    fn cut_room(s: &mut Server, now: Micros, rest: Micros, (pace, beat): ((f64, f64), u64)) {
         if now >= s.cut_at {
-            s.room = (s.room.min(s.busy() + 1.0) * ROOM_CUT).max(s.least);
+            s.room = (s.room.min(s.busy(beat) + 1.0) * ROOM_CUT).max(Self::room_least(pace, s.weight));
             s.cut_at = now + rest;
             s.lag = s.lag.min(LAG_LOW);
         }
@@ -1028,6 +1009,8 @@
         s.trickle = Some(1);
         s.errors = 0.0;
         s.holds.values_mut().for_each(|h| h.loading = None);
+        self.servers.doubt(id);
+        self.servers.schedule(id);
         let stuck: Vec<(JobId, usize)> =
             self.out.iter().filter(|(_, o)| o.server == id).map(|(k, _)| *k).collect();
         for (job, n) in stuck {
@@ -1063,7 +1046,7 @@
         }
         let span = rules.fall_span as f64;
         // The list's weights are rough, and may count the cores of a slow kind: none counts above the mean.
-        let open = self.servers.values().filter(|s| s.open).count().max(1) as f64;
+        let open = self.servers.open().len().max(1) as f64;
         let pace = self.capacity_per_weight() * s.weight.min(self.weight / open);
         let part = rules.fall_multiple * warmth * pace * span * COLD_CARE / self.rows.routers as f64;
         let spent: f64 = s.cold_sent.iter().map(|(_, work)| work).sum();
@@ -1080,7 +1063,7 @@
     // ---- Mechanism 6: loads ----------------------------------------------------------------
 
     fn load_time(&self, function: FunctionId) -> Micros {
-        self.functions.get(&function).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD)
+        self.functions.get(function).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD)
     }
 
     fn loads_slow(&mut self) {
@@ -1106,30 +1089,16 @@
     fn beat(&mut self, orders: &mut dyn Orders) {
         let now = self.now;
         self.wake_then(orders, BEAT, Box::new(|c, o, _| c.beat(o)));
-        let span = self.rows.rules.fall_span;
-        let fade = 1.0 - BEAT as f64 / SPAN;
-        for (id, s) in &mut self.servers {
-            s.others *= fade;
-            s.cold_sent.retain(|(at, _)| at + span > now);
-            s.holds.retain(|f, h| {
-                // The design's hold ends here, or a worker that died while loading would block the function.
-                if let Some(since) = h.loading {
-                    let usual = self.functions.get(f).and_then(|f| f.load_time).unwrap_or(LOAD_UNTOLD);
-                    h.loading = Some(since).filter(|since| now < since + HOLD_LOADS * usual);
-                }
-                h.others *= fade;
-                let known = h.out > 0 || h.full_until > now || h.loading.is_some() || h.serving_until > now;
-                if !known && let Some(f) = self.functions.get_mut(f) {
-                    f.at.remove(id);
-                }
-                known
-            });
+        self.servers.next_beat();
+        self.end_loads();
+        while let Some(id) = self.servers.next_due(now) {
+            self.end_holds(id);
         }
         // Guards against a table that grows with every name that any client ever makes up.
-        let asked = |id: &FunctionId| self.jobs.values().any(|j| j.function == *id);
-        self.functions.retain(|id, f| now < f.last + FORGET || !f.at.is_empty() || asked(id));
+        self.functions.forget_unused(now, FORGET);
         let loads = std::mem::take(&mut self.loading);
         self.loading = loads.into_iter().filter(|(f, id)| self.loads_at(*f, *id)).collect();
+        self.servers.trust(|s| !s.aside(now) && s.trickle.is_none());
         self.weigh();
         self.silent_workers(orders);
         if !self.held.is_empty() {
@@ -1138,6 +1107,40 @@
         }
     }
 
+    /// The design's hold ends here, or a worker that died while loading would block the function.
+    fn end_loads(&mut self) {
+        for (function, id) in self.loading.clone() {
+            let ends = HOLD_LOADS * self.load_time(function);
+            let hold = self.servers.get_mut(&id).and_then(|s| s.holds.get_mut(&function));
+            if let Some(hold) = hold.filter(|h| h.loading.is_some_and(|since| self.now >= since + ends)) {
+                hold.loading = None;
+                self.servers.schedule(id);
+            }
+        }
+    }
+
+    /// Drops what has ended by itself at a worker.
+    fn end_holds(&mut self, id: ServerId) {
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        s.cold_sent.retain(|(until, _)| *until > now);
+        let ended =
+            |h: &Holding| h.out == 0 && h.loading.is_none() && h.full_until.max(h.serving_until) <= now;
+        let lost = s.holds.extract_if(.., |_, h| ended(h)).collect();
+        self.functions.lost(id, &lost);
+        self.servers.schedule(id);
+    }
+
+    /// Makes room in a full table: an eighth of it, and what workers hold of those.
+    fn evict(&mut self) {
+        for (function, gone) in self.functions.evict(FUNCTIONS_MOST / 8) {
+            for id in &gone.at {
+                let Some(s) = self.servers.get_mut(id) else { continue };
+                s.holds.extract_if(function..=function, |_, h| h.out == 0).for_each(drop);
+            }
+        }
+    }
+
     /// Jobs that have lost their start target wait behind those that can keep it, or are pushed back.
     fn look_at_held(&mut self, orders: &mut dyn Orders) {
         let now = self.now;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,9 +10,20 @@
     name.bytes().fold(0xcbf2_9ce4_8422_2325, fnv)
 }
 
+/// What of the second of two ids goes into their mix.
+pub(crate) fn digest_second(b: u64) -> u64 {
+    b.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
 /// Mixes two ids into a place in a function's order; the same at every router.
 pub(crate) fn mix(a: u64, b: u64) -> u64 {
-    let mut x = a ^ b.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mix_digest(a, digest_second(b))
+}
+
+/// The same for a second id of which the digest is known.
+#[inline]
+pub(crate) fn mix_digest(a: u64, digest: u64) -> u64 {
+    let mut x = a ^ digest;
     for _ in 0..2 {
         x = (x ^ (x >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         x = (x ^ (x >> 29)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -25,7 +36,7 @@
     (bits >> 11) as f64 / (1u64 << 53) as f64
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
 
 impl ServerId {
@@ -34,7 +45,7 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FunctionId(pub u64);
 
 impl FunctionId {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,3 +1,6 @@
 //! applepond: decides which worker runs a job, for functions that workers load on demand.
 pub mod control;
+mod functions;
 pub mod interface;
+mod requests;
+mod servers;
