A client's time runs from the first byte of its request, and from when the bytes were there

Seen: of a request in pieces over 0.6 s, of one that lay in the kernel for 0.4 s while the process stood still (on an open connection and on a new one), and of one behind another, the server was told 1.99 s of 2 s: up to 0.6 s more than the client had left, where 0.15 s are allowed.

Checked and ruled out: a connection that comes up late (the line is written with what is left then, as before). At fault: machine.rs take(), which counted from when the whole request was parsed, and the reactor, which told no machine that bytes may be older than the look that found them.

Changed: Wire::arrived tells since when bytes may have lain in the kernel (the look before, where the process was busy for over 50 ms since; the beginning of a wait that ended late; the accept's own, for the first look after it); a client connection keeps the first byte's time of the request it reads and of the one behind it.

A further case: a client that goes with the last piece of its body is not sent on.

--- a/crates/drill/src/saboteur.rs
+++ b/crates/drill/src/saboteur.rs
@@ -141,6 +141,9 @@
     fn reading(&mut self, conn: Conn, on: bool) {
         self.wire.reading(conn, on);
     }
+    fn arrived(&self, conn: Conn, now: Micros) -> Micros {
+        self.wire.arrived(conn, now)
+    }
     fn hangup_first(&mut self, conn: Conn) {
         self.wire.hangup_first(conn);
     }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -46,6 +46,16 @@
     }
 }
 
+/// A whole request of a client.
+pub struct Request {
+    /// What is asked.
+    pub ask: Ask,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// When its first byte came, or earlier: the client's time runs from there.
+    pub begun: Micros,
+}
+
 /// One client connection.
 pub struct Caller {
     decoder: Decoder,
@@ -56,6 +66,12 @@
     idle: bool,
     /// Bytes of later requests that were dropped.
     dropped: usize,
+    /// When the first byte came of the request that is read or waits, and of the one behind it: a client's
+    /// time runs from there.
+    first_byte: Option<Micros>,
+    next_first_byte: Option<Micros>,
+    /// When the last bytes came.
+    last_bytes: Micros,
     /// When patience with what is done now ends.
     pub until: Micros,
 }
@@ -69,15 +85,24 @@
             job: None,
             idle: false,
             dropped: 0,
+            first_byte: None,
+            next_first_byte: None,
+            last_bytes: now,
             until: now + SILENT_LIMIT,
         }
     }
 
-    /// Takes what came; false where the connection is to be cut.
-    pub fn feed(&mut self, now: Micros, bytes: &[u8]) -> bool {
+    /// Takes what came, at `arrived` or after; false where the connection is to be cut.
+    pub fn feed(&mut self, now: Micros, arrived: Micros, bytes: &[u8]) -> bool {
         if self.doing == Doing::Leaving {
             return true;
         }
+        let first_byte = match self.doing {
+            Doing::Reading => &mut self.first_byte,
+            _ => &mut self.next_first_byte,
+        };
+        first_byte.get_or_insert(arrived);
+        self.last_bytes = arrived;
         if self.doing == Doing::Reading && self.decoder.idle() {
             self.until = now + SILENT_LIMIT;
             self.idle = false;
@@ -91,12 +116,7 @@
     }
 
     /// The next whole request with its body, if the one before has been answered.
-    pub fn next(
-        &mut self,
-        wire: &mut dyn Wire,
-        conn: Conn,
-        start: &Start,
-    ) -> Option<Result<(Ask, Vec<u8>), Fault>> {
+    pub fn next(&mut self, wire: &mut dyn Wire, conn: Conn, start: &Start) -> Option<Result<Request, Fault>> {
         if self.doing != Doing::Reading {
             return None;
         }
@@ -105,8 +125,12 @@
         match self.decoder.step(&mut incoming) {
             Ok(Step::Done) => {
                 self.doing = Doing::Waiting;
+                if self.decoder.waiting() > 0 {
+                    self.next_first_byte.get_or_insert(self.last_bytes);
+                }
                 let ask = self.part.ask.take().expect("a head comes before its end");
-                Some(Ok((ask, std::mem::take(&mut self.part.body))))
+                let begun = self.first_byte.unwrap_or(self.last_bytes);
+                Some(Ok(Request { ask, body: std::mem::take(&mut self.part.body), begun }))
             }
             Ok(Step::More) => {
                 if std::mem::take(&mut self.part.go_on) {
@@ -136,6 +160,7 @@
         self.job = None;
         if keep {
             self.doing = Doing::Reading;
+            self.first_byte = self.next_first_byte.take();
             self.until = now + IDLE_LIMIT;
             self.idle = self.decoder.idle();
         } else {
--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -1,5 +1,5 @@
 //! One router: connects clients, the module, model servers and the name service.
-use crate::callers::{Caller, Doing, Patience, Reply};
+use crate::callers::{Caller, Doing, Patience, Reply, Request};
 use crate::links::{Came, Item, Link};
 use crate::watch::Watch;
 use crate::workers::{Worker, Workers};
@@ -405,8 +405,14 @@
         {
             self.patience.remove(conn, caller);
             match asked {
-                Ok((Ask::Check, _)) => return self.answer(now, wire, conn, &Reply::bare(200)),
-                Ok((Ask::Job(arrival, head), body)) => self.take(now, wire, conn, arrival, head, body),
+                Ok(Request { ask: Ask::Check, .. }) => {
+                    return self.answer(now, wire, conn, &Reply::bare(200));
+                }
+                Ok(Request { ask: Ask::Job(mut arrival, head), body, begun }) => {
+                    let spent = now.saturating_sub(begun) + WAY_BACK;
+                    arrival.left = arrival.left.saturating_sub(spent).max(1);
+                    self.take(now, wire, conn, arrival, Task { caller: Some(conn), head, body });
+                }
                 Err(fault) => {
                     tracing::debug!(reason = fault.reason, detail = fault.detail, "refused");
                     caller.refuse(now, wire, conn, &fault);
@@ -416,24 +422,15 @@
         }
     }
 
-    fn take(
-        &mut self,
-        now: Micros,
-        wire: &mut dyn Wire,
-        conn: Conn,
-        mut arrival: Arrival,
-        head: Vec<u8>,
-        body: Vec<u8>,
-    ) {
+    fn take(&mut self, now: Micros, wire: &mut dyn Wire, conn: Conn, arrival: Arrival, task: Task) {
         let job = arrival.job;
         if self.lives.get(job).is_some() {
             // Another request under an open id: which of the two an answer belongs to could not be told.
             return self.answer(now, wire, conn, &Reply::bare(409));
         }
-        arrival.left = arrival.left.saturating_sub(WAY_BACK).max(1);
         let Arrival { function, workload, left, lanes, retry, load_time, .. } = &arrival;
         tracing::debug!(job = id_text(&job), ?function, ?workload, left, lanes, retry, ?load_time, "a job");
-        self.lives.begin(job, now, now + arrival.left, Task { caller: Some(conn), head, body });
+        self.lives.begin(job, now, now + arrival.left, task);
         self.callers.get_mut(&conn).expect("it has just asked").job = Some(job);
         self.control.clock(now);
         self.control.job(&mut self.acts, &arrival);
@@ -673,7 +670,7 @@
             if caller.doing == Doing::Reading {
                 self.patience.remove(conn, caller);
             }
-            let fits = caller.feed(now, bytes);
+            let fits = caller.feed(now, wire.arrived(conn, now), bytes);
             if caller.doing == Doing::Reading {
                 self.patience.insert(conn, caller);
             }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -504,6 +504,12 @@
         std::thread::sleep(Duration::from_micros(time));
     }
 
+    /// The router runs on for so long, with nothing that it is told.
+    pub fn runs_for(&mut self, time: Micros) {
+        let end = Instant::now() + Duration::from_micros(time);
+        self.until("time", |_| Instant::now() >= end);
+    }
+
     pub fn leaves(&mut self) {
         self.news.borrow_mut().push(News::Leave);
     }
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -839,3 +839,110 @@
     old.send_to(&late, asked.expect("just seen").1).expect("sent");
     r.served(1);
 }
+
+// ---- The time that a client has left ----------------------------------------------------------
+
+/// Beyond what the client has left, a server may be told so much.
+const SLACK: Duration = Duration::from_millis(150);
+
+/// The deadline that a server was told for a request.
+fn told_budget(r: &Real, id: u64) -> Duration {
+    let lines = r.peers.iter().flat_map(|peer| peer.text.lines());
+    let line = lines.filter(|line| line.contains("\"DO\"")).find(|line| line.contains(&name(id)));
+    let line: serde_json::Value = serde_json::from_str(line.expect("it was sent")).expect("a line is JSON");
+    let budget = &line["attrs"]["budget"];
+    let budget = budget.as_u64().or_else(|| budget.as_str()?.parse().ok());
+    Duration::from_millis(budget.expect("a number of milliseconds"))
+}
+
+/// The server may be told what the client had left when it read the line, and the slack.
+fn assert_within(r: &Real, id: u64, begun: Instant, by: Duration) {
+    let left = Duration::from_millis(2_000).saturating_sub(by);
+    let told = told_budget(r, id);
+    assert!(told <= left + SLACK, "told {told:?}, and of {:?} the client has {left:?}", begun.elapsed());
+}
+
+// A request comes in pieces: its client counts from the first byte.
+#[test_case(20; "amid its head")]
+#[test_case(usize::MAX; "amid its body")]
+fn a_request_in_pieces(cut: usize) {
+    let mut r = Real::new(1, |_| ());
+    r.served(1);
+    let text = call("quote", 2);
+    let cut = cut.min(text.len() - 1);
+    let mut client = r.client();
+    let begun = Instant::now();
+    client.write_all(&text.as_bytes()[..cut]).expect("written");
+    r.quiet();
+    r.runs_for(600 * MS);
+    let by = begun.elapsed();
+    client.write_all(&text.as_bytes()[cut..]).expect("written");
+    r.carries(2);
+    assert_within(&r, 2, begun, by);
+}
+
+// The router stands still while a request lies in the kernel, on a connection that stands or on a new one.
+#[test_case(true; "on a connection that stands")]
+#[test_case(false; "on a new one")]
+fn a_request_that_lay_there_while_the_router_stood_still(stands: bool) {
+    let mut r = Real::new(1, |_| ());
+    r.served(1);
+    let mut client = if stands { r.client() } else { TcpStream::connect(r.at).expect("it listens") };
+    let begun = Instant::now();
+    client.write_all(call("quote", 2).as_bytes()).expect("written");
+    r.stands_still(400 * MS);
+    let by = begun.elapsed();
+    r.carries(2);
+    assert_within(&r, 2, begun, by);
+}
+
+// A connection to the server comes up late: it is told what is left when its line is written.
+#[test]
+fn a_connection_that_comes_up_late() {
+    let (server, queue) = full_server();
+    let mut r = Real::at(vec![server], |file| {
+        file["settings"]["allowed"]["connect-timeout"] = 5000.0.into();
+    });
+    r.doing = Doing::Shut;
+    let mut client = r.client();
+    let begun = Instant::now();
+    client.write_all(call("quote", 2).as_bytes()).expect("written");
+    r.until("connecting", |r| r.node.borrow().kept()[2] == 1);
+    r.runs_for(500 * MS);
+    let by = begun.elapsed();
+    // The kernel tries again about a second after its first try.
+    drop(queue);
+    r.doing = Doing::Serves;
+    r.carries(2);
+    assert_within(&r, 2, begun, by);
+}
+
+// Behind a request that waits lies the next one of the same client: its time runs as well.
+#[test]
+fn a_request_behind_another() {
+    let mut r = Real::new(1, |_| ());
+    let (mut client, link) = r.carried("quote", 1);
+    let begun = Instant::now();
+    client.write_all(call("quote", 2).as_bytes()).expect("written");
+    r.runs_for(600 * MS);
+    let by = begun.elapsed();
+    r.peers[link].says(&word("OK", 1));
+    r.carries(2);
+    assert_within(&r, 2, begun, by);
+}
+
+// A client goes with the last piece of its body: nobody waits for it.
+#[test]
+fn hung_up_behind_a_body_in_pieces() {
+    let mut r = Real::new(1, |_| ());
+    r.served(1);
+    let text = call("quote", 2);
+    let (head, last) = text.as_bytes().split_at(text.len() - 1);
+    let mut client = r.client();
+    client.write_all(head).expect("written");
+    r.quiet();
+    client.write_all(last).expect("written");
+    r.hangs_up(client);
+    r.until("seen", |r| r.node.borrow().kept()[..2] == [0, 0]);
+    assert_eq!(told(&r.ends(), "DO", 2), 0, "nobody waits for it");
+}
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -68,6 +68,11 @@
     /// paused, ahead of bytes not read yet and of all else that waits. For peers that mean by it that they
     /// want nothing any more.
     fn hangup_first(&mut self, _conn: Conn) {}
+    /// The earliest moment at which the bytes that are told now may have lain in the kernel, as far as the
+    /// shell knows: before `now` where the process was busy, or stood still, since it last looked.
+    fn arrived(&self, _conn: Conn, now: Micros) -> Micros {
+        now
+    }
     /// Ends this side once all is written; nothing more is told but `closed`.
     fn finish(&mut self, conn: Conn);
     /// Drops the connection at once; nothing more is told of it.
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -57,8 +57,13 @@
     wants_room: bool,
     interest: epoll::EventFlags,
     dirty: bool,
+    /// The look at which it was accepted, and since when it may have waited for that.
+    accepted: Option<(Look, Micros)>,
 }
 
+/// The number of a look at all sockets.
+type Look = u64;
+
 /// A socket for datagrams.
 struct Post {
     machine: usize,
@@ -102,6 +107,21 @@
     tell: VecDeque<Tell>,
     origin: Instant,
     epoch: Micros,
+    /// Looks at sockets so far, and since when what the last one found may have been there.
+    look: Look,
+    arrived: Micros,
+}
+
+/// Since when what a look at sockets finds may have been there. `before`: when the look before it ended;
+/// `entered`: when this one began; `due`: when it was to end at the latest; `ended`: when it did.
+fn earliest_arrival(before: Micros, entered: Micros, due: Micros, ended: Micros) -> Micros {
+    if entered > before.saturating_add(LATE) {
+        before
+    } else if ended > due.saturating_add(LATE) {
+        entered
+    } else {
+        ended
+    }
 }
 
 /// Hosts machines on one thread. Each sees its own connections and timers only.
@@ -256,6 +276,7 @@
             wants_room: false,
             interest,
             dirty: false,
+            accepted: via.map(|_| (self.look, self.arrived)),
         };
         self.links.insert(conn.0, link);
         Some(conn)
@@ -371,6 +392,13 @@
         }
     }
 
+    fn arrived(&self, conn: Conn, now: Micros) -> Micros {
+        let accepted = self.core.links.get(&conn.0).and_then(|link| link.accepted);
+        // What the first look after its acceptance finds may have come with the connection.
+        let with_it = accepted.filter(|(look, _)| self.core.look <= look + 1).map(|(_, since)| since);
+        now.min(self.core.arrived).min(with_it.unwrap_or(Micros::MAX))
+    }
+
     fn hangup_first(&mut self, conn: Conn) {
         if let Some(link) = self.core.links.get_mut(&conn.0) {
             link.hangup_first = true;
@@ -450,6 +478,8 @@
             tell: VecDeque::new(),
             origin: Instant::now(),
             epoch,
+            look: 0,
+            arrived: epoch,
         };
         let (events, buffer) = (Vec::with_capacity(EVENTS), vec![0; READ]);
         Ok(Reactor { machines: Vec::new(), core, events, buffer, looked: epoch })
@@ -546,6 +576,8 @@
 
     /// Waits for sockets so long at most, and reads what is there.
     fn poll(&mut self, wait: Duration) -> io::Result<()> {
+        let (before, entered) = (self.looked, self.core.now());
+        let due = entered.saturating_add(wait.as_micros() as Micros);
         let wait = Timespec { tv_sec: wait.as_secs() as i64, tv_nsec: i64::from(wait.subsec_nanos()) };
         self.events.clear();
         match epoll::wait(&self.core.poll, rustix::buffer::spare_capacity(&mut self.events), Some(&wait)) {
@@ -553,6 +585,8 @@
             Err(error) => return Err(refused(error)),
         }
         self.looked = self.core.now();
+        self.core.look += 1;
+        self.core.arrived = earliest_arrival(before, entered, due, self.looked);
         let mut events = std::mem::take(&mut self.events);
         // Guards against a request that is sent on though its client has left in the meantime, and against a
         // newcomer that takes the place of a connection on which something lies unread.
