Hollow routers, slopes and their tests; whole lists of workers are taken in by what changed

Seen beside it: the host list refused more than 20,000 workers, compared each whole list with the old one pair by pair and walked all workers at each change. The circle between fault.rs and host_list.rs is gone: the error carries its bound.

--- a/crates/gateway/src/fault.rs
+++ b/crates/gateway/src/fault.rs
@@ -14,12 +14,12 @@
         help("the host list's writer is at fault, or of another version; the last good list holds")
     )]
     Field { field: String, want: String },
-    #[error("{0} workers; {most} at most are wanted", most = crate::host_list::WORKERS_MOST)]
+    #[error("{found} workers; {most} at most are wanted")]
     #[diagnostic(
         code(list::too_many),
         help("look whether the list repeats itself; a fleet this large needs parts of its own")
     )]
-    TooMany(usize),
+    TooMany { found: usize, most: usize },
 }
 
 impl Unlisted {
@@ -29,7 +29,11 @@
 
     /// One of each, for the table of codes.
     pub fn each() -> Vec<Unlisted> {
-        vec![Unlisted::NoJson(String::new()), Unlisted::field("", ""), Unlisted::TooMany(0)]
+        vec![
+            Unlisted::NoJson(String::new()),
+            Unlisted::field("", ""),
+            Unlisted::TooMany { found: 0, most: 0 },
+        ]
     }
 }
 
--- a/crates/gateway/src/host_list.rs
+++ b/crates/gateway/src/host_list.rs
@@ -9,11 +9,12 @@
 use applepond::interface::{ListKind, Listed, Micros, RackId, ServerId, Standing, ZoneId};
 use applepond_reactor::Conn;
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// Workers that one list may name: beyond this it is taken for broken rather than for a fleet.
-pub const WORKERS_MOST: usize = 20_000;
+/// Workers that one list may name: beyond this it is taken for broken rather than for a fleet. Twice the
+/// 30,000 of the fleet that decides the design (docs/CAPACITY.md).
+pub const WORKERS_MOST: usize = 60_000;
 
 /// The one record of a worker.
 pub struct Worker {
@@ -32,6 +33,8 @@
 #[derive(Default)]
 pub struct HostList {
     workers: BTreeMap<ServerId, Worker>,
+    /// Those that are gone and still have attempts out, or had when that was looked at last.
+    gone: BTreeSet<ServerId>,
 }
 
 /// What a message leaves to do: the entries for the module, and connections that are of no more use.
@@ -95,7 +98,7 @@
         };
         let workers = message["workers"].as_array().ok_or_else(|| Unlisted::field("workers", "no array"))?;
         if workers.len() > WORKERS_MOST {
-            return Err(Unlisted::TooMany(workers.len()));
+            return Err(Unlisted::TooMany { found: workers.len(), most: WORKERS_MOST });
         }
         let read = |(n, worker)| {
             entry(worker, zones).map_err(|why| Unlisted::field(format!("workers[{n}]"), why.to_string()))
@@ -107,11 +110,11 @@
     pub fn take(&mut self, kind: ListKind, read: Vec<(String, SocketAddr, Entry)>) -> Taken {
         let mut cut = Vec::new();
         if kind == ListKind::Full {
-            for (id, worker) in &mut self.workers {
-                if !read.iter().any(|(_, _, e)| e.server == *id) {
-                    worker.standing = Standing::Gone;
-                    cut.extend(worker.idle.drain(..).map(|(conn, _)| conn));
-                }
+            let named: BTreeSet<ServerId> = read.iter().map(|(_, _, entry)| entry.server).collect();
+            for (id, worker) in self.workers.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                worker.standing = Standing::Gone;
+                cut.extend(worker.idle.drain(..).map(|(conn, _)| conn));
+                self.gone.insert(*id);
             }
         }
         let mut entries = Vec::new();
@@ -138,11 +141,26 @@
                 worker.answered &= worker.up_since == entry.up_since;
                 worker.up_since = entry.up_since;
             }
+            if entry.standing == Standing::Gone {
+                self.gone.insert(entry.server);
+            }
             entries.push(entry);
         }
-        self.workers.retain(|_, w| w.standing != Standing::Gone || w.out > 0);
+        self.forget_gone();
         Taken { kind, entries, cut }
     }
+
+    /// Forgets those that are gone and have nothing out. Only those are looked at, not the whole list.
+    fn forget_gone(&mut self) {
+        self.gone.retain(|id| {
+            let Some(worker) = self.workers.get(id) else { return false };
+            if worker.standing == Standing::Gone && worker.out == 0 {
+                self.workers.remove(id);
+                return false;
+            }
+            worker.standing == Standing::Gone
+        });
+    }
 }
 
 fn entry(worker: &Value, zones: &[String]) -> Result<(String, SocketAddr, Entry), Unlisted> {
--- a/crates/gateway/tests/parts.rs
+++ b/crates/gateway/tests/parts.rs
@@ -91,4 +91,40 @@
         assert_eq!(taken.cut, if cut { vec![Conn(5)] } else { vec![] });
         assert_eq!(hosts.get(id).map(|w| w.standing), standing);
     }
+
+    fn many(kind: &str, standing: &str, names: std::ops::Range<u32>) -> Vec<u8> {
+        let worker = |n| format!(r#"{{"name":"w{n}","address":"127.0.0.1:9","standing":"{standing}"}}"#);
+        let workers: Vec<String> = names.map(worker).collect();
+        format!(r#"{{"kind":"{kind}","workers":[{}]}}"#, workers.join(",")).into_bytes()
+    }
+
+    // The size of the fleet ahead is no fault, also when a whole list replaces another.
+    #[test]
+    fn thirty_thousand_workers() {
+        let mut hosts = HostList::default();
+        hosts.line(&many("full", "ready", 0..30_000), &[]).expect("a good line");
+        hosts.line(&many("full", "ready", 10_000..40_000), &[]).expect("a good line");
+        assert_eq!(hosts.iter().count(), 30_000);
+        assert!(hosts.get(ServerId::named("w9999")).is_none());
+        let fault = hosts.line(&many("full", "ready", 0..60_001), &[]).expect_err("more than a fleet");
+        assert!(fault.to_string().contains("60001 workers; 60000"), "{fault}");
+    }
+
+    // One that is gone stays while something is out there, and goes with the next message once nothing is.
+    #[test]
+    fn gone_with_something_out() {
+        let mut hosts = HostList::default();
+        hosts.line(&many("full", "ready", 0..3), &[]).expect("a good line");
+        let id = ServerId::named("w1");
+        hosts.get_mut(id).expect("known").out = 1;
+        hosts.line(&many("changes", "gone", 0..2), &[]).expect("a good line");
+        assert!(hosts.get(ServerId::named("w0")).is_none());
+        assert_eq!(hosts.get(id).map(|w| w.standing), Some(Standing::Gone));
+        hosts.line(&many("changes", "ready", 1..2), &[]).expect("a good line");
+        hosts.get_mut(id).expect("it came back").out = 0;
+        hosts.line(&many("changes", "ready", 5..6), &[]).expect("a good line");
+        assert_eq!(hosts.get(id).map(|w| w.standing), Some(Standing::Ready));
+        hosts.line(&many("changes", "gone", 1..2), &[]).expect("a good line");
+        assert!(hosts.get(id).is_none());
+    }
 }
--- a/crates/scale/src/router.rs
+++ b/crates/scale/src/router.rs
@@ -44,6 +44,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Cost {
     took: Vec<Duration>,
+    bytes: u64,
 }
 
 impl Cost {
@@ -52,6 +53,12 @@
         self.took.len()
     }
 
+    /// Bytes allocated by an event in the mean, whether freed or not: a measure of work that is the same on
+    /// every machine.
+    pub fn mean_bytes(&self) -> f64 {
+        self.bytes as f64 / self.took.len().max(1) as f64
+    }
+
     /// The sum over all events.
     pub fn total(&self) -> Duration {
         self.took.iter().sum()
@@ -71,21 +78,31 @@
     }
 }
 
-/// Watches one router's memory: what its events allocate and do not free.
+/// What a counting allocator tells of the whole process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Allocated {
+    /// Bytes allocated so far.
+    pub total: u64,
+    /// Those of them that have not been freed.
+    pub live: u64,
+}
+
+/// Watches one router's memory: what its events allocate, and what of that they do not free.
 struct Meter {
-    /// Bytes allocated and not freed by the whole process.
-    live_bytes: fn() -> u64,
+    allocated: fn() -> Allocated,
     state: i64,
 }
 
 impl Meter {
     /// Runs one event, with its time and what it leaves allocated.
     fn run<T>(&mut self, cost: &mut Cost, event: impl FnOnce() -> T) -> T {
-        let before = (self.live_bytes)();
+        let before = (self.allocated)();
         let begun = Instant::now();
         let result = event();
         let took = begun.elapsed();
-        self.state += (self.live_bytes)() as i64 - before as i64;
+        let after = (self.allocated)();
+        self.state += after.live as i64 - before.live as i64;
+        cost.bytes += after.total - before.total;
         cost.took.push(took);
         result
     }
@@ -180,6 +197,8 @@
     answers: BTreeMap<(Micros, JobId, usize), ServerId>,
     /// Until when a worker keeps a copy that this router's calls brought there.
     copies: HashMap<(u64, usize), Micros>,
+    /// What taking in the whole list at the start cost.
+    pub start: Cost,
     /// How requests ended so far.
     pub ends: Ends,
 }
@@ -230,17 +249,18 @@
 }
 
 impl HollowRouter {
-    /// A router that has just started and been told the whole list. `live_bytes` tells what the process has
-    /// allocated and not freed.
-    pub fn start(size: Size, popularity: Popularity, seed: u64, live_bytes: fn() -> u64) -> Self {
+    /// A router that has just started and been told the whole list. `allocated` tells what the process has
+    /// allocated.
+    pub fn start(size: Size, popularity: Popularity, seed: u64, allocated: fn() -> Allocated) -> Self {
         let mut world = World { now: 1_000 * SECOND, ..World::default() };
-        let before = live_bytes();
+        let before = allocated().live as i64;
         let mut control = Control::new(world.now, startup(&size), &mut world);
-        let mut meter = Meter { live_bytes, state: live_bytes() as i64 - before as i64 };
+        let mut meter = Meter { allocated, state: allocated().live as i64 - before };
         let workers: Vec<ServerId> =
             (0..size.workers).map(|n| ServerId::named(&format!("worker-{n}"))).collect();
         let list: Vec<Listed> = workers.iter().map(|id| listed(*id, Standing::Ready, 0)).collect();
-        meter.run(&mut Cost::default(), || control.list(&mut world, ListKind::Full, &list));
+        let mut start = Cost::default();
+        meter.run(&mut start, || control.list(&mut world, ListKind::Full, &list));
         HollowRouter {
             control,
             meter,
@@ -254,6 +274,7 @@
             requests: HashMap::new(),
             answers: BTreeMap::new(),
             copies: HashMap::new(),
+            start,
             ends: Ends::default(),
         }
     }
@@ -268,6 +289,32 @@
         self.control.functions()
     }
 
+    /// So many workers go in one message of the list, as with a rack or a zone. What that costs.
+    pub fn lose_workers(&mut self, number: usize) -> Costs {
+        let mut costs = Costs::default();
+        let keep = self.workers.len().saturating_sub(number);
+        let gone = self.workers.split_off(keep);
+        let entries: Vec<Listed> = gone.into_iter().map(|id| listed(id, Standing::Gone, 0)).collect();
+        self.meter.run(&mut costs.lists, || self.control.list(&mut self.world, ListKind::Changes, &entries));
+        self.carry_out();
+        costs
+    }
+
+    /// As many workers come in one message as there are too few, all of them cold. What that costs.
+    pub fn regain_workers(&mut self) -> Costs {
+        let mut costs = Costs::default();
+        let mut entries = Vec::new();
+        while self.workers.len() < self.size.workers {
+            let id = ServerId::named(&format!("worker-{}", self.next_worker));
+            self.next_worker += 1;
+            self.workers.push(id);
+            entries.push(listed(id, Standing::Ready, self.world.now));
+        }
+        self.meter.run(&mut costs.lists, || self.control.list(&mut self.world, ListKind::Changes, &entries));
+        self.carry_out();
+        costs
+    }
+
     /// Plays so much simulated time, or until so much real time has gone by.
     pub fn play(&mut self, span: Duration, real_time: Duration) -> Costs {
         let mut costs = Costs::default();
