--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -7,7 +7,7 @@
 //! the next value so that it does not matter. See docs/accord.md.
 mod convener;
 mod keeper;
-pub mod letter;
+pub mod message;
 mod proposer;
 mod register;
 mod voter;
--- a/crates/accord/src/letter.rs
+++ b/crates/accord/src/message.rs
@@ -1,4 +1,4 @@
-//! Letters of registers: a mark, a kind, then what it says, as postcard writes it. A letter is read whole
+//! Messages of registers: a mark, a kind, then what it says, as postcard writes it. A message is read whole
 //! before any of it counts.
 use crate::*;
 use applepond_members::RouterId;
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-/// First byte of each letter here; those of `members` begin with a small number.
+/// First byte of each message here; those of `members` begin with a small number.
 pub const MARK: u8 = 0xb2;
 
 const PROMISE: u8 = 1;
@@ -20,28 +20,28 @@
 const COPY: u8 = 8;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Diagnostic)]
-#[error("a letter that ends early, goes on after its end or holds what no letter holds")]
+#[error("a message that ends early, goes on after its end or holds what no message holds")]
 #[diagnostic(
     code(accord::unreadable),
     help("a router of another version, or a broken path: compare the versions of the routers")
 )]
 pub struct Unread;
 
-/// Orders as letters of this router, each with whom it is for.
+/// Orders as messages of this router, each with whom it is for.
 pub struct Written {
     pub me: RouterId,
-    pub letters: Vec<(RouterId, Vec<u8>)>,
+    pub messages: Vec<(RouterId, Vec<u8>)>,
 }
 
 impl Written {
     pub fn by(me: RouterId) -> Self {
-        Written { me, letters: Vec::new() }
+        Written { me, messages: Vec::new() }
     }
 
     fn put(&mut self, to: RouterId, kind: u8, parts: &impl Serialize) {
-        // Numbers and ids always can be written; what is longer than a letter is the caller's to bound.
+        // Numbers and ids always can be written; what is longer than a message is the caller's to bound.
         if let Ok(bytes) = postcard::to_extend(&(self.me, parts), vec![MARK, kind]) {
-            self.letters.push((to, bytes));
+            self.messages.push((to, bytes));
         }
     }
 }
@@ -89,19 +89,19 @@
     }
 }
 
-/// Whether a letter is for the keeper of its receiver, and not for its register.
-pub fn is_question(letter: &[u8]) -> bool {
-    matches!(letter, [MARK, PROMISE | ACCEPT, ..])
+/// Whether a message is for the keeper of its receiver, and not for its register.
+pub fn is_question(message: &[u8]) -> bool {
+    matches!(message, [MARK, PROMISE | ACCEPT, ..])
 }
 
 /// Hands a question to a keeper; one that cannot be read changes nothing.
 pub fn vote<V: Clone + Serialize + DeserializeOwned>(
-    letter: &[u8],
+    message: &[u8],
     voter: &mut Voter<V>,
     votes: &mut dyn Votes<Agreed<V>>,
     orders: &mut Written,
 ) -> Result<(), Unread> {
-    let [MARK, kind, rest @ ..] = letter else { return Err(Unread) };
+    let [MARK, kind, rest @ ..] = message else { return Err(Unread) };
     match *kind {
         PROMISE => {
             let (from, (ballot, word)) = whole(rest)?;
@@ -117,16 +117,16 @@
     Ok(())
 }
 
-/// Hands a letter to a register; one that cannot be read changes nothing. `remembered` as in
+/// Hands a message to a register; one that cannot be read changes nothing. `remembered` as in
 /// `Register::promised`.
 pub fn read<V: Clone + Default + Serialize + DeserializeOwned>(
-    letter: &[u8],
+    message: &[u8],
     register: &mut Register<V>,
     now: Micros,
     remembered: &[(Birth, u64)],
     orders: &mut Written,
 ) -> Result<(), Unread> {
-    let [MARK, kind, rest @ ..] = letter else { return Err(Unread) };
+    let [MARK, kind, rest @ ..] = message else { return Err(Unread) };
     match *kind {
         PROMISED => {
             type Parts<V> = ((Ballot, Ballot), Birth, Option<(Ballot, Agreed<V>)>);
--- a/crates/accord/src/register.rs
+++ b/crates/accord/src/register.rs
@@ -8,7 +8,7 @@
 use oorandom::Rand64;
 use thiserror::Error;
 
-/// Letters to others; each may be lost, late or repeated.
+/// Messages to others; each may be lost, late or repeated.
 pub trait Orders<V>: Questions<V> {
     fn promised(
         &mut self,
--- a/crates/accord/src/voter.rs
+++ b/crates/accord/src/voter.rs
@@ -1,4 +1,4 @@
-//! A keeper by its disk: answers questions as letters and does nothing else, so that it can stand still
+//! A keeper by its disk: answers questions as messages and does nothing else, so that it can stand still
 //! with its disk while the router goes on.
 use crate::*;
 use applepond_members::RouterId;
--- a/crates/accord/tests/common/mod.rs
+++ b/crates/accord/tests/common/mod.rs
@@ -90,7 +90,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Letter {
+pub enum Message {
     AskPromise(usize, usize, Ballot),
     AskAccept(usize, usize, Ballot, Marks),
     Promised(usize, usize, Ballot, Ballot, Option<(Ballot, Marks)>),
@@ -98,32 +98,32 @@
     Refused(usize, usize, Ballot, Ballot),
 }
 
-impl Letter {
+impl Message {
     fn keeper(&self) -> usize {
         match self {
-            Letter::AskPromise(_, k, _) | Letter::AskAccept(_, k, ..) => *k,
-            Letter::Promised(k, ..) | Letter::Accepted(k, ..) | Letter::Refused(k, ..) => *k,
+            Message::AskPromise(_, k, _) | Message::AskAccept(_, k, ..) => *k,
+            Message::Promised(k, ..) | Message::Accepted(k, ..) | Message::Refused(k, ..) => *k,
         }
     }
 
     /// The same of any keeper.
-    fn without(&self) -> Letter {
-        let mut letter = self.clone();
-        match &mut letter {
-            Letter::AskPromise(_, k, _) | Letter::AskAccept(_, k, ..) => *k = 0,
-            Letter::Promised(k, ..) | Letter::Accepted(k, ..) | Letter::Refused(k, ..) => *k = 0,
+    fn without(&self) -> Message {
+        let mut message = self.clone();
+        match &mut message {
+            Message::AskPromise(_, k, _) | Message::AskAccept(_, k, ..) => *k = 0,
+            Message::Promised(k, ..) | Message::Accepted(k, ..) | Message::Refused(k, ..) => *k = 0,
         }
-        letter
+        message
     }
 }
 
 #[derive(Clone, Debug)]
 pub enum Step {
     Begin(usize),
-    Take(Letter),
+    Take(Message),
     /// It stays on its way, to come again.
-    TakeAndKeep(Letter),
-    Lose(Letter),
+    TakeAndKeep(Message),
+    Lose(Message),
     CrashKeeper(usize),
     CrashProposer(usize),
 }
@@ -138,7 +138,7 @@
     /// What each adds to the value: another one in each of its lives.
     marks: Vec<u8>,
     next_birth: u64,
-    pub net: BTreeMap<Letter, u8>,
+    pub net: BTreeMap<Message, u8>,
     /// How often each of these may still happen: tries, repeats, crashes.
     pub left: [u8; 3],
     /// Who accepted which value under each ballot: what nobody in the fleet sees whole.
@@ -158,14 +158,14 @@
     }
 }
 
-struct Out(usize, Vec<Letter>);
+struct Out(usize, Vec<Message>);
 
 impl Ballots<Marks> for Out {
     fn promise(&mut self, of: KeeperId, ballot: Ballot) {
-        self.1.push(Letter::AskPromise(self.0, of.0 as usize, ballot));
+        self.1.push(Message::AskPromise(self.0, of.0 as usize, ballot));
     }
     fn accept(&mut self, by: KeeperId, ballot: Ballot, value: &Marks) {
-        self.1.push(Letter::AskAccept(self.0, by.0 as usize, ballot, value.clone()));
+        self.1.push(Message::AskAccept(self.0, by.0 as usize, ballot, value.clone()));
     }
 }
 
@@ -200,8 +200,8 @@
             .map(|k| {
                 let mut hasher = H::default();
                 (&self.keepers[k], &self.disks[k]).hash(&mut hasher);
-                for (letter, count) in self.net.iter().filter(|(letter, _)| letter.keeper() == k) {
-                    (letter.without(), count).hash(&mut hasher);
+                for (message, count) in self.net.iter().filter(|(message, _)| message.keeper() == k) {
+                    (message.without(), count).hash(&mut hasher);
                 }
                 self.proposers.iter().for_each(|p| p.state_of(KeeperId(k as u8)).hash(&mut hasher));
                 self.accepted.values().for_each(|(_, by)| by.contains(&k).hash(&mut hasher));
@@ -222,10 +222,10 @@
             return;
         }
         let proposers = &self.proposers;
-        self.net.retain(|letter, _| match letter {
-            Letter::Promised(_, p, ballot, ..) => proposers[*p].awaits(*ballot, false),
-            Letter::Accepted(_, p, ballot) => proposers[*p].awaits(*ballot, true),
-            Letter::Refused(_, p, ballot, _) => {
+        self.net.retain(|message, _| match message {
+            Message::Promised(_, p, ballot, ..) => proposers[*p].awaits(*ballot, false),
+            Message::Accepted(_, p, ballot) => proposers[*p].awaits(*ballot, true),
+            Message::Refused(_, p, ballot, _) => {
                 proposers[*p].awaits(*ballot, false) || proposers[*p].awaits(*ballot, true)
             }
             _ => true,
@@ -248,9 +248,9 @@
         steps
     }
 
-    fn send(&mut self, letters: Vec<Letter>) {
-        for letter in letters {
-            *self.net.entry(letter).or_default() += 1;
+    fn send(&mut self, messages: Vec<Message>) {
+        for message in messages {
+            *self.net.entry(message).or_default() += 1;
         }
     }
 
@@ -262,14 +262,14 @@
                 self.proposers[*p].read(0, &mut out);
                 self.send(out.1);
             }
-            Step::Lose(letter) => self.remove(letter),
-            Step::Take(letter) => {
-                self.remove(letter);
-                self.take(letter, false)?;
+            Step::Lose(message) => self.remove(message),
+            Step::Take(message) => {
+                self.remove(message);
+                self.take(message, false)?;
             }
-            Step::TakeAndKeep(letter) => {
+            Step::TakeAndKeep(message) => {
                 self.left[1] -= 1;
-                self.take(letter, true)?;
+                self.take(message, true)?;
             }
             Step::CrashKeeper(k) => {
                 self.left[2] -= 1;
@@ -290,44 +290,44 @@
         Ok(())
     }
 
-    fn remove(&mut self, letter: &Letter) {
-        if let Some(count) = self.net.get_mut(letter) {
+    fn remove(&mut self, message: &Message) {
+        if let Some(count) = self.net.get_mut(message) {
             *count -= 1;
             if *count == 0 {
-                self.net.remove(letter);
+                self.net.remove(message);
             }
         }
     }
 
-    fn take(&mut self, letter: &Letter, again: bool) -> Result<(), String> {
+    fn take(&mut self, message: &Message, again: bool) -> Result<(), String> {
         let sound = self.plant != Plant::TellsFirst;
         let mut out = Out(0, Vec::new());
-        let told = match letter.clone() {
-            Letter::AskPromise(p, k, ballot) => {
+        let told = match message.clone() {
+            Message::AskPromise(p, k, ballot) => {
                 let mut disk = Disk(&mut self.disks[k], sound);
                 out.1.extend(self.keepers[k].promise(ballot, &mut disk).map(|answer| match answer {
-                    Ok((before, accepted)) => Letter::Promised(k, p, ballot, before, accepted),
-                    Err(promised) => Letter::Refused(k, p, ballot, promised),
+                    Ok((before, accepted)) => Message::Promised(k, p, ballot, before, accepted),
+                    Err(promised) => Message::Refused(k, p, ballot, promised),
                 }));
                 None
             }
-            Letter::AskAccept(p, k, ballot, value) => {
+            Message::AskAccept(p, k, ballot, value) => {
                 let mut disk = Disk(&mut self.disks[k], sound);
                 match self.keepers[k].accept(ballot, value.clone(), &mut disk) {
                     Some(Ok(())) => {
                         self.note(k, ballot, value)?;
-                        out.1.push(Letter::Accepted(k, p, ballot));
+                        out.1.push(Message::Accepted(k, p, ballot));
                     }
-                    Some(Err(promised)) => out.1.push(Letter::Refused(k, p, ballot, promised)),
+                    Some(Err(promised)) => out.1.push(Message::Refused(k, p, ballot, promised)),
                     None => {}
                 }
                 None
             }
-            Letter::Promised(k, p, ballot, before, accepted) => {
+            Message::Promised(k, p, ballot, before, accepted) => {
                 let told = self.proposers[p].promised(KeeperId(k as u8), ballot, before, accepted);
                 told.map(|told| (p, told))
             }
-            Letter::Accepted(k, p, ballot) => {
+            Message::Accepted(k, p, ballot) => {
                 let mut told = self.proposers[p].accepted(KeeperId(k as u8), ballot);
                 if again && self.plant == Plant::CountsTwice {
                     let other = KeeperId(((k + 1) % self.keepers.len()) as u8);
@@ -335,7 +335,7 @@
                 }
                 told.map(|told| (p, told))
             }
-            Letter::Refused(_, p, ballot, promised) => {
+            Message::Refused(_, p, ballot, promised) => {
                 self.proposers[p].refused(0, ballot, promised);
                 None
             }
--- a/crates/accord/tests/convene.rs
+++ b/crates/accord/tests/convene.rs
@@ -12,7 +12,7 @@
 type Value = Agreed<Marks>;
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-enum Letter {
+enum Message {
     Promise(usize, usize, Ballot, Option<(Birth, Ballot)>),
     Accept(usize, usize, Ballot, Ordered, Option<(Birth, Ballot)>),
     Promised(usize, Seat, Ballot, Ballot, Option<(Ballot, Ordered)>),
@@ -20,7 +20,7 @@
     Refused(usize, Ballot, Ballot),
 }
 
-/// A value in an order, for keeping letters apart.
+/// A value in an order, for keeping messages apart.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct Ordered(Birth, u64, Vec<Seat>, Vec<Seat>, Marks);
 
@@ -35,9 +35,9 @@
 #[derive(Clone, Debug)]
 enum Step {
     Begin(usize),
-    Take(Letter),
-    Keep(Letter),
-    Lose(Letter),
+    Take(Message),
+    Keep(Message),
+    Lose(Message),
     Crash(usize),
     /// A keeper's disk is lost: it starts with a new one, empty.
     Wipe(usize),
@@ -51,7 +51,7 @@
     guards: Guards,
     marks: Vec<u8>,
     births: u64,
-    net: BTreeMap<Letter, u8>,
+    net: BTreeMap<Message, u8>,
     /// Tries, repeats, crashes, wipes that may still happen.
     left: [u8; 4],
     written: BTreeMap<Ballot, Value>,
@@ -60,14 +60,14 @@
     fixed: bool,
 }
 
-struct Out(usize, Vec<Letter>);
+struct Out(usize, Vec<Message>);
 
 impl Questions<Marks> for Out {
     fn promise(&mut self, to: RouterId, ballot: Ballot, word: Option<(Birth, Ballot)>) {
-        self.1.push(Letter::Promise(self.0, to.0 as usize, ballot, word));
+        self.1.push(Message::Promise(self.0, to.0 as usize, ballot, word));
     }
     fn accept(&mut self, to: RouterId, ballot: Ballot, v: &Value, word: Option<(Birth, Ballot)>) {
-        self.1.push(Letter::Accept(self.0, to.0 as usize, ballot, ordered(v), word));
+        self.1.push(Message::Accept(self.0, to.0 as usize, ballot, ordered(v), word));
     }
 }
 
@@ -108,23 +108,23 @@
     fn founded(guards: Guards, keepers: usize, conveners: usize, left: [u8; 4]) -> Self {
         let mut world = World::new(guards, keepers, conveners, [9; 4]);
         world.step(&Step::Begin(0)).expect("sound");
-        while let Some(letter) = world.net.keys().next().cloned() {
-            world.step(&Step::Take(letter)).expect("sound");
+        while let Some(message) = world.net.keys().next().cloned() {
+            world.step(&Step::Take(message)).expect("sound");
         }
         assert_eq!(world.written.len(), 1);
         world.left = left;
         world
     }
 
-    fn send(&mut self, letters: Vec<Letter>) {
-        letters.into_iter().for_each(|l| *self.net.entry(l).or_default() += 1);
+    fn send(&mut self, messages: Vec<Message>) {
+        messages.into_iter().for_each(|l| *self.net.entry(l).or_default() += 1);
     }
 
-    fn remove(&mut self, letter: &Letter) {
-        if let Some(count) = self.net.get_mut(letter) {
+    fn remove(&mut self, message: &Message) {
+        if let Some(count) = self.net.get_mut(message) {
             *count -= 1;
             if *count == 0 {
-                self.net.remove(letter);
+                self.net.remove(message);
             }
         }
     }
@@ -158,42 +158,42 @@
         next
     }
 
-    fn take(&mut self, letter: &Letter) -> Result<(), String> {
+    fn take(&mut self, message: &Message) -> Result<(), String> {
         let mut out = Out(0, Vec::new());
-        let heard = match letter.clone() {
-            Letter::Promise(c, k, ballot, word) => {
+        let heard = match message.clone() {
+            Message::Promise(c, k, ballot, word) => {
                 let (disk, keeper) = &mut self.keepers[k];
                 let seat = Seat { name: RouterId(k as u64), disk: *disk };
                 keeper.recall(word.filter(|(d, _)| d == disk).map(|(_, b)| b));
                 out.1.extend(keeper.promise(ballot, &mut Disk(&mut self.disks[k])).map(|a| match a {
                     Ok((before, accepted)) => {
                         let accepted = accepted.map(|(b, v)| (b, ordered(&v)));
-                        Letter::Promised(c, seat, ballot, before, accepted)
+                        Message::Promised(c, seat, ballot, before, accepted)
                     }
-                    Err(promised) => Letter::Refused(c, ballot, promised),
+                    Err(promised) => Message::Refused(c, ballot, promised),
                 }));
                 None
             }
-            Letter::Accept(c, k, ballot, v, word) => {
+            Message::Accept(c, k, ballot, v, word) => {
                 let (disk, keeper) = &mut self.keepers[k];
                 let seat = Seat { name: RouterId(k as u64), disk: *disk };
                 keeper.recall(word.filter(|(d, _)| d == disk).map(|(_, b)| b));
                 out.1.extend(keeper.accept(ballot, value(v), &mut Disk(&mut self.disks[k])).map(
                     |a| match a {
-                        Ok(()) => Letter::Accepted(c, seat, ballot),
-                        Err(promised) => Letter::Refused(c, ballot, promised),
+                        Ok(()) => Message::Accepted(c, seat, ballot),
+                        Err(promised) => Message::Refused(c, ballot, promised),
                     },
                 ));
                 None
             }
-            Letter::Promised(c, seat, ballot, before, accepted) => {
+            Message::Promised(c, seat, ballot, before, accepted) => {
                 out.0 = c;
                 let accepted = accepted.map(|(b, v)| (b, value(v)));
                 let heard = self.conveners[c].promised(seat, (ballot, before), accepted, &mut out);
                 heard.map(|h| (c, h))
             }
-            Letter::Accepted(c, seat, ballot) => self.conveners[c].accepted(seat, ballot).map(|h| (c, h)),
-            Letter::Refused(c, ballot, promised) => {
+            Message::Accepted(c, seat, ballot) => self.conveners[c].accepted(seat, ballot).map(|h| (c, h)),
+            Message::Refused(c, ballot, promised) => {
                 self.conveners[c].refused(0, ballot, promised);
                 None
             }
@@ -253,15 +253,15 @@
                 self.conveners[*c].read(0, &mut out);
                 self.send(out.1);
             }
-            Step::Take(letter) => {
-                self.remove(letter);
-                self.take(letter)?;
+            Step::Take(message) => {
+                self.remove(message);
+                self.take(message)?;
             }
-            Step::Keep(letter) => {
+            Step::Keep(message) => {
                 self.left[1] -= 1;
-                self.take(letter)?;
+                self.take(message)?;
             }
-            Step::Lose(letter) => self.remove(letter),
+            Step::Lose(message) => self.remove(message),
             Step::Crash(c) => {
                 self.left[2] -= 1;
                 let birth = self.births;
@@ -277,11 +277,11 @@
             }
         }
         let conveners = &self.conveners;
-        self.net.retain(|letter, _| match letter {
-            Letter::Promised(c, _, ballot, ..) | Letter::Accepted(c, _, ballot) => {
+        self.net.retain(|message, _| match message {
+            Message::Promised(c, _, ballot, ..) | Message::Accepted(c, _, ballot) => {
                 conveners[*c].awaits(*ballot)
             }
-            Letter::Refused(c, ballot, _) => conveners[*c].awaits(*ballot),
+            Message::Refused(c, ballot, _) => conveners[*c].awaits(*ballot),
             _ => true,
         });
         Ok(())
@@ -323,10 +323,10 @@
         for _ in 0..3_000 {
             world.left = [u8::MAX; 4];
             let idle = world.conveners.iter().filter(|c| c.is_idle()).count();
-            let letters = world.net.len() as u64;
+            let messages = world.net.len() as u64;
             let chance = rng.rand_float();
             let any = |rng: &mut Rand64, of: usize| rng.rand_range(0..of as u64) as usize;
-            let step = if letters == 0 || chance < 0.03 + 0.05 * idle as f64 {
+            let step = if messages == 0 || chance < 0.03 + 0.05 * idle as f64 {
                 Step::Begin(any(&mut rng, 2))
             } else if chance > 1.0 - wipes && !world.written.is_empty() {
                 // Never most of those who keep it, unless that is looked at: one is left then.
@@ -338,12 +338,12 @@
                 }
                 Step::Wipe(any(&mut rng, routers))
             } else {
-                let letter = world.net.keys().nth(any(&mut rng, letters as usize)).expect("one").clone();
+                let message = world.net.keys().nth(any(&mut rng, messages as usize)).expect("one").clone();
                 match chance {
                     c if c > 0.99 => Step::Crash(any(&mut rng, 2)),
-                    c if c > 0.92 => Step::Lose(letter),
-                    c if c > 0.88 => Step::Keep(letter),
-                    _ => Step::Take(letter),
+                    c if c > 0.92 => Step::Lose(message),
+                    c if c > 0.88 => Step::Keep(message),
+                    _ => Step::Take(message),
                 }
             };
             if let Err(why) = world.step(&step) {
--- a/crates/accord/tests/explore.rs
+++ b/crates/accord/tests/explore.rs
@@ -39,20 +39,20 @@
         for _ in 0..4_000 {
             world.left = [u8::MAX; 3];
             let idle = (0..proposers).filter(|p| world.proposers[*p].is_idle()).count();
-            let letters = world.net.len() as u64;
+            let messages = world.net.len() as u64;
             let chance = rng.rand_float();
             let any = |rng: &mut Rand64, of: usize| rng.rand_range(0..of as u64) as usize;
-            let step = if letters == 0 || chance < 0.02 + 0.03 * idle as f64 {
+            let step = if messages == 0 || chance < 0.02 + 0.03 * idle as f64 {
                 Step::Begin(any(&mut rng, proposers))
             } else {
-                let at = rng.rand_range(0..letters) as usize;
-                let letter = world.net.keys().nth(at).expect("one of them").clone();
+                let at = rng.rand_range(0..messages) as usize;
+                let message = world.net.keys().nth(at).expect("one of them").clone();
                 match chance {
                     c if c > 0.999 => Step::CrashProposer(any(&mut rng, proposers)),
                     c if c > 0.995 => Step::CrashKeeper(any(&mut rng, keepers)),
-                    c if c > 0.9 => Step::Lose(letter),
-                    c if c > 0.85 => Step::TakeAndKeep(letter),
-                    _ => Step::Take(letter),
+                    c if c > 0.9 => Step::Lose(message),
+                    c if c > 0.85 => Step::TakeAndKeep(message),
+                    _ => Step::Take(message),
                 }
             };
             world.step(&step).unwrap_or_else(|why| panic!("seed {seed}: {why}"));
--- a/crates/accord/tests/points/paper.rs
+++ b/crates/accord/tests/points/paper.rs
@@ -49,7 +49,7 @@
     KilledBefore,
     KilledAfter,
     Error,
-    /// A write that is there in part; a letter that is cut.
+    /// A write that is there in part; a message that is cut.
     Half,
     SaidDone,
     Late,
@@ -95,7 +95,7 @@
 
 enum Event {
     Wake(usize, Birth),
-    Letter(usize, Vec<u8>),
+    Message(usize, Vec<u8>),
     Start(usize),
 }
 
@@ -245,18 +245,18 @@
     }
 
     /// One event at a process; what it does with its disk and its socket are points.
-    fn play(&mut self, n: usize, letter: Option<Vec<u8>>) {
+    fn play(&mut self, n: usize, message: Option<Vec<u8>>) {
         let local = self.clock(n, self.now);
         let there: Vec<bool> = self.all.iter().map(|m| m.is_some()).collect();
         let Some(machine) = self.all[n].as_mut() else { return };
-        let mut letter = letter;
+        let mut message = message;
         let mut again = false;
-        if let Some(bytes) = &mut letter {
+        if let Some(bytes) = &mut message {
             match self.points.pass(|| format!("r{n} receives kind {}", bytes[1])) {
                 Some(Fault::KilledBefore) => return self.die(n),
                 Some(Fault::KilledAfter) => {
-                    // It is done with the letter and its disk, and nothing of it is heard.
-                    self.turn(n, local, letter.as_deref(), &there);
+                    // It is done with the message and its disk, and nothing of it is heard.
+                    self.turn(n, local, message.as_deref(), &there);
                     return self.die(n);
                 }
                 Some(Fault::Error | Fault::SaidDone) => return,
@@ -264,15 +264,15 @@
                 Some(Fault::Late) => {
                     machine.stopped = self.now + 4 * S;
                     let at = machine.stopped;
-                    return self.push(at, Event::Letter(n, bytes.clone()));
+                    return self.push(at, Event::Message(n, bytes.clone()));
                 }
                 Some(Fault::Twice) => again = true,
                 None => {}
             }
         }
         for _ in 0..1 + usize::from(again) {
-            let Some(letters) = self.turn(n, local, letter.as_deref(), &there) else { return };
-            for (to, bytes) in letters {
+            let Some(messages) = self.turn(n, local, message.as_deref(), &there) else { return };
+            for (to, bytes) in messages {
                 let mut times = 1;
                 let mut late = 0;
                 let mut bytes = bytes;
@@ -296,20 +296,20 @@
         self.judge();
     }
 
-    fn post(&mut self, from: usize, to: RouterId, letter: Vec<u8>, late: u64) {
+    fn post(&mut self, from: usize, to: RouterId, message: Vec<u8>, late: u64) {
         let to = (to.0 - 1_000) as usize;
         if let Some(took) = (self.link)(self.now, from, to, &mut self.rng) {
-            self.push(self.now + late + took, Event::Letter(to, letter));
+            self.push(self.now + late + took, Event::Message(to, message));
         }
     }
 
-    /// The machine's own turn; its letters, or none where it died at its disk.
-    #[allow(clippy::type_complexity)] // letters by whom they are for, as the machine gives them
+    /// The machine's own turn; its messages, or none where it died at its disk.
+    #[allow(clippy::type_complexity)] // messages by whom they are for, as the machine gives them
     fn turn(
         &mut self,
         n: usize,
         now: u64,
-        letter: Option<&[u8]>,
+        message: Option<&[u8]>,
         there: &[bool],
     ) -> Option<Vec<(RouterId, Vec<u8>)>> {
         struct At<'a>(&'a mut PaperDisk, &'a mut Points, usize, Option<Fault>);
@@ -332,17 +332,17 @@
         }
         let remembered: Vec<_> = self.all.iter().flatten().filter_map(|m| m.register.seen()).collect();
         let machine = self.all[n].as_mut()?;
-        let mut out = letter::Written::by(router(n));
+        let mut out = message::Written::by(router(n));
         let mut disk = At(&mut self.disks[n], &mut self.points, n, None);
-        match letter {
-            Some(letter) if letter::is_question(letter) => {
+        match message {
+            Some(message) if message::is_question(message) => {
                 if let Some(voter) = &mut machine.voter {
-                    let _ = letter::vote(letter, voter, &mut disk, &mut out);
+                    let _ = message::vote(message, voter, &mut disk, &mut out);
                     machine.register.keeper_doubts(voter.trouble());
                 }
             }
-            Some(letter) => {
-                let _ = letter::read(letter, &mut machine.register, now, &remembered, &mut out);
+            Some(message) => {
+                let _ = message::read(message, &mut machine.register, now, &remembered, &mut out);
             }
             None => {
                 let live = |r: RouterId| there[(r.0 - 1_000) as usize];
@@ -357,7 +357,7 @@
         let (next, birth) = (machine.register.next(), machine.register.birth());
         let at = self.truly(n, next);
         self.push(at, Event::Wake(n, birth));
-        Some(out.letters)
+        Some(out.messages)
     }
 
     /// Nothing counts anywhere a lease after something else was written, and all is of one line.
@@ -390,7 +390,7 @@
             }
             let event = self.events.remove(&(at, k)).expect("just seen");
             self.now = at;
-            let (n, letter) = match event {
+            let (n, message) = match event {
                 Event::Start(n) => {
                     if self.all[n].is_none() {
                         self.start(n);
@@ -409,17 +409,17 @@
                     }
                     (n, None)
                 }
-                Event::Letter(n, letter) => {
+                Event::Message(n, message) => {
                     let Some(m) = self.all[n].as_ref() else { continue };
                     if at < m.stopped {
                         let stopped = m.stopped;
-                        self.push(stopped, Event::Letter(n, letter));
+                        self.push(stopped, Event::Message(n, message));
                         continue;
                     }
-                    (n, Some(letter))
+                    (n, Some(message))
                 }
             };
-            self.play(n, letter);
+            self.play(n, message);
             if holds(self) {
                 return true;
             }
--- a/crates/accord/tests/register.rs
+++ b/crates/accord/tests/register.rs
@@ -277,9 +277,9 @@
     let mut one: Register<Text> = Register::new(0, (router(9), Birth(1)), &named, false, 1);
     let mut asked = 0;
     let mut ask = |one: &mut Register<Text>, now: u64| {
-        let mut out = letter::Written::by(router(9));
+        let mut out = message::Written::by(router(9));
         one.wake(now, &|_| true, &mut out);
-        asked += out.letters.len() as u64;
+        asked += out.messages.len() as u64;
         asked
     };
     let agreed = |line, number| Agreed {
@@ -300,10 +300,10 @@
 }
 
 #[test]
-fn letters_that_are_cut_or_made_up() {
+fn messages_that_are_cut_or_made_up() {
     let mut paper = agreed(9, 4);
     let agreed = paper.held(3).expect("agreed");
-    let mut out = letter::Written::by(router(1));
+    let mut out = message::Written::by(router(1));
     let ballot = Ballot { round: 1 << 40, by: 5 };
     Questions::<Text>::promise(&mut out, router(0), ballot, None);
     out.accept(router(0), ballot, &agreed, None);
@@ -316,12 +316,12 @@
     let m = paper.all[3].as_mut().expect("there");
     let mut disk = PaperDisk { id: Birth(1), vote: None, torn: false, does: Does::Keeps };
     let mut voter: Voter<Text> = Voter::new(FLEET, Birth(1), Ok(None));
-    let mut sent = letter::Written::by(router(3));
+    let mut sent = message::Written::by(router(3));
     let mut refused = 0;
-    for (_, bytes) in &out.letters {
-        let mut read = |bytes: &[u8]| match letter::is_question(bytes) {
-            true => letter::vote(bytes, &mut voter, &mut disk, &mut sent),
-            false => letter::read(bytes, &mut m.register, 0, &[], &mut sent),
+    for (_, bytes) in &out.messages {
+        let mut read = |bytes: &[u8]| match message::is_question(bytes) {
+            true => message::vote(bytes, &mut voter, &mut disk, &mut sent),
+            false => message::read(bytes, &mut m.register, 0, &[], &mut sent),
         };
         (0..bytes.len()).for_each(|at| assert!(read(&bytes[..at]).is_err(), "cut at {at}"));
         refused += u64::from(read(bytes).is_err());
@@ -334,5 +334,5 @@
     use miette::Diagnostic;
     let each = Standstill::each();
     assert!(each.iter().all(|e| e.code().is_some() && e.help().is_some()));
-    assert!(letter::Unread.help().is_some());
+    assert!(message::Unread.help().is_some());
 }
--- a/crates/budgets/benches/office.rs
+++ b/crates/budgets/benches/office.rs
@@ -48,7 +48,7 @@
 }
 
 fn main() {
-    println!("| routers | used: second 14, 5 s after the move; even | anew, ms | letters/s, CPU ms/s |");
+    println!("| routers | used: second 14, 5 s after the move; even | anew, ms | messages/s, CPU ms/s |");
     println!("| --- | --- | --- | --- |");
     let mut plays = Vec::new();
     for routers in [20, 300] {
@@ -56,15 +56,15 @@
         let mut world = World::new(1, routers);
         world.until(95, 20 * S);
         world.pass(5 * S);
-        let (letters, begun) = (world.letters, Instant::now());
+        let (messages, begun) = (world.messages, Instant::now());
         world.pass(10 * S);
         let cpu = begun.elapsed().as_secs_f64() * 1e3 / 10.0 / routers as f64;
-        let letters = (world.letters - letters) as f64 / 10.0 / routers as f64;
+        let messages = (world.messages - messages) as f64 / 10.0 / routers as f64;
         world.dividers().into_iter().for_each(|n| world.kill(n));
         world.pass(4 * S);
         let anew = world.until(90, 60 * S).map(|time| (4 * S + time) / MS);
         println!(
-            "| {routers} | {:.3}, {:.3}; {:.3} | {anew:?} | {letters:.1}, {cpu:.3} |",
+            "| {routers} | {:.3}, {:.3}; {:.3} | {anew:?} | {messages:.1}, {cpu:.3} |",
             used[13],
             used[MOVES as usize + 5],
             plain[5]
--- a/crates/budgets/src/lib.rs
+++ b/crates/budgets/src/lib.rs
@@ -6,7 +6,7 @@
 //! docs/budgets.md.
 mod divider;
 mod holder;
-pub mod letter;
+pub mod message;
 mod office;
 
 pub use divider::{Divider, fair};
--- a/crates/budgets/src/letter.rs
+++ b/crates/budgets/src/message.rs
@@ -1,4 +1,4 @@
-//! Letters between offices: a kind, then what it says, as postcard writes it. A letter is read whole before
+//! Messages between offices: a kind, then what it says, as postcard writes it. A message is read whole before
 //! any of it counts.
 use crate::office::{Orders, Term};
 use crate::*;
@@ -7,9 +7,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// First byte of each letter here; those of `members` begin with a small number.
+/// First byte of each message here; those of `members` begin with a small number.
 pub const MARK: u8 = 0xb0;
-/// Budgets at most: what is told of all of them has to fit into one letter.
+/// Budgets at most: what is told of all of them has to fit into one message.
 pub const BUDGETS_MOST: usize = 64;
 
 const PROMISE: u8 = 1;
@@ -21,21 +21,21 @@
 const GIVEN: u8 = 7;
 const ELSEWHERE: u8 = 8;
 
-/// Orders as letters of this router, each with whom it is for.
+/// Orders as messages of this router, each with whom it is for.
 pub struct Written {
     pub me: RouterId,
-    pub letters: Vec<(RouterId, Vec<u8>)>,
+    pub messages: Vec<(RouterId, Vec<u8>)>,
 }
 
 impl Written {
     pub fn by(me: RouterId) -> Self {
-        Written { me, letters: Vec::new() }
+        Written { me, messages: Vec::new() }
     }
 
     fn put(&mut self, to: RouterId, kind: u8, parts: &impl Serialize) {
         // Numbers and ids always can be written.
         if let Ok(bytes) = postcard::to_extend(&(self.me, parts), vec![MARK, kind]) {
-            self.letters.push((to, bytes));
+            self.messages.push((to, bytes));
         }
     }
 }
@@ -67,12 +67,12 @@
     }
 }
 
-/// All of a letter, and nothing after it.
+/// All of a message, and nothing after it.
 fn whole<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
     postcard::take_from_bytes(bytes).ok().filter(|(_, rest)| rest.is_empty()).map(|(part, _)| part)
 }
 
-/// Reads a letter to an office, found to be of its fleet. None: it cannot be read, and nothing has happened.
+/// Reads a message to an office, found to be of its fleet. None: it cannot be read, and nothing has happened.
 pub fn read(
     bytes: &[u8],
     now: Micros,
--- a/crates/budgets/src/office.rs
+++ b/crates/budgets/src/office.rs
@@ -44,7 +44,7 @@
     }
 }
 
-/// Letters to others; each may be lost, late or repeated.
+/// Messages to others; each may be lost, late or repeated.
 pub trait Orders {
     fn promise(&mut self, to: RouterId, ballot: Ballot);
     fn accept(&mut self, to: RouterId, ballot: Ballot, term: &Term);
@@ -58,7 +58,7 @@
     fn elsewhere(&mut self, to: RouterId, divides: RouterId);
 }
 
-/// The proposer's letters, to the keepers by name.
+/// The proposer's messages, to the keepers by name.
 struct Post<'a>(&'a [RouterId], &'a mut dyn Orders);
 
 impl applepond_accord::Ballots<Term> for Post<'_> {
--- a/crates/budgets/tests/common/mod.rs
+++ b/crates/budgets/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Offices on a paper network, three of them keepers; the sum of what is in force is judged at each step.
 #![allow(dead_code)] // each table of cases uses its own part
 use applepond_accord::{Keeper, Trouble, Vote, Votes};
-use applepond_budgets::letter::{Written, read};
+use applepond_budgets::message::{Written, read};
 use applepond_budgets::*;
 use applepond_members::{Birth, RouterId};
 use oorandom::Rand64;
@@ -56,9 +56,9 @@
     window: VecDeque<u64>,
     /// Units a second that each would spend, instead.
     pub wants: Vec<f64>,
-    /// Units spent so far, and letters sent.
+    /// Units spent so far, and messages sent.
     pub spent: u64,
-    pub letters: u64,
+    pub messages: u64,
     pub next: u64,
     pub births: u64,
 }
@@ -108,7 +108,7 @@
             window: VecDeque::new(),
             wants: Vec::new(),
             spent: 0,
-            letters: 0,
+            messages: 0,
             next: 0,
             births: routers as u64,
         }
@@ -165,9 +165,9 @@
         let live = self.live();
         let live = |of: RouterId| live[of.0 as usize] && !self.deluded;
         while let Some(entry) = self.net.first_entry().filter(|e| e.key().0 <= self.now) {
-            let (to, letter) = entry.remove();
+            let (to, message) = entry.remove();
             if self.all[to].runs && self.all[to].mail.len() < 200 {
-                self.all[to].mail.push_back(letter);
+                self.all[to].mail.push_back(message);
             }
         }
         let routers = self.all.len();
@@ -192,15 +192,15 @@
             }
             let mut out = Written::by(name(n));
             let Process { office, mail, disk, .. } = process;
-            for letter in std::mem::take(mail) {
-                read(&letter, now, office, disk, &live, &mut out).expect("whole");
+            for message in std::mem::take(mail) {
+                read(&message, now, office, disk, &live, &mut out).expect("whole");
             }
             if now >= office.next() {
                 office.wake(now, &live, &mut out);
             }
-            for (to, letter) in out.letters {
+            for (to, message) in out.messages {
                 let to = to.0 as usize;
-                self.letters += 1;
+                self.messages += 1;
                 if self.cut.contains(&(n, to)) || self.rng.rand_float() < self.lost {
                     continue;
                 }
@@ -209,7 +209,7 @@
                     if late { self.rng.rand_range(0..60 * S) } else { MS + self.rng.rand_range(0..20 * MS) };
                 for _ in 0..1 + usize::from(self.lost > 0.0 && self.rng.rand_float() < 0.05) {
                     self.next += 1;
-                    self.net.insert((self.now + takes, self.next), (to, letter.clone()));
+                    self.net.insert((self.now + takes, self.next), (to, message.clone()));
                 }
             }
         }
--- a/crates/budgets/tests/office.rs
+++ b/crates/budgets/tests/office.rs
@@ -1,7 +1,7 @@
 //! Twenty offices with three keepers among them on a paper network: who divides is agreed on while links are
 //! cut, processes stand still, die and come back. One seed, one run.
 mod common;
-use applepond_budgets::letter::{Written, read};
+use applepond_budgets::message::{Written, read};
 use applepond_budgets::*;
 use applepond_members::Birth;
 use common::*;
@@ -56,8 +56,8 @@
     }
 }
 
-// The divider stands still again and again while others take over, and wakes with its letters waiting; it may
-// get the term back, and then waits as anybody else.
+// The divider stands still again and again while others take over, and wakes with its messages waiting; it
+// may get the term back, and then waits as anybody else.
 #[test_case(false; "views are right")]
 #[test_case(true; "all take all others for gone")]
 fn the_divider_stands_still(deluded: bool) {
@@ -97,7 +97,7 @@
     }
 }
 
-// All at once: letters lost, late by up to a minute and repeated, views that are wrong, processes that stop,
+// All at once: messages lost, late by up to a minute and repeated, views that are wrong, processes that stop,
 // die and come back. The sum is judged at each step.
 #[test]
 fn never_more_than_the_whole() {
@@ -125,10 +125,10 @@
     assert!(divided > 20 * 120 / 4, "and it is divided for a good part of the time: {divided}");
 }
 
-// Letters cut at every byte, with every bit of their first bytes turned, or with more after their end: no
+// Messages cut at every byte, with every bit of their first bytes turned, or with more after their end: no
 // panic, and what cannot be read changes nothing.
 #[test]
-fn bent_letters() {
+fn bent_messages() {
     let mut out = Written::by(name(1));
     out.given(name(0), Birth(1), 1, &[5, 6]);
     out.ask(name(0), Birth(2), 3, (1, 0), &[7]);
@@ -143,19 +143,19 @@
         let part = office.holder.part(0, 0);
         let read = read(bytes, 0, &mut office, &mut disk, &|_| true, &mut answers);
         if read.is_none() {
-            assert!(answers.letters.is_empty() && office.holder.part(0, 0) == part);
+            assert!(answers.messages.is_empty() && office.holder.part(0, 0) == part);
         }
         read
     };
-    for (_, letter) in out.letters {
-        assert!((0..letter.len()).all(|at| read(&letter[..at]).is_none()));
-        assert!(read(&[&letter[..], &[0]].concat()).is_none(), "and nothing after its end");
+    for (_, message) in out.messages {
+        assert!((0..message.len()).all(|at| read(&message[..at]).is_none()));
+        assert!(read(&[&message[..], &[0]].concat()).is_none(), "and nothing after its end");
         for bit in 0..16 {
-            let mut bent = letter.clone();
+            let mut bent = message.clone();
             bent[bit / 8] ^= 1 << (bit % 8);
             let _ = read(&bent);
         }
-        assert!(read(&letter).is_some());
+        assert!(read(&message).is_some());
     }
 }
 
@@ -166,6 +166,6 @@
     let (mut out, ballot) = (Written::by(name(0)), applepond_accord::Ballot { round: 1, by: 2 });
     let term = Term { number: 1, name: name(1), by: Birth(2), settings: 3 };
     keeper.accept(name(1), ballot, term, 5, &mut disk, &mut out);
-    assert!(out.letters.is_empty() && disk.0.is_none());
+    assert!(out.messages.is_empty() && disk.0.is_none());
     assert_eq!(keeper.differs(5), Some(name(1)));
 }
--- a/crates/budgets/tests/paper.rs
+++ b/crates/budgets/tests/paper.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Copy, PartialEq)]
 enum Trouble {
     Nothing,
-    /// Letters are lost, late and repeated; holders stand still.
+    /// Messages are lost, late and repeated; holders stand still.
     Holders,
     /// The same, dividers stand still too, and views are wrong.
     Dividers,
--- a/crates/comeback/src/fault.rs
+++ b/crates/comeback/src/fault.rs
@@ -1,4 +1,4 @@
-//! Why a snapshot or a letter is not used, and what an operator can do about it. The router routes all
+//! Why a snapshot or a message is not used, and what an operator can do about it. The router routes all
 //! the same.
 use miette::Diagnostic;
 use thiserror::Error;
@@ -37,9 +37,9 @@
         [Unusable::Spoilt, Unusable::OtherForm(0), Unusable::Foreign, Unusable::Long(0)];
 }
 
-/// Why a letter is not taken; it changes nothing then.
+/// Why a message is not taken; it changes nothing then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Diagnostic)]
-#[error("a letter that ends early, goes on after its end or holds what no letter holds")]
+#[error("a message that ends early, goes on after its end or holds what no message holds")]
 #[diagnostic(
     code(comeback::unreadable),
     help("a router of another version, or a broken path: compare the versions of the routers")
--- a/crates/comeback/src/lib.rs
+++ b/crates/comeback/src/lib.rs
@@ -6,8 +6,8 @@
 //! nobody can know count as the oldest. See docs/comeback.md.
 mod facts;
 mod fault;
-pub mod letter;
 mod memory;
+pub mod message;
 mod peers;
 mod snapshot;
 
@@ -43,5 +43,5 @@
 /// µs after which an asker is told to come again, at least, and the most it is told.
 pub const AGAIN: Micros = 100_000;
 pub const AGAIN_MOST: Micros = 1_000_000;
-/// Facts in one letter at most: 32 bytes each at the most, and the letter's own words.
+/// Facts in one message at most: 32 bytes each at the most, and the message's own words.
 pub const PAGE: usize = 32;
--- a/crates/comeback/src/letter.rs
+++ b/crates/comeback/src/message.rs
@@ -1,11 +1,11 @@
-//! Letters between one that comes back and its peers: a mark, a kind, then what it says, as postcard
+//! Messages between one that comes back and its peers: a mark, a kind, then what it says, as postcard
 //! writes it.
 use crate::{Fact, Micros, PAGE, Unread};
 use applepond_members::RouterId;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// First byte of each letter here; those of `members` begin with a small number.
+/// First byte of each message here; those of `members` begin with a small number.
 pub const MARK: u8 = 0xb3;
 
 const ASK: u8 = 1;
@@ -13,7 +13,7 @@
 const LATER: u8 = 3;
 const EMPTY: u8 = 4;
 
-/// What a letter says, call by call.
+/// What a message says, call by call.
 pub trait Words {
     /// What do you know, from this page on?
     fn asked(&mut self, from: RouterId, number: u64, page: u16);
@@ -53,9 +53,9 @@
     }
 }
 
-/// Reads a letter whole before any of it counts.
-pub fn read(letter: &[u8], words: &mut dyn Words) -> Result<(), Unread> {
-    let [MARK, kind, rest @ ..] = letter else { return Err(Unread) };
+/// Reads a message whole before any of it counts.
+pub fn read(message: &[u8], words: &mut dyn Words) -> Result<(), Unread> {
+    let [MARK, kind, rest @ ..] = message else { return Err(Unread) };
     match *kind {
         ASK => {
             let (from, number, page) = whole(rest)?;
--- a/crates/comeback/src/peers.rs
+++ b/crates/comeback/src/peers.rs
@@ -5,15 +5,15 @@
 //! gone already.
 use crate::{
     AGAIN, AGAIN_MOST, ASKS_MOST, About, EMPTY, Fact, Facts, GIVE, GIVE_AT_ONCE, Micros, PAGE, PATIENCE,
-    PEERS, SPAN, letter,
+    PEERS, SPAN, message,
 };
 use applepond_members::RouterId;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Letters to peers; each may be lost, late or repeated.
+/// Messages to peers; each may be lost, late or repeated.
 pub trait Orders {
-    fn send(&mut self, to: RouterId, letter: Vec<u8>);
+    fn send(&mut self, to: RouterId, message: Vec<u8>);
 }
 
 /// How far a router has come back.
@@ -142,7 +142,7 @@
             .map(|(id, a)| (*id, a.page))
             .collect();
         for (id, page) in slow {
-            // Who gave a page gives the next one: it is the letter that was lost.
+            // Who gave a page gives the next one: it is the message that was lost.
             if page > 0 && live.contains(&id) {
                 self.ask(now, id, page, orders);
                 continue;
@@ -184,7 +184,7 @@
             whole: false,
         });
         (row.number, row.page, row.until) = (number, page, now + PATIENCE);
-        orders.send(to, letter::ask(self.me, number, page));
+        orders.send(to, message::ask(self.me, number, page));
     }
 
     fn end(&mut self, now: Micros) -> Vec<Fact> {
@@ -198,7 +198,7 @@
     }
 
     /// A peer's page.
-    #[allow(clippy::too_many_arguments)] // what a letter says, in its order
+    #[allow(clippy::too_many_arguments)] // what a message says, in its order
     pub fn given(
         &mut self,
         now: Micros,
@@ -262,7 +262,7 @@
     ) {
         // Guards against emptiness that is taken for a word: nothing known is not zero.
         if self.guards.empty_is_said && !self.is_ripe(now) {
-            orders.send(from, letter::empty(self.me, number));
+            orders.send(from, message::empty(self.me, number));
             return;
         }
         self.tokens += (now - self.filled.min(now)) as f64 * GIVE as f64 / 1e6;
@@ -272,13 +272,13 @@
         let mut these: Vec<Fact> = shared.skip(page as usize * PAGE).take(PAGE + 1).collect();
         let last = these.len() <= PAGE;
         these.truncate(PAGE);
-        let bytes = letter::give(self.me, number, page, last, &these);
+        let bytes = message::give(self.me, number, page, last, &these);
         if self.tokens < bytes.len() as f64 && self.guards.spreads {
             // Each that is sent away is told a time behind those before it, and a little chance.
             self.away = (self.away + 1).min(1_000);
             let line = u64::from(self.away) * bytes.len() as u64 * 1_000_000 / GIVE;
             let wait = (AGAIN + line + self.rng.rand_range(0..AGAIN)).min(AGAIN_MOST);
-            orders.send(from, letter::later(self.me, number, wait));
+            orders.send(from, message::later(self.me, number, wait));
             return;
         }
         self.away = self.away.saturating_sub(1);
--- a/crates/comeback/tests/cases.rs
+++ b/crates/comeback/tests/cases.rs
@@ -215,37 +215,37 @@
     assert!(facts.is_empty());
 }
 
-// Cut anywhere a letter is refused, and what nobody asked for changes nothing.
+// Cut anywhere a message is refused, and what nobody asked for changes nothing.
 #[test]
-fn letters_cut_and_unasked() {
+fn messages_cut_and_unasked() {
     let mut paper = Paper::settled(8, 3);
     let some: Vec<Fact> = truth(3);
-    let letters = [
-        letter::ask(router(1), 5, 0),
-        letter::give(router(1), 5, 0, true, &some),
-        letter::later(router(1), 5, 100),
-        letter::empty(router(1), 5),
+    let messages = [
+        message::ask(router(1), 5, 0),
+        message::give(router(1), 5, 0, true, &some),
+        message::later(router(1), 5, 100),
+        message::empty(router(1), 5),
     ];
-    for letter in &letters {
-        assert_eq!(letter::read(letter, &mut Number(0)), Ok(()));
-        (0..letter.len()).for_each(|at| {
-            assert_eq!(letter::read(&letter[..at], &mut Number(0)), Err(Unread), "cut at {at}");
+    for message in &messages {
+        assert_eq!(message::read(message, &mut Number(0)), Ok(()));
+        (0..message.len()).for_each(|at| {
+            assert_eq!(message::read(&message[..at], &mut Number(0)), Err(Unread), "cut at {at}");
         });
     }
     let own = Fact { about: about(What::Usual, 0), value: 1.0, age: 0 };
     let nan = Fact { value: f32::INFINITY, ..some[0] };
     for facts in [vec![own], vec![nan], vec![some[0]; PAGE + 1]] {
-        let letter = letter::give(router(1), 5, 0, true, &facts);
-        assert_eq!(letter::read(&letter, &mut Number(0)), Err(Unread));
+        let message = message::give(router(1), 5, 0, true, &facts);
+        assert_eq!(message::read(&message, &mut Number(0)), Err(Unread));
     }
     paper.kill(2);
     paper.disks[2] = None;
     paper.start(2);
     let now = paper.now;
     let p = paper.all[2].as_mut().expect("there");
-    p.peers.given(now, router(1), 5, 0, true, some, &mut Letters::default());
+    p.peers.given(now, router(1), 5, 0, true, some, &mut Messages::default());
     assert_eq!(p.peers.stage(), Stage::Asking);
-    assert!(p.peers.wake(now + SPAN, &[], &mut Letters::default()).is_empty(), "nobody asked it");
+    assert!(p.peers.wake(now + SPAN, &[], &mut Messages::default()).is_empty(), "nobody asked it");
     assert_eq!(p.peers.stage(), Stage::Untold);
 }
 
@@ -266,18 +266,18 @@
 }
 
 #[derive(Default)]
-struct Letters(Vec<Vec<u8>>);
+struct Messages(Vec<Vec<u8>>);
 
-impl Orders for Letters {
-    fn send(&mut self, _: applepond_members::RouterId, letter: Vec<u8>) {
-        self.0.push(letter);
+impl Orders for Messages {
+    fn send(&mut self, _: applepond_members::RouterId, message: Vec<u8>) {
+        self.0.push(message);
     }
 }
 
 /// The number of an ask.
 struct Number(u64);
 
-impl letter::Words for Number {
+impl message::Words for Number {
     fn asked(&mut self, _: applepond_members::RouterId, number: u64, _: u16) {
         self.0 = number;
     }
@@ -291,9 +291,9 @@
 #[test_case(1, 0, 0; "another ask")]
 #[test_case(0, 1, 0; "another page")]
 fn an_answer_to_its_ask(other: u64, page: u16, taken: usize) {
-    let (mut peers, mut out, mut number) = (Peers::new(0, router(0), 1), Letters::default(), Number(0));
+    let (mut peers, mut out, mut number) = (Peers::new(0, router(0), 1), Messages::default(), Number(0));
     peers.wake(S, &[router(1)], &mut out);
-    letter::read(&out.0[0], &mut number).expect("an ask");
+    message::read(&out.0[0], &mut number).expect("an ask");
     peers.given(S, router(1), number.0 ^ other, page, true, truth(3), &mut out);
     assert_eq!(peers.wake(SPAN, &[router(1)], &mut out).len(), taken);
 }
--- a/crates/comeback/tests/points/paper.rs
+++ b/crates/comeback/tests/points/paper.rs
@@ -1,6 +1,6 @@
 //! Routers that come back, on a paper network with disks that lie: simulated time, one seed one run.
 #![allow(dead_code)] // each table of cases uses its own part
-use applepond_comeback::letter::Words;
+use applepond_comeback::message::Words;
 use applepond_comeback::*;
 use applepond_members::RouterId;
 use oorandom::Rand64;
@@ -11,7 +11,7 @@
 /// Workers of the paper world; the first drains, the second is set aside.
 pub const WORKERS: u64 = 60;
 
-/// What becomes of a letter: lost, or there after so many µs.
+/// What becomes of a message: lost, or there after so many µs.
 pub type Link = Box<dyn FnMut(u64, usize, usize, &mut Rand64) -> Option<u64>>;
 
 /// A network that loses this part and takes 0.2 to 1 ms.
@@ -94,7 +94,7 @@
     Wake(usize, u64),
     Snap(usize, u64),
     See(usize, u64),
-    Letter(usize, usize, Vec<u8>),
+    Message(usize, usize, Vec<u8>),
     Start(usize),
 }
 
@@ -124,13 +124,13 @@
 struct Out(Vec<(RouterId, Vec<u8>)>);
 
 impl Orders for Out {
-    fn send(&mut self, to: RouterId, letter: Vec<u8>) {
-        assert!(letter.len() <= applepond_members::LETTER_MOST, "{} bytes", letter.len());
-        self.0.push((to, letter));
+    fn send(&mut self, to: RouterId, message: Vec<u8>) {
+        assert!(message.len() <= applepond_members::MESSAGE_MOST, "{} bytes", message.len());
+        self.0.push((to, message));
     }
 }
 
-/// Takes a letter at one process.
+/// Takes a message at one process.
 struct At<'a>(u64, &'a mut Process, &'a mut Out);
 
 impl Words for At<'_> {
@@ -249,32 +249,32 @@
         }
     }
 
-    fn post(&mut self, from: usize, to: RouterId, letter: Vec<u8>, late: u64) {
+    fn post(&mut self, from: usize, to: RouterId, message: Vec<u8>, late: u64) {
         let to = (to.0 - 1_000) as usize;
-        if letter[1] == 1 {
+        if message[1] == 1 {
             *self.asked.entry((to, self.now / (100 * MS))).or_default() += 1;
         }
-        if letter[1] == 2 {
-            *self.gave.entry((from, self.now / (100 * MS))).or_default() += letter.len() as u64;
+        if message[1] == 2 {
+            *self.gave.entry((from, self.now / (100 * MS))).or_default() += message.len() as u64;
         }
         if let Some(took) = (self.link)(self.now, from, to, &mut self.rng) {
-            self.push(self.now + late + took, Event::Letter(from, to, letter));
+            self.push(self.now + late + took, Event::Message(from, to, message));
         }
     }
 
-    fn send(&mut self, n: usize, letters: Vec<(RouterId, Vec<u8>)>) {
-        for (to, mut letter) in letters {
+    fn send(&mut self, n: usize, messages: Vec<(RouterId, Vec<u8>)>) {
+        for (to, mut message) in messages {
             let (mut times, mut late) = (1, 0);
-            let fault = self.points.pass(|| format!("r{n} sends kind {}", letter[1]));
+            let fault = self.points.pass(|| format!("r{n} sends kind {}", message[1]));
             match fault {
                 Some(Fault::KilledBefore) => return self.die(n),
                 Some(Fault::Error | Fault::SaidDone) => times = 0,
-                Some(Fault::Half) => letter.truncate(letter.len() / 2),
+                Some(Fault::Half) => message.truncate(message.len() / 2),
                 Some(Fault::Late) => late = 2 * S,
                 Some(Fault::Twice) => times = 2,
                 _ => {}
             }
-            (0..times).for_each(|_| self.post(n, to, letter.clone(), late));
+            (0..times).for_each(|_| self.post(n, to, message.clone(), late));
             if fault == Some(Fault::KilledAfter) {
                 return self.die(n);
             }
@@ -321,23 +321,23 @@
                 self.push(now + EVERY, Event::Snap(n, life));
                 return;
             }
-            Event::Letter(from, n, mut letter) => {
+            Event::Message(from, n, mut message) => {
                 if self.all[n].is_none() {
                     return;
                 }
                 let mut times = 1;
-                let fault = self.points.pass(|| format!("r{n} receives kind {}", letter[1]));
+                let fault = self.points.pass(|| format!("r{n} receives kind {}", message[1]));
                 match fault {
                     Some(Fault::KilledBefore) => return self.die(n),
                     Some(Fault::Error | Fault::SaidDone) => return,
-                    Some(Fault::Half) => letter.truncate(letter.len() / 2),
-                    Some(Fault::Late) => return self.push(now + 2 * S, Event::Letter(from, n, letter)),
+                    Some(Fault::Half) => message.truncate(message.len() / 2),
+                    Some(Fault::Late) => return self.push(now + 2 * S, Event::Message(from, n, message)),
                     Some(Fault::Twice) => times = 2,
                     _ => {}
                 }
                 for _ in 0..times {
                     let p = self.all[n].as_mut().expect("there");
-                    let _ = letter::read(&letter, &mut At(now, p, &mut out));
+                    let _ = message::read(&message, &mut At(now, p, &mut out));
                 }
                 if fault == Some(Fault::KilledAfter) {
                     return self.die(n);
--- a/crates/drill/src/comeback.rs
+++ b/crates/drill/src/comeback.rs
@@ -53,7 +53,7 @@
 /// routers from which on that tells chance from design.
 const ASKS_TIMES: f64 = 3.5;
 const ASKS_ROUTERS: usize = 15;
-/// First bytes of a letter by which one that comes back asks.
+/// First bytes of a message by which one that comes back asks.
 const ASK: [u8; 2] = [0xb3, 1];
 
 /// Who dies and what is left of their disks.
--- a/crates/drill/src/links.rs
+++ b/crates/drill/src/links.rs
@@ -26,11 +26,11 @@
     pub jitter: Duration,
     /// All that this one sends takes so much longer.
     pub slow: BTreeMap<SocketAddr, Duration>,
-    /// Where letters of this beginning are counted: to whom, in which tenth of a second since the rig began.
+    /// Where messages of this beginning are counted: to whom, in which tenth of a second since the rig began.
     pub counts: Option<Counts>,
 }
 
-/// The beginning of the letters, and how many of them went to whom in which tenth of a second.
+/// The beginning of the messages, and how many of them went to whom in which tenth of a second.
 pub type Counts = (Vec<u8>, BTreeMap<(SocketAddr, u64), u64>);
 
 impl Faults {
@@ -103,7 +103,7 @@
             let to = line.and_then(|l| Some((l.parse::<SocketAddr>().ok()?, l.len() + 1)));
             let Some((to, begin)) = to.filter(|(to, _)| !faults.cut.contains(&(from, *to))) else { continue };
             if let Some((mark, counts)) = &mut faults.counts
-                && buffer[begin..n].get(AROUND..).is_some_and(|letter| letter.starts_with(mark))
+                && buffer[begin..n].get(AROUND..).is_some_and(|message| message.starts_with(mark))
             {
                 *counts.entry((to, start.elapsed().as_millis() as u64 / 100)).or_default() += 1;
             }
--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -1,6 +1,6 @@
 //! Disks beside the router: a keeper's vote and the snapshot, each in a thread of its own. What is handed
 //! over is done there; a disk that takes its time holds up nobody but itself.
-use applepond_accord::letter::{self, Written};
+use applepond_accord::message::{self, Written};
 use applepond_accord::{Agreed, Trouble, Vote, Voter, Votes};
 use applepond_comeback::Boot;
 use applepond_members::{Birth, RouterId};
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 pub enum Said {
     /// A keeper's answers.
-    Letters(Vec<(RouterId, Vec<u8>)>),
+    Messages(Vec<(RouterId, Vec<u8>)>),
     /// Why the keeper does not vote, if it does not.
     Keeper(Option<Trouble>),
     /// The snapshot that was there at the start; a fault of the file beside it.
@@ -47,7 +47,7 @@
 /// Disks as the router sees them: it hands over and looks, and never waits.
 pub trait Desk {
     /// A question to the keeper; false where as many as may be wait.
-    fn question(&mut self, letter: &[u8]) -> bool;
+    fn question(&mut self, message: &[u8]) -> bool;
     /// A snapshot in place of the one before; false while the one before is being written.
     fn snapshot(&mut self, bytes: Vec<u8>) -> bool;
     fn said(&mut self) -> Option<Said>;
@@ -154,14 +154,14 @@
             Option::None => &mut None,
         };
         // One that cannot be read is answered by nothing.
-        let _ = letter::vote(&question, &mut voter, votes, &mut out);
+        let _ = message::vote(&question, &mut voter, votes, &mut out);
         if voter.trouble() != told {
             told = voter.trouble();
             if say.send(Said::Keeper(told)).is_err() {
                 return;
             }
         }
-        if say.send(Said::Letters(out.letters)).is_err() {
+        if say.send(Said::Messages(out.messages)).is_err() {
             return;
         }
     }
@@ -203,9 +203,9 @@
 }
 
 impl Desk for Threads {
-    fn question(&mut self, letter: &[u8]) -> bool {
+    fn question(&mut self, message: &[u8]) -> bool {
         let Some(questions) = &self.questions else { return false };
-        let taken = questions.try_send(letter.to_vec()).is_ok();
+        let taken = questions.try_send(message.to_vec()).is_ok();
         self.waits += usize::from(taken);
         taken
     }
--- a/crates/fleet/src/envelope.rs
+++ b/crates/fleet/src/envelope.rs
@@ -2,14 +2,14 @@
 //!
 //! A datagram is one byte of version, 16 bytes of hash (BLAKE3 under the fleet's key, over all that
 //! follows), the sender's birth, the receiver (0: whoever it reaches) and the sender's count, each as eight
-//! bytes in little-endian order, then a letter. What does not open is counted by kind and dropped; nothing is
-//! answered. It proves that a holder of the key wrote it, and when, in the order of one sender; it hides
+//! bytes in little-endian order, then a message. What does not open is counted by kind and dropped; nothing
+//! is answered. It proves that a holder of the key wrote it, and when, in the order of one sender; it hides
 //! nothing.
 use std::collections::BTreeMap;
 
 /// Bytes of a datagram at most: every path carries so many whole.
 pub const DATAGRAM_MOST: usize = 1_200;
-/// Bytes around a letter.
+/// Bytes around a message.
 pub const AROUND: usize = 1 + HASH + 3 * 8;
 /// The version that is written and read.
 const VERSION: u8 = 1;
@@ -44,8 +44,8 @@
     }
 }
 
-/// Whom a letter is for that is for one process of a router alone: one that was kept from before its start is
-/// not for it.
+/// Whom a message is for that is for one process of a router alone: one that was kept from before its start
+/// is not for it.
 pub fn process(name: u64, birth: u64) -> u64 {
     let mut x = name ^ birth.rotate_left(29).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     x = (x ^ (x >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -109,9 +109,9 @@
         }
     }
 
-    /// A letter as a datagram for a router, or for whoever it reaches (0). None where it is too long.
-    pub fn seal(&mut self, to: u64, letter: &[u8]) -> Option<Vec<u8>> {
-        if AROUND + letter.len() > DATAGRAM_MOST {
+    /// A message as a datagram for a router, or for whoever it reaches (0). None where it is too long.
+    pub fn seal(&mut self, to: u64, message: &[u8]) -> Option<Vec<u8>> {
+        if AROUND + message.len() > DATAGRAM_MOST {
             return None;
         }
         self.count += 1;
@@ -120,13 +120,13 @@
         for number in [self.birth, to, self.count] {
             bytes.extend_from_slice(&number.to_le_bytes());
         }
-        bytes.extend_from_slice(letter);
+        bytes.extend_from_slice(message);
         let hash = self.keys[0].hash(&bytes[1 + HASH..]);
         bytes[1..1 + HASH].copy_from_slice(&hash.as_bytes()[..HASH]);
         Some(bytes)
     }
 
-    /// The letter of a datagram and its sender's birth.
+    /// The message of a datagram and its sender's birth.
     pub fn open<'a>(&mut self, bytes: &'a [u8]) -> Result<(u64, &'a [u8]), Dropped> {
         let opened = self.look(bytes);
         if let Err(why) = opened {
--- a/crates/fleet/src/shared.rs
+++ b/crates/fleet/src/shared.rs
@@ -1,11 +1,11 @@
 //! What the routers share beside who is there: what they tell each other, what is agreed on, and how one
-//! comes back. Letters go behind marks on the fleet's port, each for one process; nothing is decided
+//! comes back. Messages go behind marks on the fleet's port, each for one process; nothing is decided
 //! here.
 use crate::desk::{Charter, Desk, Said};
 use applepond::interface::FunctionId;
-use applepond_accord::letter::Written;
+use applepond_accord::message::Written;
 use applepond_accord::{self as accord, Register};
-use applepond_comeback::{self as comeback, EVERY, Fact, Memory, Peers, Stage, letter::Words};
+use applepond_comeback::{self as comeback, EVERY, Fact, Memory, Peers, Stage, message::Words};
 use applepond_members::{Birth, Members, RouterId};
 use applepond_openings::{List, OpeningId, PANES, Panes, Pins, Terms};
 use applepond_reactor::Micros;
@@ -91,22 +91,22 @@
 }
 
 #[derive(Default)]
-struct Letters(Vec<(RouterId, Vec<u8>)>);
+struct Messages(Vec<(RouterId, Vec<u8>)>);
 
-impl tallies::Orders for Letters {
-    fn send(&mut self, to: RouterId, letter: Vec<u8>) {
-        self.0.push((to, letter));
+impl tallies::Orders for Messages {
+    fn send(&mut self, to: RouterId, message: Vec<u8>) {
+        self.0.push((to, message));
     }
 }
 
-impl comeback::Orders for Letters {
-    fn send(&mut self, to: RouterId, letter: Vec<u8>) {
-        self.0.push((to, letter));
+impl comeback::Orders for Messages {
+    fn send(&mut self, to: RouterId, message: Vec<u8>) {
+        self.0.push((to, message));
     }
 }
 
-/// A letter of one that comes back, or of its peer.
-struct Return<'a>(Micros, &'a mut Peers, &'a Memory, &'a mut Letters);
+/// A message of one that comes back, or of its peer.
+struct Return<'a>(Micros, &'a mut Peers, &'a Memory, &'a mut Messages);
 
 impl Words for Return<'_> {
     fn asked(&mut self, from: RouterId, number: u64, page: u16) {
@@ -190,9 +190,9 @@
         self.desk.waits().then_some(now + LOOK)
     }
 
-    /// All that is due; letters for others.
+    /// All that is due; messages for others.
     pub fn wake(&mut self, now: Micros, members: &Members) -> Vec<(RouterId, Vec<u8>)> {
-        let mut out = Letters::default();
+        let mut out = Messages::default();
         self.disks(now, &mut out);
         if self.view != Some(members.view()) {
             self.view = Some(members.view());
@@ -207,7 +207,7 @@
         if let Some(register) = self.register.as_mut().filter(|r| now >= r.next()) {
             let mut written = Written::by(self.me);
             register.wake(now, &|router| live.contains(&router), &mut written);
-            out.0.extend(written.letters);
+            out.0.extend(written.messages);
         }
         if now >= self.next_snapshot {
             self.next_snapshot = now + EVERY;
@@ -291,45 +291,45 @@
     }
 
     /// What this router has to say to itself needs no network.
-    fn own(&mut self, now: Micros, letters: Vec<(RouterId, Vec<u8>)>) -> Vec<(RouterId, Vec<u8>)> {
-        let (mut others, mut own) = (Vec::new(), letters);
-        while let Some((to, letter)) = own.pop() {
+    fn own(&mut self, now: Micros, messages: Vec<(RouterId, Vec<u8>)>) -> Vec<(RouterId, Vec<u8>)> {
+        let (mut others, mut own) = (Vec::new(), messages);
+        while let Some((to, message)) = own.pop() {
             if to != self.me {
-                others.push((to, letter));
+                others.push((to, message));
                 continue;
             }
-            own.extend(self.take(now, self.me, &letter));
+            own.extend(self.take(now, self.me, &message));
         }
         others
     }
 
-    /// A letter that was sealed for this process.
-    pub fn heard(&mut self, now: Micros, from: RouterId, letter: &[u8]) -> Vec<(RouterId, Vec<u8>)> {
-        let letters = self.take(now, from, letter);
+    /// A message that was sealed for this process.
+    pub fn heard(&mut self, now: Micros, from: RouterId, message: &[u8]) -> Vec<(RouterId, Vec<u8>)> {
+        let messages = self.take(now, from, message);
         self.tell(now);
-        self.own(now, letters)
+        self.own(now, messages)
     }
 
-    fn take(&mut self, now: Micros, from: RouterId, letter: &[u8]) -> Vec<(RouterId, Vec<u8>)> {
-        let mut out = Letters::default();
-        let read = match letter.first() {
-            Some(&tallies::MARK) => self.tallies.heard(now, from, letter, &mut out).is_ok(),
-            Some(&comeback::letter::MARK) => {
+    fn take(&mut self, now: Micros, from: RouterId, message: &[u8]) -> Vec<(RouterId, Vec<u8>)> {
+        let mut out = Messages::default();
+        let read = match message.first() {
+            Some(&tallies::MARK) => self.tallies.heard(now, from, message, &mut out).is_ok(),
+            Some(&comeback::message::MARK) => {
                 let memory = self.memory.borrow();
                 let mut words = Return(now, &mut self.peers, &memory, &mut out);
-                comeback::letter::read(letter, &mut words).is_ok()
+                comeback::message::read(message, &mut words).is_ok()
             }
-            Some(&accord::letter::MARK) if accord::letter::is_question(letter) => {
-                self.desk.question(letter);
+            Some(&accord::message::MARK) if accord::message::is_question(message) => {
+                self.desk.question(message);
                 true
             }
-            Some(&accord::letter::MARK) => {
+            Some(&accord::message::MARK) => {
                 let remembered = self.remembered(now);
                 let mut written = Written::by(self.me);
                 let read = self.register.as_mut().is_some_and(|register| {
-                    accord::letter::read(letter, register, now, &remembered, &mut written).is_ok()
+                    accord::message::read(message, register, now, &remembered, &mut written).is_ok()
                 });
-                out.0.extend(written.letters);
+                out.0.extend(written.messages);
                 read
             }
             _ => false,
@@ -345,10 +345,10 @@
     }
 
     /// What the disks have to say.
-    fn disks(&mut self, now: Micros, out: &mut Letters) {
+    fn disks(&mut self, now: Micros, out: &mut Messages) {
         while let Some(said) = self.desk.said() {
             match said {
-                Said::Letters(letters) => out.0.extend(letters),
+                Said::Messages(messages) => out.0.extend(messages),
                 Said::Keeper(trouble) => {
                     if let Some(register) = &mut self.register {
                         register.keeper_doubts(trouble);
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -11,7 +11,7 @@
 /// µs between two tries to open the port: descriptors or memory may be there again.
 const OPEN_AGAIN: Micros = 1_000_000;
 
-/// First bytes of letters from here on are marks of what is shared.
+/// First bytes of messages from here on are marks of what is shared.
 const MARKS: u8 = 0xb0;
 
 /// What others of the process look at.
@@ -20,14 +20,14 @@
     /// None where a rig looks at membership alone.
     pub shared: Option<Shared>,
     envelopes: Envelopes,
-    /// Datagrams sent, those that the kernel would not take, and letters that could not be read.
+    /// Datagrams sent, those that the kernel would not take, and messages that could not be read.
     sent: u64,
     unsent: u64,
     unread: u64,
 }
 
 impl View {
-    /// Other seeds and keys from now on; letters under a key that is in neither list are foreign.
+    /// Other seeds and keys from now on; messages under a key that is in neither list are foreign.
     pub fn renew(&mut self, seeds: Vec<SocketAddr>, keys: Vec<Key>) {
         self.members.reseed(seeds);
         self.envelopes.rekey(keys);
@@ -51,14 +51,14 @@
 /// Orders as they come, carried out when the call returns.
 #[derive(Default)]
 struct Said {
-    letters: Vec<(SocketAddr, Vec<u8>)>,
+    messages: Vec<(SocketAddr, Vec<u8>)>,
     shared: Vec<(RouterId, Vec<u8>)>,
     changes: Vec<Change>,
 }
 
 impl Orders for Said {
-    fn send(&mut self, to: SocketAddr, letter: &[u8]) {
-        self.letters.push((to, letter.to_vec()));
+    fn send(&mut self, to: SocketAddr, message: &[u8]) {
+        self.messages.push((to, message.to_vec()));
     }
     fn changed(&mut self, change: Change) {
         self.changes.push(change);
@@ -110,15 +110,15 @@
         let mut said = Said::default();
         let mut view = self.view.borrow_mut();
         call(&mut view, &mut said);
-        // Whom an address belongs to may have changed: the letter's own words tell whom it is for.
-        let mut letters: Vec<_> = said.letters.into_iter().map(|(at, letter)| (at, 0, letter)).collect();
-        for (to, letter) in said.shared {
+        // Whom an address belongs to may have changed: the message's own words tell whom it is for.
+        let mut messages: Vec<_> = said.messages.into_iter().map(|(at, message)| (at, 0, message)).collect();
+        for (to, message) in said.shared {
             // For one process alone: the one that is known under the name.
             let Some(record) = view.members.record(to) else { continue };
-            letters.push((record.address, process(to.0, record.birth.0), letter));
+            messages.push((record.address, process(to.0, record.birth.0), message));
         }
-        for (to, whom, letter) in letters {
-            let Some(sealed) = view.envelopes.seal(whom, &letter) else { continue };
+        for (to, whom, message) in messages {
+            let Some(sealed) = view.envelopes.seal(whom, &message) else { continue };
             let taken = match (self.post, self.through) {
                 (Some(post), None) => wire.datagram_to(post, to, &sealed),
                 (Some(post), Some(rig)) => {
@@ -223,16 +223,16 @@
     fn told(&mut self, now: Micros, wire: &mut dyn Wire, _: Conn, bytes: &[u8]) {
         self.with(now, wire, |view, said| {
             let View { members, envelopes, unread, shared, .. } = view;
-            let Ok((birth, letter)) = envelopes.open(bytes) else { return };
-            // Letters of members begin with a small number, those of what is shared with a mark.
-            if letter.first().is_none_or(|mark| *mark < MARKS) {
-                *unread += u64::from(members.heard(now, letter, said).is_err());
+            let Ok((birth, message)) = envelopes.open(bytes) else { return };
+            // Messages of members begin with a small number, those of what is shared with a mark.
+            if message.first().is_none_or(|mark| *mark < MARKS) {
+                *unread += u64::from(members.heard(now, message, said).is_err());
                 return;
             }
             // Guards against one that was kept from before this process: it is for another one.
             let from = members.by_birth(Birth(birth)).filter(|_| envelopes.was_for_me());
             match (from, shared) {
-                (Some(from), Some(shared)) => said.shared.extend(shared.heard(now, from, letter)),
+                (Some(from), Some(shared)) => said.shared.extend(shared.heard(now, from, message)),
                 _ => *unread += 1,
             }
         });
--- a/crates/fleet/tests/envelope.rs
+++ b/crates/fleet/tests/envelope.rs
@@ -19,8 +19,8 @@
 
 #[test]
 fn there_and_read() {
-    let sealed = eight().seal(7, b"a letter").expect("short");
-    assert_eq!(seven(1).open(&sealed), Ok((100, &b"a letter"[..])));
+    let sealed = eight().seal(7, b"a message").expect("short");
+    assert_eq!(seven(1).open(&sealed), Ok((100, &b"a message"[..])));
     assert_eq!(eight().seal(0, &[0; DATAGRAM_MOST - AROUND]).map(|b| b.len()), Some(DATAGRAM_MOST));
     assert_eq!(eight().seal(0, &[0; DATAGRAM_MOST - AROUND + 1]), None);
 }
@@ -35,7 +35,7 @@
 // Cut at every byte, and every bit turned: dropped, and nothing else harmed.
 #[test]
 fn bent() {
-    let sealed = eight().seal(7, b"a letter").expect("short");
+    let sealed = eight().seal(7, b"a message").expect("short");
     let mut router = seven(1);
     for at in 0..sealed.len() {
         let torn = if at < AROUND { Dropped::Torn } else { Dropped::Foreign };
--- a/crates/members/benches/paper.rs
+++ b/crates/members/benches/paper.rs
@@ -129,18 +129,18 @@
     (removed, known)
 }
 
-/// Bytes and letters a second of an instance, and ms of CPU a second of it, without a fault.
+/// Bytes and messages a second of an instance, and ms of CPU a second of it, without a fault.
 fn costs(routers: usize, seconds: u64) -> (u64, u64, f64) {
     let mut paper = Paper::fleet(1, routers, lossy(0.02));
     // What is left to say of the start does not count.
     paper.pass(10 * S);
     let sum = |p: &Paper, of: fn(&Process) -> u64| p.all.iter().flatten().map(of).sum::<u64>();
-    let (bytes, letters) = (sum(&paper, |p| p.bytes), sum(&paper, |p| p.letters));
+    let (bytes, messages) = (sum(&paper, |p| p.bytes), sum(&paper, |p| p.messages));
     let begun = Instant::now();
     paper.pass(seconds * S);
     let each = routers as u64 * seconds;
     let cpu = begun.elapsed().as_secs_f64() * 1e3 / each as f64;
-    ((sum(&paper, |p| p.bytes) - bytes) / each, (sum(&paper, |p| p.letters) - letters) / each, cpu)
+    ((sum(&paper, |p| p.bytes) - bytes) / each, (sum(&paper, |p| p.messages) - messages) / each, cpu)
 }
 
 fn main() {
@@ -154,8 +154,8 @@
         // About as many router seconds in each fleet.
         let seconds = (60_000 / routers as u64).clamp(20, 600);
         let seeds = (100 / routers as u64).clamp(1, 5);
-        let (bytes, letters, cpu) = costs(routers, seconds.min(20));
-        println!("| {routers} | bytes/s, letters/s, CPU ms/s | {bytes}, {letters}, {cpu:.2} |");
+        let (bytes, messages, cpu) = costs(routers, seconds.min(20));
+        println!("| {routers} | bytes/s, messages/s, CPU ms/s | {bytes}, {messages}, {cpu:.2} |");
         let mut known =
             [kill(routers, seeds, Guards::ALL), kill(routers, seeds, PLAIN), all_to_all(routers, 20, None).1];
         let known = [0, 1, 2].map(|way| median_and(&mut known[way]));
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -1,18 +1,18 @@
-//! Which other routers there are: a machine without I/O. In come the time, letters and the word to leave;
-//! out go letters to send and changes of the view.
+//! Which other routers there are: a machine without I/O. In come the time, messages and the word to leave;
+//! out go messages to send and changes of the view.
 //!
 //! Every router exchanges beats with a few neighbours, the same for all who share a view. Who is silent for
 //! longer than patience allows, directly and through others, is accused by each neighbour by itself. Only
 //! the votes of several independent ones make a router gone, after a while in which it may refute. A view
 //! says who seems to be there: nothing that has to be safe may rest on it. See docs/members.md.
 mod count;
-pub mod letter;
 mod machine;
+pub mod message;
 mod rings;
 
 pub use count::Count;
-pub use letter::{LETTER_MOST, Trouble};
 pub use machine::{Me, Members, Seen};
+pub use message::{MESSAGE_MOST, Trouble};
 pub use rings::Rings;
 
 use applepond::interface::Micros;
@@ -49,7 +49,7 @@
 pub const RINGS: usize = 5;
 /// Others that are asked at once whether they hear a silent neighbour.
 pub const RELAYS: usize = 3;
-/// µs between two letters with nothing but news: news crosses the fleet in some tenths of a second.
+/// µs between two messages with nothing but news: news crosses the fleet in some tenths of a second.
 pub const FLUSH: Micros = 50_000;
 /// Times that news goes to all neighbours: with ten of them, losses of a third stop none.
 pub const ROUNDS: u8 = 4;
@@ -57,7 +57,7 @@
 pub const NEWS_MOST: usize = 2_048;
 /// µs between two comparisons of views with a neighbour whose view differs.
 pub const COMPARE: Micros = 500_000;
-/// Letters of records that one comparison is answered with at most, and all of one beat.
+/// Messages of records that one comparison is answered with at most, and all of one beat.
 pub const ANSWER_MOST: usize = 16;
 pub const ANSWERS_MOST: usize = 64;
 /// µs between two calls to seeds and to routers that are gone: they may be back.
@@ -234,7 +234,7 @@
 
 /// What the machine orders.
 pub trait Orders {
-    /// One letter of at most `LETTER_MOST` bytes; it may be lost.
-    fn send(&mut self, to: SocketAddr, letter: &[u8]);
+    /// One message of at most `MESSAGE_MOST` bytes; it may be lost.
+    fn send(&mut self, to: SocketAddr, message: &[u8]);
     fn changed(&mut self, change: Change);
 }
--- a/crates/members/src/machine.rs
+++ b/crates/members/src/machine.rs
@@ -1,5 +1,5 @@
 //! The machine: one record a router, what beats and votes do to it, and who is asked what when.
-use crate::letter::{self, BUCKETS, Head, Letter, Says, Trouble, Word, Words};
+use crate::message::{self, BUCKETS, Head, Message, Says, Trouble, Word, Words};
 use crate::*;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet};
@@ -342,22 +342,22 @@
             let tail = self.tail();
             for id in self.neighbours.clone() {
                 let Some(to) = self.routers.get(&id).map(|r| r.record.address) else { continue };
-                let mut letter = Letter::news(&self.head());
-                letter.append(&tail);
-                orders.send(to, letter.bytes());
+                let mut message = Message::news(&self.head());
+                message.append(&tail);
+                orders.send(to, message.bytes());
             }
         }
         let waits = !self.news.is_empty();
         self.flush = self.flush.filter(|at| *at > now).or(waits.then_some(now + FLUSH));
     }
 
-    /// A letter, found to be a member's by its envelope.
+    /// A message, found to be a member's by its envelope.
     pub fn heard(&mut self, now: Micros, bytes: &[u8], orders: &mut dyn Orders) -> Result<(), Trouble> {
         self.clock(now, orders);
         if self.refused || self.mine.standing == Standing::Left {
             return Ok(());
         }
-        letter::read(bytes, &mut Reading { members: self, orders, greeted: None })
+        message::read(bytes, &mut Reading { members: self, orders, greeted: None })
     }
 
     /// Takes leave: said at once, and again by all who hear it.
@@ -366,11 +366,11 @@
         self.say(self.mine.incarnation, Standing::Left);
         for id in self.neighbours.clone() {
             let Some(to) = self.routers.get(&id).map(|r| r.record.address) else { continue };
-            let mut letter = Letter::news(&self.head());
-            letter.record(&self.mine);
+            let mut message = Message::news(&self.head());
+            message.record(&self.mine);
             // Nobody waits for what is lost of it: the next words would be of a process that has ended.
             for _ in 0..2 {
-                orders.send(to, letter.bytes());
+                orders.send(to, message.bytes());
             }
         }
     }
@@ -468,7 +468,7 @@
             let at = self.rng.rand_range(0..others.len() as u64) as usize;
             let relay = others.swap_remove(at);
             if let Some(to) = self.routers.get(&relay).map(|r| r.record.address) {
-                orders.send(to, Letter::ask(&self.head(), id).bytes());
+                orders.send(to, Message::ask(&self.head(), id).bytes());
             }
         }
     }
@@ -808,7 +808,7 @@
             None if self.door.len() < DOOR_MOST => {
                 self.door.insert(id, Door { newcomer, birth, until });
                 let to = self.routers[&id].record.address;
-                orders.send(to, Letter::probe(&self.head(), self.me).bytes());
+                orders.send(to, Message::probe(&self.head(), self.me).bytes());
             }
             None => {}
         }
@@ -820,7 +820,7 @@
         self.door.retain(|_, door| now < door.until + PATIENCE);
         for id in self.door.keys() {
             if let Some(router) = self.routers.get(id) {
-                orders.send(router.record.address, Letter::probe(&self.head(), self.me).bytes());
+                orders.send(router.record.address, Message::probe(&self.head(), self.me).bytes());
             }
         }
     }
@@ -830,8 +830,8 @@
         let Some(door) = self.door.remove(&id) else { return };
         let holder = self.routers[&id].record.address;
         let head = self.head();
-        orders.send(door.newcomer, Letter::refused(&head, door.birth, holder).bytes());
-        orders.send(holder, Letter::taken(&head, door.newcomer).bytes());
+        orders.send(door.newcomer, Message::refused(&head, door.birth, holder).bytes());
+        orders.send(holder, Message::taken(&head, door.newcomer).bytes());
     }
 
     // ---- What goes out -----------------------------------------------------------------------
@@ -847,11 +847,11 @@
         self.flush.get_or_insert(self.now + FLUSH);
     }
 
-    fn write(&self, letter: &mut Letter, news: News) -> bool {
+    fn write(&self, message: &mut Message, news: News) -> bool {
         match news {
-            News::Mine => letter.record(&self.mine),
-            News::Record(id) => self.routers.get(&id).is_none_or(|r| letter.record(&r.record)),
-            News::Word(id, voter) => self.word(id, voter).is_none_or(|word| letter.word(&word)),
+            News::Mine => message.record(&self.mine),
+            News::Record(id) => self.routers.get(&id).is_none_or(|r| message.record(&r.record)),
+            News::Word(id, voter) => self.word(id, voter).is_none_or(|word| message.word(&word)),
         }
     }
 
@@ -867,10 +867,10 @@
         let mut order: Vec<(u8, News)> = self.news.iter().map(|(news, left)| (*left, *news)).collect();
         order.sort_unstable_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)));
         // What a beat holds before the news is left free.
-        let mut letter = Letter::beat(&self.head(), Some(Micros::MAX), u64::MAX);
-        let begin = letter.bytes().len();
+        let mut message = Message::beat(&self.head(), Some(Micros::MAX), u64::MAX);
+        let begin = message.bytes().len();
         for (left, news) in order {
-            if !self.write(&mut letter, news) {
+            if !self.write(&mut message, news) {
                 break;
             }
             if left > 1 {
@@ -879,7 +879,7 @@
                 self.news.remove(&news);
             }
         }
-        letter.bytes()[begin..].to_vec()
+        message.bytes()[begin..].to_vec()
     }
 
     fn beat(&mut self, orders: &mut dyn Orders) {
@@ -893,13 +893,13 @@
         for id in to {
             let Some(router) = self.routers.get(&id) else { continue };
             let heard = router.heard.map(|at| now - at);
-            let mut letter = Letter::beat(&head, heard, view);
-            letter.append(&tail);
+            let mut message = Message::beat(&head, heard, view);
+            message.append(&tail);
             // Who is accused hears of it first.
             if let Some(word) = router.standing_votes().next().and_then(|v| self.word(id, v.voter)) {
-                letter.word(&word);
+                message.word(&word);
             }
-            orders.send(router.record.address, letter.bytes());
+            orders.send(router.record.address, message.bytes());
         }
     }
 
@@ -926,23 +926,23 @@
     }
 
     fn ask_for_view(&mut self, orders: &mut dyn Orders, to: SocketAddr) {
-        let mut letter = Letter::compare(&self.head(), &self.digests);
-        letter.record(&self.mine);
-        orders.send(to, letter.bytes());
+        let mut message = Message::compare(&self.head(), &self.digests);
+        message.record(&self.mine);
+        orders.send(to, message.bytes());
     }
 
-    /// Letters of records, this router's own first, as far as bounds allow.
+    /// Messages of records, this router's own first, as far as bounds allow.
     fn answer(&mut self, orders: &mut dyn Orders, to: SocketAddr, differs: impl Fn(usize) -> bool) {
-        let mut letter = Letter::news(&self.head());
-        letter.record(&self.mine);
+        let mut message = Message::news(&self.head());
+        message.record(&self.mine);
         let mut sent = 0;
         let mut rest = self.routers.iter().filter(|(id, _)| differs(bucket(**id))).peekable();
         while self.answers > 0 && sent < ANSWER_MOST {
             while let Some((id, router)) = rest.peek() {
                 let fits = match router.record.standing {
                     // One router's word: who reads it needs those of others as well.
-                    Standing::Gone => self.word(**id, self.me).is_none_or(|word| letter.word(&word)),
-                    _ => letter.record(&router.record),
+                    Standing::Gone => self.word(**id, self.me).is_none_or(|word| message.word(&word)),
+                    _ => message.record(&router.record),
                 };
                 if !fits {
                     break;
@@ -951,25 +951,25 @@
             }
             self.answers -= 1;
             sent += 1;
-            orders.send(to, letter.bytes());
+            orders.send(to, message.bytes());
             if rest.peek().is_none() {
                 break;
             }
-            letter = Letter::news(&self.head());
+            message = Message::news(&self.head());
         }
     }
 }
 
-/// Reading one letter: what each of its words does.
+/// Reading one message: what each of its words does.
 struct Reading<'a> {
     members: &'a mut Members,
     orders: &'a mut dyn Orders,
-    /// Whether the writer is who it says, as far as is known here; asked once a letter.
+    /// Whether the writer is who it says, as far as is known here; asked once a message.
     greeted: Option<bool>,
 }
 
 impl Reading<'_> {
-    /// Takes notice of who writes. False: the letter's words do not count, as its writer is not known, has
+    /// Takes notice of who writes. False: the message's words do not count, as its writer is not known, has
     /// been replaced or is taken for gone.
     fn greet(&mut self, head: &Head) -> bool {
         if let Some(known) = self.greeted {
@@ -985,8 +985,8 @@
         let (now, id) = (members.now, head.from);
         if id == members.me {
             if head.birth != members.mine.birth {
-                let letter = Letter::refused(&members.head(), head.birth, members.mine.address);
-                orders.send(head.address, letter.bytes());
+                let message = Message::refused(&members.head(), head.birth, members.mine.address);
+                orders.send(head.address, message.bytes());
             }
             return false;
         }
@@ -1002,10 +1002,10 @@
             // repeated, which proves nothing of now: the writer learns what is known.
             if members.answers > 0 {
                 members.answers -= 1;
-                let mut letter = Letter::news(&members.head());
-                letter.record(&members.mine);
-                letter.record(&members.routers[&id].record);
-                orders.send(head.address, letter.bytes());
+                let mut message = Message::news(&members.head());
+                message.record(&members.mine);
+                message.record(&members.routers[&id].record);
+                orders.send(head.address, message.bytes());
             }
             return false;
         }
@@ -1013,12 +1013,12 @@
         if !router.takes_part() {
             if members.answers > 0 {
                 members.answers -= 1;
-                let mut letter = Letter::news(&members.head());
-                letter.record(&members.mine);
+                let mut message = Message::news(&members.head());
+                message.record(&members.mine);
                 if let Some(word) = members.word(id, members.me) {
-                    letter.word(&word);
+                    message.word(&word);
                 }
-                orders.send(head.address, letter.bytes());
+                orders.send(head.address, message.bytes());
             }
             return false;
         }
@@ -1048,14 +1048,14 @@
         if self.greet(head)
             && let Some(router) = self.members.routers.get(&whom)
         {
-            let letter = Letter::probe(&self.members.head(), head.from);
-            self.orders.send(router.record.address, letter.bytes());
+            let message = Message::probe(&self.members.head(), head.from);
+            self.orders.send(router.record.address, message.bytes());
         }
     }
 
     fn probe(&mut self, head: &Head, asker: RouterId) {
         self.greet(head);
-        self.orders.send(head.address, Letter::yes(&self.members.head(), asker).bytes());
+        self.orders.send(head.address, Message::yes(&self.members.head(), asker).bytes());
     }
 
     fn yes(&mut self, head: &Head, asker: RouterId) {
@@ -1063,7 +1063,7 @@
             && asker != self.members.me
             && let Some(to) = self.members.routers.get(&asker).map(|r| r.record.address)
         {
-            self.orders.send(to, Letter::vouch(&self.members.head(), head.from, head.birth).bytes());
+            self.orders.send(to, Message::vouch(&self.members.head(), head.from, head.birth).bytes());
         }
     }
 
--- a/crates/members/src/letter.rs
+++ b/crates/members/src/message.rs
@@ -1,13 +1,13 @@
-//! Letters between routers: a head, what the kind needs, then news until the end. Integers and texts as
-//! postcard writes them. A letter is read whole before any of it counts.
+//! Messages between routers: a head, what the kind needs, then news until the end. Integers and texts as
+//! postcard writes them. A message is read whole before any of it counts.
 use crate::{Birth, Record, RouterId};
 use applepond::interface::Micros;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Bytes of a letter at most: with its envelope it stays under 1,200, which every path carries whole.
-pub const LETTER_MOST: usize = 1_140;
+/// Bytes of a message at most: with its envelope it stays under 1,200, which every path carries whole.
+pub const MESSAGE_MOST: usize = 1_140;
 /// Parts of the view that are compared by themselves.
 pub const BUCKETS: usize = 32;
 
@@ -43,16 +43,16 @@
     pub says: Says,
 }
 
-/// Why a letter is not taken.
+/// Why a message is not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
-    /// It ends early, goes on after its end, or holds what no letter holds.
+    /// It ends early, goes on after its end, or holds what no message holds.
     Unreadable,
     /// A name or a zone is empty, too long or of other characters than are printed.
     Name,
 }
 
-/// What a letter says, call by call, after it was found to be whole.
+/// What a message says, call by call, after it was found to be whole.
 pub trait Words {
     /// `heard`: µs since the writer last heard the reader, where it has; `view`: its view as one number.
     fn beat(&mut self, head: &Head, heard: Option<Micros>, view: u64);
@@ -84,15 +84,15 @@
 const RECORD: u8 = 20;
 const WORD: u8 = 21;
 
-/// A letter as it grows.
-pub struct Letter(Vec<u8>);
+/// A message as it grows.
+pub struct Message(Vec<u8>);
 
-impl Letter {
+impl Message {
     fn begin(kind: u8, head: &Head, of: &impl Serialize) -> Self {
-        let mut letter = Letter(Vec::with_capacity(256));
-        let fits = letter.put(kind, &(head, of));
-        debug_assert!(fits, "no kind's own part fills a letter");
-        letter
+        let mut message = Message(Vec::with_capacity(256));
+        let fits = message.put(kind, &(head, of));
+        debug_assert!(fits, "no kind's own part fills a message");
+        message
     }
     pub fn beat(head: &Head, heard: Option<Micros>, view: u64) -> Self {
         Self::begin(BEAT, head, &(heard, view))
@@ -125,7 +125,7 @@
     /// Adds a tagged part; false, and nothing added, where there is no room left.
     fn put(&mut self, tag: u8, part: &impl Serialize) -> bool {
         let Ok(bytes) = postcard::to_allocvec(part) else { return false };
-        let fits = self.0.len() + 1 + bytes.len() <= LETTER_MOST;
+        let fits = self.0.len() + 1 + bytes.len() <= MESSAGE_MOST;
         if fits {
             self.0.push(tag);
             self.0.extend_from_slice(&bytes);
@@ -138,9 +138,9 @@
     pub fn word(&mut self, word: &Word) -> bool {
         self.put(WORD, word)
     }
-    /// Adds what another letter holds after its own part.
+    /// Adds what another message holds after its own part.
     pub fn append(&mut self, tail: &[u8]) -> bool {
-        let fits = self.0.len() + tail.len() <= LETTER_MOST;
+        let fits = self.0.len() + tail.len() <= MESSAGE_MOST;
         if fits {
             self.0.extend_from_slice(tail);
         }
@@ -163,7 +163,7 @@
     !text.is_empty() && text.len() <= crate::NAME_MOST && text.bytes().all(|b| b.is_ascii_graphic())
 }
 
-/// Reads a letter to its end; nothing is said unless all of it can be read.
+/// Reads a message to its end; nothing is said unless all of it can be read.
 pub fn read(bytes: &[u8], words: &mut dyn Words) -> Result<(), Trouble> {
     let mut rest = bytes;
     let kind: u8 = take(&mut rest)?;
--- a/crates/members/tests/common/mod.rs
+++ b/crates/members/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Members on a paper network: simulated time, faults by a function, one seed one run.
 #![allow(dead_code)] // each table of cases uses its own part
-use applepond_members::letter::{Head, Letter, Says, Word};
+use applepond_members::message::{Head, Message, Says, Word};
 use applepond_members::*;
 use oorandom::Rand64;
 use std::collections::{BTreeMap, VecDeque};
@@ -8,15 +8,15 @@
 
 pub const MS: u64 = 1_000;
 pub const S: u64 = 1_000_000;
-/// Bytes of the envelope around each letter.
+/// Bytes of the envelope around each message.
 const ENVELOPE: usize = 48;
 /// Datagrams that a socket holds for a process that stands still.
 const SOCKET_MOST: usize = 2_000;
 
-/// What becomes of a letter: lost, or there after so many µs.
+/// What becomes of a message: lost, or there after so many µs.
 pub type Link = Box<dyn FnMut(u64, usize, usize, &mut Rand64) -> Option<u64>>;
 
-/// What a letter of a process is made into on its way.
+/// What a message of a process is made into on its way.
 pub type Bend = Box<dyn FnMut(usize, &[u8]) -> Vec<Vec<u8>>>;
 
 pub struct Process {
@@ -26,7 +26,7 @@
     socket: VecDeque<Vec<u8>>,
     pub changes: Vec<(u64, Change)>,
     pub bytes: u64,
-    pub letters: u64,
+    pub messages: u64,
 }
 
 pub struct Paper {
@@ -47,19 +47,19 @@
 
 enum Event {
     Wake(usize, Birth),
-    Letter(usize, Vec<u8>),
+    Message(usize, Vec<u8>),
 }
 
 #[derive(Default)]
 struct Out {
-    letters: Vec<(SocketAddr, Vec<u8>)>,
+    messages: Vec<(SocketAddr, Vec<u8>)>,
     changes: Vec<Change>,
 }
 
 impl Orders for Out {
-    fn send(&mut self, to: SocketAddr, letter: &[u8]) {
-        assert!(letter.len() <= LETTER_MOST, "{} bytes", letter.len());
-        self.letters.push((to, letter.to_vec()));
+    fn send(&mut self, to: SocketAddr, message: &[u8]) {
+        assert!(message.len() <= MESSAGE_MOST, "{} bytes", message.len());
+        self.messages.push((to, message.to_vec()));
     }
     fn changed(&mut self, change: Change) {
         self.changes.push(change);
@@ -137,7 +137,7 @@
             socket: VecDeque::new(),
             changes: Vec::new(),
             bytes: 0,
-            letters: 0,
+            messages: 0,
         };
         self.all[n] = Some(process);
         self.event(due, Event::Wake(n, birth));
@@ -197,18 +197,18 @@
         call(&mut process.members, self.now, &mut out);
         let (due, birth) = (process.members.next(), process.members.me().birth);
         process.changes.extend(out.changes.into_iter().map(|c| (self.now, c)));
-        for (to, letter) in out.letters {
+        for (to, message) in out.messages {
             let Some(to) = self.at.get(&to).copied() else { continue };
-            let letters = match &mut self.bend {
-                Some(bend) => bend(n, &letter),
-                None => vec![letter],
+            let messages = match &mut self.bend {
+                Some(bend) => bend(n, &message),
+                None => vec![message],
             };
-            for letter in letters {
+            for message in messages {
                 let process = self.all[n].as_mut().expect("it has just been called");
-                process.bytes += (letter.len() + ENVELOPE) as u64;
-                process.letters += 1;
+                process.bytes += (message.len() + ENVELOPE) as u64;
+                process.messages += 1;
                 if let Some(takes) = (self.link)(self.now, n, to, &mut self.rng) {
-                    self.event(self.now + takes, Event::Letter(to, letter));
+                    self.event(self.now + takes, Event::Message(to, message));
                 }
             }
         }
@@ -219,34 +219,34 @@
         self.call(n, |m, now, out| m.leave(now, out));
     }
 
-    /// Hands a router a letter as it stands.
-    pub fn tell(&mut self, n: usize, letter: &[u8]) {
-        self.call(n, |m, now, out| _ = m.heard(now, letter, out));
+    /// Hands a router a message as it stands.
+    pub fn tell(&mut self, n: usize, message: &[u8]) {
+        self.call(n, |m, now, out| _ = m.heard(now, message, out));
     }
 
     fn step(&mut self) {
         let Some(((at, _), event)) = self.events.pop_first() else { return };
         self.now = self.now.max(at);
-        let (Event::Wake(n, _) | Event::Letter(n, _)) = &event;
+        let (Event::Wake(n, _) | Event::Message(n, _)) = &event;
         let n = *n;
         let Some(process) = self.all[n].as_mut() else { return };
         if let Some(until) = process.stopped {
             if self.now < until {
-                if let Event::Letter(_, letter) = event
+                if let Event::Message(_, message) = event
                     && process.socket.len() < SOCKET_MOST
                 {
-                    process.socket.push_back(letter);
+                    process.socket.push_back(message);
                 }
                 return;
             }
             // What waits in its socket is read before any timer.
             process.stopped = None;
-            for letter in std::mem::take(&mut process.socket) {
-                self.call(n, |m, now, out| _ = m.heard(now, &letter, out));
+            for message in std::mem::take(&mut process.socket) {
+                self.call(n, |m, now, out| _ = m.heard(now, &message, out));
             }
         }
         match event {
-            Event::Letter(_, letter) => self.call(n, |m, now, out| _ = m.heard(now, &letter, out)),
+            Event::Message(_, message) => self.call(n, |m, now, out| _ = m.heard(now, &message, out)),
             Event::Wake(_, birth) => {
                 let members = &self.all[n].as_ref().expect("just seen").members;
                 // A timer of a process before, or one that an earlier call has made needless.
@@ -283,18 +283,18 @@
     Head { from: RouterId::named(&of.name), birth, incarnation, address }
 }
 
-/// A letter that says of a router that it is gone.
+/// A message that says of a router that it is gone.
 pub fn lie(from: &Record, of: &Record, stamp: u64) -> Vec<u8> {
     let Record { birth, incarnation, .. } = *of;
     let (subject, voter) = (RouterId::named(&of.name), RouterId::named(&from.name));
-    let mut letter = Letter::news(&head(from));
-    letter.word(&Word { subject, birth, incarnation, voter, stamp, says: Says::Gone });
-    letter.bytes().to_vec()
+    let mut message = Message::news(&head(from));
+    message.word(&Word { subject, birth, incarnation, voter, stamp, says: Says::Gone });
+    message.bytes().to_vec()
 }
 
-/// A letter with one record.
+/// A message with one record.
 pub fn news(from: &Record, record: &Record) -> Vec<u8> {
-    let mut letter = Letter::news(&head(from));
-    letter.record(record);
-    letter.bytes().to_vec()
+    let mut message = Message::news(&head(from));
+    message.record(record);
+    message.bytes().to_vec()
 }
--- a/crates/members/tests/letters.rs
+++ b/crates/members/tests/messages.rs
@@ -1,12 +1,12 @@
-//! Letters that are torn, bent or made up: a clear refusal, and nothing of them counts.
+//! Messages that are torn, bent or made up: a clear refusal, and nothing of them counts.
 mod common;
-use applepond_members::letter::{self, BUCKETS, Head, Letter, Words};
+use applepond_members::message::{self, BUCKETS, Head, Message, Words};
 use applepond_members::*;
 use common::*;
 use proptest::prelude::*;
 use std::net::SocketAddr;
 
-/// Counts what a letter says.
+/// Counts what a message says.
 #[derive(Default)]
 struct Count(usize);
 
@@ -38,7 +38,7 @@
     fn record(&mut self, _: &Head, _: Record) {
         self.0 += 1;
     }
-    fn word(&mut self, _: &Head, _: letter::Word) {
+    fn word(&mut self, _: &Head, _: message::Word) {
         self.0 += 1;
     }
 }
@@ -49,23 +49,23 @@
 }
 
 /// One of each kind, with two records behind.
-fn letters() -> Vec<Vec<u8>> {
+fn messages() -> Vec<Vec<u8>> {
     let (own, other) = (record(1), RouterId::named("r2"));
     let head = Head { from: RouterId::named("r1"), birth: own.birth, incarnation: 9, address: own.address };
     let all = [
-        Letter::beat(&head, Some(5), 77),
-        Letter::ask(&head, other),
-        Letter::probe(&head, other),
-        Letter::yes(&head, other),
-        Letter::vouch(&head, other, Birth(3)),
-        Letter::compare(&head, &[3; BUCKETS]),
-        Letter::news(&head),
-        Letter::refused(&head, Birth(1), address(3)),
-        Letter::taken(&head, address(3)),
+        Message::beat(&head, Some(5), 77),
+        Message::ask(&head, other),
+        Message::probe(&head, other),
+        Message::yes(&head, other),
+        Message::vouch(&head, other, Birth(3)),
+        Message::compare(&head, &[3; BUCKETS]),
+        Message::news(&head),
+        Message::refused(&head, Birth(1), address(3)),
+        Message::taken(&head, address(3)),
     ];
-    let whole = |mut letter: Letter| {
-        assert!(letter.record(&record(4)) && letter.record(&record(5)));
-        letter.bytes().to_vec()
+    let whole = |mut message: Message| {
+        assert!(message.record(&record(4)) && message.record(&record(5)));
+        message.bytes().to_vec()
     };
     all.into_iter().map(whole).collect()
 }
@@ -73,12 +73,12 @@
 // Cut anywhere but between two records nothing is said at all: what comes before the cut does not count.
 #[test]
 fn cut_at_every_byte() {
-    for whole in letters() {
+    for whole in messages() {
         let mut all = Count::default();
-        assert_eq!(letter::read(&whole, &mut all), Ok(()));
+        assert_eq!(message::read(&whole, &mut all), Ok(()));
         for at in 0..whole.len() {
             let mut said = Count::default();
-            match letter::read(&whole[..at], &mut said) {
+            match message::read(&whole[..at], &mut said) {
                 Ok(()) => assert!(said.0 < all.0),
                 Err(_) => assert_eq!(said.0, 0, "cut at {at} of {}", whole.len()),
             }
@@ -89,19 +89,19 @@
 #[test]
 fn names_are_looked_at() {
     for bad in ["", "a b", "tab\t", &"x".repeat(NAME_MOST + 1)] {
-        let letter = news(&record(1), &Record { name: bad.to_owned(), ..record(2) });
+        let message = news(&record(1), &Record { name: bad.to_owned(), ..record(2) });
         let mut said = Count::default();
-        assert_eq!((letter::read(&letter, &mut said), said.0), (Err(Trouble::Name), 0), "{bad:?}");
+        assert_eq!((message::read(&message, &mut said), said.0), (Err(Trouble::Name), 0), "{bad:?}");
     }
 }
 
 #[test]
-fn a_letter_has_a_most() {
+fn a_message_has_a_most() {
     let own = record(1);
     let head = Head { from: RouterId::named("r1"), birth: own.birth, incarnation: 9, address: own.address };
-    let mut letter = Letter::news(&head);
-    let fit = (0..1_000).take_while(|n| letter.record(&record(*n))).count();
-    assert!(fit > 10 && letter.bytes().len() <= LETTER_MOST);
+    let mut message = Message::news(&head);
+    let fit = (0..1_000).take_while(|n| message.record(&record(*n))).count();
+    assert!(fit > 10 && message.bytes().len() <= MESSAGE_MOST);
 }
 
 proptest! {
@@ -109,7 +109,7 @@
     #[test]
     fn made_up(kind in 0usize..9, bits in proptest::collection::vec((0usize..4_000, 0u8..8), 1..6),
                tail in proptest::collection::vec(any::<u8>(), 0..40)) {
-        let mut bytes = letters()[kind].clone();
+        let mut bytes = messages()[kind].clone();
         for (at, bit) in bits {
             let at = at % bytes.len();
             bytes[at] ^= 1 << bit;
--- a/crates/members/tests/paper.rs
+++ b/crates/members/tests/paper.rs
@@ -71,18 +71,18 @@
     assert!(paper.until(5 * S, |p| p.one_view(FLEET)));
 }
 
-// Letters that a router wrote before it raised its incarnation do not keep it alive after its death.
+// Messages that a router wrote before it raised its incarnation do not keep it alive after its death.
 #[test]
-fn old_letters_prove_nothing() {
+fn old_messages_prove_nothing() {
     let mut paper = Paper::fleet(16, 6, lossy(0.0));
     let kept = std::rc::Rc::new(std::cell::RefCell::new(Vec::new()));
     let keep = kept.clone();
-    paper.bend = Some(Box::new(move |from, letter| {
+    paper.bend = Some(Box::new(move |from, message| {
         // A beat's first byte is 0.
-        if from == 2 && letter[0] == 0 {
-            keep.borrow_mut().push(letter.to_vec());
+        if from == 2 && message[0] == 0 {
+            keep.borrow_mut().push(message.to_vec());
         }
-        vec![letter.to_vec()]
+        vec![message.to_vec()]
     }));
     paper.pass(S);
     paper.bend = None;
@@ -153,17 +153,17 @@
     assert!(paper.members(2).me().incarnation > before);
 }
 
-// Restarted at once under its name and address; the old process' letters come after it.
+// Restarted at once under its name and address; the old process' messages come after it.
 #[test]
 fn restart_within_a_second() {
     let mut paper = Paper::fleet(5, 8, lossy(0.02));
     let late = std::rc::Rc::new(std::cell::RefCell::new(Vec::new()));
     let kept = late.clone();
-    paper.bend = Some(Box::new(move |from, letter| {
+    paper.bend = Some(Box::new(move |from, message| {
         if from == 2 && kept.borrow().len() < 50 {
-            kept.borrow_mut().push(letter.to_vec());
+            kept.borrow_mut().push(message.to_vec());
         }
-        vec![letter.to_vec()]
+        vec![message.to_vec()]
     }));
     paper.pass(S);
     paper.bend = None;
@@ -174,8 +174,8 @@
     let birth = paper.members(2).me().birth;
     let changes = |p: &Paper| (0..8).map(|n| p.changes(n).count()).sum::<usize>();
     let before = changes(&paper);
-    for letter in late.borrow().iter() {
-        (0..8).filter(|n| *n != 2).for_each(|n| paper.tell(n, letter));
+    for message in late.borrow().iter() {
+        (0..8).filter(|n| *n != 2).for_each(|n| paper.tell(n, message));
     }
     paper.pass(5 * S);
     assert!(paper.one_view(8) && changes(&paper) == before);
@@ -206,7 +206,7 @@
     assert!((0..FLEET).all(|n| paper.live(n) == FLEET));
 }
 
-/// Which way a letter cannot go.
+/// Which way a message cannot go.
 type Cut = fn(usize, usize) -> bool;
 
 // One-sided cuts, told apart from death: nobody is removed, and the view says which way is lame.
@@ -269,8 +269,8 @@
         news(&me, &Record { standing: Standing::Gone, incarnation, ..s.record.clone() })
     };
     lies.extend(views.iter().skip(1).map(gone));
-    paper.bend = Some(Box::new(move |from, letter| {
-        let mut all = vec![letter.to_vec()];
+    paper.bend = Some(Box::new(move |from, message| {
+        let mut all = vec![message.to_vec()];
         all.extend(if from == 3 { lies.clone() } else { Vec::new() });
         all
     }));
@@ -298,14 +298,14 @@
 fn highest_numbers() {
     let mut paper = Paper::fleet(17, 5, lossy(0.0));
     let (one, two) = (paper.members(1).me().clone(), paper.members(2).me().clone());
-    let letters = [
+    let messages = [
         lie(&one, &two, u64::MAX),
         lie(&two, &one, u64::MAX),
         news(&one, &Record { incarnation: u64::MAX, ..two.clone() }),
         news(&one, &Record { incarnation: u64::MAX, birth: Birth(u64::MAX), ..two }),
     ];
-    for letter in &letters {
-        (0..5).for_each(|n| paper.tell(n, letter));
+    for message in &messages {
+        (0..5).for_each(|n| paper.tell(n, message));
         paper.pass(S);
     }
     paper.kill(3);
--- a/crates/openings/src/lib.rs
+++ b/crates/openings/src/lib.rs
@@ -35,7 +35,7 @@
 /// Uses by others than the router that has most of them from which on an opening counts: fewer are
 /// chance, and over one pane they look like many.
 pub const FEW: u64 = 6;
-/// Pins of a list at most: it fits into a letter of what is agreed on, with all around it.
+/// Pins of a list at most: it fits into a message of what is agreed on, with all around it.
 pub const PINS_MOST: usize = 48;
 /// µs between two changes of the list at least, and changes of pins in one: workers prepare anew for each.
 pub const CHANGE: Micros = 5_000_000;
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -291,7 +291,7 @@
 /// A name or a zone of a router: what others read of it in their own logs.
 fn nameable(part: &Part<'_>, key: &str) -> Option<String> {
     let text = part.text(key, None)?;
-    let good = applepond_members::letter::nameable(&text);
+    let good = applepond_members::message::nameable(&text);
     if !good {
         part.fault(
             &part.place_of(key),
--- a/crates/tallies/benches/around.rs
+++ b/crates/tallies/benches/around.rs
@@ -56,7 +56,7 @@
     Row { ms: (at(took.len() / 2), at(took.len().max(1) - 1)), lost: never, words, rate }
 }
 
-/// To everybody once: a letter that is lost is never sent again.
+/// To everybody once: a message that is lost is never sent again.
 fn once(routers: usize, lost: f64) -> Row {
     let mut rng = Rand64::new(1);
     let words = 5 * SEEDS as usize;
@@ -66,7 +66,7 @@
 }
 
 fn main() {
-    println!("| routers | letters lost | way | all hold it, median and latest | never by somebody | kB/s |");
+    println!("| routers | messages lost | way | all hold it, median and latest | never by somebody | kB/s |");
     println!("| --- | --- | --- | --- | --- | --- |");
     let mut lines: Vec<(&str, Vec<(usize, f64)>)> = vec![("compared", Vec::new()), ("once", Vec::new())];
     for routers in SIZES {
@@ -96,7 +96,7 @@
     area.fill(&WHITE).expect("drawn");
     let mut chart = ChartBuilder::on(&area)
         .caption(
-            "Words that somebody never gets, one letter in a hundred lost (on paper)",
+            "Words that somebody never gets, one message in a hundred lost (on paper)",
             ("sans-serif", 16),
         )
         .margin(12)
--- a/crates/tallies/src/fault.rs
+++ b/crates/tallies/src/fault.rs
@@ -21,19 +21,19 @@
     Full(usize),
 }
 
-/// Why a letter is not taken; it changes nothing then.
+/// Why a message is not taken; it changes nothing then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Diagnostic)]
 pub enum Unread {
-    #[error("a letter that ends early, goes on after its end or holds what no letter holds")]
+    #[error("a message that ends early, goes on after its end or holds what no message holds")]
     #[diagnostic(
         code(tallies::unreadable),
         help("a router of another version, or a broken path: compare the versions of the routers")
     )]
     Torn,
-    #[error("a letter with a number above all that are given out")]
+    #[error("a message with a number above all that are given out")]
     #[diagnostic(
         code(tallies::beyond),
-        help("somebody with the fleet's key makes letters up: change the key files of all routers")
+        help("somebody with the fleet's key makes messages up: change the key files of all routers")
     )]
     Beyond,
     #[error("what it tells goes past a bound on bytes or origins")]
--- a/crates/tallies/src/lib.rs
+++ b/crates/tallies/src/lib.rs
@@ -1,17 +1,17 @@
 //! What each router tells the others of itself: entries by origin, incarnation, kind and key. Only the origin
 //! writes; neighbours compare what they hold by parts and send what differs. A machine without I/O: the time,
-//! letters and the neighbours of `members` come in, letters go out.
+//! messages and the neighbours of `members` come in, messages go out.
 //!
 //! What is told is late, fades, and is only ever a hint: no sum that must hold, no permit and no term may
 //! rest on it. Who has said nothing is not in any answer here: nothing known is not zero. See
 //! docs/tallies.md.
 mod fault;
-mod letter;
 mod machine;
+mod message;
 
 pub use fault::{Refused, Unread};
-pub use letter::MARK;
 pub use machine::{Orders, Row, Tallies, Told};
+pub use message::MARK;
 
 use applepond::interface::Micros;
 use serde::{Deserialize, Serialize};
@@ -21,11 +21,11 @@
 /// µs between two comparisons that a router begins: each goes to one neighbour by chance, so news has gone
 /// around a thousand routers after some ten of them.
 pub const COMPARE: Micros = 250_000;
-/// Parts that are compared by themselves: one letter has room for the digests of all.
+/// Parts that are compared by themselves: one message has room for the digests of all.
 pub const PARTS: usize = 32;
-/// Bytes of a letter at most, as in `members`: with its envelope every path carries it whole.
-pub const LETTER_MOST: usize = applepond_members::LETTER_MOST;
-/// Bytes of one value at most: a letter carries the largest with all that stands around it.
+/// Bytes of a message at most, as in `members`: with its envelope every path carries it whole.
+pub const MESSAGE_MOST: usize = applepond_members::MESSAGE_MOST;
+/// Bytes of one value at most: a message carries the largest with all that stands around it.
 pub const VALUE_MOST: usize = 900;
 /// Bytes kept of one origin at most: a sketch of some hundred counters and a row for each of some hundred
 /// workers.
@@ -36,7 +36,7 @@
 pub const AROUND: usize = 64;
 /// Origins at most, as many as `members` knows routers.
 pub const ORIGINS_MOST: usize = applepond_members::ROUTERS_MOST;
-/// Bytes of letters that go out between two comparisons at most: 1 MB a second an instance at the most.
+/// Bytes of messages that go out between two comparisons at most: 1 MB a second an instance at the most.
 pub const OUT_MOST: usize = 256 * 1024;
 /// µs for which an entry counts where no row says otherwise; its origin writes again what is to stay.
 pub const LIFE: Micros = 60_000_000;
--- a/crates/tallies/src/machine.rs
+++ b/crates/tallies/src/machine.rs
@@ -1,5 +1,5 @@
-//! The machine: one record an origin, what letters do to it, and what is compared with whom when.
-use crate::letter::{Held, Holds, Letter, Line, Tells};
+//! The machine: one record an origin, what messages do to it, and what is compared with whom when.
+use crate::message::{Held, Holds, Line, Message, Tells};
 use crate::*;
 use applepond_members::RouterId;
 use oorandom::Rand64;
@@ -12,9 +12,9 @@
     pub life: Micros,
 }
 
-/// Letters to neighbours; each may be lost, late or repeated.
+/// Messages to neighbours; each may be lost, late or repeated.
 pub trait Orders {
-    fn send(&mut self, to: RouterId, letter: Vec<u8>);
+    fn send(&mut self, to: RouterId, message: Vec<u8>);
 }
 
 /// One word of one origin, as it is held here.
@@ -205,7 +205,7 @@
         (self.origins.len(), self.bytes)
     }
 
-    /// Letters that were not taken, by why.
+    /// Messages that were not taken, by why.
     pub fn unread(&self) -> &BTreeMap<Unread, u64> {
         &self.unread
     }
@@ -237,13 +237,13 @@
         self.clear(now);
         if !neighbours.is_empty() {
             let to = neighbours[self.rng.rand_range(0..neighbours.len() as u64) as usize];
-            self.send(to, &Letter::Compares(self.parts.to_vec()), orders);
+            self.send(to, &Message::Compares(self.parts.to_vec()), orders);
         }
     }
 
-    /// Whether there was room for the letter; what goes out between two comparisons is bounded.
-    fn send(&mut self, to: RouterId, letter: &Letter, orders: &mut dyn Orders) -> bool {
-        let bytes = letter.write();
+    /// Whether there was room for the message; what goes out between two comparisons is bounded.
+    fn send(&mut self, to: RouterId, message: &Message, orders: &mut dyn Orders) -> bool {
+        let bytes = message.write();
         if bytes.len() > self.out {
             return false;
         }
@@ -293,9 +293,9 @@
         self.parts[part(id)] ^= digest(origin.held(id));
     }
 
-    // ---- Letters -----------------------------------------------------------------------------
+    // ---- Messages -----------------------------------------------------------------------------
 
-    /// Takes a letter of a neighbour, whole or not at all.
+    /// Takes a message of a neighbour, whole or not at all.
     pub fn heard(
         &mut self,
         now: Micros,
@@ -303,22 +303,22 @@
         bytes: &[u8],
         orders: &mut dyn Orders,
     ) -> Result<(), Unread> {
-        let taken = Letter::read(bytes).and_then(|letter| match letter {
-            Letter::Compares(parts) => {
+        let taken = Message::read(bytes).and_then(|message| match message {
+            Message::Compares(parts) => {
                 self.compared(from, &parts, orders);
                 Ok(())
             }
-            Letter::Holds(holds) => {
+            Message::Holds(holds) => {
                 self.told_holds(now, from, &holds, orders);
                 Ok(())
             }
-            Letter::Wants(held) => {
+            Message::Wants(held) => {
                 for h in held {
                     self.tell(now, from, h, orders);
                 }
                 Ok(())
             }
-            Letter::Tells(tells) => self.take(now, tells),
+            Message::Tells(tells) => self.take(now, tells),
         });
         if let Err(why) = taken {
             *self.unread.entry(why).or_default() += 1;
@@ -329,7 +329,7 @@
     /// A neighbour's digests: of each part that differs it is told what is held here.
     fn compared(&mut self, from: RouterId, parts: &[u64], orders: &mut dyn Orders) {
         // 33 bytes of an origin at the most, 40 around all of them.
-        const EACH: usize = (LETTER_MOST - 40) / 33;
+        const EACH: usize = (MESSAGE_MOST - 40) / 33;
         let first = self.rng.rand_range(0..PARTS as u64) as usize;
         // Another part comes first each time: where room ends, none is always left out.
         for p in (0..PARTS).map(|n| (first + n) % PARTS) {
@@ -344,14 +344,14 @@
                 let last = if ends { RouterId(u64::MAX) } else { held[held.len() - 1].origin };
                 let holds = Holds { part: p as u8, first: begin, last, held: held.to_vec() };
                 begin = RouterId(last.0.saturating_add(1));
-                if !self.send(from, &Letter::Holds(holds), orders) {
+                if !self.send(from, &Message::Holds(holds), orders) {
                     return;
                 }
             }
             if all.is_empty() {
                 let (first, last) = (RouterId(0), RouterId(u64::MAX));
                 let holds = Holds { part: p as u8, first, last, held: Vec::new() };
-                if !self.send(from, &Letter::Holds(holds), orders) {
+                if !self.send(from, &Message::Holds(holds), orders) {
                     return;
                 }
             }
@@ -383,9 +383,9 @@
         for id in lacking.collect::<Vec<_>>() {
             self.tell(now, from, Held { origin: id, incarnation: 0, upto: 0 }, orders);
         }
-        // As many as the letter had room for, and a little smaller: it is a letter again.
+        // As many as the message had room for, and a little smaller: it is a message again.
         if !wants.is_empty() {
-            self.send(from, &Letter::Wants(wants), orders);
+            self.send(from, &Message::Wants(wants), orders);
         }
     }
 
@@ -434,16 +434,16 @@
         let mut lines = lines.into_iter().peekable();
         let mut begin = from;
         loop {
-            // A letter is filled, then the next goes on where it ends.
+            // A message is filled, then the next goes on where it ends.
             let (mut these, mut bytes) = (Vec::new(), 60);
-            while let Some(line) = lines.next_if(|l| bytes + 35 + l.value.len() <= LETTER_MOST) {
+            while let Some(line) = lines.next_if(|l| bytes + 35 + l.value.len() <= MESSAGE_MOST) {
                 bytes += 35 + line.value.len();
                 these.push(line);
             }
             let ends = if lines.peek().is_none() { upto } else { these.last().map_or(upto, |l| l.version) };
             let tells = Tells { origin: theirs.origin, incarnation, from: begin, upto: ends, lines: these };
             begin = ends;
-            if !self.send(to, &Letter::Tells(tells), orders) || ends == upto {
+            if !self.send(to, &Message::Tells(tells), orders) || ends == upto {
                 return;
             }
         }
--- a/crates/tallies/src/letter.rs
+++ b/crates/tallies/src/message.rs
@@ -1,11 +1,11 @@
-//! Letters between neighbours: a mark, a kind, then what it says, as postcard writes it. A letter is read
+//! Messages between neighbours: a mark, a kind, then what it says, as postcard writes it. A message is read
 //! whole before any of it counts.
 use crate::fault::Unread;
 use crate::*;
 use applepond_members::RouterId;
 use serde::de::DeserializeOwned;
 
-/// First byte of each letter here; those of `members` begin with a small number.
+/// First byte of each message here; those of `members` begin with a small number.
 pub const MARK: u8 = 0xb1;
 
 const COMPARES: u8 = 1;
@@ -52,7 +52,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Letter {
+pub enum Message {
     Compares(Vec<u64>),
     Holds(Holds),
     Wants(Vec<Held>),
@@ -71,43 +71,43 @@
     }
 }
 
-impl Letter {
+impl Message {
     pub fn write(&self) -> Vec<u8> {
         match self {
-            Letter::Compares(parts) => put(COMPARES, parts),
-            Letter::Holds(holds) => put(HOLDS, holds),
-            Letter::Wants(held) => put(WANTS, held),
-            Letter::Tells(tells) => put(TELLS, tells),
+            Message::Compares(parts) => put(COMPARES, parts),
+            Message::Holds(holds) => put(HOLDS, holds),
+            Message::Wants(held) => put(WANTS, held),
+            Message::Tells(tells) => put(TELLS, tells),
         }
     }
 
-    pub fn read(bytes: &[u8]) -> Result<Letter, Unread> {
+    pub fn read(bytes: &[u8]) -> Result<Message, Unread> {
         let [MARK, kind, rest @ ..] = bytes else { return Err(Unread::Torn) };
-        if bytes.len() > LETTER_MOST {
+        if bytes.len() > MESSAGE_MOST {
             return Err(Unread::Torn);
         }
-        let letter = match *kind {
-            COMPARES => Letter::Compares(whole(rest)?),
-            HOLDS => Letter::Holds(whole(rest)?),
-            WANTS => Letter::Wants(whole(rest)?),
-            TELLS => Letter::Tells(whole(rest)?),
+        let message = match *kind {
+            COMPARES => Message::Compares(whole(rest)?),
+            HOLDS => Message::Holds(whole(rest)?),
+            WANTS => Message::Wants(whole(rest)?),
+            TELLS => Message::Tells(whole(rest)?),
             _ => return Err(Unread::Torn),
         };
-        letter.sound()?;
-        Ok(letter)
+        message.sound()?;
+        Ok(message)
     }
 
     /// What no honest router writes is not taken, so that nothing behind it has to ask.
     fn sound(&self) -> Result<(), Unread> {
         let low = |held: &[Held]| held.iter().all(|h| h.incarnation.max(h.upto) < NUMBER_MOST);
         let (formed, low) = match self {
-            Letter::Compares(parts) => (parts.len() == PARTS, true),
-            Letter::Holds(holds) => {
+            Message::Compares(parts) => (parts.len() == PARTS, true),
+            Message::Holds(holds) => {
                 let within = |h: &Held| (holds.first..=holds.last).contains(&h.origin);
                 ((holds.part as usize) < PARTS && holds.held.iter().all(within), low(&holds.held))
             }
-            Letter::Wants(held) => (true, low(held)),
-            Letter::Tells(tells) => {
+            Message::Wants(held) => (true, low(held)),
+            Message::Tells(tells) => {
                 let mut last = tells.from;
                 let mut rising = |l: &Line| {
                     let rises = l.version > last && l.version <= tells.upto && l.value.len() <= VALUE_MOST;
--- a/crates/tallies/tests/common/mod.rs
+++ b/crates/tallies/tests/common/mod.rs
@@ -8,10 +8,10 @@
 pub const MS: u64 = 1_000;
 pub const S: u64 = 1_000_000;
 pub const PACE: Kind = Kind(1);
-/// Bytes of the envelope around each letter, on top of a datagram's own head.
+/// Bytes of the envelope around each message, on top of a datagram's own head.
 const ENVELOPE: usize = 48;
 
-/// What becomes of a letter: lost, or there after so many µs.
+/// What becomes of a message: lost, or there after so many µs.
 pub type Link = Box<dyn FnMut(u64, usize, usize, &mut Rand64) -> Option<u64>>;
 
 /// A network that loses this part and takes 0.2 to 1 ms.
@@ -23,9 +23,9 @@
 pub struct Out(pub Vec<(RouterId, Vec<u8>)>);
 
 impl Orders for Out {
-    fn send(&mut self, to: RouterId, letter: Vec<u8>) {
-        assert!(letter.len() <= LETTER_MOST, "{} bytes", letter.len());
-        self.0.push((to, letter));
+    fn send(&mut self, to: RouterId, message: Vec<u8>) {
+        assert!(message.len() <= MESSAGE_MOST, "{} bytes", message.len());
+        self.0.push((to, message));
     }
 }
 
@@ -37,7 +37,7 @@
 
 enum Event {
     Wake(usize, u64),
-    Letter(usize, usize, Vec<u8>),
+    Message(usize, usize, Vec<u8>),
 }
 
 pub struct Paper {
@@ -97,12 +97,12 @@
         self.events.insert((at, self.next), event);
     }
 
-    fn post(&mut self, from: usize, letters: Vec<(RouterId, Vec<u8>)>) {
-        for (to, letter) in letters {
-            self.all[from].as_mut().expect("it sends").bytes += (letter.len() + ENVELOPE) as u64;
+    fn post(&mut self, from: usize, messages: Vec<(RouterId, Vec<u8>)>) {
+        for (to, message) in messages {
+            self.all[from].as_mut().expect("it sends").bytes += (message.len() + ENVELOPE) as u64;
             let to = self.ids[&to];
             if let Some(late) = (self.link)(self.now, from, to, &mut self.rng) {
-                self.push(self.now + late, Event::Letter(from, to, letter));
+                self.push(self.now + late, Event::Message(from, to, message));
             }
         }
     }
@@ -124,9 +124,9 @@
                     self.push(next, Event::Wake(n, life));
                     n
                 }
-                Event::Letter(from, to, letter) => {
+                Event::Message(from, to, message) => {
                     let Some(p) = self.all[to].as_mut() else { continue };
-                    let _ = p.tallies.heard(at, id(from), &letter, &mut out);
+                    let _ = p.tallies.heard(at, id(from), &message, &mut out);
                     to
                 }
             };
--- a/crates/tallies/tests/paper.rs
+++ b/crates/tallies/tests/paper.rs
@@ -7,7 +7,7 @@
 use test_case::test_case;
 
 #[test_case(20, 0.0, 3; "twenty")]
-#[test_case(20, 0.3, 8; "twenty, three letters in ten lost")]
+#[test_case(20, 0.3, 8; "twenty, three messages in ten lost")]
 #[test_case(300, 0.0, 5; "three hundred")]
 fn all_hold_what_one_says(routers: usize, lost: f64, seconds: u64) {
     for seed in 1..=3 {
@@ -35,7 +35,7 @@
     assert_eq!(paper.told(4, 1).into_iter().collect::<Vec<_>>(), [(0, b"0".to_vec())]);
 }
 
-// Letters come twice, late and in any order; what holds is what the origin said last.
+// Messages come twice, late and in any order; what holds is what the origin said last.
 #[test_case(1)]
 #[test_case(2)]
 fn repeated_late_and_reordered(seed: u64) {
@@ -140,12 +140,12 @@
     assert!((0..20).filter(|n| *n != 3).all(|n| paper.told(n, 1).len() == 1));
 }
 
-/// What `to` takes of a letter made up by a neighbour, and whether it took it.
-fn lies(to: &mut Tallies, letter: &[u8]) -> Result<(), Unread> {
-    to.heard(2_000 * S, id(1), letter, &mut Out::default())
+/// What `to` takes of a message made up by a neighbour, and whether it took it.
+fn lies(to: &mut Tallies, message: &[u8]) -> Result<(), Unread> {
+    to.heard(2_000 * S, id(1), message, &mut Out::default())
 }
 
-// Cut anywhere, lengthened or bent, a letter is refused or says what it may: it never panics and counts.
+// Cut anywhere, lengthened or bent, a message is refused or says what it may: it never panics and counts.
 #[test]
 fn cut_at_every_byte() {
     let mut one = Tallies::new(S, id(0), 1, &[], 1);
@@ -154,29 +154,29 @@
     let mut other = Tallies::new(S, id(1), 1, &[], 2);
     one.wake(2 * S, &[id(1)], &mut out);
     let first = out.0[0].1.clone();
-    other.heard(2 * S, id(0), &first, &mut out).expect("a good letter");
-    let mut letters: Vec<Vec<u8>> = out.0.iter().map(|(_, l)| l.clone()).collect();
-    for letter in letters.clone() {
+    other.heard(2 * S, id(0), &first, &mut out).expect("a good message");
+    let mut messages: Vec<Vec<u8>> = out.0.iter().map(|(_, l)| l.clone()).collect();
+    for message in messages.clone() {
         let mut out = Out::default();
-        let _ = one.heard(2 * S, id(1), &letter, &mut out);
-        letters.extend(out.0.into_iter().map(|(_, l)| l));
+        let _ = one.heard(2 * S, id(1), &message, &mut out);
+        messages.extend(out.0.into_iter().map(|(_, l)| l));
     }
-    assert!(letters.len() > 3, "{}", letters.len());
+    assert!(messages.len() > 3, "{}", messages.len());
     let mut refused = 0;
-    for letter in &letters {
-        for at in 0..letter.len() {
-            assert!(lies(&mut other, &letter[..at]).is_err(), "cut at {at}");
-            let mut bent = letter.clone();
+    for message in &messages {
+        for at in 0..message.len() {
+            assert!(lies(&mut other, &message[..at]).is_err(), "cut at {at}");
+            let mut bent = message.clone();
             bent[at] ^= 0x55;
             refused += u64::from(lies(&mut other, &bent).is_err());
         }
-        assert_eq!(lies(&mut other, &[&letter[..], &[0]].concat()), Err(Unread::Torn));
+        assert_eq!(lies(&mut other, &[&message[..], &[0]].concat()), Err(Unread::Torn));
     }
     assert!(refused > 0);
     assert!(other.unread()[&Unread::Torn] > 0);
 }
 
-/// Letters by hand: what a holder of the key could write.
+/// Messages by hand: what a holder of the key could write.
 mod forged {
     use super::*;
     use serde::Serialize;
@@ -195,10 +195,10 @@
 #[test_case(forged::tells(id(1), 1, 0, 4, &[(1, 5, b"x")]), Unread::Torn; "a line past the end")]
 #[test_case(forged::tells(id(1), 1, 0, 4, &[(1, 2, b"x"), (2, 2, b"y")]), Unread::Torn; "one number twice")]
 #[test_case(forged::tells(id(1), 1, 0, 1, &[(1, 1, &[7; VALUE_MOST + 1])]), Unread::Torn; "a long value")]
-fn what_nobody_writes(letter: Vec<u8>, why: Unread) {
+fn what_nobody_writes(message: Vec<u8>, why: Unread) {
     let mut one = Tallies::new(S, id(0), 1, &[], 1);
     let before = one.view();
-    assert_eq!(lies(&mut one, &letter), Err(why));
+    assert_eq!(lies(&mut one, &message), Err(why));
     assert_eq!((one.view(), one.unread()[&why]), (before, 1));
 }
 
@@ -261,8 +261,8 @@
     let mut refused = 0;
     for n in 0..60u64 {
         let value = [7; 800];
-        let letter = forged::tells(id(1), 1, n, n + 1, &[(n, n + 1, &value)]);
-        refused += u64::from(lies(&mut one, &letter) == Err(Unread::NoRoom));
+        let message = forged::tells(id(1), 1, n, n + 1, &[(n, n + 1, &value)]);
+        refused += u64::from(lies(&mut one, &message) == Err(Unread::NoRoom));
     }
     // Once, then what follows would leave a gap.
     assert_eq!(refused, 1);
@@ -294,7 +294,7 @@
     let mut out = Out::default();
     let sent = |out: &Out| out.0.iter().map(|(_, l)| l.len()).sum::<usize>();
     (0..40).for_each(|_| one.heard(S, id(1), &wants, &mut out).expect("well formed"));
-    assert!((OUT_MOST - LETTER_MOST..=OUT_MOST).contains(&sent(&out)), "{}", sent(&out));
+    assert!((OUT_MOST - MESSAGE_MOST..=OUT_MOST).contains(&sent(&out)), "{}", sent(&out));
     one.wake(2 * S, &[], &mut out);
     one.heard(2 * S, id(1), &wants, &mut out).expect("well formed");
     assert!(sent(&out) > OUT_MOST, "and goes on after the next one");
