--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -931,6 +931,23 @@
     assert_within(&r, 2, begun, by);
 }
 
+// The list names no server: a request on a new connection is answered all the same, also amid an exit.
+#[test_case(false; "while it runs on")]
+#[test_case(true; "while it leaves")]
+fn no_server_is_listed(leaves: bool) {
+    let mut r = Real::new(0, |_| ());
+    let mut client = TcpStream::connect(r.at).expect("it listens");
+    client.write_all(call("quote", 1).as_bytes()).expect("written");
+    r.until("read", |r| r.node.borrow().kept()[0] == 1);
+    if leaves {
+        r.leaves();
+    }
+    r.until("ended", |r| r.node.borrow().kept()[0] == 0);
+    r.leaves();
+    let answer = r.rest(client);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+}
+
 // A client goes with the last piece of its body: nobody waits for it.
 #[test]
 fn hung_up_behind_a_body_in_pieces() {
--- a/crates/scale/benches/slopes.rs
+++ b/crates/scale/benches/slopes.rs
@@ -1,6 +1,7 @@
 //! Slopes behind docs/CAPACITY.md: what each machine holds and does at several sizes, a line through it, and
 //! what the smaller sizes foretell of the largest. `cargo bench -p applepond-scale --bench slopes [-- PART]`,
-//! PART one of `control`, `events`, `members`, `tallies`, `list`.
+//! PART one of `control`, `events`, `members`, `tallies`, `list`. With a file's name, ending in `.svg`, and
+//! no PART it draws need against allowance by the size of the fleet.
 //!
 //! Simulated time and one thread; times are those of a shared machine, bytes and messages are counts.
 #[path = "../../members/tests/common/mod.rs"]
@@ -12,8 +13,10 @@
 use applepond_scale::fit::{Fit, Form};
 use applepond_scale::router::{AHEAD, Allocated, HollowRouter, Size};
 use applepond_scale::traffic::{Popularity, SIGMA};
+use plotters::prelude::*;
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use std::alloc::System;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 #[global_allocator]
@@ -34,8 +37,11 @@
     Allocated { total: stats.bytes_allocated as u64, live }
 }
 
+/// Lines by what they are of.
+type Fits = BTreeMap<String, Fit>;
+
 /// Points of one quantity, printed with the line through them and what the smaller ones foretell.
-fn report(what: &str, unit: &str, form: Form, points: &[(f64, f64)]) {
+fn report(fits: &mut Fits, what: &str, unit: &str, form: Form, points: &[(f64, f64)]) {
     let shown: Vec<String> = points.iter().map(|(size, cost)| format!("{size}: {cost:.4}")).collect();
     let fit = Fit::of(form, points);
     let (_, miss) = Fit::foretold(form, points);
@@ -46,9 +52,10 @@
         fit.slope,
         fit.residual
     );
+    fits.insert(what.to_owned(), fit);
 }
 
-fn control() {
+fn control(fits: &mut Fits) {
     let played = |size: Size| {
         let popularity = Popularity::draw(size.functions, SIGMA, 1);
         let mut router = HollowRouter::start(size, popularity, 7, allocated);
@@ -70,24 +77,24 @@
     for (what, unit, column) in columns {
         let points: Vec<(f64, f64)> =
             workers.iter().map(|n| *n as f64).zip(rows.iter().map(column)).collect();
-        report(&format!("control by workers: {what}"), unit, Form::Linear, &points);
+        report(fits, &format!("control by workers: {what}"), unit, Form::Linear, &points);
     }
     let functions = [3_000, 10_000, 30_000, 100_000, 290_000];
     let rows = functions.map(|functions| played(Size { functions, ..AHEAD }));
     for (what, unit, column) in &columns[..2] {
         let points: Vec<(f64, f64)> =
             functions.iter().map(|n| *n as f64).zip(rows.iter().map(column)).collect();
-        report(&format!("control by functions: {what}"), unit, Form::Logarithm, &points);
+        report(fits, &format!("control by functions: {what}"), unit, Form::Logarithm, &points);
     }
     let calls = [31.0, 62.0, 124.0, 248.0];
     let rows = calls.map(|calls_per_s| played(Size { calls_per_s, ..AHEAD }));
     let points: Vec<(f64, f64)> =
         calls.into_iter().zip(rows.iter().map(|row| row.1.core() * 100.0)).collect();
-    report("control by calls a second: processor", "% of a core", Form::Linear, &points);
+    report(fits, "control by calls a second: processor", "% of a core", Form::Linear, &points);
 }
 
 /// What befalls a router of the fleet ahead.
-fn events() {
+fn events(_: &mut Fits) {
     let popularity = Popularity::draw(AHEAD.functions, SIGMA, 1);
     let mut router = HollowRouter::start(AHEAD, popularity, 7, allocated);
     let start = router.start.total();
@@ -120,7 +127,7 @@
 }
 
 /// Bytes and messages a second, and bytes held, of one hollow instance of membership in steady state.
-fn members_fleet() {
+fn members_fleet(fits: &mut Fits) {
     let mut rows = Vec::new();
     for routers in ROUTERS {
         let before = allocated().live;
@@ -128,7 +135,7 @@
         fleet.pass(60 * members::S);
         let sum = |fleet: &members::Paper| {
             let all = fleet.all.iter().flatten();
-            all.fold((0, 0), |(bytes, messages), p| (bytes + p.bytes, messages + p.letters))
+            all.fold((0, 0), |(bytes, messages), p| (bytes + p.bytes, messages + p.messages))
         };
         let (from, begun) = (sum(&fleet), Instant::now());
         fleet.pass(WATCHED_S * members::S);
@@ -140,19 +147,19 @@
         rows.push((routers as f64, [each(to.0 - from.0) / 1e3, each(to.1 - from.1), held, cpu_ms]));
     }
     let columns = [
-        ("bytes sent", "kB/s", Form::Logarithm),
-        ("messages sent", "1/s", Form::Logarithm),
+        ("bytes sent", "kB/s", Form::Linear),
+        ("messages sent", "1/s", Form::Linear),
         ("state", "kB", Form::Linear),
         ("processor", "ms/s", Form::Linear),
     ];
     for (n, (what, unit, form)) in columns.into_iter().enumerate() {
         let points: Vec<(f64, f64)> = rows.iter().map(|(size, row)| (*size, row[n])).collect();
-        report(&format!("membership by routers: {what}"), unit, form, &points);
+        report(fits, &format!("membership by routers: {what}"), unit, form, &points);
     }
 }
 
 /// The same of gossip, each router publishing one entry as often as the settings allow.
-fn tallies_fleet() {
+fn tallies_fleet(fits: &mut Fits) {
     let mut rows = Vec::new();
     for routers in ROUTERS {
         let before = allocated().live;
@@ -177,7 +184,7 @@
     let columns = [("bytes sent", "kB/s"), ("state", "kB"), ("processor", "ms/s")];
     for (n, (what, unit)) in columns.into_iter().enumerate() {
         let points: Vec<(f64, f64)> = rows.iter().map(|(size, row)| (*size, row[n])).collect();
-        report(&format!("gossip by routers: {what}"), unit, Form::Linear, &points);
+        report(fits, &format!("gossip by routers: {what}"), unit, Form::Linear, &points);
     }
 }
 
@@ -198,7 +205,7 @@
 }
 
 /// Reading the list of workers as `serve` is sent it.
-fn list() {
+fn list(fits: &mut Fits) {
     let zones: Vec<String> = (0..12).map(|n| format!("zone-{n}")).collect();
     let sizes = [1_000, 3_000, 10_000, 30_000];
     let rows = sizes.map(|workers| {
@@ -230,24 +237,80 @@
     for (n, (what, unit, form)) in columns.into_iter().enumerate() {
         let points: Vec<(f64, f64)> =
             sizes.iter().map(|s| *s as f64).zip(rows.iter().map(|r| r[n])).collect();
-        report(&format!("list of workers, by workers: {what}"), unit, form, &points);
+        report(fits, &format!("list of workers, by workers: {what}"), unit, form, &points);
+    }
+}
+
+/// Need by allowance at several sizes of the fleet, its other figures in proportion.
+fn chart(fits: &Fits, file: &str) {
+    /// Allowances of a router for control (docs/CAPACITY.md).
+    const BYTES_KB_S: f64 = 20.0;
+    const MEMORY_MB: f64 = 32.0;
+    let at = |what: &str, size: f64| fits.get(what).map_or(0.0, |fit| fit.at(size));
+    let workers = |routers: f64| routers * AHEAD.workers as f64 / AHEAD.routers as f64;
+    let changes = |routers: f64| {
+        let per_s = AHEAD.list_changes_per_s * routers / AHEAD.routers as f64;
+        per_s * at("list of workers, by workers: a change", 1.0) / 1e3
+    };
+    let memory = |routers: f64| {
+        let decisions = at("control by workers: state", workers(routers));
+        let list = at("list of workers, by workers: state", workers(routers));
+        let members = at("membership by routers: state", routers) / 1e3;
+        let gossip = at("gossip by routers: state", routers) / 1e3;
+        decisions + list + members + gossip
+    };
+    type Need<'a> = (&'static str, Box<dyn Fn(f64) -> f64 + 'a>);
+    let needs: [Need; 4] = [
+        ("gossip, bytes", Box::new(|n| at("gossip by routers: bytes sent", n) / BYTES_KB_S)),
+        ("membership, bytes", Box::new(|n| at("membership by routers: bytes sent", n) / BYTES_KB_S)),
+        ("changes of the list, bytes", Box::new(|n| changes(n) / BYTES_KB_S)),
+        ("memory of all", Box::new(|n| memory(n) / MEMORY_MB)),
+    ];
+    let sizes: Vec<f64> = (0..=40).map(|n| 100.0 * (70.0_f64).powf(f64::from(n) / 40.0)).collect();
+    let area = SVGBackend::new(file, (760, 400)).into_drawing_area();
+    area.fill(&WHITE).expect("drawn");
+    let mut chart = ChartBuilder::on(&area)
+        .caption(
+            "Need of a router by its allowance for control (lines of hollow processes)",
+            ("sans-serif", 16),
+        )
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(52)
+        .build_cartesian_2d((100.0..7_000.0).log_scale(), (0.001..100.0).log_scale())
+        .expect("drawn");
+    chart.configure_mesh().x_desc("routers").y_desc("need / allowance").draw().expect("drawn");
+    let allowance = LineSeries::new([(100.0, 1.0), (7_000.0, 1.0)], BLACK.stroke_width(1));
+    chart.draw_series(allowance).expect("drawn").label("allowance");
+    for ((name, need), color) in needs.iter().zip([RED, BLUE, GREEN, MAGENTA]) {
+        let points = sizes.iter().map(|size| (*size, need(*size).max(0.001)));
+        let line = LineSeries::new(points, color.stroke_width(2));
+        let legend = move |(x, y)| PathElement::new([(x, y), (x + 18, y)], color.stroke_width(2));
+        chart.draw_series(line).expect("drawn").label(*name).legend(legend);
     }
+    chart.configure_series_labels().border_style(BLACK).draw().expect("drawn");
+    area.present().expect("drawn");
 }
 
 fn main() {
-    let wanted = std::env::args().skip(1).find(|word| !word.starts_with('-'));
+    let mut words = std::env::args().skip(1).filter(|word| !word.starts_with('-'));
+    let word = words.next();
+    let file = word.as_deref().filter(|word| word.ends_with(".svg"));
+    let wanted = word.as_deref().filter(|word| !word.ends_with(".svg"));
     println!("| what | unit | size: value | form | line | residual | misses the largest by |");
     println!("| --- | --- | --- | --- | --- | --- | --- |");
-    let parts: [(&str, fn()); 5] = [
+    let parts: [(&str, fn(&mut Fits)); 5] = [
         ("control", control),
         ("list", list),
         ("tallies", tallies_fleet),
         ("members", members_fleet),
         ("events", events),
     ];
+    let mut fits = Fits::new();
     for (name, part) in parts {
-        if wanted.as_deref().is_none_or(|wanted| wanted == name) {
-            part();
+        if wanted.is_none_or(|wanted| wanted == name) {
+            part(&mut fits);
         }
     }
+    file.into_iter().for_each(|file| chart(&fits, file));
 }
