--- a/crates/scale/benches/slopes.rs
+++ b/crates/scale/benches/slopes.rs
@@ -40,6 +40,9 @@
 /// Lines by what they are of.
 type Fits = BTreeMap<String, Fit>;
 
+/// A part of the run, by its name.
+type Part = (&'static str, fn(&mut Fits));
+
 /// Points of one quantity, printed with the line through them and what the smaller ones foretell.
 fn report(fits: &mut Fits, what: &str, unit: &str, form: Form, points: &[(f64, f64)]) {
     let shown: Vec<String> = points.iter().map(|(size, cost)| format!("{size}: {cost:.4}")).collect();
@@ -299,7 +302,7 @@
     let wanted = word.as_deref().filter(|word| !word.ends_with(".svg"));
     println!("| what | unit | size: value | form | line | residual | misses the largest by |");
     println!("| --- | --- | --- | --- | --- | --- | --- |");
-    let parts: [(&str, fn(&mut Fits)); 5] = [
+    let parts: [Part; 5] = [
         ("control", control),
         ("list", list),
         ("tallies", tallies_fleet),
