--- a/crates/scale/benches/slopes.rs
+++ b/crates/scale/benches/slopes.rs
@@ -67,24 +67,24 @@
         (router.state_bytes() as f64 / 1e6, costs, router.start.total())
     };
     type Column = fn(&(f64, applepond_scale::router::Costs, Duration)) -> f64;
-    let columns: [(&str, &str, Column); 6] = [
-        ("state", "MB", |row| row.0),
-        ("a call", "us", |row| row.1.call_us()),
-        ("a call's request, 99th percentile", "us", |row| row.1.requests.quantile_us(0.99)),
-        ("a timer", "us", |row| row.1.timers.mean_us()),
-        ("a change of the list", "us", |row| row.1.lists.mean_us()),
-        ("the whole list at the start", "ms", |row| row.2.as_secs_f64() * 1e3),
+    let columns: [(&str, &str, Form, Column); 6] = [
+        ("state", "MB", Form::Linear, |row| row.0),
+        ("a call", "us", Form::Linear, |row| row.1.call_us()),
+        ("a call's request, 99th percentile", "us", Form::Linear, |row| row.1.requests.quantile_us(0.99)),
+        ("a timer", "us", Form::Constant, |row| row.1.timers.mean_us()),
+        ("a change of the list", "us", Form::Constant, |row| row.1.lists.mean_us()),
+        ("the whole list at the start", "ms", Form::Linear, |row| row.2.as_secs_f64() * 1e3),
     ];
     let workers = [1_000, 3_000, 10_000, 30_000];
     let rows = workers.map(|workers| played(Size { workers, ..AHEAD }));
-    for (what, unit, column) in columns {
+    for (what, unit, form, column) in columns {
         let points: Vec<(f64, f64)> =
             workers.iter().map(|n| *n as f64).zip(rows.iter().map(column)).collect();
-        report(fits, &format!("control by workers: {what}"), unit, Form::Linear, &points);
+        report(fits, &format!("control by workers: {what}"), unit, form, &points);
     }
     let functions = [3_000, 10_000, 30_000, 100_000, 290_000];
     let rows = functions.map(|functions| played(Size { functions, ..AHEAD }));
-    for (what, unit, column) in &columns[..2] {
+    for (what, unit, _, column) in &columns[..2] {
         let points: Vec<(f64, f64)> =
             functions.iter().map(|n| *n as f64).zip(rows.iter().map(column)).collect();
         report(fits, &format!("control by functions: {what}"), unit, Form::Logarithm, &points);
