A process that is told to leave answers whatever is open before it is killed

At fault: machine.rs tick and wind_up, which let each request run to its own time. The platform counts the longest deadline as 3 s where it is longer, and kills 0.7 s after that.

Changed: 3.3 s after the order to leave all that is open is ended by the module as it ends any (end_all, give_up).

--- a/crates/node/src/machine.rs
+++ b/crates/node/src/machine.rs
@@ -40,6 +40,9 @@
 const LISTEN_LIMIT: Micros = 20_000_000;
 /// µs after the word to stop during which new connections and calls still come, and some to spare.
 const LEAVING: Micros = 900_000;
+/// µs after the order to leave at which whatever is still open is answered: the platform counts the longest
+/// deadline as 3 s where it is longer, and kills 0.7 s after that.
+const ANSWER_ALL: Micros = 3_300_000;
 
 /// The one question a connection may have open carries this.
 const ECHO_TAG: &str = "works";
@@ -629,6 +632,10 @@
         for conn in conns {
             self.sweep_link(now, wire, conn);
         }
+        if self.leaving.is_some_and(|since| now >= since + ANSWER_ALL) {
+            self.control.clock(now);
+            self.control.end_all(&mut self.acts);
+        }
         if self.leaving.is_some_and(|since| now >= since + LEAVING) {
             self.wind_up(now, wire);
         }
--- a/crates/node/tests/ends.rs
+++ b/crates/node/tests/ends.rs
@@ -948,6 +948,33 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
 
+// A request has more time than the platform leaves a process that is told to leave: it is answered before
+// that process is killed, 3.7 s after SIGTERM, whether it is held or out at a server.
+#[test_case(0, "quote", "503"; "held")]
+#[test_case(1, "quote", "503"; "out, and may be repeated")]
+#[test_case(1, "confirm", "502"; "out, and may not be")]
+fn a_deadline_beyond_the_kill(servers: u16, workload: &str, status: &str) {
+    let mut r = Real::new(servers, |file| {
+        for lane in 0..3 {
+            file["settings"]["lanes"][lane]["on-time"] = 7000.0.into();
+            file["settings"]["lanes"][lane]["deadline"] = 9000.0.into();
+        }
+    });
+    let mut client = r.client();
+    let ask = call(workload, 1).replace("Budget-Ms: 2000", "Budget-Ms: 9000");
+    client.write_all(ask.as_bytes()).expect("written");
+    if servers > 0 {
+        r.carries(1);
+    } else {
+        r.quiet();
+    }
+    let told = Instant::now();
+    r.leaves();
+    let answer = r.rest(client);
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+    assert!(told.elapsed() < Duration::from_millis(3_700), "answered after {:?}", told.elapsed());
+}
+
 // A client goes with the last piece of its body: nobody waits for it.
 #[test]
 fn hung_up_behind_a_body_in_pieces() {
--- a/src/control.rs
+++ b/src/control.rs
@@ -116,8 +116,7 @@
 const SHARE_SPAN: f64 = 2_000_000.0;
 /// µs after which a function that nobody asks for, and that no worker may hold, is forgotten.
 const FORGET: Micros = 60_000_000;
-/// Functions known at most: several times those that a router meets within `FORGET` of each other. Beyond it
-/// those without an open job that were called longest ago go first.
+/// Functions known at most, several times those met within `FORGET`; those called longest ago go first.
 const FUNCTIONS_MOST: usize = 8_192;
 /// Functions of which the first workers are kept: those of some minutes, as a search costs a hundred calls.
 const PREFIXES_MOST: NonZeroUsize = NonZeroUsize::new(8_192).expect("above zero");
@@ -562,8 +561,7 @@
         self.held.insert((Reverse(job.value), job.came, id), row);
     }
 
-    /// Jobs a µs that the other routers are taken to have of this function: as many as this one had before
-    /// its last job, or a rare function's only job would look like one of many.
+    /// Jobs a µs that the others are taken to have of this function: as many as this one had before its last.
     fn elsewhere(&self, function: FunctionId) -> f64 {
         let before = (self.functions[&function].rate - 1.0).max(0.0);
         self.per_us(before) * (self.rows.routers - 1) as f64
@@ -602,8 +600,7 @@
         let (mut next_place, mut looked) = (0, 0);
         let mut tail: Option<std::vec::IntoIter<Ranked<ServerId>>> = None;
         loop {
-            // With the home known, and a next one or none wanted, only those that serve matter. Where the
-            // rest of the order is long, they are sought by themselves.
+            // With the home known, and a next one or none wanted, only those that serve matter, sought alone.
             let settled = home.is_some()
                 && (looked >= WALK_MOST
                     || beyond <= takes * self.weight_least && (next.is_some() || jam || *pending || !gate));
@@ -846,6 +843,11 @@
         self.forget(id);
     }
 
+    /// Ends all jobs, each with its one answer, for a process that has to go.
+    pub fn end_all(&mut self, orders: &mut dyn Orders) {
+        self.jobs.keys().copied().collect::<Vec<_>>().into_iter().for_each(|id| self.give_up(orders, id));
+    }
+
     fn cancel_rest(&self, orders: &mut dyn Orders, id: JobId) {
         if self.rows.permits.cancel {
             let live = self.jobs[&id].tried.iter().enumerate().filter(|(_, t)| t.fate == Fate::Out);
