Review: a run-once step runs twice after a pushback that a kill leads to

Need: an independent review before production, with each fault shown by a test that fails.

A gateway with open chains is killed and started again; its clients ask again at once, admission calls that a storm and answers 503 without regard to the steps on record, and the clients go to the other gateway. run-case.sh ends its processes also when it is ended itself.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A second try with less time: see claim.txt.
-exec "$(dirname "$0")/../run-case.sh" 3 case-earlier-deadline
+# A chain whose gateway is killed: see claim.txt.
+exec "$(dirname "$0")/../run-case.sh" 3 case-chain-after-kill
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -11,7 +11,6 @@
 CASE_TMP=$(mktemp -d) || exit 2
 CASE_RECORD="$here/$1/record.txt"
 export CASE_TMP CASE_RECORD
-trap 'exit 2' INT TERM
 # Ends what the case may have left, also if it was cut off.
 finish() {
     if [ -f "$CASE_TMP/pids" ]; then
@@ -25,7 +24,10 @@
     rm -rf "$CASE_TMP"
 }
 trap finish EXIT
-timeout -k 2 110 "$program"
+timeout -k 2 110 "$program" &
+player=$!
+trap 'kill "$player" 2>/dev/null; exit 2' HUP INT TERM
+wait "$player"
 status=$?
 case $status in
 0 | 1) exit $status ;;
