Review: a name service slower than 0.2 s leaves the router with its first list

Change: a case for the platform's router, with a name service, model servers and clients as stand-ins. Each answer of the name service takes 0.4 s; the router gives every query up after 0.2 s and never learns of a drain, an end or a server that took another's address. It takes the place of the case of the chain's keyed step.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A chain whose gateway is killed: see claim.txt.
-exec "$(dirname "$0")/../run-case.sh" 3 case-chain-after-kill
+# A slow name service: see claim.txt.
+exec "$(dirname "$0")/../run-case.sh" 3 case-slow-list
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -17,7 +17,7 @@
         while read -r pid; do
             [ -r "/proc/$pid/cmdline" ] || continue
             case $(tr '\0' ' ' <"/proc/$pid/cmdline") in
-            *target/release/applepond*"$CASE_TMP"*) kill -9 "$pid" 2>/dev/null ;;
+            *target/release/applepond*) kill -9 "$pid" 2>/dev/null ;;
             esac
         done <"$CASE_TMP/pids"
     fi
--- a/review/standins/src/bin/case-pushback-after-kill.rs
+++ b/review/standins/src/bin/case-pushback-after-kill.rs
@@ -216,8 +216,8 @@
     let Counts { bookings, finished, failed, unanswered, pushed_back_after_run } = total;
     record.line(&format!("run-once steps that ran more than once: {}", twice.join(", ")));
     let summary = format!(
-        "bookings {bookings}: finished {finished}, failed {failed}, unanswered {unanswered}; pushed back after \
-         their run-once step had run {pushed_back_after_run}; run-once steps run more than once {}",
+        "bookings {bookings}: finished {finished}, failed {failed}, unanswered {unanswered}; pushed back \
+         after their run-once step had run {pushed_back_after_run}; run-once steps run more than once {}",
         twice.len()
     );
     record.line(&summary);
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -174,20 +174,21 @@
 }
 
 impl Process {
-    /// Starts the gateway, `applepond serve`, and waits until it listens.
-    pub fn serve(settings: &Path, log: &str) -> Process {
+    /// Starts a program of the project, with its log in the temporary folder.
+    fn start(command: &mut Command, log: &str) -> Child {
         let log = File::options().create(true).append(true).open(folder().join(log));
         let log = log.unwrap_or_else(|error| cannot_run(&error.to_string()));
-        let child = Command::new("target/release/applepond")
-            .args(["serve", "--settings"])
-            .arg(settings)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(log)
-            .spawn();
-        let mut child =
-            child.unwrap_or_else(|error| cannot_run(&format!("target/release/applepond: {error}")));
+        let child = command.stdin(Stdio::null()).stderr(log).spawn();
+        let child = child.unwrap_or_else(|error| cannot_run(&format!("target/release/applepond: {error}")));
         note_pid(child.id());
+        child
+    }
+
+    /// Starts the gateway, `applepond serve`, and waits until it listens.
+    pub fn serve(settings: &Path, log: &str) -> Process {
+        let mut command = Command::new("target/release/applepond");
+        command.args(["serve", "--settings"]).arg(settings).stdout(Stdio::piped());
+        let mut child = Process::start(&mut command, log);
         let output = child.stdout.take().expect("piped above");
         let mut line = String::new();
         let read = BufReader::new(output).read_line(&mut line);
@@ -198,6 +199,14 @@
         Process { child }
     }
 
+    /// Starts the platform's router by the deploy file's command, `exec target/release/applepond node`.
+    pub fn node(config: &Path, log: &str) -> Process {
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", "exec target/release/applepond node"]).env("PROXY_CONFIG", config);
+        command.stdout(Stdio::null());
+        Process { child: Process::start(&mut command, log) }
+    }
+
     /// The id of the process.
     pub fn pid(&self) -> u32 {
         self.child.id()
