--- a/review/standins/src/bin/case-slow-list.rs
+++ b/review/standins/src/bin/case-slow-list.rs
@@ -1,5 +1,5 @@
-//! A name service that takes some hundred milliseconds for an answer, model servers of which one is drained and
-//! replaced at its address by one of another cell, and clients that send keyed requests to a router.
+//! A name service that takes some hundred milliseconds for an answer, model servers of which one is drained
+//! and replaced at its address by one of another cell, and clients that send keyed requests to a router.
 use review_standins::{
     BROKEN, HELD, Message, Process, Record, cannot_run, folder, free_address, limit_time, with_trouble,
 };
@@ -25,8 +25,8 @@
 const REPLACED_AT: Duration = Duration::from_secs(10);
 /// The end of the day.
 const DAY: Duration = Duration::from_secs(26);
-/// An event counts as told this long after it happened at the latest; then nothing new goes to a draining server
-/// after the grace. Every time limit is 50 ms longer.
+/// An event counts as told this long after it happened at the latest; then nothing new goes to a draining
+/// server after the grace. Every time limit is 50 ms longer.
 const TOLD_WITHIN: Duration = Duration::from_millis(1500);
 const GRACE: Duration = Duration::from_millis(2050);
 const CLIENTS: usize = 8;
@@ -373,7 +373,9 @@
     wait_until(DRAINS_AT);
     change(2, "a2 drains: event 2", &|entries| entries[1].ready = false);
     wait_until(ENDS_AT);
-    change(3, "a2 has ended: event 3", &|entries| drop(entries.remove(1)));
+    change(3, "a2 has ended: event 3", &|entries| {
+        entries.remove(1);
+    });
     drop(TcpStream::connect(servers[1].address));
     for connection in servers[1].connections.lock().expect("no holder panics").drain(..) {
         let _ = connection.shutdown(Shutdown::Both);
