--- a/review/standins/src/bin/case-slow-list.rs
+++ b/review/standins/src/bin/case-slow-list.rs
@@ -12,25 +12,26 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// How long the name service takes for an answer.
-const SLOW: Duration = Duration::from_millis(400);
+const SLOW: Duration = Duration::from_millis(300);
 /// Work of a request.
 const WORK: Duration = Duration::from_millis(200);
 /// For how long a cell drops repeats.
 const WINDOW: Duration = Duration::from_secs(3);
-/// One answer of this many breaks off: the request has run, and its connection ends without an answer.
+/// From the start of `n1` on, one answer of this many breaks off: the request has run, and its connection
+/// ends without an answer.
 const ONE_IN: u64 = 10;
 /// When the server `a2` begins to drain, when it ends, and when `n1` starts at its address.
 const DRAINS_AT: Duration = Duration::from_secs(2);
 const ENDS_AT: Duration = Duration::from_secs(7);
 const REPLACED_AT: Duration = Duration::from_secs(10);
 /// The end of the day.
-const DAY: Duration = Duration::from_secs(26);
+const DAY: Duration = Duration::from_secs(28);
 /// An event counts as told this long after it happened at the latest; then nothing new goes to a draining
 /// server after the grace. Every time limit is 50 ms longer.
 const TOLD_WITHIN: Duration = Duration::from_millis(1500);
 const GRACE: Duration = Duration::from_millis(2050);
-const CLIENTS: usize = 8;
-const FUNCTIONS: usize = 24;
+const CLIENTS: usize = 12;
+const FUNCTIONS: u64 = 24;
 const BETWEEN: Duration = Duration::from_millis(60);
 
 /// What the model servers saw.
@@ -114,7 +115,8 @@
             }
             let number = world.answers.fetch_add(1, Ordering::Relaxed);
             let mut writer = writer.lock().expect("no holder panics");
-            if runs && number % ONE_IN == ONE_IN - 1 {
+            let may_break = runs && world.start.elapsed() >= REPLACED_AT;
+            if may_break && number % ONE_IN == ONE_IN - 1 {
                 world.record.line(&format!("{} breaks off before its answer to {id}", server.name));
                 let _ = writer.shutdown(Shutdown::Both);
                 return;
@@ -269,7 +271,8 @@
     while world.start.elapsed() < DAY {
         counts.sent += 1;
         let id = format!("{number:08x}{:08x}", counts.sent);
-        let function = format!("{:016x}", 0x7f3a_9c21_u64 + (counts.sent as u64 * 7) % FUNCTIONS as u64);
+        let model = u64::from(counts.sent) * 7 % FUNCTIONS + 1;
+        let function = format!("{:016x}", model.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let request = format!(
             "POST /do/{function}/fire HTTP/1.1\r\nHost: app.svc\r\nX-Class: hold\r\nRequest-Id: {id}\r\n\
              Budget-Ms: 5000\r\nAccount: snezka-hut\r\nOnce-Key: {id}{id}\r\n\
