Review: stand-ins listen where no connection takes their port

Cause: an address that is chosen and let go could be taken by a connection before it is listened on.

Change: stand-ins and routers of the cases listen on 127.0.0.7, each address is given once.

--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -1,6 +1,6 @@
 //! Parts shared by the stand-ins of the review: a record of what happened, HTTP/1.1 messages, the processes
 //! of the project, and a gateway's client. Standard library only, threads and blocking sockets.
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -157,15 +157,18 @@
     }
 }
 
-/// A loopback address that was free a moment ago.
+/// A loopback address that was free a moment ago and has not been given before. It is not 127.0.0.1, from
+/// which connections are made, so none of them takes its port.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| cannot_run(&error.to_string()));
-    listener.local_addr().unwrap_or_else(|error| cannot_run(&error.to_string()))
-}
-
-/// Sends a signal to a process that this run started.
-pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("sh").args(["-c", &format!("kill -{name} {pid}")]).status();
+    static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+    loop {
+        let listener = TcpListener::bind("127.0.0.7:0");
+        let address = listener.and_then(|listener| listener.local_addr());
+        let address = address.unwrap_or_else(|error| cannot_run(&error.to_string()));
+        if GIVEN.lock().expect("no holder panics").insert(address) {
+            return address;
+        }
+    }
 }
 
 /// A process of the project. It is killed when it is dropped.
