Node logs each query of the name service, its answer and its giving up

Need: the log could not tell an answer that came too late from one that was rejected or never sent.

Change: debug lines for a query sent, answered and given up, with its id and age.

--- a/crates/node/src/name_service.rs
+++ b/crates/node/src/name_service.rs
@@ -73,7 +73,12 @@
     /// Sends a query if one is due. Each query has a new id and source port, so that late or forged answers
     /// do not match.
     pub(crate) fn poll(&mut self, now: Micros, transport: &mut dyn Transport) {
-        if self.query.is_some_and(|query| now >= query.sent_at + QUERY_TIMEOUT) {
+        if let Some(query) = self.query.filter(|query| now >= query.sent_at + QUERY_TIMEOUT) {
+            tracing::debug!(
+                id = query.id,
+                age_us = now - query.sent_at,
+                "no answer of the name service: query given up"
+            );
             self.end_query(transport, now);
         }
         if self.query.is_some() || now < self.next_query_at && !self.is_stale(now) {
@@ -83,6 +88,7 @@
             Some(conn) => {
                 let id = self.rng.rand_u32() as u16;
                 transport.send_datagram(conn, &name_service::query(id));
+                tracing::debug!(id, service = %self.service, "name service queried");
                 self.query = Some(Query { conn, id, sent_at: now });
             }
             // No descriptor is available for a query: continues with the current list.
@@ -102,6 +108,8 @@
         let query = self.query.filter(|query| query.conn == conn)?;
         match name_service::read_answer(bytes, query.id, names) {
             Ok(list) if list.index >= self.index => {
+                let age_us = now - query.sent_at;
+                tracing::debug!(id = query.id, age_us, index = list.index, "name service answered");
                 self.end_query(transport, now + QUERY_INTERVAL);
                 let is_newer = list.index > self.index;
                 self.index = list.index;
