Node accepts answers of the name service however late they are

Cause: `NameServiceWatch::poll` gave a query up after QUERY_TIMEOUT (200 ms) and closed its socket; the answer came to a closed port, and the next query fared alike. The list stayed that of the start.

Change: a query stays pending, on a socket and with an id of its own, until it or a later one is answered. At most 16 are pending, and at most one for each 16 descriptors; then the oldest ends. The next query follows 250 ms after an answer or after a query without one, 500 ms from four pending ones on: a slow or silent service is queried 2 to 4 times a second (5 before).

--- a/crates/node/src/name_service.rs
+++ b/crates/node/src/name_service.rs
@@ -1,27 +1,42 @@
 //! Watches the endpoint list by polling the name service. Answers with a lower index than the current list
 //! are ignored.
 //!
-//! Holds the pending query and the index of the current list.
+//! The name service promises no response time. A query therefore stays pending while further queries are
+//! sent, and its answer is accepted whenever it arrives. It ends when it or a later query has been answered,
+//! or as the oldest one when too many are pending. The rate of queries does not depend on whether they are
+//! answered, and falls while several are pending.
+//!
+//! Holds the pending queries, the index of the current list, and whether that list is stale.
 use applepond::interface::Micros;
 use applepond_platform::name_service::{self, EndpointList};
 use applepond_platform::startup::ConfigNames;
 use applepond_reactor::{ConnectionId, Transport};
 use oorandom::Rand32;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-/// Interval between two queries. Routers must know an event 1.5 s after it happened, even if two answers in a
-/// row are lost.
+/// Time from an answer, or from a query without one, to the next query. Routers must know an event 1.5 s after
+/// it happened, even if two answers in a row are lost.
 const QUERY_INTERVAL: Micros = 250_000;
-/// Time after which a query has failed: many times the round-trip time.
-const QUERY_TIMEOUT: Micros = 200_000;
+/// Interval while [`BACKOFF_PENDING`] or more queries are pending, as the service is then slow or silent.
+const BACKOFF_INTERVAL: Micros = 500_000;
+/// Number of pending queries from which on [`BACKOFF_INTERVAL`] applies.
+const BACKOFF_PENDING: usize = 4;
 /// Delay of the next query after a rejected answer, to avoid flooding a service in trouble.
 const QUERY_RETRY_DELAY: Micros = 50_000;
-/// Age of the last completed query at which the list is stale, which only happens if this process was paused:
+/// Maximum number of pending queries. Each has a socket.
+const MAX_PENDING: usize = 16;
+/// Descriptors of the process per pending query. The queries use at most half of those that are left for the
+/// process itself.
+const DESCRIPTORS_PER_QUERY: usize = 16;
+/// Time without a query after which the list is stale. This only happens if this process was paused: it is
 /// twice the longest time between two queries, and less than the 1.5 s after which events must be known.
 const STALE_AFTER: Micros = 1_000_000;
+/// Maximum time that a stale list waits for an answer. After that the service is considered silent, and the
+/// list is used again.
+const REFRESH_TIMEOUT: Micros = 200_000;
 
-/// A pending query.
-#[derive(Clone, Copy)]
+/// A query without an answer.
 struct Query {
     conn: ConnectionId,
     id: u16,
@@ -34,65 +49,100 @@
     rng: Rand32,
     /// Index of the current list.
     index: u64,
-    query: Option<Query>,
+    /// Oldest first.
+    pending: VecDeque<Query>,
+    max_pending: usize,
     next_query_at: Micros,
-    /// When the last completed query, answered or timed out, was sent.
+    /// When the last query was sent.
     last_query_at: Micros,
+    /// End of the last pause of this process, until a query sent after it has been answered.
+    resumed_at: Option<Micros>,
 }
 
 impl NameServiceWatch {
-    /// Creates a watch that starts from the list with this index.
-    pub(crate) fn new(now: Micros, service: SocketAddr, index: u64, seed: u64) -> Self {
-        let rng = Rand32::new(seed);
-        NameServiceWatch { service, rng, index, query: None, next_query_at: 0, last_query_at: now }
+    /// Creates a watch that starts from the list with this index, in a process with this many descriptors.
+    pub(crate) fn new(
+        now: Micros,
+        service: SocketAddr,
+        index: u64,
+        seed: u64,
+        max_descriptors: usize,
+    ) -> Self {
+        NameServiceWatch {
+            service,
+            rng: Rand32::new(seed),
+            index,
+            pending: VecDeque::new(),
+            max_pending: (max_descriptors / DESCRIPTORS_PER_QUERY).clamp(1, MAX_PENDING),
+            next_query_at: 0,
+            last_query_at: now,
+            resumed_at: None,
+        }
     }
 
-    /// Whether this process has not queried for so long that a server may have drained and gone unnoticed.
-    /// The list does not become stale because the service is silent, only because it has not been queried.
+    /// Whether this process was paused for so long that a server may have drained and gone unnoticed. The list
+    /// stays stale until a query sent after the pause has been answered, for at most [`REFRESH_TIMEOUT`]. It
+    /// does not become stale because the service is silent.
     pub(crate) fn is_stale(&self, now: Micros) -> bool {
+        let awaits_answer = self.resumed_at.is_some_and(|at| now < at + REFRESH_TIMEOUT);
+        awaits_answer || self.was_paused(now)
+    }
+
+    fn was_paused(&self, now: Micros) -> bool {
         now > self.last_query_at + STALE_AFTER
     }
 
-    /// Changes the address of the name service. The list index is kept.
+    /// Changes the address of the name service. Pending queries end without an answer; the list and its index
+    /// are kept.
     pub(crate) fn set_service(&mut self, transport: &mut dyn Transport, service: SocketAddr) {
         if self.service != service {
             self.service = service;
-            self.end_query(transport, 0);
-        }
-    }
-
-    /// Ends the pending query, if any, and schedules the next one.
-    fn end_query(&mut self, transport: &mut dyn Transport, next_query_at: Micros) {
-        if let Some(query) = self.query.take() {
-            transport.abort(query.conn);
-            self.last_query_at = query.sent_at;
+            self.next_query_at = 0;
+            for query in self.pending.drain(..) {
+                transport.abort(query.conn);
+            }
         }
-        self.next_query_at = next_query_at;
     }
 
-    /// Sends a query if one is due. Each query has a new id and source port, so that late or forged answers
-    /// do not match.
+    /// Sends a query if one is due.
     pub(crate) fn poll(&mut self, now: Micros, transport: &mut dyn Transport) {
-        if let Some(query) = self.query.filter(|query| now >= query.sent_at + QUERY_TIMEOUT) {
-            tracing::debug!(
-                id = query.id,
-                age_us = now - query.sent_at,
-                "no answer of the name service: query given up"
-            );
-            self.end_query(transport, now);
-        }
-        if self.query.is_some() || now < self.next_query_at && !self.is_stale(now) {
+        let was_paused = self.was_paused(now);
+        if now < self.next_query_at && !was_paused {
             return;
         }
-        match transport.connect_datagrams(self.service) {
-            Some(conn) => {
-                let id = self.rng.rand_u32() as u16;
-                transport.send_datagram(conn, &name_service::query(id));
-                tracing::debug!(id, service = %self.service, "name service queried");
-                self.query = Some(Query { conn, id, sent_at: now });
-            }
+        if was_paused {
+            self.resumed_at = Some(now);
+        }
+        if self.pending.len() >= self.max_pending {
+            self.drop_oldest(now, transport);
+        }
+        self.last_query_at = now;
+        if !self.send_query(now, transport) {
             // No descriptor is available for a query: continues with the current list.
-            None => self.last_query_at = now,
+            self.resumed_at = None;
+            self.drop_oldest(now, transport);
+        }
+        let slow = self.pending.len() >= BACKOFF_PENDING;
+        self.next_query_at = now + if slow { BACKOFF_INTERVAL } else { QUERY_INTERVAL };
+    }
+
+    /// Sends a query, with a new id and from a new port, so that forged answers do not match. Returns false if
+    /// no descriptor is available.
+    fn send_query(&mut self, now: Micros, transport: &mut dyn Transport) -> bool {
+        let Some(conn) = transport.connect_datagrams(self.service) else { return false };
+        let id = self.rng.rand_u32() as u16;
+        transport.send_datagram(conn, &name_service::query(id));
+        self.pending.push_back(Query { conn, id, sent_at: now });
+        tracing::debug!(id, service = %self.service, pending = self.pending.len(), "name service queried");
+        true
+    }
+
+    /// Ends the oldest pending query without an answer, to free its descriptor.
+    fn drop_oldest(&mut self, now: Micros, transport: &mut dyn Transport) {
+        if let Some(query) = self.pending.pop_front() {
+            let age_us = now - query.sent_at;
+            tracing::debug!(id = query.id, age_us, "no answer of the name service: query given up");
+            transport.abort(query.conn);
         }
     }
 
@@ -105,30 +155,56 @@
         bytes: &[u8],
         names: &ConfigNames,
     ) -> Option<EndpointList> {
-        let query = self.query.filter(|query| query.conn == conn)?;
-        match name_service::read_answer(bytes, query.id, names) {
-            Ok(list) if list.index >= self.index => {
-                let age_us = now - query.sent_at;
-                tracing::debug!(id = query.id, age_us, index = list.index, "name service answered");
-                self.end_query(transport, now + QUERY_INTERVAL);
-                let is_newer = list.index > self.index;
-                self.index = list.index;
-                is_newer.then_some(list)
-            }
+        let position = self.pending.iter().position(|query| query.conn == conn)?;
+        match name_service::read_answer(bytes, self.pending[position].id, names) {
+            Ok(list) if list.index >= self.index => self.list_received(now, transport, position, list),
             Ok(list) => {
-                tracing::debug!(
-                    index = list.index,
-                    known_index = self.index,
-                    "endpoint list ignored: older than the current one"
-                );
-                self.end_query(transport, now + QUERY_RETRY_DELAY);
+                let (index, known_index) = (list.index, self.index);
+                tracing::debug!(index, known_index, "endpoint list ignored: older than the current one");
+                self.query_failed(now, transport, position);
                 None
             }
             Err(error) => {
                 tracing::debug!(%error, "answer of the name service rejected");
-                self.end_query(transport, now + QUERY_RETRY_DELAY);
+                self.query_failed(now, transport, position);
                 None
             }
         }
     }
+
+    /// Ends a query that was answered with the current list or a newer one, and all earlier queries. Returns
+    /// the list if it is newer.
+    fn list_received(
+        &mut self,
+        now: Micros,
+        transport: &mut dyn Transport,
+        position: usize,
+        list: EndpointList,
+    ) -> Option<EndpointList> {
+        let Query { id, sent_at, .. } = self.pending[position];
+        let age_us = now - sent_at;
+        tracing::debug!(id, age_us, index = list.index, "name service answered");
+        if self.resumed_at.is_some_and(|at| sent_at >= at) {
+            self.resumed_at = None;
+        }
+        for query in self.pending.drain(..=position) {
+            transport.abort(query.conn);
+        }
+        if self.pending.is_empty() {
+            self.next_query_at = now + QUERY_INTERVAL;
+        }
+        let is_newer = list.index > self.index;
+        self.index = list.index;
+        is_newer.then_some(list)
+    }
+
+    /// Ends a query whose answer was rejected.
+    fn query_failed(&mut self, now: Micros, transport: &mut dyn Transport, position: usize) {
+        if let Some(query) = self.pending.remove(position) {
+            transport.abort(query.conn);
+        }
+        if self.pending.is_empty() {
+            self.next_query_at = now + QUERY_RETRY_DELAY;
+        }
+    }
 }
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -125,6 +125,7 @@
                 config.name_service,
                 config.list_index,
                 config.startup.seed,
+                config.max_descriptors,
             ),
             deferred: DeferredCalls::default(),
             process_events,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+pub mod name_service;
 pub mod sockets;
 
 pub const MS: Micros = 1_000;
--- /dev/null
+++ b/crates/node/tests/late_name_service.rs
@@ -0,0 +1,137 @@
+//! A name service whose answers are late, out of order or lost. It promises no response time, so an answer
+//! counts whenever it arrives, and a query without an answer says nothing about the list.
+//!
+//! The bounds are those of the protocol: an event counts as notified 1.5 s after it happened, and nothing new
+//! may be sent to a draining server once the grace of 2 s has passed, with a slack of 50 ms.
+mod common;
+use applepond_reactor::{ConnectionId, Micros};
+use common::name_service::{LateNameService, Reaction, open_sockets, uneven};
+use common::*;
+use serde_json::Value;
+use std::cmp::max;
+use std::net::SocketAddr;
+use test_case::test_case;
+
+/// Time after a drain from which on nothing new may be sent to the server.
+const NOTHING_NEW_AFTER: Micros = 3_550 * MS;
+/// The longest time between two queries, with a margin for the tick.
+const MAX_QUERY_INTERVAL: Micros = 550 * MS;
+
+/// A node with two model servers and its name service.
+struct Rig {
+    sim: SimulatedNode,
+    name_service: LateNameService,
+    config_json: Value,
+    last_id: u64,
+}
+
+impl Rig {
+    fn new(change: fn(&mut Value)) -> Self {
+        let mut config_json = config_json(2);
+        change(&mut config_json);
+        let sim = SimulatedNode::with(&config_json);
+        Rig { sim, name_service: LateNameService::new(&config_json), config_json, last_id: 0 }
+    }
+
+    fn drain_first_server(&mut self) {
+        self.config_json["known"]["updates"][0]["endpoints"]["members"][0]["phase"] = "terminating".into();
+        self.name_service.update(&self.config_json);
+    }
+
+    /// Sends a call for a function of its own.
+    fn call(&mut self) -> (u64, ConnectionId) {
+        self.last_id += 1;
+        let client = self.sim.connect_client();
+        let function = request_id(self.last_id.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        self.sim.send(client, call("quote", self.last_id).replace(FUNCTION, &function).as_bytes());
+        self.sim.worker_connections();
+        (self.last_id, client)
+    }
+
+    /// Sends calls for this time, which the model servers answer at once. Returns when the first server last
+    /// received one.
+    fn serve_calls(&mut self, time: Micros, mut react: impl FnMut(usize) -> Reaction) -> Micros {
+        let end = self.sim.now + time;
+        let mut last_received = 0;
+        while self.sim.now < end {
+            self.name_service.run(&mut self.sim, 50 * MS, &mut react);
+            let (id, client) = self.call();
+            let conn = self.sim.connection_of(id);
+            if self.sim.address(conn) == first_server() {
+                last_received = self.sim.now;
+            }
+            self.sim.send(conn, answer_line("OK", id).as_bytes());
+            assert_eq!(self.sim.statuses(client), [200]);
+        }
+        last_received
+    }
+}
+
+fn first_server() -> SocketAddr {
+    "127.0.1.1:8443".parse().expect("an address")
+}
+
+// Regression: queries were given up after 0.2 s, so a slower name service was never heard, and draining
+// servers received requests after the grace.
+#[test_case(250 * MS)]
+#[test_case(300 * MS)]
+#[test_case(S)]
+#[test_case(2_900 * MS)]
+#[test_case(6 * S)]
+fn an_answer_is_used_however_late_it_is(delay: Micros) {
+    let mut rig = Rig::new(|_| ());
+    assert!(rig.serve_calls(2 * S, |_| Reaction::AnswerAfter(delay)) > 0, "the first server is used");
+    rig.drain_first_server();
+    let drained_at = rig.sim.now;
+    let last_received = rig.serve_calls(10 * S, |_| Reaction::AnswerAfter(delay));
+    let allowed = max(NOTHING_NEW_AFTER, delay + MAX_QUERY_INTERVAL);
+    assert!(last_received < drained_at + allowed, "{} us after the drain", last_received - drained_at);
+}
+
+// Regression: as above, with answers that overtake each other, beside lost ones: two in a row.
+#[test]
+fn a_drain_is_known_in_time_with_uneven_delays_and_lost_answers() {
+    for seed in 0..40 {
+        let mut delays = uneven(seed, 1_500 * MS, 0);
+        let mut react = |query: usize| match delays(query) {
+            Reaction::AnswerAfter(delay) if query % 3 == 2 => Reaction::AnswerAfter(delay),
+            _ => Reaction::Ignore,
+        };
+        let mut rig = Rig::new(|_| ());
+        rig.serve_calls(3 * S, &mut react);
+        rig.drain_first_server();
+        let drained_at = rig.sim.now;
+        let last_received = rig.serve_calls(6 * S, &mut react);
+        assert!(last_received < drained_at + NOTHING_NEW_AFTER, "seed {seed}");
+    }
+}
+
+// A list that arrives after a newer one is ignored: the server it names as ready has drained.
+#[test]
+fn a_list_overtaken_by_a_newer_one_is_ignored() {
+    let mut rig = Rig::new(|_| ());
+    rig.name_service.run(&mut rig.sim, 2 * S, |_| Reaction::AnswerAfter(2_600 * MS));
+    rig.drain_first_server();
+    let react = |_| Reaction::AnswerAfter(50 * MS);
+    rig.name_service.run(&mut rig.sim, S, react);
+    assert_eq!(rig.serve_calls(4 * S, react), 0);
+}
+
+// Neither a silent nor a slow name service is queried more often than one that answers at once, and the
+// sockets of pending queries are bounded.
+#[test_case(|_| Reaction::Ignore, 256, 16; "silent")]
+#[test_case(|_| Reaction::Ignore, 64, 4; "silent, few descriptors")]
+#[test_case(|_| Reaction::AnswerAfter(300 * MS), 256, 2; "300 ms")]
+#[test_case(|_| Reaction::AnswerAfter(3 * S), 256, 16; "3 s")]
+#[test_case(|_| Reaction::AnswerAfter(30 * S), 256, 16; "30 s")]
+fn queries_of_a_slow_service_are_bounded(react: fn(usize) -> Reaction, descriptors: u64, max_sockets: usize) {
+    let mut rig = Rig::new(|_| ());
+    rig.config_json["limits"]["sockets"] = descriptors.into();
+    rig.sim = SimulatedNode::with(&rig.config_json);
+    rig.name_service.run(&mut rig.sim, 60 * S, react);
+    let (queries, sockets) = (rig.name_service.queries.len(), rig.name_service.max_sockets);
+    assert!((60 * 2..=60 * 4 + 1).contains(&queries), "{queries} queries");
+    assert!(sockets <= max_sockets, "{sockets} sockets");
+    rig.name_service.run(&mut rig.sim, 2 * S, |_| Reaction::AnswerAfter(0));
+    assert!(open_sockets(&rig.sim) <= 1, "an answer ends all earlier queries");
+}
