After a pause, node sends nothing until a query sent after it is answered

After a pause of the process of over a second, amid a name service that takes over 0.2 s for an answer, requests went to a server that had drained in the pause, beyond the grace.

Cause: a query that was given up after 0.2 s, or that ended because SIGHUP moved the service, counted like one that was answered, so the list from before the pause was taken for fresh.

Change: only an answer to a query sent after the pause makes the list fresh; without one it is used again after 1.5 s, within which a working service notifies of an event. Until then attempts wait in the queue of their connection, where a drain withdraws them; Control's timers run meanwhile, so that deadlines hold. New requests stay unread for at most 0.4 s of that (answers may be half a second late). Before, timers and requests both waited, and an attempt that could not start was used up.

--- a/crates/node/src/name_service.rs
+++ b/crates/node/src/name_service.rs
@@ -15,8 +15,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-/// Time from an answer, or from a query without one, to the next query. Routers must know an event 1.5 s after
-/// it happened, even if two answers in a row are lost.
+/// Time from an answer, or from a query without one, to the next query. Routers must know an event 1.5 s
+/// after it happened, even if two answers in a row are lost.
 const QUERY_INTERVAL: Micros = 250_000;
 /// Interval while [`BACKOFF_PENDING`] or more queries are pending, as the service is then slow or silent.
 const BACKOFF_INTERVAL: Micros = 500_000;
@@ -33,8 +33,12 @@
 /// twice the longest time between two queries, and less than the 1.5 s after which events must be known.
 const STALE_AFTER: Micros = 1_000_000;
 /// Maximum time that a stale list waits for an answer. After that the service is considered silent, and the
-/// list is used again.
-const REFRESH_TIMEOUT: Micros = 200_000;
+/// list is used again. A working service answers earlier: events are known 1.5 s after they happened.
+const REFRESH_TIMEOUT: Micros = 1_500_000;
+
+/// Maximum time that new requests are left unread while the list is stale: an answer to a client may be half
+/// a second late.
+const MAX_READ_DELAY: Micros = 400_000;
 
 /// A query without an answer.
 struct Query {
@@ -80,12 +84,21 @@
         }
     }
 
-    /// Whether this process was paused for so long that a server may have drained and gone unnoticed. The list
-    /// stays stale until a query sent after the pause has been answered, for at most [`REFRESH_TIMEOUT`]. It
-    /// does not become stale because the service is silent.
+    /// Whether this process was paused for so long that a server may have drained and gone unnoticed. The
+    /// list stays stale until a query sent after the pause has been answered, for at most
+    /// [`REFRESH_TIMEOUT`]. It does not become stale because the service is silent.
     pub(crate) fn is_stale(&self, now: Micros) -> bool {
-        let awaits_answer = self.resumed_at.is_some_and(|at| now < at + REFRESH_TIMEOUT);
-        awaits_answer || self.was_paused(now)
+        self.was_paused(now) || self.awaits_answer(now, REFRESH_TIMEOUT)
+    }
+
+    /// Whether new requests should be read later: the list is stale, and an answer is expected soon.
+    pub(crate) fn defers_requests(&self, now: Micros) -> bool {
+        self.was_paused(now) || self.awaits_answer(now, MAX_READ_DELAY)
+    }
+
+    /// Whether the last pause ended less than `timeout` ago, and no query sent after it has been answered.
+    fn awaits_answer(&self, now: Micros, timeout: Micros) -> bool {
+        self.resumed_at.is_some_and(|resumed_at| now < resumed_at + timeout)
     }
 
     fn was_paused(&self, now: Micros) -> bool {
@@ -126,8 +139,8 @@
         self.next_query_at = now + if slow { BACKOFF_INTERVAL } else { QUERY_INTERVAL };
     }
 
-    /// Sends a query, with a new id and from a new port, so that forged answers do not match. Returns false if
-    /// no descriptor is available.
+    /// Sends a query, with a new id and from a new port, so that forged answers do not match. Returns false
+    /// if no descriptor is available.
     fn send_query(&mut self, now: Micros, transport: &mut dyn Transport) -> bool {
         let Some(conn) = transport.connect_datagrams(self.service) else { return false };
         let id = self.rng.rand_u32() as u16;
--- a/crates/node/src/node/attempts.rs
+++ b/crates/node/src/node/attempts.rs
@@ -135,10 +135,12 @@
     }
 
     /// Writes the queue of a connection, as far as the kernel accepts it. An attempt of which the kernel has
-    /// accepted no byte can still be withdrawn.
+    /// accepted no byte can still be withdrawn. No attempt is started while the endpoint list is stale: the
+    /// server may have drained or gone during a pause of this process.
     pub(super) fn flush(&mut self, now: Micros, transport: &mut dyn Transport, conn: ConnectionId) {
+        let is_stale = self.name_service.is_stale(now);
         while let Some(connection) = self.connections.get_mut(&conn).filter(|connection| connection.connected)
-            && let Some(write) = connection.queue.pop_front()
+            && let Some(write) = connection.next_write(!is_stale)
         {
             connection.last_used = now;
             let is_writable = match write {
@@ -153,8 +155,11 @@
             }
         }
         let connection = self.connections.get_mut(&conn).filter(|connection| connection.connected);
-        let cancelled = connection.map(|connection| std::mem::take(&mut connection.cancelling));
-        for attempt in cancelled.into_iter().flatten() {
+        let Some(connection) = connection else { return };
+        if !connection.queue.is_empty() {
+            self.held_connections.insert(conn);
+        }
+        for attempt in std::mem::take(&mut connection.cancelling) {
             self.close_with(now, attempt, Outcome::Cancelled);
         }
     }
@@ -170,9 +175,8 @@
         let Some(request) = self.requests.get(attempt.request) else { return true };
         // Does not start an attempt whose request has ended, even if started attempts may not be cancelled;
         // nor a repeat that the model server would no longer recognise as one because the connection was
-        // established late or was blocked; nor any attempt after a pause of this process, in which the
-        // server may have drained or gone without an update of the list.
-        if !request.may_start(now, attempt.index) || self.name_service.is_stale(now) {
+        // established late or was blocked, or the attempt was held.
+        if !request.may_start(now, attempt.index) {
             self.close_with(now, attempt, Outcome::Superseded);
             return true;
         }
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -48,10 +48,10 @@
         }
     }
 
-    /// Reads the complete requests of a client, up to the first one whose response is pending. Waits while
-    /// the endpoint list is stale.
+    /// Reads the complete requests of a client, up to the first one whose response is pending. Waits for a
+    /// short time while the endpoint list is stale.
     pub(super) fn read_requests(&mut self, now: Micros, transport: &mut dyn Transport, conn: ConnectionId) {
-        if self.name_service.is_stale(now) {
+        if self.name_service.defers_requests(now) {
             self.stalled_clients.insert(conn);
             return;
         }
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -76,12 +76,14 @@
     client_timeouts: ClientTimeouts,
     /// Clients that have been answered and whose next request may have been received already.
     readable_clients: VecDeque<ConnectionId>,
-    /// Clients with requests that wait for a fresh endpoint list after a pause of this process.
+    /// Clients with requests that are read once the endpoint list is fresh after a pause of this process.
     stalled_clients: BTreeSet<ConnectionId>,
     connections: FxHashMap<ConnectionId, WorkerConnection>,
     max_connections: usize,
     /// Connections to model servers that may have queued writes.
     unflushed: Vec<ConnectionId>,
+    /// Connections with queued attempts that wait for a fresh endpoint list after a pause of this process.
+    held_connections: BTreeSet<ConnectionId>,
     workers: Workers,
     /// Number of model servers that accept attempts; at least 1, as it is used as a divisor.
     ready_workers: usize,
@@ -118,6 +120,7 @@
             connections: FxHashMap::default(),
             max_connections: config.max_descriptors * WORKER_EIGHTHS / 8,
             unflushed: Vec::new(),
+            held_connections: BTreeSet::new(),
             workers: Workers::default(),
             ready_workers: 1,
             name_service: NameServiceWatch::new(
@@ -164,9 +167,12 @@
 
     /// Carries out the queued actions and all that follow from them.
     fn settle(&mut self, now: Micros, transport: &mut dyn Transport) {
-        if !self.stalled_clients.is_empty() && !self.name_service.is_stale(now) {
+        if !self.stalled_clients.is_empty() && !self.name_service.defers_requests(now) {
             self.readable_clients.extend(std::mem::take(&mut self.stalled_clients));
         }
+        if !self.held_connections.is_empty() && !self.name_service.is_stale(now) {
+            self.unflushed.extend(std::mem::take(&mut self.held_connections));
+        }
         loop {
             while let Some(action) = self.actions.pop() {
                 self.carry_out(now, transport, action);
@@ -302,19 +308,13 @@
     }
 
     fn timer_fired(&mut self, now: Micros, transport: &mut dyn Transport, timer: TimerId) {
-        if DeferredCalls::<Node>::is_control(timer) && self.name_service.is_stale(now) {
-            // No attempt is sent while the endpoint list is stale, so the timer is postponed until it is
-            // fresh.
-            transport.set_timer_at(now + TICK_INTERVAL, timer);
-        } else {
-            match self.deferred.fired(timer) {
-                Some(FiredTimer::Control(token)) => {
-                    self.control.advance_to(now);
-                    self.control.timer_fired(&mut self.actions, token);
-                }
-                Some(FiredTimer::Call(call)) => call(self, now, transport),
-                None => {}
+        match self.deferred.fired(timer) {
+            Some(FiredTimer::Control(token)) => {
+                self.control.advance_to(now);
+                self.control.timer_fired(&mut self.actions, token);
             }
+            Some(FiredTimer::Call(call)) => call(self, now, transport),
+            None => {}
         }
         self.settle(now, transport);
     }
--- a/crates/node/src/worker_connection.rs
+++ b/crates/node/src/worker_connection.rs
@@ -108,6 +108,15 @@
         self.load() == 0 && self.queue.is_empty() && !self.has_open_attempts()
     }
 
+    /// Takes the next write from the queue. Attempts stay in it unless `may_start_attempts`.
+    pub(crate) fn next_write(&mut self, may_start_attempts: bool) -> Option<QueuedWrite> {
+        if may_start_attempts {
+            return self.queue.pop_front();
+        }
+        let position = self.queue.iter().position(|write| matches!(write, QueuedWrite::Bytes(_)))?;
+        self.queue.remove(position)
+    }
+
     /// Withdraws an attempt that has not been sent. Returns false if it is not in the queue.
     pub(crate) fn remove_queued(&mut self, attempt: AttemptId) -> bool {
         let is_attempt =
--- a/crates/node/tests/late_name_service.rs
+++ b/crates/node/tests/late_name_service.rs
@@ -4,7 +4,8 @@
 //! The bounds are those of the protocol: an event counts as notified 1.5 s after it happened, and nothing new
 //! may be sent to a draining server once the grace of 2 s has passed, with a slack of 50 ms.
 mod common;
-use applepond_reactor::{ConnectionId, Micros};
+use applepond_node::ProcessEvent;
+use applepond_reactor::{Closed, ConnectionId, Micros};
 use common::name_service::{LateNameService, Reaction, open_sockets, uneven};
 use common::*;
 use serde_json::Value;
@@ -48,6 +49,14 @@
         (self.last_id, client)
     }
 
+    /// The connections on which a request has been sent.
+    fn connections_with(&mut self, id: u64) -> Vec<ConnectionId> {
+        let line = ("DO".to_owned(), request_id(id));
+        let mut connections = self.sim.worker_connections();
+        connections.retain(|conn| self.sim.lines(*conn).contains(&line));
+        connections
+    }
+
     /// Sends calls for this time, which the model servers answer at once. Returns when the first server last
     /// received one.
     fn serve_calls(&mut self, time: Micros, mut react: impl FnMut(usize) -> Reaction) -> Micros {
@@ -135,3 +144,108 @@
     rig.name_service.run(&mut rig.sim, 2 * S, |_| Reaction::AnswerAfter(0));
     assert!(open_sockets(&rig.sim) <= 1, "an answer ends all earlier queries");
 }
+
+/// Pauses the process, during which the first server drains.
+fn pause_with_drain(rig: &mut Rig) {
+    rig.drain_first_server();
+    rig.sim.now += 5 * S;
+}
+
+/// Advances the node. The servers answer these requests at once.
+fn run_answering(rig: &mut Rig, time: Micros, ids: &[u64], react: fn(usize) -> Reaction) {
+    let end = rig.sim.now + time;
+    while rig.sim.now < end {
+        rig.name_service.run(&mut rig.sim, 10 * MS, react);
+        for id in ids {
+            for conn in rig.connections_with(*id) {
+                rig.sim.send(conn, answer_line("OK", *id).as_bytes());
+            }
+        }
+    }
+}
+
+// Regression: after a pause of the process, a query that was given up after 0.2 s counted like an answer, and
+// requests were sent by the list from before the pause.
+#[test_case(|_| Reaction::AnswerAfter(50 * MS); "50 ms")]
+#[test_case(|_| Reaction::AnswerAfter(300 * MS); "300 ms")]
+#[test_case(|_| Reaction::AnswerAfter(S); "1 s")]
+#[test_case(|_| Reaction::AnswerAfter(1_300 * MS); "1.3 s")]
+fn after_a_pause_requests_wait_for_a_late_list(react: fn(usize) -> Reaction) {
+    let mut rig = Rig::new(|_| ());
+    rig.serve_calls(2 * S, react);
+    pause_with_drain(&mut rig);
+    let (ids, clients): (Vec<u64>, Vec<ConnectionId>) = (0..8).map(|_| rig.call()).unzip();
+    run_answering(&mut rig, 1_900 * MS, &ids, react);
+    for id in &ids {
+        let connections = rig.connections_with(*id);
+        assert!(connections.iter().all(|conn| rig.sim.address(*conn) != first_server()), "request {id}");
+    }
+    let statuses: Vec<_> = clients.iter().map(|client| rig.sim.statuses(*client)).collect();
+    assert_eq!(statuses, vec![[200]; 8]);
+}
+
+// Regression: a query that ended because a new configuration moved the name service counted like an answer.
+#[test]
+fn a_move_of_the_name_service_answers_no_query() {
+    let mut rig = Rig::new(|_| ());
+    rig.serve_calls(2 * S, |_| Reaction::AnswerAfter(0));
+    pause_with_drain(&mut rig);
+    rig.name_service.run(&mut rig.sim, 100 * MS, |_| Reaction::Ignore);
+    let mut moved = rig.config_json.clone();
+    moved["names"] = "127.0.2.9:5301".into();
+    let event = ProcessEvent::ConfigReplaced(Ok(Box::new(parse_config(&moved))));
+    rig.sim.process_events.borrow_mut().push(event);
+    rig.name_service.run(&mut rig.sim, 60 * MS, |_| Reaction::AnswerAfter(300 * MS));
+    let ids: Vec<u64> = (0..8).map(|_| rig.call().0).collect();
+    run_answering(&mut rig, S, &ids, |_| Reaction::AnswerAfter(300 * MS));
+    for id in ids {
+        let connections = rig.connections_with(id);
+        assert!(!connections.is_empty(), "request {id}");
+        assert!(connections.iter().all(|conn| rig.sim.address(*conn) != first_server()), "request {id}");
+    }
+}
+
+// The name service is silent after a pause. Requests are answered by their deadlines all the same, and those
+// with time left are sent by the known list.
+#[test]
+fn requests_end_in_time_while_they_wait_for_a_silent_service() {
+    let mut rig = Rig::new(|_| ());
+    rig.serve_calls(2 * S, |_| Reaction::AnswerAfter(0));
+    rig.sim.now += 5 * S;
+    let short = rig.sim.connect_client();
+    rig.sim.send(short, call("quote", 1_001).replace("Budget-Ms: 2000", "Budget-Ms: 400").as_bytes());
+    let (id, client) = rig.call();
+    rig.name_service.run(&mut rig.sim, 450 * MS, |_| Reaction::Ignore);
+    assert!(matches!(rig.sim.statuses(short)[..], [502..=504]), "{:?}", rig.sim.statuses(short));
+    assert_eq!(rig.connections_with(id).len(), 0, "held");
+    run_answering(&mut rig, 1_100 * MS, &[id], |_| Reaction::Ignore);
+    assert_eq!(rig.sim.statuses(client), [200]);
+}
+
+// A client hangs up while its request waits for the list. The request is never sent.
+#[test]
+fn a_waiting_request_of_a_client_that_hangs_up_is_not_sent() {
+    let mut rig = Rig::new(|_| ());
+    rig.serve_calls(2 * S, |_| Reaction::AnswerAfter(0));
+    rig.sim.now += 5 * S;
+    let (id, client) = rig.call();
+    rig.sim.disconnect(client, Closed::Reset);
+    rig.name_service.run(&mut rig.sim, 2 * S, |_| Reaction::AnswerAfter(0));
+    assert_eq!(rig.connections_with(id).len(), 0);
+}
+
+// The connection of a keyed request is lost. Its retry waits for the list until the servers may have
+// forgotten the key, and is not sent.
+#[test]
+fn a_keyed_retry_does_not_wait_for_the_list_beyond_its_window() {
+    let mut rig = Rig::new(|json| json["settings"]["lanes"][1]["deadline"] = 9_000.0.into());
+    rig.serve_calls(2 * S, |_| Reaction::AnswerAfter(0));
+    let client = rig.sim.connect_client();
+    let keyed = call("hold", 1_001).replace("Budget-Ms: 2000", "Budget-Ms: 9000");
+    rig.sim.send(client, keyed.as_bytes());
+    let conn = rig.sim.connection_of(1_001);
+    rig.sim.now += 2 * S;
+    rig.sim.disconnect(conn, Closed::Reset);
+    rig.name_service.run(&mut rig.sim, 5 * S, |_| Reaction::Ignore);
+    assert_eq!(rig.sim.send_count(1_001), 1);
+}
