A datagram that does not answer a query leaves the query of the name service pending

Any datagram on the socket of a query ended it: one under another id, noise, or the query sent back. The answer behind it came to a closed port.

Cause: `datagram_received` ended the query on each error of the decoder, also on UnrelatedAnswer and InvalidMessage, which say nothing about the query.

Change: these two are logged and ignored; the query stays pending. Failures that the service reports for the query still end it.

Result: three cases of a_stray_datagram_does_not_end_a_query fail on the text before (requests go to the drained server) and hold now.

--- a/crates/node/src/name_service.rs
+++ b/crates/node/src/name_service.rs
@@ -8,6 +8,7 @@
 //!
 //! Holds the pending queries, the index of the current list, and whether that list is stale.
 use applepond::interface::Micros;
+use applepond_platform::errors::NameServiceError;
 use applepond_platform::name_service::{self, EndpointList};
 use applepond_platform::startup::ConfigNames;
 use applepond_reactor::{ConnectionId, Transport};
@@ -177,6 +178,11 @@
                 self.query_failed(now, transport, position);
                 None
             }
+            Err(error @ (NameServiceError::UnrelatedAnswer | NameServiceError::InvalidMessage(_))) => {
+                // The answer to this query may still arrive.
+                tracing::debug!(%error, "datagram on the socket of a query ignored");
+                None
+            }
             Err(error) => {
                 tracing::debug!(%error, "answer of the name service rejected");
                 self.query_failed(now, transport, position);
--- a/crates/node/tests/late_name_service.rs
+++ b/crates/node/tests/late_name_service.rs
@@ -5,7 +5,7 @@
 //! may be sent to a draining server once the grace of 2 s has passed, with a slack of 50 ms.
 mod common;
 use applepond_node::ProcessEvent;
-use applepond_reactor::{Closed, ConnectionId, Micros};
+use applepond_reactor::{Closed, ConnectionId, Machine, Micros};
 use common::name_service::{LateNameService, Reaction, open_sockets, uneven};
 use common::*;
 use serde_json::Value;
@@ -249,3 +249,40 @@
     rig.name_service.run(&mut rig.sim, 5 * S, |_| Reaction::Ignore);
     assert_eq!(rig.sim.send_count(1_001), 1);
 }
+
+/// Bytes that arrive on the socket of a query ahead of its answer.
+#[derive(Clone, Copy)]
+enum Stray {
+    /// An answer under another id.
+    OtherId,
+    /// No DNS message.
+    Noise,
+    /// A query instead of an answer.
+    Echo,
+}
+
+// Regression: a datagram that was not the answer to a query ended the query. The answer behind it was lost.
+#[test_case(Stray::OtherId; "another id")]
+#[test_case(Stray::Noise; "noise")]
+#[test_case(Stray::Echo; "the query itself")]
+fn a_stray_datagram_does_not_end_a_query(stray: Stray) {
+    let mut rig = Rig::new(|_| ());
+    rig.drain_first_server();
+    rig.sim.advance(300 * MS);
+    let (conn, _, query) = rig.sim.transport.datagrams.last().expect("a query").clone();
+    let mut answer = dns_answer(0, 2, &parse_config(&rig.config_json));
+    answer[..2].copy_from_slice(&query[..2]);
+    let mut other_id = answer.clone();
+    other_id[0] ^= 1;
+    let stray_bytes = match stray {
+        Stray::OtherId => other_id,
+        Stray::Noise => b"noise".to_vec(),
+        Stray::Echo => query,
+    };
+    for bytes in [stray_bytes, answer] {
+        if !rig.sim.transport.cut.contains(&conn) {
+            rig.sim.node.datagram_received(rig.sim.now, &mut rig.sim.transport, conn, &bytes);
+        }
+    }
+    assert_eq!(rig.serve_calls(2 * S, |_| Reaction::Ignore), 0, "the drain is known");
+}
