A name service that rejects queries is queried at the usual rate

Cause: each rejected answer brought the next query after 50 ms, however many there were.

Change: that delay doubles with each further rejection, up to the usual interval; a good answer resets it.

--- a/crates/node/src/name_service.rs
+++ b/crates/node/src/name_service.rs
@@ -23,8 +23,9 @@
 const BACKOFF_INTERVAL: Micros = 500_000;
 /// Number of pending queries from which on [`BACKOFF_INTERVAL`] applies.
 const BACKOFF_PENDING: usize = 4;
-/// Delay of the next query after a rejected answer, to avoid flooding a service in trouble.
-const QUERY_RETRY_DELAY: Micros = 50_000;
+/// Delay of the next query after a rejected answer. It doubles with each further one, up to
+/// [`QUERY_INTERVAL`], to avoid flooding a service in trouble.
+const MIN_RETRY_DELAY: Micros = 50_000;
 /// Maximum number of pending queries. Each has a socket.
 const MAX_PENDING: usize = 16;
 /// Descriptors of the process per pending query. The queries use at most half of those that are left for the
@@ -58,6 +59,8 @@
     pending: VecDeque<Query>,
     max_pending: usize,
     next_query_at: Micros,
+    /// Delay of the next query after the next rejected answer.
+    retry_delay: Micros,
     /// When the last query was sent.
     last_query_at: Micros,
     /// End of the last pause of this process, until a query sent after it has been answered.
@@ -80,6 +83,7 @@
             pending: VecDeque::new(),
             max_pending: (max_descriptors / DESCRIPTORS_PER_QUERY).clamp(1, MAX_PENDING),
             next_query_at: 0,
+            retry_delay: MIN_RETRY_DELAY,
             last_query_at: now,
             resumed_at: None,
         }
@@ -212,6 +216,7 @@
         if self.pending.is_empty() {
             self.next_query_at = now + QUERY_INTERVAL;
         }
+        self.retry_delay = MIN_RETRY_DELAY;
         let is_newer = list.index > self.index;
         self.index = list.index;
         is_newer.then_some(list)
@@ -223,7 +228,8 @@
             transport.abort(query.conn);
         }
         if self.pending.is_empty() {
-            self.next_query_at = now + QUERY_RETRY_DELAY;
+            self.next_query_at = now + self.retry_delay;
         }
+        self.retry_delay = (self.retry_delay * 2).min(QUERY_INTERVAL);
     }
 }
--- a/crates/node/tests/late_name_service.rs
+++ b/crates/node/tests/late_name_service.rs
@@ -286,3 +286,21 @@
     }
     assert_eq!(rig.serve_calls(2 * S, |_| Reaction::Ignore), 0, "the drain is known");
 }
+
+// Regression: a service that rejects each query at once was queried twenty times a second.
+#[test]
+fn a_service_that_rejects_queries_is_not_flooded() {
+    let mut rig = Rig::new(|_| ());
+    let begin = rig.sim.transport.datagrams.len();
+    for _ in 0..60 * 100 {
+        rig.sim.advance(10 * MS);
+        let (conn, _, mut rejection) = rig.sim.transport.datagrams.last().expect("a query").clone();
+        if !rig.sim.transport.cut.contains(&conn) {
+            // A response with the code for a server failure.
+            rejection[2..4].copy_from_slice(&[0x80, 0x02]);
+            rig.sim.node.datagram_received(rig.sim.now, &mut rig.sim.transport, conn, &rejection);
+        }
+    }
+    let queries = rig.sim.transport.datagrams.len() - begin;
+    assert!(queries <= 60 * 4 + 4, "{queries} queries in 60 s");
+}
