serve requests an endpoint list again whose connection has fallen silent

Cause: silence on the watch was taken for "no change"; nothing ever asked again.

Change: after 4 to 6 s of silence, or as long as 4 kB/s of refreshed lists allow, the list is requested on a second connection. The first stays open until the second brings a list, and stays if it is heard first (its lines may be newer). The time for an answer on the second doubles from 4 to 60 s, so a server may take any time. Connections: two at most. The state page shows `list.silent_us`. The reading of lines and the schedule are modules of their own.

--- a/crates/gateway/src/gateway/endpoint_watch.rs
+++ b/crates/gateway/src/gateway/endpoint_watch.rs
@@ -1,100 +1,94 @@
-//! The watch on the endpoint list: the connection to the list's server, the lines received on it, and how
-//! their entries are passed to `Control`. While the server is unreachable, the last list stays in force.
+//! The watch on the endpoint list: the connections to the list's server, and how the entries received on them
+//! are passed to `Control`. While the server is unreachable, the last list stays in force.
 //!
-//! State: the watch's connection and its backoff. Entry points: events of that connection, and the static
-//! workers of the settings after a start or a reload.
+//! The list arrives on one connection. If that falls silent, the list is requested again on a second one,
+//! which takes the place of the first with its first line. The server may take any time to answer: the first
+//! connection stays open meanwhile, and is used if it is heard first.
+//!
+//! State: the connections, their backoff, and the schedule of refreshes. Entry points: events of these
+//! connections, the maintenance, and the static workers of the settings after a start or a reload.
 use super::Gateway;
-use crate::deployment::StaticWorker;
+use super::watch_refresh::WatchRefresh;
+use super::watch_stream::WatchStream;
+use crate::deployment::{Deployment, StaticWorker};
 use crate::endpoint_list::{EndpointEntry, EndpointUpdate, NamedEndpoint};
 use applepond::interface::{Endpoint, EndpointListKind, Micros, WorkerId, WorkerStatus, ZoneId};
-use applepond_http::Fault;
-use applepond_http::decode::{Decoder, Fields, Side, Step, Visitor};
 use applepond_http::encode;
 use applepond_reactor::{ConnectionId, Transport};
-use std::collections::VecDeque;
 
 /// Backoff before the first reconnection to the endpoint list; it doubles with each further one.
 const MIN_BACKOFF: Micros = 100_000;
 /// Limit of that backoff.
 const MAX_BACKOFF: Micros = 3_000_000;
-/// Maximum size of the response head, and of one line of the list.
-const MAX_LINE_BYTES: usize = 8 * 1024 * 1024;
 
-/// The connection to the endpoint list's server.
+/// The connections to the endpoint list's server.
 pub(super) struct EndpointWatch {
     /// `None` during the backoff before a reconnection, and without an endpoint list.
-    conn: Option<ConnectionId>,
-    decoder: Option<Decoder>,
-    lines: ListLines,
+    stream: Option<WatchStream>,
+    /// The connection on which a silent list was requested again.
+    second: Option<WatchStream>,
+    refresh: WatchRefresh,
     /// Delay of the reconnection after the next loss of the connection.
     backoff: Micros,
 }
 
-impl Default for EndpointWatch {
-    fn default() -> Self {
-        EndpointWatch { conn: None, decoder: None, lines: ListLines::default(), backoff: MIN_BACKOFF }
+impl EndpointWatch {
+    /// Creates a watch without a connection.
+    pub(super) fn new(now: Micros, deployment: &Deployment) -> Self {
+        let seed = deployment.startup.seed ^ deployment.startup.router_index;
+        EndpointWatch {
+            stream: None,
+            second: None,
+            refresh: WatchRefresh::new(now, seed),
+            backoff: MIN_BACKOFF,
+        }
     }
-}
 
-impl EndpointWatch {
-    /// Whether `conn` is the connection of this watch.
+    /// Whether `conn` is a connection of this watch.
     pub(super) fn uses(&self, conn: ConnectionId) -> bool {
-        self.conn == Some(conn)
+        [&self.stream, &self.second].into_iter().flatten().any(|stream| stream.conn == conn)
     }
 
     /// Whether a connection is established or being established.
     pub(super) fn is_open(&self) -> bool {
-        self.conn.is_some()
+        self.stream.is_some()
     }
-}
-
-/// Splits the body of the list's response into lines.
-#[derive(Default)]
-struct ListLines {
-    /// The line that has not been received completely.
-    partial: Vec<u8>,
-    complete: VecDeque<Vec<u8>>,
-}
 
-impl Visitor for ListLines {
-    fn request(&mut self, _: &str, _: &str, _: &Fields<'_>) -> Result<(), Fault> {
-        Err(Fault::new(400, "bad-head", "expected a response, got a request"))
+    /// Time since the list's server was last heard.
+    pub(super) fn silence(&self, now: Micros) -> Micros {
+        self.refresh.silence(now)
     }
 
-    fn response(&mut self, status: u16, _: &Fields<'_>) -> Result<(), Fault> {
-        if status == 200 {
-            Ok(())
-        } else {
-            Err(Fault::new(status, "no-list", "the endpoint list was not sent"))
-        }
+    fn is_second(&self, conn: ConnectionId) -> bool {
+        self.second.as_ref().is_some_and(|second| second.conn == conn)
     }
 
-    fn body(&mut self, bytes: &[u8]) -> Result<(), Fault> {
-        for byte in bytes {
-            if *byte == b'\n' {
-                self.complete.push_back(std::mem::take(&mut self.partial));
-            } else if self.partial.len() < MAX_LINE_BYTES {
-                self.partial.push(*byte);
-            } else {
-                return Err(Fault::new(413, "long-line", "a line of the endpoint list is too long"));
-            }
+    /// Closes the second connection, if there is one.
+    fn abort_second(&mut self, transport: &mut dyn Transport) {
+        if let Some(second) = self.second.take() {
+            transport.abort(second.conn);
         }
-        Ok(())
     }
 
-    fn end(&mut self, _: bool) -> Result<(), Fault> {
-        Ok(())
+    /// Replaces the first connection by the second.
+    fn promote_second(&mut self, transport: &mut dyn Transport) {
+        if let Some(silent) = std::mem::replace(&mut self.stream, self.second.take()) {
+            transport.abort(silent.conn);
+        }
     }
 }
 
 impl Gateway {
+    /// Opens a connection to the endpoint list's server, if one is configured.
+    fn open_watch_stream(&self, transport: &mut dyn Transport) -> Option<WatchStream> {
+        let address = self.deployment.endpoint_list?;
+        let timeout = self.deployment.connect_timeout;
+        Some(WatchStream::new(transport.connect(address, timeout)))
+    }
+
     /// Connects to the endpoint list's server, if one is configured.
     pub(super) fn connect_endpoint_watch(&mut self, transport: &mut dyn Transport) {
-        let Some(address) = self.deployment.endpoint_list else { return };
-        let conn = transport.connect(address, self.deployment.connect_timeout);
-        self.endpoint_watch.conn = Some(conn);
-        self.endpoint_watch.decoder = Some(Decoder::new(Side::Client, MAX_LINE_BYTES, u64::MAX));
-        self.endpoint_watch.lines = ListLines::default();
+        self.endpoint_watch.stream = self.open_watch_stream(transport);
     }
 
     /// Requests the list on an established connection.
@@ -104,9 +98,35 @@
         transport.write(conn, &encode::request("GET", &path, &host).empty());
     }
 
-    /// Handles the loss of the connection: schedules a reconnection after the backoff.
-    pub(super) fn endpoint_watch_lost(&mut self, now: Micros, transport: &mut dyn Transport) {
-        self.endpoint_watch.conn = None;
+    /// Requests the list again if its connection has been silent for too long.
+    pub(super) fn refresh_silent_list(&mut self, now: Micros, transport: &mut dyn Transport) {
+        if !self.endpoint_watch.is_open() || !self.endpoint_watch.refresh.is_due(now) {
+            return;
+        }
+        self.endpoint_watch.abort_second(transport);
+        let silent_us = self.endpoint_watch.silence(now);
+        tracing::info!(silent_us, "endpoint list silent; requesting it again");
+        self.endpoint_watch.second = self.open_watch_stream(transport);
+        self.endpoint_watch.refresh.begun(now);
+    }
+
+    /// Handles the loss of a connection. After the loss of the only one, schedules a reconnection after the
+    /// backoff.
+    pub(super) fn endpoint_watch_lost(
+        &mut self,
+        now: Micros,
+        transport: &mut dyn Transport,
+        conn: ConnectionId,
+    ) {
+        if self.endpoint_watch.is_second(conn) {
+            self.endpoint_watch.second = None;
+            self.endpoint_watch.refresh.failed(now);
+            return;
+        }
+        self.endpoint_watch.stream = self.endpoint_watch.second.take();
+        if self.endpoint_watch.is_open() {
+            return;
+        }
         let backoff = self.endpoint_watch.backoff;
         self.endpoint_watch.backoff = (backoff * 2).min(MAX_BACKOFF);
         tracing::warn!(retry_in_us = backoff, "endpoint list unreachable; keeping the last one");
@@ -124,24 +144,52 @@
         conn: ConnectionId,
         bytes: &[u8],
     ) {
-        let Some(decoder) = self.endpoint_watch.decoder.as_mut() else { return };
-        decoder.feed(bytes);
-        let step = decoder.step(&mut self.endpoint_watch.lines);
-        while let Some(line) = self.endpoint_watch.lines.complete.pop_front() {
-            match self.workers.endpoints.read_line(&line, &self.deployment.zones) {
-                Ok(update) => {
-                    self.endpoint_watch.backoff = MIN_BACKOFF;
-                    self.apply_endpoint_update(now, transport, update);
-                }
-                Err(error) => {
-                    tracing::warn!(%error, "invalid line in the endpoint list; keeping the last valid list");
-                }
-            }
+        let watch = &mut self.endpoint_watch;
+        let is_second = watch.is_second(conn);
+        let stream = if is_second { watch.second.as_mut() } else { watch.stream.as_mut() };
+        let Some(stream) = stream else { return };
+        let goes_on = stream.feed(bytes);
+        let lines = stream.take_lines();
+        if !is_second {
+            // The first connection is not silent any more.
+            watch.abort_second(transport);
+            watch.refresh.received(now);
         }
-        if !matches!(step, Ok(Step::More)) {
+        for line in lines {
+            self.apply_list_line(now, transport, conn, &line);
+        }
+        if !goes_on {
             transport.abort(conn);
-            self.endpoint_watch_lost(now, transport);
+            self.endpoint_watch_lost(now, transport, conn);
+        }
+    }
+
+    /// Applies a line of the list. A valid one on the second connection shows that it works, and the first is
+    /// closed.
+    fn apply_list_line(
+        &mut self,
+        now: Micros,
+        transport: &mut dyn Transport,
+        conn: ConnectionId,
+        line: &[u8],
+    ) {
+        let update = match self.workers.endpoints.read_line(line, &self.deployment.zones) {
+            Ok(update) => update,
+            Err(error) => {
+                tracing::warn!(%error, "invalid line in the endpoint list; keeping the last valid list");
+                return;
+            }
+        };
+        let watch = &mut self.endpoint_watch;
+        watch.backoff = MIN_BACKOFF;
+        if watch.is_second(conn) {
+            watch.promote_second(transport);
+            watch.refresh.received(now);
         }
+        if update.kind == EndpointListKind::Full {
+            watch.refresh.full_list_received(now, line.len());
+        }
+        self.apply_endpoint_update(now, transport, update);
     }
 
     /// Applies the static workers of the settings as a full list.
--- a/crates/gateway/src/gateway/maintenance.rs
+++ b/crates/gateway/src/gateway/maintenance.rs
@@ -1,4 +1,5 @@
-//! Periodic work, once a second: aborts expired idle connections, and applies a new configuration.
+//! Periodic work, once a second: aborts expired idle connections, requests a silent endpoint list again, and
+//! applies a new configuration.
 use super::{Gateway, attribute_names};
 use crate::deployment::Deployment;
 use crate::errors::ReloadError;
@@ -13,6 +14,7 @@
     /// Does the periodic work and schedules the next run after [`MAINTENANCE_INTERVAL`].
     pub(super) fn maintain(&mut self, now: Micros, transport: &mut dyn Transport) {
         self.workers.abort_expired_idle(now, transport);
+        self.refresh_silent_list(now, transport);
         if let Some(new) = (self.config_source)() {
             self.reload(now, transport, new);
         }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -47,6 +47,8 @@
 mod request;
 mod responses;
 mod state_page;
+mod watch_refresh;
+mod watch_stream;
 mod worker_pool;
 mod workflow;
 
@@ -106,7 +108,7 @@
             clients: FxHashMap::default(),
             answered_clients: VecDeque::new(),
             workers: WorkerPool::default(),
-            endpoint_watch: EndpointWatch::default(),
+            endpoint_watch: EndpointWatch::new(now, &deployment),
             listed_ready: BTreeMap::new(),
             requests: RequestTable::default(),
             started_requests: 0,
@@ -287,7 +289,7 @@
             client.half_closed(now, transport, conn);
         } else if self.endpoint_watch.uses(conn) {
             transport.abort(conn);
-            self.endpoint_watch_lost(now, transport);
+            self.endpoint_watch_lost(now, transport, conn);
         } else if self.workers.connections.contains_key(&conn) {
             let sent = transport.sent(conn);
             transport.abort(conn);
@@ -307,7 +309,7 @@
         if self.clients.contains_key(&conn) {
             self.client_closed(now, conn);
         } else if self.endpoint_watch.uses(conn) {
-            self.endpoint_watch_lost(now, transport);
+            self.endpoint_watch_lost(now, transport, conn);
         } else {
             self.worker_disconnected(now, transport, conn, reason, sent);
         }
--- a/crates/gateway/src/gateway/state_page.rs
+++ b/crates/gateway/src/gateway/state_page.rs
@@ -60,6 +60,7 @@
             "storm": self.storm_state(now),
             "connections": {"clients": self.clients.len(), "workers": self.workers.connections.len(),
                 "list": self.endpoint_watch.is_open()},
+            "list": {"silent_us": self.endpoint_watch.silence(now)},
             "workers": {"ready": workers(WorkerStatus::Ready), "draining": workers(WorkerStatus::Draining),
                 "gone": workers(WorkerStatus::Gone)},
         });
