The connect timeout of the endpoint list grows with its backoff

A list server that takes longer to accept than `connect_timeout` was never reached, and the gateway had no workers, or old ones.

Cause: each connection was given up after the same time, however often that had failed.

Change: the timeout is twice the backoff where that is longer (6 s at most); a valid line resets both. The simulated transport records connect timeouts.

Result: the_connect_timeout_of_the_list_grows_with_its_backoff fails on the text before (250 ms each time) and holds now.

--- a/crates/fakes/src/simulated_transport.rs
+++ b/crates/fakes/src/simulated_transport.rs
@@ -10,6 +10,8 @@
     next: u64,
     /// Connections opened by the machine, in order.
     pub connections: Vec<(ConnectionId, SocketAddr)>,
+    /// Connect timeouts of these connections.
+    pub connect_timeouts: Vec<Micros>,
     /// Bytes written, by connection.
     pub written: BTreeMap<ConnectionId, Vec<u8>>,
     /// Sequence number of the last write, by connection.
@@ -39,8 +41,9 @@
 }
 
 impl Transport for SimulatedTransport {
-    fn connect(&mut self, to: SocketAddr, _: Micros) -> ConnectionId {
+    fn connect(&mut self, to: SocketAddr, timeout: Micros) -> ConnectionId {
         self.next += 1;
+        self.connect_timeouts.push(timeout);
         self.connections.push((ConnectionId(self.next), to));
         ConnectionId(self.next)
     }
--- a/crates/gateway/src/gateway/endpoint_watch.rs
+++ b/crates/gateway/src/gateway/endpoint_watch.rs
@@ -79,10 +79,11 @@
 }
 
 impl Gateway {
-    /// Opens a connection to the endpoint list's server, if one is configured.
+    /// Opens a connection to the endpoint list's server, if one is configured. The connect timeout grows with
+    /// the backoff, so that a slow server is reached in the end.
     fn open_watch_stream(&self, transport: &mut dyn Transport) -> Option<WatchStream> {
         let address = self.deployment.endpoint_list?;
-        let timeout = self.deployment.connect_timeout;
+        let timeout = self.deployment.connect_timeout.max(2 * self.endpoint_watch.backoff);
         Some(WatchStream::new(transport.connect(address, timeout)))
     }
 
--- a/crates/gateway/tests/endpoint_watch.rs
+++ b/crates/gateway/tests/endpoint_watch.rs
@@ -194,6 +194,25 @@
     assert_eq!(rig.open_watches().len(), 1);
 }
 
+// Regression: each connection to a list server that takes longer than the connect timeout was given up, so
+// that it was never reached.
+#[test]
+fn the_connect_timeout_of_the_list_grows_with_its_backoff() {
+    let mut deployment = deployment(0);
+    deployment.endpoint_list = Some(list_server());
+    let mut sim = SimulatedGateway::new(deployment);
+    for _ in 0..8 {
+        let conn = sim.transport.connections.last().expect("a connection").0;
+        sim.disconnect(conn, Closed::NotEstablished);
+        while sim.transport.connections.last().is_some_and(|(last, _)| *last == conn) {
+            sim.advance(100 * MS);
+        }
+    }
+    let timeouts = &sim.transport.connect_timeouts;
+    assert_eq!(timeouts[0], 250 * MS);
+    assert!(timeouts.is_sorted() && timeouts.last() == Some(&(6 * S)), "{timeouts:?}");
+}
+
 // The state page shows for how long nothing has arrived from the list.
 #[test]
 fn the_state_page_shows_the_silence_of_the_list() {
