--- a/crates/node/src/name_service.rs
+++ b/crates/node/src/name_service.rs
@@ -26,6 +26,8 @@
 /// Delay of the next query after a rejected answer. It doubles with each further one, up to
 /// [`QUERY_INTERVAL`], to avoid flooding a service in trouble.
 const MIN_RETRY_DELAY: Micros = 50_000;
+/// Time without a list after which the log reports that the service is silent.
+const REPORT_SILENCE_AFTER: Micros = 1_500_000;
 /// Maximum number of pending queries. Each has a socket.
 const MAX_PENDING: usize = 16;
 /// Descriptors of the process per pending query. The queries use at most half of those that are left for the
@@ -63,6 +65,10 @@
     retry_delay: Micros,
     /// When the last query was sent.
     last_query_at: Micros,
+    /// When the service last answered with a list.
+    last_answer_at: Micros,
+    /// Whether the log has reported that the service is silent.
+    silence_reported: bool,
     /// End of the last pause of this process, until a query sent after it has been answered.
     resumed_at: Option<Micros>,
 }
@@ -85,6 +91,8 @@
             next_query_at: 0,
             retry_delay: MIN_RETRY_DELAY,
             last_query_at: now,
+            last_answer_at: now,
+            silence_reported: false,
             resumed_at: None,
         }
     }
@@ -131,6 +139,7 @@
         if was_paused {
             self.resumed_at = Some(now);
         }
+        self.report_silence(now);
         if self.pending.len() >= self.max_pending {
             self.drop_oldest(now, transport);
         }
@@ -144,6 +153,15 @@
         self.next_query_at = now + if slow { BACKOFF_INTERVAL } else { QUERY_INTERVAL };
     }
 
+    /// Logs once that the service is silent.
+    fn report_silence(&mut self, now: Micros) {
+        let silent_us = now.saturating_sub(self.last_answer_at);
+        if silent_us >= REPORT_SILENCE_AFTER && !self.silence_reported {
+            self.silence_reported = true;
+            tracing::warn!(silent_us, service = %self.service, "name service silent; keeping the last list");
+        }
+    }
+
     /// Sends a query, with a new id and from a new port, so that forged answers do not match. Returns false
     /// if no descriptor is available.
     fn send_query(&mut self, now: Micros, transport: &mut dyn Transport) -> bool {
@@ -207,6 +225,10 @@
         let Query { id, sent_at, .. } = self.pending[position];
         let age_us = now - sent_at;
         tracing::debug!(id, age_us, index = list.index, "name service answered");
+        self.last_answer_at = now;
+        if std::mem::take(&mut self.silence_reported) {
+            tracing::info!(service = %self.service, "name service answers again");
+        }
         if self.resumed_at.is_some_and(|at| sent_at >= at) {
             self.resumed_at = None;
         }
--- a/crates/node/tests/name_service.rs
+++ b/crates/node/tests/name_service.rs
@@ -6,6 +6,7 @@
 use applepond_node::ProcessEvent;
 use common::sockets::{SocketNode, line_count};
 use common::*;
+use std::collections::VecDeque;
 use std::io::Write;
 use std::net::{TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
@@ -159,3 +160,32 @@
     old.send_to(&late, query.expect("checked above").1).expect("sent");
     rig.complete_request(1);
 }
+
+// Regression: an answer that took longer than 0.2 s came to a closed port. Here each answer takes 0.3 s on
+// real sockets; the server that drains must receive nothing new once its answer has been sent.
+#[test]
+fn an_answer_after_300_ms_arrives_on_real_sockets() {
+    const DELAY: Duration = Duration::from_millis(300);
+    let mut rig = SocketNode::new(1, |_| ());
+    rig.complete_request(1);
+    let mut drained = rig.config_json.clone();
+    drained["known"]["updates"][0]["endpoints"]["members"][0]["phase"] = "terminating".into();
+    let drained = parse_config(&drained);
+    let mut queries = VecDeque::new();
+    let mut answers = 0;
+    rig.wait_until("four late answers", |rig| {
+        let mut buffer = [0; 512];
+        while let Ok((_, from)) = rig.name_service.recv_from(&mut buffer) {
+            queries.push_back((Instant::now(), u16::from_be_bytes([buffer[0], buffer[1]]), from));
+        }
+        while let Some((_, id, from)) = queries.pop_front_if(|(at, ..)| at.elapsed() >= DELAY) {
+            rig.name_service.send_to(&dns_answer(id, 2, &drained), from).expect("sent");
+            answers += 1;
+        }
+        answers >= 4
+    });
+    let mut client = rig.client();
+    client.write_all(call("quote", 2).as_bytes()).expect("written");
+    rig.run_for(300 * MS);
+    assert_eq!(line_count(&rig.peers, "DO", 2), 0);
+}
