serve discards second copies of responses, and reuses no connection it cannot vouch for

Cause: a connection was reused once a response was complete, and nothing tied the next response to its request. A copy that came when the connection carried the next request was taken for its response, and so on for as long as the connection was used.

Change: responses are identified by the CloudEvents attributes source and id. A copy of one of the last 32 on its connection is discarded, and the awaited response still read; its worker loses reuse until its process is replaced. After a response without these attributes the connection is closed; a connection carries 100 requests at most. The fake worker identifies rejections too.

--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -88,8 +88,8 @@
     /// Number of times the process has stopped. Keeps result ids unique and invalidates the timers of
     /// requests that were running at a stop.
     generation: u64,
-    /// Number of responses with a result. Part of the result's id.
-    results: u64,
+    /// Number of responses sent, which are numbered in their identities.
+    responses: u64,
     /// Data of the latest result.
     booking: BookingData,
     prepared: BTreeMap<Rc<str>, Prepared>,
@@ -116,7 +116,7 @@
             prepared: BTreeMap::new(),
             timers: Vec::new(),
             generation: 0,
-            results: 0,
+            responses: 0,
             booking: BookingData::INITIAL,
         }
     }
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -43,6 +43,8 @@
     pub in_flight: usize,
     /// Whether its current incarnation has responded to this router.
     pub has_answered: bool,
+    /// Whether its process has sent bytes that belong to no request. Its connections are not reused then.
+    pub sends_extra_responses: bool,
 }
 
 impl WorkerRecord {
@@ -55,6 +57,7 @@
             idle: Vec::new(),
             in_flight: 0,
             has_answered: false,
+            sends_extra_responses: false,
         }
     }
 
@@ -67,6 +70,7 @@
         } else {
             Vec::new()
         };
+        self.sends_extra_responses &= !is_other_process;
         self.address = address;
         self.status = entry.status;
         if entry.status == WorkerStatus::Ready {
--- a/crates/gateway/src/gateway/responses.rs
+++ b/crates/gateway/src/gateway/responses.rs
@@ -7,7 +7,6 @@
 use crate::request_table::{AttemptId, attempt_result};
 use crate::worker_connection::WorkerResponse;
 use applepond::interface::{AttemptResult, Micros, Outcome};
-use applepond_http::decode::Step;
 use applepond_reactor::{Closed, ConnectionId, Transport};
 use std::rc::Rc;
 
@@ -23,13 +22,19 @@
         let Some(connection) = self.workers.connections.get_mut(&conn) else { return };
         let Some(attempt) = connection.attempt else {
             // Data on an idle connection: a second response or garbage, which belongs to no request.
+            let worker = connection.worker;
             self.workers.abort_idle(transport, conn);
+            self.workers.stop_reuse(transport, worker);
             return;
         };
-        connection.decoder.feed(bytes);
-        match connection.decoder.step(&mut connection.response) {
-            Ok(Step::More) => {}
-            Ok(Step::Done) => self.response_complete(now, transport, conn),
+        let worker = connection.worker;
+        let received = connection.receive(bytes);
+        if std::mem::take(&mut connection.received_copy) {
+            self.workers.stop_reuse(transport, worker);
+        }
+        match received {
+            Ok(false) => {}
+            Ok(true) => self.response_complete(now, transport, conn),
             Err(fault) => {
                 tracing::warn!(reason = fault.reason, "invalid response from a worker");
                 self.end_attempt(now, transport, attempt, Outcome::ConnectionLost);
@@ -40,13 +45,12 @@
     /// Handles a complete response: releases its connection for other attempts, and closes its attempt.
     fn response_complete(&mut self, now: Micros, transport: &mut dyn Transport, conn: ConnectionId) {
         let Some(connection) = self.workers.connections.get_mut(&conn) else { return };
-        let mut response = std::mem::take(&mut connection.response);
         let Some(attempt) = connection.attempt.take() else { return };
-        connection.reused = true;
+        let (mut response, reusable) = connection.take_response();
         let worker = connection.worker;
-        // Bytes after the response are a second response to the same request; such a connection is not
-        // reused.
-        let reusable = response.keep_alive == Some(true) && connection.decoder.idle();
+        if connection.decoder.buffered_bytes() > 0 {
+            self.workers.stop_reuse(transport, worker);
+        }
         if let Some(record) = self.workers.endpoints.get_mut(worker) {
             record.has_answered = true;
         }
@@ -102,7 +106,9 @@
             return;
         };
         // A response without a length is delimited by the end of its connection.
-        if connection.decoder.in_body() && connection.decoder.finish(&mut connection.response).is_ok() {
+        let is_complete =
+            connection.decoder.in_body() && connection.decoder.finish(&mut connection.response).is_ok();
+        if is_complete && !connection.is_copy() {
             self.workers.connections.insert(conn, connection);
             self.response_complete(now, transport, conn);
             return;
@@ -110,7 +116,7 @@
         let progress = attempt_outcome::send_progress(connection.connected, connection.sent_before, sent);
         if let Some(request) = self.requests.get_mut(attempt.request) {
             request.attempts[attempt.index].connection = None;
-            if attempt_outcome::may_resend(progress, connection.reused, reason) && !request.ended {
+            if attempt_outcome::may_resend(progress, connection.is_reused(), reason) && !request.ended {
                 self.connect_attempt(now, transport, attempt);
                 return;
             }
--- a/crates/gateway/src/gateway/worker_pool.rs
+++ b/crates/gateway/src/gateway/worker_pool.rs
@@ -78,13 +78,27 @@
         worker: WorkerId,
         reusable: bool,
     ) {
-        let record = self.ready(worker);
-        match record.filter(|record| reusable && record.idle.len() < MAX_IDLE_CONNECTIONS) {
+        let may_keep = |record: &&mut WorkerRecord| {
+            reusable && !record.sends_extra_responses && record.idle.len() < MAX_IDLE_CONNECTIONS
+        };
+        match self.ready(worker).filter(may_keep) {
             Some(record) => record.idle.push(IdleConnection { conn, since: now }),
             None => self.abort(transport, conn),
         }
     }
 
+    /// Notes that a worker has sent bytes that belong to no request. Its idle connections are aborted, and
+    /// none is reused until its process is replaced.
+    pub(super) fn stop_reuse(&mut self, transport: &mut dyn Transport, worker: WorkerId) {
+        let Some(record) = self.endpoints.get_mut(worker) else { return };
+        if !std::mem::replace(&mut record.sends_extra_responses, true) {
+            tracing::warn!(worker = record.name, "extra bytes from a worker; its connections are not reused");
+        }
+        for IdleConnection { conn, .. } in std::mem::take(&mut record.idle) {
+            self.abort(transport, conn);
+        }
+    }
+
     /// Aborts a connection that is not idle.
     pub(super) fn abort(&mut self, transport: &mut dyn Transport, conn: ConnectionId) {
         transport.abort(conn);
--- a/crates/gateway/src/worker_connection.rs
+++ b/crates/gateway/src/worker_connection.rs
@@ -4,19 +4,33 @@
 //! on the same connection, and the close reaches a worker that is still reading the request as well as one
 //! that is running it.
 //!
-//! State: the attempt of a connection and the part of its response received so far.
+//! HTTP/1.1 does not tie a response to its request, and a worker may send a response twice. Result events
+//! have an identity, the CloudEvents attributes `source` and `id`, by which the second copy is recognised
+//! and discarded. After a response without an identity, a second copy of it could be taken for the response
+//! to the next request, so the connection is not reused.
+//!
+//! State: the attempt of a connection, the part of its response received so far, and the identities of the
+//! last responses.
 use crate::request_table::AttemptId;
 use applepond::interface::{LoadState, WorkerId};
 use applepond_http::Fault;
 use applepond_http::cloudevent::{EventSink, Reader};
-use applepond_http::decode::{Decoder, Fields, Side, Visitor};
+use applepond_http::decode::{Decoder, Fields, Side, Step, Visitor};
 use applepond_http::encode::HeaderLines;
+use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Maximum size of a response's head; a larger response is invalid.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum size of a response's body; a larger response is invalid.
 const MAX_BODY_BYTES: u64 = 8 * 1024 * 1024;
 
+/// Maximum number of requests on one connection. It bounds how long a connection can be one response behind
+/// after a worker has sent a response that belongs to no request.
+const MAX_REQUESTS: u32 = 100;
+/// Number of the last responses on a connection of which a second copy is recognised.
+const MAX_RECENT_EVENTS: usize = 32;
+
 /// Prefix of the header fields in which a worker reports on the request or on itself.
 const WORKER_FIELD_PREFIX: &str = "applepond-";
 /// Prefix of the header fields that are attributes of the result event.
@@ -40,6 +54,8 @@
     pub(crate) body: Vec<u8>,
     /// The response is a CloudEvent.
     pub(crate) is_event: bool,
+    /// Digest of the event's source and id, if the header has them.
+    event: Option<EventDigest>,
     /// Whether the connection may carry another request; set once the response is complete.
     pub(crate) keep_alive: Option<bool>,
 }
@@ -56,6 +72,7 @@
             fields: HeaderLines::default(),
             body: Vec::new(),
             is_event: false,
+            event: None,
             keep_alive: None,
         }
     }
@@ -89,8 +106,37 @@
     }
 }
 
-impl EventSink for WorkerResponse {
-    fn attribute(&mut self, _: &str, _: &str) {}
+/// A digest of the attributes that identify an event.
+type EventDigest = u64;
+
+/// The attributes that identify an event: no two events have the same source and id.
+#[derive(Default, Hash)]
+struct EventIdentity {
+    source: String,
+    id: String,
+}
+
+impl EventIdentity {
+    /// Returns the digest, or `None` if an attribute is missing, as in the header of a structured event.
+    fn digest(&self) -> Option<EventDigest> {
+        if self.source.is_empty() || self.id.is_empty() {
+            return None;
+        }
+        let mut hasher = DefaultHasher::new();
+        self.hash(&mut hasher);
+        Some(hasher.finish())
+    }
+}
+
+impl EventSink for EventIdentity {
+    fn attribute(&mut self, name: &str, value: &str) {
+        match name {
+            "source" => value.clone_into(&mut self.source),
+            "id" => value.clone_into(&mut self.id),
+            _ => {}
+        }
+    }
+
     fn data(&mut self, _: Option<&str>, _: Vec<u8>) {}
 }
 
@@ -115,8 +161,9 @@
                 self.fields.field(name, value);
             }
         }
-        let mut discarded = WorkerResponse::default();
-        self.is_event = Reader::head(fields, &mut discarded).is_ok();
+        let mut identity = EventIdentity::default();
+        self.is_event = Reader::head(fields, &mut identity).is_ok();
+        self.event = identity.digest();
         Ok(())
     }
 
@@ -136,8 +183,12 @@
     pub(crate) worker: WorkerId,
     /// The connection is established.
     pub(crate) connected: bool,
-    /// A complete response has been received on it before.
-    pub(crate) reused: bool,
+    /// Number of complete responses received on it.
+    responses: u32,
+    /// The events of the last responses, oldest first.
+    recent_events: VecDeque<EventDigest>,
+    /// A second copy of an earlier response has been received.
+    pub(crate) received_copy: bool,
     /// Its attempt; `None` while it is idle.
     pub(crate) attempt: Option<AttemptId>,
     /// Bytes that the kernel had accepted for sending before the current attempt.
@@ -152,11 +203,59 @@
         WorkerConnection {
             worker,
             connected: false,
-            reused: false,
+            responses: 0,
+            recent_events: VecDeque::new(),
+            received_copy: false,
             attempt: Some(attempt),
             sent_before: 0,
             decoder: Decoder::new(Side::Client, MAX_HEAD_BYTES, MAX_BODY_BYTES),
             response: WorkerResponse::default(),
         }
     }
+
+    /// Whether a complete response has been received on it before.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.responses > 0
+    }
+
+    /// Whether the response is a second copy of an earlier one on this connection.
+    pub(crate) fn is_copy(&self) -> bool {
+        self.response.event.is_some_and(|event| self.recent_events.contains(&event))
+    }
+
+    /// Decodes received bytes. Returns whether the response to the attempt is complete. Second copies of
+    /// earlier responses are discarded.
+    ///
+    /// # Errors
+    /// The bytes are no valid response.
+    pub(crate) fn receive(&mut self, bytes: &[u8]) -> Result<bool, Fault> {
+        self.decoder.feed(bytes);
+        while self.decoder.step(&mut self.response)? == Step::Done {
+            if !self.is_copy() {
+                return Ok(true);
+            }
+            self.received_copy = true;
+            if self.response.keep_alive != Some(true) {
+                return Err(Fault::new(502, "second-copy", "the connection ends with a second copy"));
+            }
+            self.response = WorkerResponse::default();
+        }
+        Ok(false)
+    }
+
+    /// Takes the complete response, and returns whether the connection may carry another request.
+    pub(crate) fn take_response(&mut self) -> (WorkerResponse, bool) {
+        let response = std::mem::take(&mut self.response);
+        self.responses += 1;
+        // Bytes after the response belong to no request.
+        let is_intact = response.keep_alive == Some(true) && self.decoder.idle();
+        let Some(event) = response.event.filter(|_| is_intact && self.responses < MAX_REQUESTS) else {
+            return (response, false);
+        };
+        if self.recent_events.len() == MAX_RECENT_EVENTS {
+            self.recent_events.pop_front();
+        }
+        self.recent_events.push_back(event);
+        (response, true)
+    }
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
@@ -221,9 +222,12 @@
     ce-type: result\r\napplepond-copy: stood\r\napplepond-company: 0\r\n\
     Content-Type: application/json\r\nContent-Length: 9\r\n\r\n{\"ok\": 1}";
 
-/// A worker's response to a finished request, with this result.
+/// A worker's response to a finished request, with this result. Each is an event of its own.
 pub fn result(body: &str) -> String {
+    static RESULTS: AtomicU64 = AtomicU64::new(1);
+    let id = format!("ce-id: result-{}", RESULTS.fetch_add(1, Ordering::Relaxed));
     FINISHED_RESPONSE
+        .replace("ce-id: r1", &id)
         .replace("Content-Length: 9", &format!("Content-Length: {}", body.len()))
         .replace("{\"ok\": 1}", body)
 }
