A second copy of a response has the same body, not only the same identity

Cause: a response with the identity of an earlier one was discarded, whatever it held.

Change: the digest by which a copy is recognised covers source, id and body.

What cannot be told from a copy (one identity, one body) costs its request and the worker's reuse: the_same_result_twice_costs_one_request_and_the_reuse.

--- a/crates/gateway/src/worker_connection.rs
+++ b/crates/gateway/src/worker_connection.rs
@@ -5,12 +5,12 @@
 //! that is running it.
 //!
 //! HTTP/1.1 does not tie a response to its request, and a worker may send a response twice. Result events
-//! have an identity, the CloudEvents attributes `source` and `id`, by which the second copy is recognised
-//! and discarded. After a response without an identity, a second copy of it could be taken for the response
-//! to the next request, so the connection is not reused.
+//! have an identity, the CloudEvents attributes `source` and `id`. A response with the identity and the body
+//! of an earlier one is a second copy of it and is discarded. After a response without an identity, a second
+//! copy of it could be taken for the response to the next request, so the connection is not reused.
 //!
-//! State: the attempt of a connection, the part of its response received so far, and the identities of the
-//! last responses.
+//! State: the attempt of a connection, the part of its response received so far, and digests of the last
+//! responses.
 use crate::request_table::AttemptId;
 use applepond::interface::{LoadState, WorkerId};
 use applepond_http::Fault;
@@ -29,7 +29,7 @@
 /// after a worker has sent a response that belongs to no request.
 const MAX_REQUESTS: u32 = 100;
 /// Number of the last responses on a connection of which a second copy is recognised.
-const MAX_RECENT_EVENTS: usize = 32;
+const MAX_RECENT_RESPONSES: usize = 32;
 
 /// Prefix of the header fields in which a worker reports on the request or on itself.
 const WORKER_FIELD_PREFIX: &str = "applepond-";
@@ -54,8 +54,8 @@
     pub(crate) body: Vec<u8>,
     /// The response is a CloudEvent.
     pub(crate) is_event: bool,
-    /// Digest of the event's source and id, if the header has them.
-    event: Option<EventDigest>,
+    /// The identity of the event, if the header has it.
+    identity: EventIdentity,
     /// Whether the connection may carry another request; set once the response is complete.
     pub(crate) keep_alive: Option<bool>,
 }
@@ -72,7 +72,7 @@
             fields: HeaderLines::default(),
             body: Vec::new(),
             is_event: false,
-            event: None,
+            identity: EventIdentity::default(),
             keep_alive: None,
         }
     }
@@ -100,14 +100,25 @@
         }
     }
 
+    /// Returns the digest of a complete response, or `None` if it has no identity.
+    fn digest(&self) -> Option<ResponseDigest> {
+        if self.identity.is_incomplete() {
+            return None;
+        }
+        let mut hasher = DefaultHasher::new();
+        self.identity.hash(&mut hasher);
+        self.body.hash(&mut hasher);
+        Some(hasher.finish())
+    }
+
     /// Whether the function was already loaded when the request arrived.
     pub(crate) fn was_loaded(&self) -> bool {
         self.load_state != LoadState::LoadStarted && self.load_state != LoadState::LoadPending
     }
 }
 
-/// A digest of the attributes that identify an event.
-type EventDigest = u64;
+/// A digest of a response's identity and body.
+type ResponseDigest = u64;
 
 /// The attributes that identify an event: no two events have the same source and id.
 #[derive(Default, Hash)]
@@ -117,14 +128,9 @@
 }
 
 impl EventIdentity {
-    /// Returns the digest, or `None` if an attribute is missing, as in the header of a structured event.
-    fn digest(&self) -> Option<EventDigest> {
-        if self.source.is_empty() || self.id.is_empty() {
-            return None;
-        }
-        let mut hasher = DefaultHasher::new();
-        self.hash(&mut hasher);
-        Some(hasher.finish())
+    /// Whether an attribute is missing, as in the header of a structured event.
+    fn is_incomplete(&self) -> bool {
+        self.source.is_empty() || self.id.is_empty()
     }
 }
 
@@ -163,7 +169,7 @@
         }
         let mut identity = EventIdentity::default();
         self.is_event = Reader::head(fields, &mut identity).is_ok();
-        self.event = identity.digest();
+        self.identity = identity;
         Ok(())
     }
 
@@ -185,8 +191,8 @@
     pub(crate) connected: bool,
     /// Number of complete responses received on it.
     responses: u32,
-    /// The events of the last responses, oldest first.
-    recent_events: VecDeque<EventDigest>,
+    /// Digests of the last responses, oldest first.
+    recent_responses: VecDeque<ResponseDigest>,
     /// A second copy of an earlier response has been received.
     pub(crate) received_copy: bool,
     /// Its attempt; `None` while it is idle.
@@ -204,7 +210,7 @@
             worker,
             connected: false,
             responses: 0,
-            recent_events: VecDeque::new(),
+            recent_responses: VecDeque::new(),
             received_copy: false,
             attempt: Some(attempt),
             sent_before: 0,
@@ -220,7 +226,7 @@
 
     /// Whether the response is a second copy of an earlier one on this connection.
     pub(crate) fn is_copy(&self) -> bool {
-        self.response.event.is_some_and(|event| self.recent_events.contains(&event))
+        self.response.digest().is_some_and(|digest| self.recent_responses.contains(&digest))
     }
 
     /// Decodes received bytes. Returns whether the response to the attempt is complete. Second copies of
@@ -249,13 +255,14 @@
         self.responses += 1;
         // Bytes after the response belong to no request.
         let is_intact = response.keep_alive == Some(true) && self.decoder.idle();
-        let Some(event) = response.event.filter(|_| is_intact && self.responses < MAX_REQUESTS) else {
+        let may_reuse = is_intact && self.responses < MAX_REQUESTS;
+        let Some(digest) = response.digest().filter(|_| may_reuse) else {
             return (response, false);
         };
-        if self.recent_events.len() == MAX_RECENT_EVENTS {
-            self.recent_events.pop_front();
+        if self.recent_responses.len() == MAX_RECENT_RESPONSES {
+            self.recent_responses.pop_front();
         }
-        self.recent_events.push_back(event);
+        self.recent_responses.push_back(digest);
         (response, true)
     }
 }
--- a/crates/gateway/tests/connection_reuse.rs
+++ b/crates/gateway/tests/connection_reuse.rs
@@ -133,3 +133,30 @@
     }
     assert_eq!(sim.transport.connections.len(), 4);
 }
+
+// A worker that gives all its results one identity, against the specification. Results that differ are told
+// apart by their bodies.
+#[test]
+fn results_of_one_identity_with_other_bodies_are_no_copies() {
+    let mut sim = SimulatedGateway::new(deployment(1));
+    let conn = complete(&mut sim, "1", &FINISHED_RESPONSE.replace("{\"ok\": 1}", "{\"ok\": 2}"));
+    for n in 3..9 {
+        let response = FINISHED_RESPONSE.replace("{\"ok\": 1}", &format!("{{\"ok\": {n}}}"));
+        assert_eq!(complete(&mut sim, &n.to_string(), &response), conn);
+    }
+}
+
+// The same with one body: the second result cannot be told from a copy. Its request is lost with its time,
+// and the worker loses its reuse, so that the next request is answered.
+#[test]
+fn the_same_result_twice_costs_one_request_and_the_reuse() {
+    let mut sim = SimulatedGateway::new(deployment(1));
+    let conn = complete(&mut sim, "1", FINISHED_RESPONSE);
+    let (client, second) = send(&mut sim, "confirm", "2");
+    assert_eq!(conn, second);
+    sim.receive(conn, FINISHED_RESPONSE.as_bytes());
+    sim.advance(5 * S);
+    assert!(matches!(sim.statuses(client)[..], [502 | 504]), "{:?}", sim.statuses(client));
+    assert!(complete(&mut sim, "3", FINISHED_RESPONSE) != conn);
+    assert!(complete(&mut sim, "4", FINISHED_RESPONSE) != conn);
+}
