serve rejects no workflow of which a step on record may have run

Cause: accept_workflow had `admit` decide on the event as on a new one, whatever its record held.

Change: functions that reject require a `NothingRan`, which for a workflow only its record gives. A run that ends as rejected is answered as failed if its record has such a step. A record that cannot be read is answered 502 instead of 503.

--- a/crates/gateway/src/gateway/intake.rs
+++ b/crates/gateway/src/gateway/intake.rs
@@ -2,6 +2,7 @@
 //! request or a workflow. An `Err` of these methods is an answer to be sent to the client at once.
 use super::Gateway;
 use super::extensions::ScheduledRetry;
+use super::nothing_ran::NothingRan;
 use super::request::{NewRequest, PromptPrefix, RequestContent};
 use crate::client::{Answer, ReceivedEvent};
 use crate::deadline;
@@ -18,6 +19,9 @@
 /// Maximum number of open requests and workflows; beyond it the gateway rejects events without involving
 /// `Control`, at the cost of one response each.
 const MAX_OPEN_REQUESTS: usize = 20_000;
+/// Maximum number of open requests and workflows with which a workflow is resumed of which a step may have
+/// run. It must not be rejected, so it is admitted beyond the limit for others.
+const MAX_OPEN_WITH_RESUMED: usize = 2 * MAX_OPEN_REQUESTS;
 /// `Retry-After` of those rejections.
 const TOO_MANY_RETRY_AFTER: Micros = 1_000_000;
 /// Length to which an unknown event type is truncated in the error response.
@@ -33,6 +37,12 @@
     pub(super) is_retry: bool,
 }
 
+impl Admitted {
+    fn new(arrival: &Arrival, is_retry: bool) -> Self {
+        Admitted { client_digest: arrival.client, digest: arrival.request_id, is_retry }
+    }
+}
+
 /// Logs that an event is refused, and returns its answer.
 pub(super) fn refuse(id: &str, fault: &Fault) -> Rc<Answer> {
     tracing::info!(id, reason = fault.reason, status = fault.status, "event refused");
@@ -64,7 +74,7 @@
         }
         let limit = self.deployment.workloads[workload].deadline;
         let time_left = self.time_left_of(now, limit, &event)?;
-        let admitted = self.admit(now, &event, workload, time_left)?;
+        let admitted = self.admit(now, &event, workload, time_left, &NothingRan::for_new_request())?;
         self.counters.accepted += 1;
         if let (Some(tracker), Some(prefix)) = (&mut self.prefix_tracker, &prefix) {
             tracker.record_use(&prefix.name, prefix.size);
@@ -198,42 +208,69 @@
         }
     }
 
-    /// Admits or rejects an event: by the number of open requests, and by admission control, which sheds load
-    /// during a retry storm.
+    /// Admits or rejects an event of which nothing has run: by the number of open requests, and by admission
+    /// control, which sheds load during a retry storm.
     pub(super) fn admit(
         &mut self,
         now: Micros,
         event: &ReceivedEvent,
         workload: usize,
         time_left: Micros,
+        _: &NothingRan,
     ) -> Result<Admitted, Rc<Answer>> {
-        if self.requests.len() + self.workflows.active.len() >= MAX_OPEN_REQUESTS {
+        if self.open_count() >= MAX_OPEN_REQUESTS {
             let fault = Fault::new(503, "too-many-jobs", "this router holds as many jobs as it may");
             let retry_after = Some(TOO_MANY_RETRY_AFTER);
             return Err(Answer::problem(FinalOutcome::Rejected, &fault, Some(&event.id), retry_after));
         }
-        let client_digest = FunctionId::named(&event.source).0;
-        let digest = FunctionId::named(&event.id).0 ^ client_digest.rotate_left(1);
-        let arrival = Arrival {
-            client: client_digest,
-            request_id: digest,
-            is_retry: event.is_retry,
-            importance: self.deployment.startup.workloads[workload].priority_weight,
-            remaining: time_left,
-        };
+        let arrival = self.arrival(event, workload, time_left);
         let decision = self.admission.decide(now, &arrival);
         self.log_traffic_change(now);
         match decision {
-            Decision::Admitted { is_retry } => Ok(Admitted { client_digest, digest, is_retry }),
+            Decision::Admitted { is_retry } => Ok(Admitted::new(&arrival, is_retry)),
             Decision::Rejected { .. } if !self.deployment.storm_shedding => {
-                Ok(Admitted { client_digest, digest, is_retry: event.is_retry })
+                Ok(Admitted::new(&arrival, event.is_retry))
             }
             Decision::Rejected { retry_after, reason } => {
-                Err(self.shed(now, &event.id, digest, retry_after, reason))
+                Err(self.shed(now, &event.id, arrival.request_id, retry_after, reason))
             }
         }
     }
 
+    /// Admits the event of a workflow that is resumed and of which a step may have run. It is never rejected:
+    /// the client would take that for a promise that a retry elsewhere is harmless. Admission control is not
+    /// asked, as it would reserve a time for the retry of an event that it rejects. At the limit of open
+    /// requests the event fails.
+    pub(super) fn admit_resumed(
+        &self,
+        event: &ReceivedEvent,
+        workload: usize,
+        time_left: Micros,
+    ) -> Result<Admitted, Rc<Answer>> {
+        if self.open_count() >= MAX_OPEN_WITH_RESUMED {
+            let fault = Fault::new(502, "too-many-jobs", "this router holds as many jobs as it may");
+            return Err(Answer::problem(FinalOutcome::Failed, &fault, Some(&event.id), None));
+        }
+        Ok(Admitted::new(&self.arrival(event, workload, time_left), event.is_retry))
+    }
+
+    /// Number of open requests and workflows.
+    fn open_count(&self) -> usize {
+        self.requests.len() + self.workflows.active.len()
+    }
+
+    /// Describes an event to admission control.
+    fn arrival(&self, event: &ReceivedEvent, workload: usize, time_left: Micros) -> Arrival {
+        let client = FunctionId::named(&event.source).0;
+        Arrival {
+            client,
+            request_id: FunctionId::named(&event.id).0 ^ client.rotate_left(1),
+            is_retry: event.is_retry,
+            importance: self.deployment.startup.workloads[workload].priority_weight,
+            remaining: time_left,
+        }
+    }
+
     /// Rejects an event during a retry storm, before it reaches `Control`.
     fn shed(
         &mut self,
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 mod history;
 mod intake;
 mod maintenance;
+mod nothing_ran;
 mod overload;
 mod request;
 mod responses;
--- a/crates/gateway/src/gateway/workflow/completion.rs
+++ b/crates/gateway/src/gateway/workflow/completion.rs
@@ -4,6 +4,7 @@
 use super::steps::UNDO_PERIOD;
 use crate::client::Answer;
 use crate::gateway::Gateway;
+use crate::gateway::nothing_ran::NothingRan;
 use crate::idempotency::FinalOutcome;
 use applepond::interface::{Micros, RequestId, RetrySafety};
 use applepond_http::Fault;
@@ -32,7 +33,13 @@
     }
 
     /// Returns the answer of a rejected workflow: no step of it can have had a lasting effect.
-    fn rejected_answer(&self, step: StepId, cause: FailureReason, retry_after_allowed: bool) -> Rc<Answer> {
+    fn rejected_answer(
+        &self,
+        step: StepId,
+        cause: FailureReason,
+        retry_after_allowed: bool,
+        _: &NothingRan,
+    ) -> Rc<Answer> {
         let (reason, detail) = self.failure(step, cause);
         let wait = self.retry_after.or(Some(TOO_LITTLE_TIME_RETRY_AFTER));
         let fault = Fault::new(503, reason, format!("{detail}; a retry does no harm"));
@@ -89,15 +96,20 @@
         outcome: RunOutcome,
     ) {
         let Some(workflow) = self.workflows.active.get_mut(&request) else { return };
-        let (last_step, answer) = match outcome {
-            RunOutcome::Finished(step) => (step, workflow.finished_answer(step)),
-            RunOutcome::Rejected(step, cause) => {
+        let nothing_ran = NothingRan::for_workflow(Some(&workflow.stored), workflow.run.plan());
+        let outcome = match outcome {
+            RunOutcome::Rejected(step, cause) if nothing_ran.is_none() => RunOutcome::Failed(step, cause),
+            outcome => outcome,
+        };
+        let (last_step, answer) = match (outcome, nothing_ran) {
+            (RunOutcome::Finished(step), _) => (step, workflow.finished_answer(step)),
+            (RunOutcome::Rejected(step, cause), Some(nothing_ran)) => {
                 // A retry starts again from the first step.
                 workflow.stored.steps.clear();
                 let retry_after_allowed = self.deployment.startup.attempt_policy.retry_after_allowed;
-                (step, workflow.rejected_answer(step, cause, retry_after_allowed))
+                (step, workflow.rejected_answer(step, cause, retry_after_allowed, &nothing_ran))
             }
-            RunOutcome::Failed(step, cause) => {
+            (RunOutcome::Rejected(step, cause), None) | (RunOutcome::Failed(step, cause), _) => {
                 workflow.stored.failed = true;
                 // Its record must outlast its undos.
                 workflow.stored.expires_at = now + UNDO_PERIOD + self.deployment.answer_retention.time;
--- a/crates/gateway/src/gateway/workflow/intake.rs
+++ b/crates/gateway/src/gateway/workflow/intake.rs
@@ -4,6 +4,7 @@
 use crate::client::{Answer, ReceivedEvent};
 use crate::gateway::Gateway;
 use crate::gateway::intake::{Admitted, refuse};
+use crate::gateway::nothing_ran::NothingRan;
 use crate::idempotency::{FinalOutcome, IdempotencyKey};
 use applepond::interface::{CustomerId, Micros, RequestId, RetrySafety};
 use applepond_http::Fault;
@@ -40,10 +41,17 @@
         let named_function = named_function.map(str::to_owned);
         let digest = plan_digest(&plan, &self.deployment.workloads);
         let resumed = self.load_stored(now, &key, &plan, digest, &event)?;
-        let admitted = self.admit(now, &event, plan.steps[0].workload, time_left)?;
-        if resumed.as_ref().is_none_or(|stored| stored.steps.is_empty()) {
-            self.check_start_rate(now, &event.id, &admitted, time_left)?;
-        }
+        let workload = plan.steps[0].workload;
+        let admitted = match NothingRan::for_workflow(resumed.as_ref(), &plan) {
+            Some(nothing_ran) => {
+                let admitted = self.admit(now, &event, workload, time_left, &nothing_ran)?;
+                if resumed.as_ref().is_none_or(|stored| stored.steps.is_empty()) {
+                    self.check_start_rate(now, &event.id, &admitted, time_left, &nothing_ran)?;
+                }
+                admitted
+            }
+            None => self.admit_resumed(&event, workload, time_left)?,
+        };
         self.counters.accepted += 1;
         self.workflows.counters.accepted += 1;
         let request = self.next_request_id();
@@ -89,7 +97,8 @@
             Ok(stored) => stored.filter(|stored| stored.expires_at > now),
             Err(error) if needs_store => {
                 tracing::error!(%error, reason = "no-record", "cannot read the workflow store");
-                return refused(503, "no-record", "what ran before cannot be known here");
+                // No rejection: a step may have run.
+                return refused(502, "no-record", "what ran before cannot be known here");
             }
             Err(_) => None,
         };
@@ -109,6 +118,7 @@
         id: &str,
         admitted: &Admitted,
         time_left: Micros,
+        _: &NothingRan,
     ) -> Result<(), Rc<Answer>> {
         if self.workflows.run_limiter.admit(now) {
             return Ok(());
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use applepond_gateway::{Deployment, Gateway};
 use applepond_reactor::{Closed, ConnectionId, Listener, Machine, Transport};
 use applepond_storage::{MemoryStore, WorkflowKey, WorkflowRecord, WorkflowStore};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -238,6 +238,8 @@
     pub inner: Rc<RefCell<MemoryStore>>,
     pub writes: Rc<RefCell<usize>>,
     pub fails: Option<usize>,
+    /// Whether records cannot be read.
+    pub unreadable: Rc<Cell<bool>>,
 }
 
 impl WorkflowStore for SharedStore {
@@ -256,6 +258,10 @@
         &mut self,
         key: WorkflowKey<'_>,
     ) -> Result<Option<WorkflowRecord>, applepond_storage::StorageError> {
+        if self.unreadable.get() {
+            let (file, why) = ("record".into(), "input/output error".to_owned());
+            return Err(applepond_storage::StorageError::WriteFailed { file, why });
+        }
         self.inner.borrow_mut().load(key)
     }
     fn unfinished(&mut self) -> Result<Vec<(String, String)>, applepond_storage::StorageError> {
--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -88,6 +88,18 @@
     }
 }
 
+impl WorkflowRecord {
+    /// Whether a step on record may have run and is not idempotent. A step that the plan does not have counts
+    /// as one.
+    pub fn may_have_had_effect(&self, plan: &Plan) -> bool {
+        self.steps.iter().any(|(index, step)| {
+            let outcome = step.outcome.as_ref().map(|outcome| outcome_from_code(outcome.code));
+            let effect = plan.steps.get(*index as usize).map(|planned| planned.effect);
+            outcome != Some(StepStatus::NeverRan) && effect != Some(RetrySafety::Idempotent)
+        })
+    }
+}
+
 /// Whether a step that was sent, and whose outcome is unknown, may be sent again. An idempotency key with a
 /// narrower scope than everywhere does not help: after a crash it is unknown which rack or zone received the
 /// first attempt.
