A failing run takes over the steps on record that it has not reached again

Cause: `Run::fail` asked only the steps that it had begun again, not those on record that it had not reached; they were cleared.

Change: a run that fails first takes these over, so that their effects count and their undos run.

Result: a_step_on_record_that_is_not_reached_again_is_not_forgotten fails on the text before, and at the undo without this change.

--- a/crates/gateway/tests/workflow_rejections.rs
+++ b/crates/gateway/tests/workflow_rejections.rs
@@ -29,6 +29,18 @@
     Plan { name: "book".into(), limit: 4 * S, steps }
 }
 
+/// Gets a price, and then a view, which takes long and is looked at first, beside a confirmation.
+fn view_beside_confirm() -> Plan {
+    let fork = Branch { test: None, target: Target::All(vec![StepId(1), StepId(2)], None) };
+    let steps = vec![
+        Step { next: vec![fork], ..step("price", 0) },
+        Step { at_least: 2 * S, ..step("view", 0) },
+        Step { undo: Some(StepId(3)), ..step("confirm", 2) },
+        step("release", 1),
+    ];
+    Plan { name: "book".into(), limit: 8 * S, steps }
+}
+
 /// Successive instances of a gateway with one store.
 struct Restarts {
     store: SharedStore,
@@ -134,6 +146,26 @@
     assert_eq!(restarts.sim.statuses(client), [502]);
 }
 
+// Regression: a confirmation on record that was not reached again was forgotten when the run failed for lack
+// of time, and ran twice at the third try.
+#[test]
+fn a_step_on_record_that_is_not_reached_again_is_not_forgotten() {
+    let mut restarts = Restarts::new(view_beside_confirm());
+    restarts.sim.send_event("book", "7");
+    restarts.answer("/price");
+    assert_eq!(restarts.answer("/confirm"), 1);
+    restarts.sim.advance(S);
+    restarts.restart();
+    let client = restarts.retry("7", 500);
+    restarts.sim.advance(MS);
+    assert_eq!(restarts.sim.statuses(client), [504], "{}", restarts.sim.output(client));
+    assert_eq!(restarts.answer("/release"), 1, "the confirmation is undone");
+    let third = restarts.retry("7", 8_000);
+    restarts.sim.advance(MS);
+    assert!(matches!(restarts.sim.statuses(third)[..], [502 | 504]), "{}", restarts.sim.output(third));
+    assert_eq!(restarts.connections_with("/confirm").len(), 0, "it is not confirmed again");
+}
+
 // The store cannot be read, so a step may have run.
 #[test]
 fn an_unreadable_record_is_no_rejection() {
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -515,6 +515,7 @@
             return;
         }
         self.cancel_open_steps(commands);
+        self.replay_unreached_steps();
         let has_lasting_effect = |step: &StepId| {
             self.may_have_run(*step) && self.plan.step(*step).effect != RetrySafety::Idempotent
         };
@@ -528,6 +529,19 @@
         commands.extend(self.undos());
     }
 
+    /// Takes over the recorded steps that the run has not reached again, so that their effects count and are
+    /// undone.
+    fn replay_unreached_steps(&mut self) {
+        for (step, (status, fields)) in std::mem::take(&mut self.recorded) {
+            if self.states[step.0] != StepState::NotBegun {
+                continue;
+            }
+            self.states[step.0] = StepState::Ended(status);
+            self.started.push(step);
+            self.results.extend(fields.into_iter().map(|(name, value)| ((step, name), value)));
+        }
+    }
+
     fn may_have_run(&self, step: StepId) -> bool {
         matches!(self.states[step.0], StepState::Ended(StepStatus::Finished | StepStatus::MayHaveRun))
     }
