A response without a length that is cut off by a reset is not passed on as complete

Cause: worker_disconnected took any end of the connection for the end of such a body.

Change: only an orderly end completes it; after a reset the request may have run.

Result: two of three cases of a_response_without_a_length_ends_with_its_connection_only_in_order fail on the text before.

--- a/crates/gateway/src/gateway/responses.rs
+++ b/crates/gateway/src/gateway/responses.rs
@@ -105,9 +105,10 @@
             self.workers.forget_idle(connection.worker, conn);
             return;
         };
-        // A response without a length is delimited by the end of its connection.
-        let is_complete =
-            connection.decoder.in_body() && connection.decoder.finish(&mut connection.response).is_ok();
+        // A response without a length is delimited by the orderly end of its connection.
+        let is_complete = reason == Closed::Ended
+            && connection.decoder.in_body()
+            && connection.decoder.finish(&mut connection.response).is_ok();
         if is_complete && !connection.is_copy() {
             self.workers.connections.insert(conn, connection);
             self.response_complete(now, transport, conn);
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -210,6 +210,19 @@
     }
 }
 
+// Regression: a response without a length that was cut off by a reset was passed on as complete.
+#[test_case(Closed::Ended, 200; "ended in order")]
+#[test_case(Closed::Reset, 502; "reset")]
+#[test_case(Closed::Overflow, 502; "overflow")]
+fn a_response_without_a_length_ends_with_its_connection_only_in_order(reason: Closed, status: u16) {
+    let mut sim = SimulatedGateway::new(deployment(1));
+    let client = sim.send_event("confirm", "1");
+    let connection = sim.worker_connections()[0];
+    sim.receive(connection, FINISHED_RESPONSE.replace("Content-Length: 9\r\n", "").as_bytes());
+    sim.disconnect(connection, reason);
+    assert_eq!(sim.statuses(client), [status]);
+}
+
 #[test]
 fn nothing_is_sent_to_a_worker_that_drains_while_it_is_connected() {
     let mut deployment = deployment(0);
