A client that joins a request in progress is answered by its own deadline

What callers saw: clients that left and asked again with 2 s to live were answered after 3.4 s, with the first try's deadline.

Cause: join_or_replay attached the client before time_left_of had read the time of its event.

Change: a client that joins with less time than the request has is answered 504 by its own deadline; the request goes on. The timers are set at the end of the turn. A try that is late on arrival joins nothing.

--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -3,7 +3,7 @@
 //! Entry points: the reactor's events of client connections. Complete events are processed in `intake`.
 use super::Gateway;
 use crate::client::{Answer, ClientConnection, ClientRequest, TimeoutCheck};
-use applepond::interface::Micros;
+use applepond::interface::{Micros, RequestId};
 use applepond_reactor::{ConnectionId, Listener, Transport};
 
 /// Maximum interval between two timeout checks of a client, as a new request may have started in between.
@@ -76,8 +76,15 @@
         if let Some(workflow) = self.workflows.active.get_mut(&request) {
             workflow.clients.retain(|client| *client != conn);
         }
-        let Some(state) = self.requests.get_mut(request) else { return };
-        state.data.clients.retain(|client| *client != conn);
+        if let Some(state) = self.requests.get_mut(request) {
+            state.data.clients.retain(|client| *client != conn);
+        }
+        self.abandon_if_unsent(now, request);
+    }
+
+    /// Ends a request for which no client waits any more, if it was never sent to a worker.
+    pub(super) fn abandon_if_unsent(&mut self, now: Micros, request: RequestId) {
+        let Some(state) = self.requests.get(request) else { return };
         if !state.data.clients.is_empty() || !state.attempts.is_empty() || state.ended {
             return;
         }
--- a/crates/gateway/src/gateway/intake.rs
+++ b/crates/gateway/src/gateway/intake.rs
@@ -69,10 +69,10 @@
         let prefix = self.prefix_of(workload, &event);
         let customer = self.customer_of(&event)?;
         let key = IdempotencyKey::new(&event.source, &event.id);
-        if let Some(known) = self.join_or_replay(now, conn, &key) {
+        let limit = self.deployment.workloads[workload].deadline;
+        if let Some(known) = self.join_or_replay(now, conn, &key, limit, &event) {
             return known;
         }
-        let limit = self.deployment.workloads[workload].deadline;
         let time_left = self.time_left_of(now, limit, &event)?;
         let admitted = self.admit(now, &event, workload, time_left, &NothingRan::for_new_request())?;
         self.counters.accepted += 1;
@@ -180,24 +180,23 @@
     }
 
     /// Attaches a client to the request or workflow in progress with the same key, or returns the cached
-    /// answer as `Err`. Returns `None` if the key is new.
+    /// answer as `Err`. Returns `None` if the key is new. `limit` is the time limit of the event's type.
     pub(super) fn join_or_replay(
         &mut self,
         now: Micros,
         conn: ConnectionId,
         key: &IdempotencyKey,
+        limit: Micros,
+        event: &ReceivedEvent,
     ) -> Option<Result<(), Rc<Answer>>> {
         match self.idempotency.look_up(now, key) {
             Lookup::InProgress(request) => {
+                let time_left = match self.time_left_of(now, limit, event) {
+                    Ok(time_left) => time_left,
+                    Err(expired) => return Some(Err(expired)),
+                };
                 self.counters.joined += 1;
-                match (self.requests.get_mut(request), self.workflows.active.get_mut(&request)) {
-                    (Some(state), _) => state.data.clients.push(conn),
-                    (_, Some(workflow)) => workflow.clients.push(conn),
-                    _ => unreachable!("a key in progress belongs to a request or a workflow"),
-                }
-                if let Some(client) = self.clients.get_mut(&conn) {
-                    client.request = Some(request);
-                }
+                self.join(now, conn, request, time_left);
                 Some(Ok(()))
             }
             Lookup::Completed(answer) => {
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 use applepond_reactor::{Closed, ConnectionId, Listener, Machine, TimerId, Transport};
 use applepond_storage::WorkflowStore;
 use endpoint_watch::EndpointWatch;
+use joined_clients::JoinedClient;
 use request::RequestData;
 use rustc_hash::FxHashMap;
 use state_page::Counters;
@@ -42,6 +43,7 @@
 mod extensions;
 mod history;
 mod intake;
+mod joined_clients;
 mod maintenance;
 mod nothing_ran;
 mod overload;
@@ -71,6 +73,8 @@
     clients: FxHashMap<ConnectionId, ClientConnection>,
     /// Clients that have been answered and whose next pipelined request may already be buffered.
     answered_clients: VecDeque<ConnectionId>,
+    /// Clients that have joined a request since the timers of such clients were last set.
+    joined_clients: VecDeque<JoinedClient>,
     workers: WorkerPool,
     endpoint_watch: EndpointWatch,
     /// Entries that the endpoint list reports as ready; `history` may override their status.
@@ -108,6 +112,7 @@
             actions,
             clients: FxHashMap::default(),
             answered_clients: VecDeque::new(),
+            joined_clients: VecDeque::new(),
             workers: WorkerPool::default(),
             endpoint_watch: EndpointWatch::new(now, &deployment),
             listed_ready: BTreeMap::new(),
@@ -197,6 +202,7 @@
             match self.answered_clients.pop_front() {
                 Some(conn) => self.read_requests(now, transport, conn),
                 None if self.write_pending(now, transport) => {}
+                None if !self.joined_clients.is_empty() => self.schedule_joined_clients(now, transport),
                 None if self.actions.is_empty() && self.workflows.ended_steps.is_empty() => return,
                 None => {}
             }
--- a/crates/gateway/src/gateway/workflow/intake.rs
+++ b/crates/gateway/src/gateway/workflow/intake.rs
@@ -31,12 +31,13 @@
     ) -> Result<(), Rc<Answer>> {
         let customer = self.customer_of(&event)?;
         let key = IdempotencyKey::new(&event.source, &event.id);
-        if let Some(known) = self.join_or_replay(now, conn, &key) {
+        let limit = self.deployment.workflows[index].plan.limit;
+        if let Some(known) = self.join_or_replay(now, conn, &key, limit, &event) {
             return known;
         }
         let config = &self.deployment.workflows[index];
         let plan = config.plan.clone();
-        let time_left = self.time_left_of(now, plan.limit, &event)?;
+        let time_left = self.time_left_of(now, limit, &event)?;
         let named_function = event.attribute(&config.function_attribute).filter(|name| !name.is_empty());
         let named_function = named_function.map(str::to_owned);
         let digest = plan_digest(&plan, &self.deployment.workloads);
--- a/crates/gateway/src/gateway/workflow/mod.rs
+++ b/crates/gateway/src/gateway/workflow/mod.rs
@@ -98,6 +98,16 @@
 }
 
 impl ActiveWorkflow {
+    /// When its answer is due.
+    pub(super) fn deadline(&self) -> Micros {
+        self.run.deadline()
+    }
+
+    /// The id of its event.
+    pub(super) fn event_id(&self) -> Rc<str> {
+        self.key.id.clone()
+    }
+
     /// Returns the answer of a finished step, from memory or from its stored form.
     fn answer_of(&self, step: StepId) -> Option<(HeaderLines, Vec<u8>)> {
         if let Some(finished) = self.last_finished.as_ref().filter(|finished| finished.step == step) {
