--- a/crates/gateway/src/gateway/workflow/intake.rs
+++ b/crates/gateway/src/gateway/workflow/intake.rs
@@ -42,17 +42,7 @@
         let named_function = named_function.map(str::to_owned);
         let digest = plan_digest(&plan, &self.deployment.workloads);
         let resumed = self.load_stored(now, &key, &plan, digest, &event)?;
-        let workload = plan.steps[0].workload;
-        let admitted = match NothingRan::for_workflow(resumed.as_ref(), &plan) {
-            Some(nothing_ran) => {
-                let admitted = self.admit(now, &event, workload, time_left, &nothing_ran)?;
-                if resumed.as_ref().is_none_or(|stored| stored.steps.is_empty()) {
-                    self.check_start_rate(now, &event.id, &admitted, time_left, &nothing_ran)?;
-                }
-                admitted
-            }
-            None => self.admit_resumed(&event, workload, time_left)?,
-        };
+        let admitted = self.admit_workflow(now, &event, &plan, resumed.as_ref(), time_left)?;
         self.counters.accepted += 1;
         self.workflows.counters.accepted += 1;
         let request = self.next_request_id();
@@ -78,6 +68,26 @@
         Ok(())
     }
 
+    /// Admits or rejects a workflow's event. It is not rejected if a step on its record may have run.
+    fn admit_workflow(
+        &mut self,
+        now: Micros,
+        event: &ReceivedEvent,
+        plan: &Plan,
+        stored: Option<&WorkflowRecord>,
+        time_left: Micros,
+    ) -> Result<Admitted, Rc<Answer>> {
+        let workload = plan.steps[0].workload;
+        let Some(nothing_ran) = NothingRan::for_workflow(stored, plan) else {
+            return self.admit_resumed(event, workload, time_left);
+        };
+        let admitted = self.admit(now, event, workload, time_left, &nothing_ran)?;
+        if stored.is_none_or(|stored| stored.steps.is_empty()) {
+            self.check_start_rate(now, &event.id, &admitted, time_left, &nothing_ran)?;
+        }
+        Ok(admitted)
+    }
+
     /// Returns the stored record of this workflow, if there is one, or an error answer if it cannot be
     /// resumed. A store that cannot be read is an error only for workflows with a step that is not
     /// idempotent.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -11,6 +11,7 @@
 use applepond_gateway::{Deployment, Gateway};
 use applepond_reactor::{Closed, ConnectionId, Listener, Machine, Transport};
 use applepond_storage::{MemoryStore, WorkflowKey, WorkflowRecord, WorkflowStore};
+use applepond_workflow::{Function, Step};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -274,3 +275,18 @@
         self.inner.borrow_mut().count()
     }
 }
+
+/// A required step without successors, of a function of its own, by the index of its workload.
+pub fn step(name: &str, workload: usize) -> Step {
+    Step {
+        name: name.into(),
+        workload,
+        effect: deployment(0).startup.workloads[workload].retry_safety,
+        function: Function::Named(format!("{name}-fn")),
+        at_least: 20 * MS,
+        optional: false,
+        undo: None,
+        next: Vec::new(),
+        or_else: Vec::new(),
+    }
+}
--- a/crates/gateway/tests/joined_clients.rs
+++ b/crates/gateway/tests/joined_clients.rs
@@ -10,17 +10,7 @@
 
 /// A deployment in which events of type `book` start a workflow of one at-most-once step.
 fn deployment_with_workflow(workers: u16) -> Deployment {
-    let step = Step {
-        name: "confirm".into(),
-        workload: 2,
-        effect: deployment(0).startup.workloads[2].retry_safety,
-        function: Function::OfEvent,
-        at_least: 20 * MS,
-        optional: false,
-        undo: None,
-        next: Vec::new(),
-        or_else: Vec::new(),
-    };
+    let step = Step { function: Function::OfEvent, ..step("confirm", 2) };
     let workflow = WorkflowConfig {
         types: vec!["book".into()],
         function_attribute: "subject".into(),
--- a/crates/gateway/tests/workflow_rejections.rs
+++ b/crates/gateway/tests/workflow_rejections.rs
@@ -4,24 +4,10 @@
 use applepond_gateway::Deployment;
 use applepond_gateway::deployment::WorkflowConfig;
 use applepond_reactor::ConnectionId;
-use applepond_workflow::{Branch, Function, Plan, Step, StepId, Target};
-use common::{MS, S, SharedStore, SimulatedGateway, deployment, event, result};
+use applepond_workflow::{Branch, Plan, Step, StepId, Target};
+use common::{MS, S, SharedStore, SimulatedGateway, deployment, event, result, step};
 use std::sync::Arc;
 
-fn step(name: &str, workload: usize) -> Step {
-    Step {
-        name: name.into(),
-        workload,
-        effect: deployment(0).startup.workloads[workload].retry_safety,
-        function: Function::Named(format!("{name}-fn")),
-        at_least: 20 * MS,
-        optional: false,
-        undo: None,
-        next: Vec::new(),
-        or_else: Vec::new(),
-    }
-}
-
 /// Gets a price and then confirms, at most once.
 fn price_then_confirm() -> Plan {
     let next = Branch { test: None, target: Target::One(StepId(1)) };
--- a/crates/gateway/tests/workflows.rs
+++ b/crates/gateway/tests/workflows.rs
@@ -5,24 +5,10 @@
 use applepond_gateway::deployment::WorkflowConfig;
 use applepond_reactor::ConnectionId;
 use applepond_workflow::{Branch, Function, Plan, Step, StepId, Target, Test};
-use common::{MS, S, SharedStore, SimulatedGateway, deployment, event, result};
+use common::{MS, S, SharedStore, SimulatedGateway, deployment, event, result, step};
 use std::sync::Arc;
 use test_case::test_case;
 
-fn step(name: &str, workload: usize) -> Step {
-    Step {
-        name: name.into(),
-        workload,
-        effect: deployment(0).startup.workloads[workload].retry_safety,
-        function: Function::Named(format!("{name}-fn")),
-        at_least: 20 * MS,
-        optional: false,
-        undo: None,
-        next: Vec::new(),
-        or_else: Vec::new(),
-    }
-}
-
 fn to(n: usize) -> Branch {
     Branch { test: None, target: Target::One(StepId(n)) }
 }
--- a/crates/node/src/node/attempts.rs
+++ b/crates/node/src/node/attempts.rs
@@ -157,7 +157,7 @@
         let connection = self.connections.get_mut(&conn).filter(|connection| connection.connected);
         let Some(connection) = connection else { return };
         if !connection.queue.is_empty() {
-            self.held_connections.insert(conn);
+            self.delayed_connections.insert(conn);
         }
         for attempt in std::mem::take(&mut connection.cancelling) {
             self.close_with(now, attempt, Outcome::Cancelled);
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -83,7 +83,7 @@
     /// Connections to model servers that may have queued writes.
     unflushed: Vec<ConnectionId>,
     /// Connections with queued attempts that wait for a fresh endpoint list after a pause of this process.
-    held_connections: BTreeSet<ConnectionId>,
+    delayed_connections: BTreeSet<ConnectionId>,
     workers: Workers,
     /// Number of model servers that accept attempts; at least 1, as it is used as a divisor.
     ready_workers: usize,
@@ -120,7 +120,7 @@
             connections: FxHashMap::default(),
             max_connections: config.max_descriptors * WORKER_EIGHTHS / 8,
             unflushed: Vec::new(),
-            held_connections: BTreeSet::new(),
+            delayed_connections: BTreeSet::new(),
             workers: Workers::default(),
             ready_workers: 1,
             name_service: NameServiceWatch::new(
@@ -170,8 +170,8 @@
         if !self.stalled_clients.is_empty() && !self.name_service.defers_requests(now) {
             self.readable_clients.extend(std::mem::take(&mut self.stalled_clients));
         }
-        if !self.held_connections.is_empty() && !self.name_service.is_stale(now) {
-            self.unflushed.extend(std::mem::take(&mut self.held_connections));
+        if !self.delayed_connections.is_empty() && !self.name_service.is_stale(now) {
+            self.unflushed.extend(std::mem::take(&mut self.delayed_connections));
         }
         loop {
             while let Some(action) = self.actions.pop() {
--- /dev/null
+++ b/crates/workflow/src/run/ending.rs
@@ -0,0 +1,80 @@
+//! The end of a run: its outcome, the steps that it cancels, and the undos of those that may have run.
+use super::{Command, FailureReason, Run, RunOutcome, StepState, StepStatus};
+use crate::plan::StepId;
+use applepond::interface::RetrySafety;
+
+impl Run {
+    /// Finishes the run with the result of the step that finished last. The step that led here may be an
+    /// optional one that was skipped or failed.
+    pub(super) fn finish(&mut self, step: StepId, commands: &mut Vec<Command>) {
+        let Some(step) = self.last_finished else {
+            return self.fail(step, FailureReason::StepFailed, commands);
+        };
+        if self.outcome.is_none() {
+            self.cancel_open_steps(commands);
+            self.outcome = Some(RunOutcome::Finished(step));
+            commands.push(Command::End(RunOutcome::Finished(step)));
+        }
+    }
+
+    /// Cancels the steps in flight. They may have run.
+    fn cancel_open_steps(&mut self, commands: &mut Vec<Command>) {
+        for (index, state) in self.states.iter_mut().enumerate() {
+            match state {
+                StepState::InFlight => {
+                    commands.push(Command::Cancel(StepId(index)));
+                    *state = StepState::Ended(StepStatus::MayHaveRun);
+                }
+                StepState::AwaitingRetry => *state = StepState::Ended(StepStatus::NeverRan),
+                _ => {}
+            }
+        }
+    }
+
+    /// Ends the run at a step: rejected if no step can have had a lasting effect, and otherwise failed.
+    pub(super) fn fail(&mut self, step: StepId, reason: FailureReason, commands: &mut Vec<Command>) {
+        if self.outcome.is_some() {
+            return;
+        }
+        self.cancel_open_steps(commands);
+        self.replay_unreached_steps();
+        let has_lasting_effect = |step: &StepId| {
+            self.may_have_run(*step) && self.plan.step(*step).effect != RetrySafety::Idempotent
+        };
+        let outcome = if self.started.iter().any(has_lasting_effect) {
+            RunOutcome::Failed(step, reason)
+        } else {
+            RunOutcome::Rejected(step, reason)
+        };
+        self.outcome = Some(outcome);
+        commands.push(Command::End(outcome));
+        commands.extend(self.undos());
+    }
+
+    /// Takes over the recorded steps that the run has not reached again, so that their effects count and are
+    /// undone.
+    fn replay_unreached_steps(&mut self) {
+        for (step, (status, fields)) in std::mem::take(&mut self.recorded) {
+            if self.states[step.0] != StepState::NotBegun {
+                continue;
+            }
+            self.states[step.0] = StepState::Ended(status);
+            self.started.push(step);
+            self.results.extend(fields.into_iter().map(|(name, value)| ((step, name), value)));
+        }
+    }
+
+    /// Whether a step may have had an effect.
+    fn may_have_run(&self, step: StepId) -> bool {
+        matches!(self.states[step.0], StepState::Ended(StepStatus::Finished | StepStatus::MayHaveRun))
+    }
+
+    /// Undos of the steps that may have run, last step first. An undo without a known function cannot be run.
+    fn undos(&self) -> Vec<Command> {
+        let undo = |step: &StepId| {
+            let step = self.plan.step(*step).undo?;
+            self.function(step).map(|function| Command::Undo { step, function })
+        };
+        self.started.iter().rev().filter(|step| self.may_have_run(**step)).filter_map(undo).collect()
+    }
+}
