Tests of node processes listen where no outgoing connection takes their port

Cause, suspected: the tests choose a port and let it go for the node to listen on. A probe shows that a port which an outgoing connection has taken meanwhile cannot be listened on at 127.0.0.1 while that connection lasts, and can at another loopback address.

Change: each test has a loopback address of its own.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -2,9 +2,10 @@
 //! test.
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
@@ -92,8 +93,13 @@
     }
 }
 
+/// A free address on a loopback address of its own. Outgoing connections have the source 127.0.0.1, so none
+/// of them takes the port before the node listens there.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+    static ADDRESSES: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, high | 1, low, ADDRESSES.fetch_add(1, Ordering::Relaxed));
+    TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a port")
 }
 
 fn health_check(at: SocketAddr) -> Option<String> {
