A chain's keyed step is sent again after a restart only inside its first window

What callers saw: a gateway was killed amid a chain's keyed step, the endpoint list was down for 5 s; the step was sent again after 7.4 s with a window of 3 s, and ran twice.

Cause: may_send_again looks at the window when the workflow is resumed; the new request then waited for a worker without limit. write_pending replaced the recorded time of the first send, and removed the record if the write failed.

Change: the first sent_at stays on record, also if the write of the second send fails. The request of a step that is sent again ends 50 ms before its window; an attempt is not written after its request's deadline. A rejection of it does not overwrite the record, and counts as "may have run" once the window is over.

--- a/crates/gateway/src/gateway/attempts.rs
+++ b/crates/gateway/src/gateway/attempts.rs
@@ -74,9 +74,10 @@
         let Some(connection) = self.workers.connections.get(&conn) else { return };
         let Some(attempt) = connection.attempt else { return };
         let Some(worker) = self.workers.endpoints.get(connection.worker) else { return };
-        // While the connection was being established, the request has ended, or the window has passed within
-        // which the worker would recognise this attempt as a duplicate.
-        if !self.requests.get(attempt.request).is_some_and(|request| request.may_start(now, attempt.index)) {
+        // While the connection was being established, the request has ended, its deadline has passed, or the
+        // window has passed within which the worker would recognise this attempt as a duplicate.
+        let request = self.requests.get(attempt.request);
+        if !request.is_some_and(|request| now < request.deadline && request.may_start(now, attempt.index)) {
             self.end_attempt(now, transport, attempt, Outcome::Superseded);
             return;
         }
--- a/crates/gateway/src/gateway/workflow/mod.rs
+++ b/crates/gateway/src/gateway/workflow/mod.rs
@@ -132,6 +132,9 @@
     function: String,
     /// When its request's answer is due.
     deadline: Micros,
+    /// When it was first sent, if that was before a restart and it may have run. It is sent again as long as
+    /// the workers recognise a duplicate.
+    first_sent_at: Option<Micros>,
 }
 
 /// A finished workflow that must be stored before it is answered.
--- a/crates/gateway/src/gateway/workflow/steps.rs
+++ b/crates/gateway/src/gateway/workflow/steps.rs
@@ -18,6 +18,33 @@
 /// Time during which an undo is retried; longer than a rollout takes.
 pub(super) const UNDO_PERIOD: Micros = 300_000_000;
 
+/// Time before the end of a key's window after which a step is not sent again, for the way to the worker.
+const RESEND_MARGIN: Micros = 50_000;
+
+/// A step whose request has been started.
+#[derive(Clone, Copy)]
+struct StartedStep {
+    /// The workflow.
+    request: RequestId,
+    step: StepId,
+    function: FunctionId,
+    /// If it may have run before a restart: until when the workers recognise a duplicate.
+    resend_until: Option<Micros>,
+}
+
+impl StartedStep {
+    /// How the step ended. One that may have run before a restart, and can no longer be sent again, still may
+    /// have run if its request was rejected.
+    fn status(&self, now: Micros, outcome: FinalOutcome) -> StepStatus {
+        match step_outcome(outcome) {
+            StepStatus::NeverRan if self.resend_until.is_some_and(|until| now + RESEND_MARGIN >= until) => {
+                StepStatus::MayHaveRun
+            }
+            status => status,
+        }
+    }
+}
+
 /// The undo of one step.
 #[derive(Clone)]
 struct Undo {
@@ -71,11 +98,10 @@
         deadline: Micros,
     ) {
         let workflow = self.workflows.active.get(&request);
+        let unsent = UnsentStep { request, step, function, deadline, first_sent_at: None };
         match workflow.map(|workflow| workflow.run.plan().step(step).effect) {
-            Some(RetrySafety::Idempotent) | None => {
-                self.begin_step(now, request, step, function, deadline);
-            }
-            _ => self.workflows.unsent.push(UnsentStep { request, step, function, deadline }),
+            Some(RetrySafety::Idempotent) | None => self.begin_step(now, unsent),
+            _ => self.workflows.unsent.push(unsent),
         }
     }
 
@@ -164,22 +190,24 @@
         }
     }
 
-    /// Starts the request of a step.
-    pub(super) fn begin_step(
-        &mut self,
-        now: Micros,
-        request: RequestId,
-        step: StepId,
-        function: String,
-        deadline: Micros,
-    ) {
+    /// Starts the request of a step. The request of a step that is sent again after a restart ends before the
+    /// workers may have forgotten its key.
+    pub(super) fn begin_step(&mut self, now: Micros, unsent: UnsentStep) {
+        let UnsentStep { request, step, function, deadline, first_sent_at } = unsent;
         let priority_factor =
             self.with_run(now, request, |run, step_times| run.priority_factor(now, step_times));
         let Some(workflow) = self.workflows.active.get(&request) else { return };
-        let id = FunctionId::named(&function);
+        let resend_until = match (workflow.run.plan().step(step).effect, first_sent_at) {
+            (RetrySafety::Keyed { window, .. }, Some(first_sent_at)) => {
+                Some((first_sent_at + window).saturating_sub(RESEND_MARGIN))
+            }
+            _ => None,
+        };
+        let started = StartedStep { request, step, function: FunctionId::named(&function), resend_until };
         let on_end: OnStepEnd = Box::new(move |gateway, now, transport, end| {
-            gateway.step_ended(now, transport, request, step, id, &end);
+            gateway.step_ended(now, transport, started, &end);
         });
+        let deadline = deadline.min(resend_until.unwrap_or(deadline));
         let time_left = deadline.saturating_sub(now);
         let new = self.step_request(workflow, step, function, time_left, on_end);
         self.workflows.counters.steps += 1;
@@ -195,11 +223,11 @@
         &mut self,
         now: Micros,
         transport: &mut dyn Transport,
-        request: RequestId,
-        step: StepId,
-        function: FunctionId,
+        started: StartedStep,
         end: &StepEnd,
     ) {
+        let StartedStep { request, step, function, .. } = started;
+        let outcome = started.status(now, end.answer.outcome);
         let is_finished = end.answer.outcome == FinalOutcome::Finished;
         if is_finished {
             self.workflows.times.record(now, function, end.duration, end.was_loaded);
@@ -210,8 +238,10 @@
         if is_finished {
             workflow.last_finished = Some(FinishedStep { step, answer: end.answer.clone() });
         }
-        let outcome = step_outcome(end.answer.outcome);
-        self.record_step_end(now, transport, request, step, outcome, &end.answer);
+        // The record of a step that was sent before a restart still says that it may have run.
+        if outcome != StepStatus::NeverRan || started.resend_until.is_none() {
+            self.record_step_end(now, transport, request, step, outcome, &end.answer);
+        }
         let retry_after = end.answer.retry_after;
         let answer = end.answer.clone();
         let read_field = move |name: &str| result_field(&answer.body, name);
--- a/crates/gateway/src/gateway/workflow/store.rs
+++ b/crates/gateway/src/gateway/workflow/store.rs
@@ -20,16 +20,19 @@
     /// Writes the pending records, then sends the steps and answers the workflows that depend on them. If the
     /// write fails, the steps are not sent and end as never run. Returns whether anything was pending.
     pub(in crate::gateway) fn write_pending(&mut self, now: Micros, transport: &mut dyn Transport) -> bool {
-        let unsent = std::mem::take(&mut self.workflows.unsent);
+        let mut unsent = std::mem::take(&mut self.workflows.unsent);
         let unanswered = std::mem::take(&mut self.workflows.unanswered);
         if unsent.is_empty() && unanswered.is_empty() {
             return false;
         }
-        for pending in &unsent {
+        for pending in &mut unsent {
             if let Some(workflow) = self.workflows.active.get_mut(&pending.request) {
                 workflow.is_stored = true;
-                let step = StepRecord { sent_at: now, outcome: None };
-                workflow.stored.steps.insert(pending.step.0 as u32, step);
+                let index = pending.step.0 as u32;
+                let earlier = workflow.stored.steps.get(&index).filter(|step| step.outcome.is_none());
+                pending.first_sent_at = earlier.map(|step| step.sent_at);
+                let sent_at = pending.first_sent_at.unwrap_or(now);
+                workflow.stored.steps.insert(index, StepRecord { sent_at, outcome: None });
             }
         }
         let requests = unsent.iter().map(|pending| pending.request);
@@ -48,10 +51,12 @@
         for pending in unsent {
             let (request, step) = (pending.request, pending.step);
             if is_written {
-                self.begin_step(now, request, step, pending.function, pending.deadline);
+                self.begin_step(now, pending);
                 continue;
             }
-            if let Some(workflow) = self.workflows.active.get_mut(&request) {
+            // A step that was sent before a restart stays on record.
+            let workflow = self.workflows.active.get_mut(&request);
+            if let Some(workflow) = workflow.filter(|_| pending.first_sent_at.is_none()) {
                 workflow.stored.steps.remove(&(step.0 as u32));
             }
             let commands =
