--- a/crates/node/src/name_service.rs
+++ b/crates/node/src/name_service.rs
@@ -39,7 +39,6 @@
 /// Maximum time that a stale list waits for an answer. After that the service is considered silent, and the
 /// list is used again. A working service answers earlier: events are known 1.5 s after they happened.
 const REFRESH_TIMEOUT: Micros = 1_500_000;
-
 /// Maximum time that new requests are left unread while the list is stale: an answer to a client may be half
 /// a second late.
 const MAX_READ_DELAY: Micros = 400_000;
