--- a/review/standins-2/src/bin/foreign.rs
+++ b/review/standins-2/src/bin/foreign.rs
@@ -1,5 +1,5 @@
-//! While a client's quote is open, another client sends an event under the id of that request, of another type
-//! and with another body. What is it answered?
+//! While a client's quote is open, another client sends an event under the id of that request, of another
+//! type and with another body. What is it answered?
 use standins_2::*;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -6,6 +6,7 @@
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -14,8 +15,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -119,6 +124,13 @@
         let mut command = Command::new("target/release/applepond");
         command.args(args).envs(env.iter().copied()).stdin(Stdio::null());
         command.stdout(output.try_clone().unwrap()).stderr(output);
+        // The program ends with the case, also if that is cut off.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
         match command.spawn() {
             Ok(child) => Program { child },
             Err(error) => {
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -57,8 +57,8 @@
 "limits":{{"cores":1.0,"memory_mb":128,"sockets":512}},
 "names":"{names}",
 "known":{{"index":1,"updates":[{{"index":1,"endpoints":{{"revision":1,"complete":true,"members":[{}]}}}}]}},
-"settings":{{"allowed":{{{allowed},"cancel":true,"connect-timeout":250.0,"idle-close":15000.0,"max-open":20000,
-"max-retry-after":500.0,"may-tell":false,"multiplex":100,"probes":true,"retry-after":true}},
+"settings":{{"allowed":{{{allowed},"cancel":true,"connect-timeout":250.0,"idle-close":15000.0,
+"max-open":20000,"max-retry-after":500.0,"may-tell":false,"multiplex":100,"probes":true,"retry-after":true}},
 "clients":{{"marks-retry":false}},"discovery":"push","family":"warm","group-size":1,"kinds":["std"],
 "lanes":[{}],"my-zone":"room-1","over-share-worth":0.05,"period":2.0,
 "projects":[{{"name":"tenant","portion":1.0,"quota-per-s":500.0}}],
@@ -210,7 +210,8 @@
                                 thread::sleep(work);
                                 let body = base64(format!("answer to {rid}").as_bytes());
                                 let answer = format!(
-                                    "{{\"verb\":\"OK\",\"rid\":\"{rid}\",\"attrs\":{{}},\"content\":\"{body}\"}}\n"
+                                    "{{\"verb\":\"OK\",\"rid\":\"{rid}\",\"attrs\":{{}},\
+                                     \"content\":\"{body}\"}}\n"
                                 );
                                 let _ = out.lock().unwrap().write_all(answer.as_bytes());
                                 record.line(&format!("{id}: OK {rid}"));
@@ -241,8 +242,8 @@
         let body = format!("body of {}", self.rid);
         format!(
             "POST /do/{}/fire HTTP/1.1\r\nHost: app.svc\r\nX-Class: {}\r\nRequest-Id: {}\r\nBudget-Ms: {}\r\n\
-             Account: tenant\r\n{key}X-Extras: memory_mb:512;lanes:2;load_ms:700\r\nContent-Length: {}\r\n\r\n\
-             {body}",
+             Account: tenant\r\n{key}X-Extras: memory_mb:512;lanes:2;load_ms:700\r\n\
+             Content-Length: {}\r\n\r\n{body}",
             self.function,
             self.class,
             self.rid,
