--- a/review/standins-2/src/bin/keyed_step.rs
+++ b/review/standins-2/src/bin/keyed_step.rs
@@ -22,6 +22,9 @@
     first: BTreeMap<String, f64>,
     /// Ids of holds that were executed again, and how long after they came first.
     again: Vec<(String, f64)>,
+    /// Answers owed by the workers, and those of them that broke off.
+    owed: usize,
+    broken_off: usize,
 }
 
 fn worker(name: &'static str, record: Record, group: Arc<Mutex<Group>>) -> std::net::SocketAddr {
@@ -30,6 +33,7 @@
         let id = request.field("ce-id").to_owned();
         let workload = request.field("applepond-workload").to_owned();
         let number = answers.fetch_add(1, Ordering::Relaxed);
+        group.lock().unwrap().owed += 1;
         if workload != "hold" {
             let work = request.field("ce-workms").parse().unwrap_or(60);
             thread::sleep(Duration::from_millis(work));
@@ -47,6 +51,7 @@
             record.line(&format!("{name}: hold '{id}' executed"));
             if trouble() {
                 record.line(&format!("{name}: the answer to hold '{id}' breaks off"));
+                group.lock().unwrap().broken_off += 1;
                 return Reply::Close;
             }
         } else if age <= WINDOW_MS + SLACK_MS {
@@ -213,6 +218,10 @@
     }
     let again: Vec<String> =
         group.again.iter().map(|(id, age)| format!("'{id}' after {age:.0} ms")).collect();
-    let summary = format!("{finished} of {CHAINS} chains finished; holds executed twice: {again:?}");
+    let (owed, broken_off) = (group.owed, group.broken_off);
+    let summary = format!(
+        "{finished} of {CHAINS} chains finished; {broken_off} of {owed} answers broke off; holds executed \
+         twice: {again:?}"
+    );
     record.verdict(if again.is_empty() { HELD } else { BROKEN }, &summary)
 }
--- a/review/standins-2/src/bin/keyed_undo.rs
+++ b/review/standins-2/src/bin/keyed_undo.rs
@@ -3,7 +3,7 @@
 use standins_2::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -25,11 +25,12 @@
 
 type Rack = Arc<Mutex<BTreeMap<String, Seen>>>;
 
-fn worker(name: &'static str, record: Record, rack: Rack) -> SocketAddr {
+fn worker(name: &'static str, record: Record, rack: Rack, owed: Arc<AtomicU64>) -> SocketAddr {
     let answers = AtomicU64::new(0);
     serve(move |request| {
         let id = request.field("ce-id").to_owned();
         let number = answers.fetch_add(1, Ordering::Relaxed);
+        owed.fetch_add(1, Ordering::Relaxed);
         if request.field("applepond-workload") != "hold" {
             thread::sleep(Duration::from_millis(60));
             // The hut has closed: the result names no desk that could confirm the stay.
@@ -155,7 +156,8 @@
     let record = Record::new(CASE);
     let folder = Folder::new(CASE);
     let rack = Rack::default();
-    let workers = [worker("w1", record.clone(), rack.clone()), worker("w2", record.clone(), rack.clone())];
+    let owed = Arc::new(AtomicU64::new(0));
+    let workers = ["w1", "w2"].map(|name| worker(name, record.clone(), rack.clone(), owed.clone()));
     let port = free_port();
     let store = folder.0.join("record").display().to_string();
     let file = folder.write("settings.hcl", &settings(port, &store, workers));
@@ -164,6 +166,23 @@
     if !await_listener(address) {
         return record.verdict(NOT_RUN, "the router does not listen");
     }
+    // Ordinary traffic: four desks that ask for quotes, one after another.
+    let over = Arc::new(AtomicBool::new(false));
+    let desks: Vec<_> = (0..4u64)
+        .map(|desk| {
+            let over = over.clone();
+            thread::spawn(move || {
+                let mut asked = 0u64;
+                while !over.load(Ordering::Relaxed) {
+                    asked += 1;
+                    let (id, subject) = (format!("q{desk}-{asked}"), format!("hut-{}", (desk + asked) % 6));
+                    let fields =
+                        [("id", id.as_str()), ("source", "/desk"), ("type", "quote"), ("subject", &subject)];
+                    let _ = send_event(address, &fields, "{}", Duration::from_secs(5));
+                }
+            })
+        })
+        .collect();
     for chain in 0..CHAINS {
         let (id, subject) = (format!("b{chain}"), format!("hut-{chain}"));
         let fields = [("id", id.as_str()), ("source", "/desk"), ("type", "book"), ("subject", &subject)];
@@ -174,6 +193,8 @@
         thread::sleep(Duration::from_millis(500));
     }
     thread::sleep(WATCH);
+    over.store(true, Ordering::Relaxed);
+    desks.into_iter().for_each(|desk| _ = desk.join());
     let ended = router.ended();
     drop(router);
     if let Some(status) = ended {
@@ -189,6 +210,9 @@
         .filter(|(_, seen)| seen.executions > 1)
         .map(|(id, seen)| format!("'{id}' {} times", seen.executions))
         .collect();
-    let summary = format!("{undone} holds taken back; executed more than once: {again:?}");
+    let (lost, owed) = (if trouble() { CHAINS } else { 0 }, owed.load(Ordering::Relaxed));
+    let summary = format!(
+        "{undone} holds taken back, {lost} of {owed} answers never came; executed more than once: {again:?}"
+    );
     record.verdict(if again.is_empty() { HELD } else { BROKEN }, &summary)
 }
--- a/review/standins-2/src/bin/reload.rs
+++ b/review/standins-2/src/bin/reload.rs
@@ -94,6 +94,8 @@
     if !await_listener(address) {
         return record.verdict(NOT_RUN, "the router does not listen");
     }
+    // SIGHUP never comes in the first second.
+    thread::sleep(Duration::from_millis(1500));
     let chains: Vec<_> = (0..CHAINS)
         .map(|chain| {
             let record = record.clone();
