serve: an event is no longer answered with the answer to another event of its source and id

Cause: `IdempotencyTable::look_up` knew an event by `source` and `id` alone, for requests and workflows, in progress and cached. Change: events are the same if source, id and content agree; the content is a BLAKE3 digest of type, attributes, media type and data, without what retries may change (retry, time, timelimit, expirytime, traceparent, tracestate). Another event under a key in use is refused with 409 `id-conflict`, which promises nothing; the state page counts them. Why it works: every way to another event's answer in memory passes `look_up`, which now compares the digest kept with the key. The digest counts towards `remember_bytes`, so the bound of one unit test is stated with it.

--- a/crates/gateway/src/gateway/intake.rs
+++ b/crates/gateway/src/gateway/intake.rs
@@ -7,7 +7,8 @@
 use crate::client::{Answer, ReceivedEvent};
 use crate::deadline;
 use crate::deployment::FunctionSource;
-use crate::idempotency::{FinalOutcome, IdempotencyKey, Lookup};
+use crate::event_identity::EventIdentity;
+use crate::idempotency::{FinalOutcome, Lookup};
 use applepond::interface::{CustomerId, FunctionId, Micros};
 use applepond_admission::{Arrival, Decision};
 use applepond_http::Fault;
@@ -68,9 +69,9 @@
         let function = self.function_of(workload, &event)?;
         let prefix = self.prefix_of(workload, &event);
         let customer = self.customer_of(&event)?;
-        let key = IdempotencyKey::new(&event.source, &event.id);
+        let identity = EventIdentity::of(&event);
         let limit = self.deployment.workloads[workload].deadline;
-        if let Some(known) = self.join_or_replay(now, conn, &key, limit, &event) {
+        if let Some(known) = self.join_or_replay(now, conn, &identity, limit, &event) {
             return known;
         }
         let time_left = self.time_left_of(now, limit, &event)?;
@@ -81,7 +82,7 @@
         }
         let new = NewRequest {
             content: RequestContent {
-                key: key.clone(),
+                key: identity.key.clone(),
                 client_digest: admitted.client_digest,
                 digest: admitted.digest,
                 workload,
@@ -98,7 +99,7 @@
             clients: vec![conn],
             on_end: None,
         };
-        self.start_client_request(now, conn, key, new);
+        self.start_client_request(now, conn, identity, new);
         Ok(())
     }
 
@@ -107,11 +108,11 @@
         &mut self,
         now: Micros,
         conn: ConnectionId,
-        key: IdempotencyKey,
+        identity: EventIdentity,
         new: NewRequest,
     ) {
         let request = self.start_request(now, new);
-        self.idempotency.start(key, request);
+        self.idempotency.start(identity, request);
         if let Some(client) = self.clients.get_mut(&conn) {
             client.request = Some(request);
         }
@@ -179,17 +180,18 @@
         })
     }
 
-    /// Attaches a client to the request or workflow in progress with the same key, or returns the cached
-    /// answer as `Err`. Returns `None` if the key is new. `limit` is the time limit of the event's type.
+    /// Attaches a client to the request or workflow in progress of the same event, or returns as `Err` the
+    /// cached answer, or a refusal if the key belongs to another event. Returns `None` if the key is new.
+    /// `limit` is the time limit of the event's type.
     pub(super) fn join_or_replay(
         &mut self,
         now: Micros,
         conn: ConnectionId,
-        key: &IdempotencyKey,
+        identity: &EventIdentity,
         limit: Micros,
         event: &ReceivedEvent,
     ) -> Option<Result<(), Rc<Answer>>> {
-        match self.idempotency.look_up(now, key) {
+        match self.idempotency.look_up(now, identity) {
             Lookup::InProgress(request) => {
                 let time_left = match self.time_left_of(now, limit, event) {
                     Ok(time_left) => time_left,
@@ -203,10 +205,22 @@
                 self.counters.replayed += 1;
                 Some(Err(answer))
             }
+            Lookup::OtherEvent => Some(Err(self.refuse_other_event(event))),
             Lookup::New => None,
         }
     }
 
+    /// Refuses an event whose key belongs to another event. It is no rejection: this instance does not know
+    /// whether an earlier attempt of the refused event has run, here or elsewhere.
+    pub(super) fn refuse_other_event(&mut self, event: &ReceivedEvent) -> Rc<Answer> {
+        self.counters.id_conflicts += 1;
+        let detail = "another event has this source and id; whether this one has run before is not known";
+        let fault = Fault::new(409, "id-conflict", detail);
+        let ReceivedEvent { id, source, event_type, .. } = event;
+        tracing::warn!(id, source, event_type, reason = fault.reason, status = fault.status, "event refused");
+        Answer::problem(FinalOutcome::Failed, &fault, Some(id), None)
+    }
+
     /// Admits or rejects an event of which nothing has run: by the number of open requests, and by admission
     /// control, which sheds load during a retry storm.
     pub(super) fn admit(
--- a/crates/gateway/src/gateway/state_page.rs
+++ b/crates/gateway/src/gateway/state_page.rs
@@ -18,6 +18,8 @@
     finished: u64,
     rejected: u64,
     failed: u64,
+    /// Events refused because their source and id belong to another event.
+    pub(super) id_conflicts: u64,
     /// Attempts started.
     pub(super) attempts: u64,
     /// Malformed client requests.
@@ -53,6 +55,7 @@
             "jobs": {"open": open.requests, "taken": counters.accepted,
                 "joined": counters.joined, "told-again": counters.replayed, "finished": counters.finished,
                 "pushed-back": counters.rejected, "killed": counters.failed,
+                "id-conflicts": counters.id_conflicts,
                 "requests-refused": counters.unreadable},
             "executions": {"out": open.attempts, "begun": counters.attempts},
             "remembered": self.idempotency.cached_answers(),
--- a/crates/gateway/src/gateway/workflow/intake.rs
+++ b/crates/gateway/src/gateway/workflow/intake.rs
@@ -2,6 +2,7 @@
 use super::plan_digest::plan_digest;
 use super::{ActiveWorkflow, StartedWorkflow};
 use crate::client::{Answer, ReceivedEvent};
+use crate::event_identity::EventIdentity;
 use crate::gateway::Gateway;
 use crate::gateway::intake::{Admitted, refuse};
 use crate::gateway::nothing_ran::NothingRan;
@@ -30,9 +31,9 @@
         event: ReceivedEvent,
     ) -> Result<(), Rc<Answer>> {
         let customer = self.customer_of(&event)?;
-        let key = IdempotencyKey::new(&event.source, &event.id);
+        let identity = EventIdentity::of(&event);
         let limit = self.deployment.workflows[index].plan.limit;
-        if let Some(known) = self.join_or_replay(now, conn, &key, limit, &event) {
+        if let Some(known) = self.join_or_replay(now, conn, &identity, limit, &event) {
             return known;
         }
         let config = &self.deployment.workflows[index];
@@ -41,7 +42,7 @@
         let named_function = event.attribute(&config.function_attribute).filter(|name| !name.is_empty());
         let named_function = named_function.map(str::to_owned);
         let digest = plan_digest(&plan, &self.deployment.workloads);
-        let resumed = self.load_stored(now, &key, &plan, digest, &event)?;
+        let resumed = self.load_stored(now, &identity.key, &plan, digest, &event)?;
         let admitted = self.admit_workflow(now, &event, &plan, resumed.as_ref(), time_left)?;
         self.counters.accepted += 1;
         self.workflows.counters.accepted += 1;
@@ -58,9 +59,9 @@
             client_digest: admitted.client_digest,
             digest: admitted.digest,
             is_stored,
-            ..self.workflow_from_record(now, key.clone(), plan, stored, customer)
+            ..self.workflow_from_record(now, identity.key.clone(), plan, stored, customer)
         };
-        self.idempotency.start(key, request);
+        self.idempotency.start(identity, request);
         if let Some(client) = self.clients.get_mut(&conn) {
             client.request = Some(request);
         }
--- a/crates/gateway/src/gateway/workflow/recovery.rs
+++ b/crates/gateway/src/gateway/workflow/recovery.rs
@@ -2,6 +2,7 @@
 //! retry of its client; after the deadline it is resumed without a client, which undoes the steps that must
 //! not last.
 use super::plan_digest::plan_digest;
+use crate::event_identity::{EventContent, EventIdentity};
 use crate::gateway::Gateway;
 use crate::idempotency::{IdempotencyKey, Lookup};
 use applepond::interface::{CustomerId, Micros};
@@ -46,23 +47,27 @@
 
     /// Resumes a workflow that no client has retried. One whose plan has changed stays in the store instead.
     fn resume_without_client(&mut self, now: Micros, key: IdempotencyKey) {
-        if !matches!(self.idempotency.look_up(now, &key), Lookup::New) {
-            return;
-        }
         let Ok(Some(stored)) = self.workflows.store.load((&key.source, &key.id)) else { return };
         let workloads = &self.deployment.workloads;
-        let mut plans = self.deployment.workflows.iter().map(|workflow| workflow.plan.clone());
-        let plan = plans.find(|plan| {
+        let config = self.deployment.workflows.iter().find(|workflow| {
+            let plan = &workflow.plan;
             (&plan.name, plan_digest(plan, workloads)) == (&stored.workflow, stored.plan_digest)
         });
-        let Some(plan) = plan.filter(|_| !stored.closed) else { return };
+        let Some(config) = config.filter(|_| !stored.closed) else { return };
+        let plan = config.plan.clone();
+        let event_type = config.types.first().map_or("", String::as_str);
+        let identity =
+            EventIdentity { key: key.clone(), content: EventContent::of_record(event_type, &stored) };
+        if !matches!(self.idempotency.look_up(now, &identity), Lookup::New) {
+            return;
+        }
         let customers = &self.deployment.customers;
         let customer = stored.customer.as_ref();
         let customer = customer.and_then(|name| customers.iter().position(|known| known == name));
         let request = self.next_request_id();
         let stored = WorkflowRecord { expires_at: now + self.deployment.answer_retention.time, ..stored };
-        let workflow = self.workflow_from_record(now, key.clone(), plan, stored, customer.map(CustomerId));
-        self.idempotency.start(key, request);
+        let workflow = self.workflow_from_record(now, key, plan, stored, customer.map(CustomerId));
+        self.idempotency.start(identity, request);
         self.start_workflow(now, request, workflow);
     }
 }
--- a/crates/gateway/src/idempotency.rs
+++ b/crates/gateway/src/idempotency.rs
@@ -1,18 +1,20 @@
 //! The idempotency table: deduplicates events of clients, and caches final answers for replay.
 //!
-//! By the CloudEvents specification, two events with the same `source` and `id` are duplicates, so this pair
-//! is the key. An event whose key belongs to a request in progress joins that request. After its end, the
-//! answer is replayed if running the request again could do harm or would only repeat work. The cache of
-//! answers is bounded by age, number and total size.
+//! The key of an event is its `source` and `id`. An event that is the same as the one of a request in
+//! progress (`event_identity`) joins that request. After its end, the answer is replayed if running the
+//! request again could do harm or would only repeat work. The cache of answers is bounded by age, number and
+//! total size. While a key is in progress or its answer cached, another event with the same key is refused:
+//! workers that recognise duplicates by the key would give it the answer of the first one.
 //!
 //! State: the keys in progress and the cached answers. Updated by the gateway when a request or a workflow
 //! starts or ends, or is dropped because its last client disconnected before anything was sent.
 use crate::deployment::AnswerRetention;
+use crate::event_identity::{EventContent, EventIdentity};
 use applepond::interface::{Micros, RequestId, RetrySafety};
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
-/// `source` and `id` of an event; events with the same key belong to the same request.
+/// `source` and `id` of an event.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct IdempotencyKey {
     pub(crate) source: Rc<str>,
@@ -41,15 +43,17 @@
     Failed,
 }
 
-/// Result of looking up the key of an event.
+/// Result of looking up an event.
 #[derive(Debug, PartialEq)]
 pub(crate) enum Lookup<A> {
     /// The key is unknown: the event starts a new request.
     New,
-    /// A request with this key is in progress; the event joins it.
+    /// A request of the same event is in progress; the event joins it.
     InProgress(RequestId),
-    /// A request with this key has ended; its answer is replayed.
+    /// A request of the same event has ended; its answer is replayed.
     Completed(Rc<A>),
+    /// The key belongs to an event with other content; this one is refused.
+    OtherEvent,
 }
 
 /// The end of a request.
@@ -62,19 +66,26 @@
     pub(crate) bytes: usize,
 }
 
+/// A request or workflow in progress.
+struct InProgress {
+    request: RequestId,
+    content: EventContent,
+}
+
 /// An answer that is replayed until it expires.
 struct CachedAnswer<A> {
+    content: EventContent,
     expires_at: Micros,
     /// Sequence number of the completion; distinguishes answers that expire at the same time.
     sequence: u64,
-    /// Size of the answer and its key.
+    /// Size of the answer, its key and the digest of its event.
     bytes: usize,
     answer: Rc<A>,
 }
 
 /// Keys in progress and cached answers of type `A`.
 pub(crate) struct IdempotencyTable<A> {
-    in_progress: HashMap<IdempotencyKey, RequestId>,
+    in_progress: HashMap<IdempotencyKey, InProgress>,
     cached: HashMap<IdempotencyKey, CachedAnswer<A>>,
     /// Expiry, sequence number and key of each cached answer, in the order of expiry.
     by_expiry: BTreeSet<(Micros, u64, IdempotencyKey)>,
@@ -112,18 +123,21 @@
         self.cached.len()
     }
 
-    /// Looks up the key of an event, after dropping expired answers.
-    pub(crate) fn look_up(&mut self, now: Micros, key: &IdempotencyKey) -> Lookup<A> {
+    /// Looks up an event, after dropping expired answers.
+    pub(crate) fn look_up(&mut self, now: Micros, event: &EventIdentity) -> Lookup<A> {
         self.drop_expired(now);
-        if let Some(request) = self.in_progress.get(key) {
-            return Lookup::InProgress(*request);
+        let EventIdentity { key, content } = event;
+        match (self.in_progress.get(key), self.cached.get(key)) {
+            (None, None) => Lookup::New,
+            (Some(entry), _) if entry.content == *content => Lookup::InProgress(entry.request),
+            (None, Some(cached)) if cached.content == *content => Lookup::Completed(cached.answer.clone()),
+            _ => Lookup::OtherEvent,
         }
-        self.cached.get(key).map_or(Lookup::New, |cached| Lookup::Completed(cached.answer.clone()))
     }
 
-    /// Records that a request or workflow with this key has started.
-    pub(crate) fn start(&mut self, key: IdempotencyKey, request: RequestId) {
-        self.in_progress.insert(key, request);
+    /// Records that a request or workflow of this event has started.
+    pub(crate) fn start(&mut self, event: EventIdentity, request: RequestId) {
+        self.in_progress.insert(event.key, InProgress { request, content: event.content });
     }
 
     /// Removes the key of a request that is dropped before it was sent, as no client waits for it.
@@ -133,16 +147,16 @@
 
     /// Records the end of a request, and caches its answer if it is to be replayed.
     pub(crate) fn complete(&mut self, now: Micros, key: &IdempotencyKey, completion: Completion<A>) {
-        self.in_progress.remove(key);
+        let Some(InProgress { content, .. }) = self.in_progress.remove(key) else { return };
         let replayed = is_replayed(completion.outcome, completion.retry_safety);
         if !replayed || completion.bytes > self.retention.max_bytes {
             return;
         }
         self.last_sequence += 1;
         let expires_at = now + self.retention.time;
-        let bytes = completion.bytes + key.len();
-        let cached =
-            CachedAnswer { expires_at, sequence: self.last_sequence, bytes, answer: completion.answer };
+        let bytes = completion.bytes + key.len() + EventContent::SIZE_BYTES;
+        let sequence = self.last_sequence;
+        let cached = CachedAnswer { content, expires_at, sequence, bytes, answer: completion.answer };
         if let Some(old) = self.cached.insert(key.clone(), cached) {
             self.by_expiry.remove(&(old.expires_at, old.sequence, key.clone()));
             self.cached_bytes -= old.bytes;
--- a/crates/gateway/src/idempotency/tests.rs
+++ b/crates/gateway/src/idempotency/tests.rs
@@ -1,7 +1,9 @@
 //! Replay of cached answers, and the limits of the cache.
 use super::{Completion, FinalOutcome, IdempotencyKey, IdempotencyTable, Lookup};
 use crate::deployment::AnswerRetention;
+use crate::event_identity::{EventContent, EventIdentity};
 use applepond::interface::{IdempotencyScope, Micros, RequestId, RetrySafety};
+use applepond_http::encode::HeaderLines;
 use std::rc::Rc;
 use test_case::test_case;
 
@@ -11,6 +13,16 @@
     IdempotencyKey::new("/desk", &number.to_string())
 }
 
+/// An event with the key of this number and this data.
+fn event_with(number: u32, data: &[u8]) -> EventIdentity {
+    let content = EventContent::new("quote", &HeaderLines::default(), None, data);
+    EventIdentity { key: key(number), content }
+}
+
+fn event(number: u32) -> EventIdentity {
+    event_with(number, b"{}")
+}
+
 fn request(number: u8) -> RequestId {
     RequestId([number; 36])
 }
@@ -31,21 +43,39 @@
     replayed: bool,
 ) {
     let mut table = table(1000, 10, 1000);
-    assert_eq!(table.look_up(0, &key(1)), Lookup::New);
-    table.start(key(1), request(1));
-    assert_eq!(table.look_up(5, &key(1)), Lookup::InProgress(request(1)), "while it runs");
+    assert_eq!(table.look_up(0, &event(1)), Lookup::New);
+    table.start(event(1), request(1));
+    assert_eq!(table.look_up(5, &event(1)), Lookup::InProgress(request(1)), "while it runs");
     table.complete(10, &key(1), Completion { outcome, retry_safety, answer: Rc::new("answer"), bytes: 6 });
     let expected = if replayed { Lookup::Completed(Rc::new("answer")) } else { Lookup::New };
-    assert_eq!(table.look_up(1009, &key(1)), expected);
-    assert_eq!(table.look_up(1010, &key(1)), Lookup::New, "expired");
+    assert_eq!(table.look_up(1009, &event(1)), expected);
+    assert_eq!(table.look_up(1010, &event(1)), Lookup::New, "expired");
+}
+
+// An event with the key of another one finds neither its request nor its answer, until the key is free.
+#[test]
+fn another_event_with_the_same_key_is_told_apart() {
+    let mut table = table(1000, 10, 1000);
+    let other = event_with(1, b"[]");
+    table.start(event(1), request(1));
+    assert_eq!(table.look_up(5, &other), Lookup::OtherEvent);
+    let completion = Completion {
+        outcome: FinalOutcome::Finished,
+        retry_safety: KEYED,
+        answer: Rc::new("answer"),
+        bytes: 6,
+    };
+    table.complete(10, &key(1), completion);
+    assert_eq!(table.look_up(1009, &other), Lookup::OtherEvent);
+    assert_eq!(table.look_up(1010, &other), Lookup::New);
 }
 
 #[test_case(4, 100_000; "by number")]
-#[test_case(1000, 4 * 16; "by bytes")]
+#[test_case(1000, 4 * (16 + EventContent::SIZE_BYTES); "by bytes")]
 fn cached_answers_are_bounded(max_answers: usize, max_bytes: usize) {
     let mut table = table(1000, max_answers, max_bytes);
     for number in 0..100 {
-        table.start(key(number), request(number as u8));
+        table.start(event(number), request(number as u8));
         let completion = Completion {
             outcome: FinalOutcome::Finished,
             retry_safety: RetrySafety::AtMostOnce,
@@ -56,10 +86,10 @@
         assert!(table.cached_answers() <= 4);
     }
     assert_eq!(
-        (table.look_up(100, &key(99)), table.look_up(100, &key(0))),
+        (table.look_up(100, &event(99)), table.look_up(100, &event(0))),
         (Lookup::Completed(Rc::new(())), Lookup::New)
     );
     assert!(table.cached_answers() >= 3 && table.in_progress.is_empty());
-    table.look_up(5000, &key(1));
+    table.look_up(5000, &event(1));
     assert_eq!((table.cached_answers(), table.cached_bytes, table.by_expiry.len()), (0, 0, 0));
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! simulated ones. Decisions made here rather than in `Control`:
 //!
 //! - `attempt_outcome`: whether an attempt may have run, judged by the events on its connection;
+//! - `event_identity`: which events are the same;
 //! - `idempotency`: which events are duplicates of one request, and which responses are replayed to them;
 //! - `deadline`: the time limit of a request;
 //! - `endpoint_list`: how a message of the endpoint list changes a worker's record;
@@ -23,6 +24,7 @@
 pub mod deployment;
 pub mod endpoint_list;
 pub mod errors;
+mod event_identity;
 mod gateway;
 mod idempotency;
 pub mod reload;
--- a/crates/gateway/src/worker_connection.rs
+++ b/crates/gateway/src/worker_connection.rs
@@ -55,7 +55,7 @@
     /// The response is a CloudEvent.
     pub(crate) is_event: bool,
     /// The identity of the event, if the header has it.
-    identity: EventIdentity,
+    identity: ResponseIdentity,
     /// Whether the connection may carry another request; set once the response is complete.
     pub(crate) keep_alive: Option<bool>,
 }
@@ -72,7 +72,7 @@
             fields: HeaderLines::default(),
             body: Vec::new(),
             is_event: false,
-            identity: EventIdentity::default(),
+            identity: ResponseIdentity::default(),
             keep_alive: None,
         }
     }
@@ -122,19 +122,19 @@
 
 /// The attributes that identify an event: no two events have the same source and id.
 #[derive(Default, Hash)]
-struct EventIdentity {
+struct ResponseIdentity {
     source: String,
     id: String,
 }
 
-impl EventIdentity {
+impl ResponseIdentity {
     /// Whether an attribute is missing, as in the header of a structured event.
     fn is_incomplete(&self) -> bool {
         self.source.is_empty() || self.id.is_empty()
     }
 }
 
-impl EventSink for EventIdentity {
+impl EventSink for ResponseIdentity {
     fn attribute(&mut self, name: &str, value: &str) {
         match name {
             "source" => value.clone_into(&mut self.source),
@@ -167,7 +167,7 @@
                 self.fields.field(name, value);
             }
         }
-        let mut identity = EventIdentity::default();
+        let mut identity = ResponseIdentity::default();
         self.is_event = Reader::head(fields, &mut identity).is_ok();
         self.identity = identity;
         Ok(())
--- /dev/null
+++ b/crates/gateway/tests/event_identity.rs
@@ -0,0 +1,219 @@
+//! Which events are the same: an event whose content differs from that of another with its `source` and `id`
+//! is refused and gets no answer of the other; a retry of a client still joins, or its answer is replayed.
+mod common;
+use applepond::interface::CustomerConfig;
+use applepond_gateway::Deployment;
+use applepond_gateway::deployment::WorkflowConfig;
+use applepond_reactor::{Closed, ConnectionId};
+use applepond_workflow::{Function, Plan, Step};
+use common::*;
+use std::sync::Arc;
+use test_case::test_case;
+
+/// A deployment with a second customer, in which events of type `book` start a workflow of one at-most-once
+/// step.
+fn deployment_with_workflow(workers: u16) -> Deployment {
+    let step = Step { function: Function::OfEvent, ..step("confirm", 2) };
+    let workflow = WorkflowConfig {
+        types: vec!["book".into(), "rebook".into()],
+        function_attribute: "subject".into(),
+        plan: Arc::new(Plan { name: "book".into(), limit: 4 * S, steps: vec![step] }),
+    };
+    let mut deployment = Deployment { workflows: vec![workflow], ..deployment(workers) };
+    deployment.customers.push("inns".into());
+    deployment.startup.customers.push(CustomerConfig { requests_per_second: 1000.0 });
+    deployment
+}
+
+/// The event that is open or has ended when another one comes: with a customer, an extension attribute, a
+/// media type and data.
+fn first_event(kind: &str) -> String {
+    event(kind, "1").replacen(
+        "ce-subject: hut\r\nContent-Length: 2\r\n\r\n{}",
+        "ce-subject: hut\r\nce-customer: huts\r\nce-beds: 2\r\nContent-Type: application/json\r\n\
+         Content-Length: 11\r\n\r\n{\"guest\":1}",
+        1,
+    )
+}
+
+fn send(sim: &mut SimulatedGateway, request: &str) -> ConnectionId {
+    let client = sim.connect_client();
+    sim.receive(client, request.as_bytes());
+    client
+}
+
+/// Replaces a part of the first event, which must be in it.
+fn changed(kind: &str, (part, replacement): (&str, &str)) -> String {
+    let first = first_event(kind);
+    assert!(first.contains(part), "{part} in {first}");
+    first.replacen(part, replacement, 1)
+}
+
+/// Checks the answer to an event that is none of its source and id: a refusal that promises nothing.
+fn assert_refused(sim: &SimulatedGateway, client: ConnectionId) {
+    let answer = sim.output(client);
+    assert_eq!(sim.statuses(client), [409], "{answer}");
+    assert!(answer.contains("\"id-conflict\"") && answer.contains("\"id\":\"1\""), "{answer}");
+    assert!(answer.to_lowercase().matches("retry").count() == 0 && !answer.contains("no harm"), "{answer}");
+}
+
+const OTHER_DATA: (&str, &str) = ("{\"guest\":1}", "{\"guest\":2}");
+const OTHER_CUSTOMER: (&str, &str) = ("ce-customer: huts", "ce-customer: inns");
+const NO_CUSTOMER: (&str, &str) = ("ce-customer: huts\r\n", "");
+const OTHER_FUNCTION: (&str, &str) = ("ce-subject: hut", "ce-subject: inn");
+const OTHER_EXTENSION: (&str, &str) = ("ce-beds: 2", "ce-beds: 3");
+const FURTHER_EXTENSION: (&str, &str) = ("ce-beds: 2", "ce-beds: 2\r\nce-meals: 1");
+const OTHER_MEDIA_TYPE: (&str, &str) = ("application/json", "text/plain");
+const NO_DATA: (&str, &str) = ("Content-Length: 11\r\n\r\n{\"guest\":1}", "Content-Length: 0\r\n\r\n");
+
+// Regression: an event with the source and id of an open or an ended request was given that request's answer,
+// however much it differed.
+#[test_case("quote", "quote", OTHER_DATA; "other data")]
+#[test_case("confirm", "confirm", OTHER_DATA; "other data of an at-most-once request")]
+#[test_case("hold", "hold", NO_DATA; "no data")]
+#[test_case("quote", "quote", OTHER_CUSTOMER; "another customer")]
+#[test_case("quote", "quote", NO_CUSTOMER; "no customer")]
+#[test_case("quote", "quote", OTHER_FUNCTION; "another function")]
+#[test_case("quote", "quote", OTHER_EXTENSION; "another value of an extension")]
+#[test_case("quote", "quote", FURTHER_EXTENSION; "a further extension")]
+#[test_case("quote", "quote", OTHER_MEDIA_TYPE; "another media type")]
+#[test_case("quote", "confirm", ("", ""); "another workload")]
+#[test_case("confirm", "quote", ("", ""); "another workload, idempotent")]
+#[test_case("quote", "book", ("", ""); "a workflow's event for a request's")]
+#[test_case("book", "confirm", ("", ""); "a request's event for a workflow's")]
+#[test_case("book", "book", OTHER_DATA; "other data of a workflow")]
+#[test_case("book", "book", OTHER_CUSTOMER; "another customer of a workflow")]
+#[test_case("book", "rebook", ("", ""); "another type of the same workflow")]
+fn another_event_of_the_same_id_is_refused(first: &str, other: &str, change: (&str, &str)) {
+    let mut sim = SimulatedGateway::new(deployment_with_workflow(1));
+    let client = send(&mut sim, &first_event(first));
+    let conn = sim.worker_connections()[0];
+    let while_open = send(&mut sim, &changed(other, change));
+    assert_refused(&sim, while_open);
+    sim.receive(conn, result("{\"for\":1}").as_bytes());
+    assert_eq!(sim.statuses(client), [200]);
+    let after_end = send(&mut sim, &changed(other, change));
+    assert_refused(&sim, after_end);
+    assert_eq!(sim.statuses(while_open).len(), 1, "one answer each");
+    let retry = send(&mut sim, &first_event(first));
+    assert!(sim.output(retry).ends_with("{\"for\":1}"), "{}", sim.output(retry));
+    assert_eq!((sim.statuses(retry), sim.requests()), (vec![200], 1));
+}
+
+const SAME: (&str, &str) = ("", "");
+const MARKED: (&str, &str) = ("ce-id", "ce-retry: true\r\nce-id");
+const OTHER_TIME: (&str, &str) = ("ce-id", "ce-time: 2026-12-04T12:00:01Z\r\nce-id");
+const OTHER_TRACE: (&str, &str) = (
+    "ce-id",
+    "ce-traceparent: 00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01\r\nce-tracestate: a=1\r\nce-id",
+);
+const LESS_TIME: (&str, &str) = ("ce-id", "ce-timelimit: 2000\r\nce-id");
+const EXPIRY: (&str, &str) = ("ce-id", "ce-expirytime: 2036-12-04T12:00:01Z\r\nce-id");
+const OTHER_ORDER: (&str, &str) =
+    ("ce-customer: huts\r\nce-beds: 2\r\n", "CE-Beds: 2\r\nX-Hop: 2\r\nce-customer: huts\r\n");
+const ENCODED: (&str, &str) = ("ce-subject: hut", "ce-subject: %68ut");
+
+#[test_case("quote", SAME; "unchanged")]
+#[test_case("quote", MARKED; "marked as a retry")]
+#[test_case("quote", OTHER_TIME; "with another time")]
+#[test_case("quote", OTHER_TRACE; "with another trace")]
+#[test_case("quote", LESS_TIME; "with less time")]
+#[test_case("quote", EXPIRY; "with an expiry")]
+#[test_case("quote", OTHER_ORDER; "with its fields in another order and case")]
+#[test_case("quote", ENCODED; "with an attribute encoded otherwise")]
+#[test_case("confirm", MARKED; "at-most-once, marked as a retry")]
+#[test_case("book", SAME; "workflow, unchanged")]
+#[test_case("book", MARKED; "workflow, marked as a retry")]
+#[test_case("book", OTHER_TIME; "workflow, with another time")]
+#[test_case("book", OTHER_TRACE; "workflow, with another trace")]
+#[test_case("book", LESS_TIME; "workflow, with less time")]
+fn a_retry_joins_and_is_replayed(kind: &str, change: (&str, &str)) {
+    let mut sim = SimulatedGateway::new(deployment_with_workflow(1));
+    let client = send(&mut sim, &first_event(kind));
+    let conn = sim.worker_connections()[0];
+    let joined = send(&mut sim, &changed(kind, change));
+    sim.receive(conn, result("{\"for\":1}").as_bytes());
+    let replayed = send(&mut sim, &changed(kind, change));
+    for client in [client, joined, replayed] {
+        assert!(sim.output(client).ends_with("{\"for\":1}"), "{}", sim.output(client));
+    }
+    assert_eq!(sim.requests(), 1);
+}
+
+// The same event in the structured mode has the same attributes and data.
+#[test]
+fn a_retry_in_the_structured_mode_joins() {
+    let mut sim = SimulatedGateway::new(deployment_with_workflow(1));
+    let client = send(&mut sim, &first_event("confirm"));
+    let conn = sim.worker_connections()[0];
+    let body = "{\"specversion\":\"1.0\",\"id\":\"1\",\"source\":\"/desk\",\"type\":\"confirm\",\
+                \"subject\":\"hut\",\"beds\":2,\"customer\":\"huts\",\
+                \"datacontenttype\":\"application/json\",\"data\":{\"guest\": 1}}";
+    let head = "POST /events HTTP/1.1\r\nHost: a\r\nContent-Type: application/cloudevents+json\r\n";
+    let joined = send(&mut sim, &format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()));
+    sim.receive(conn, result("{\"for\":1}").as_bytes());
+    assert_eq!((sim.statuses(client), sim.statuses(joined), sim.requests()), (vec![200], vec![200], 1));
+}
+
+// An event whose answer must be replayed because it may have run: another event must not get that answer, nor
+// start under its id, and the refusal must not say that nothing has run.
+#[test]
+fn another_event_of_a_failed_request_is_refused() {
+    let mut sim = SimulatedGateway::new(deployment_with_workflow(1));
+    let client = send(&mut sim, &first_event("confirm"));
+    let conn = sim.worker_connections()[0];
+    sim.disconnect(conn, Closed::Reset);
+    assert_eq!(sim.statuses(client), [502]);
+    let other = send(&mut sim, &changed("confirm", OTHER_DATA));
+    assert_refused(&sim, other);
+    let retry = send(&mut sim, &first_event("confirm"));
+    assert_eq!((sim.statuses(retry), sim.requests()), (vec![502], 1));
+}
+
+// A refused event takes no time from the open request, whatever its own deadline is.
+#[test]
+fn an_expired_event_of_the_same_id_is_refused_as_another_event() {
+    let mut sim = SimulatedGateway::new(deployment_with_workflow(1));
+    send(&mut sim, &first_event("quote"));
+    let expired = "{\"guest\":1}";
+    let other = first_event("quote").replacen("ce-id", "ce-timelimit: 5\r\nce-id", 1);
+    let other = send(&mut sim, &other.replacen(expired, "{\"guest\":2}", 1));
+    assert_refused(&sim, other);
+}
+
+// Once a request was rejected, or its answer is no longer kept, its id is free for another event.
+#[test]
+fn an_id_is_free_after_a_rejection_and_after_its_answer_has_expired() {
+    let mut sim = SimulatedGateway::new(deployment_with_workflow(1));
+    let first = send(&mut sim, &first_event("quote"));
+    let conn = sim.worker_connections()[0];
+    sim.receive(conn, result("{\"for\":1}").as_bytes());
+    assert_eq!(sim.statuses(first), [200]);
+    sim.advance(61 * S);
+    send(&mut sim, &changed("quote", OTHER_DATA));
+    sim.worker_connections();
+    assert_eq!(sim.requests(), 2, "the cached answer has expired");
+
+    let mut sim = SimulatedGateway::new(deployment_with_workflow(0));
+    let first = send(&mut sim, &first_event("confirm"));
+    sim.advance(4 * S);
+    assert_eq!(sim.statuses(first), [503]);
+    let other = send(&mut sim, &changed("confirm", OTHER_DATA));
+    assert!(sim.statuses(other).is_empty(), "{}", sim.output(other));
+    let retry = send(&mut sim, &first_event("confirm"));
+    assert_refused(&sim, retry);
+}
+
+// The client of a refused event may disconnect: the open request and its client are not affected.
+#[test]
+fn a_refused_client_that_leaves_does_not_end_the_request() {
+    let mut sim = SimulatedGateway::new(deployment_with_workflow(0));
+    let first = send(&mut sim, &first_event("quote"));
+    let other = send(&mut sim, &changed("quote", OTHER_DATA));
+    assert_refused(&sim, other);
+    sim.disconnect(other, Closed::Reset);
+    let page = send(&mut sim, "GET /-/state HTTP/1.1\r\nHost: a\r\n\r\n");
+    let page = sim.output(page);
+    assert!(page.contains("\"open\":1,") && page.contains("\"id-conflicts\":1,"), "{page}");
+    assert!(sim.statuses(first).is_empty());
+}
--- a/crates/http/src/encode.rs
+++ b/crates/http/src/encode.rs
@@ -13,6 +13,23 @@
 #[derive(Clone, Default)]
 pub struct HeaderLines(Vec<u8>);
 
+/// One encoded header field.
+#[derive(Clone, Copy)]
+pub struct HeaderLine<'a>(&'a [u8]);
+
+impl<'a> HeaderLine<'a> {
+    /// The field's name, in the case in which it was written.
+    pub fn name(&self) -> &'a [u8] {
+        let end = self.0.iter().position(|byte| *byte == b':');
+        &self.0[..end.unwrap_or(self.0.len())]
+    }
+
+    /// The encoded line with its line end.
+    pub fn bytes(&self) -> &'a [u8] {
+        self.0
+    }
+}
+
 impl HeaderLines {
     /// Adds a header field. Control characters in the value are replaced by spaces, so that a value cannot
     /// add another field.
@@ -26,13 +43,14 @@
 
     /// A copy without the named fields. Names are compared in the case in which they were written.
     pub fn without(&self, names: &[&str]) -> HeaderLines {
-        let lines = self.0.split_inclusive(|byte| *byte == b'\n');
-        let named = |line: &&[u8]| {
-            !names
-                .iter()
-                .any(|name| line.strip_prefix(name.as_bytes()).is_some_and(|value| value.starts_with(b": ")))
-        };
-        HeaderLines(lines.filter(named).flatten().copied().collect())
+        let is_named = |line: &HeaderLine<'_>| names.iter().any(|name| name.as_bytes() == line.name());
+        let kept = self.lines().filter(|line| !is_named(line));
+        HeaderLines(kept.flat_map(|line| line.bytes()).copied().collect())
+    }
+
+    /// The encoded fields, in the order in which they were added.
+    pub fn lines(&self) -> impl Iterator<Item = HeaderLine<'_>> {
+        self.0.split_inclusive(|byte| *byte == b'\n').map(HeaderLine)
     }
 
     /// The encoded lines.
@@ -72,6 +90,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         415 => "Unsupported Media Type",
         417 => "Expectation Failed",
