serve: another event is not counted as the retry of a rejected one with its source and id

In a retry storm an event under the source and id of a rejected one was treated as its retry: behind first attempts, as one that comes early, or it used up the time that was reserved for that retry. Change: the digest of an arrival covers the content too. What admission needs of an event is described once (`Arrival`) instead of passed on in parts. Why it works: the filter of seen requests and the table of scheduled retries take this digest as the only identity.

--- a/crates/gateway/src/event_identity.rs
+++ b/crates/gateway/src/event_identity.rs
@@ -8,6 +8,7 @@
 //! change when it sends its event again ([`CHANGED_BY_RETRIES`]).
 use crate::client::ReceivedEvent;
 use crate::idempotency::IdempotencyKey;
+use applepond::interface::FunctionId;
 use applepond_http::encode::HeaderLines;
 use applepond_storage::WorkflowRecord;
 use blake3::{Hash, Hasher};
@@ -55,6 +56,15 @@
         EventContent::new(event_type, &attributes, record.content_type.as_deref(), &record.data)
     }
 
+    /// A short form of the digest, for estimates only.
+    fn short_digest(&self) -> u64 {
+        let first_word = |hash: &Hash| {
+            let (word, _) = hash.as_bytes().split_first_chunk().expect("a digest has 32 bytes");
+            u64::from_le_bytes(*word)
+        };
+        self.event_type.as_ref().map_or(0, first_word).rotate_left(1) ^ first_word(&self.rest)
+    }
+
     /// Whether two events have the same content. A type that is not known is not compared.
     pub(crate) fn is_same(&self, other: &EventContent) -> bool {
         let has_same_type = match (self.event_type, other.event_type) {
@@ -103,4 +113,15 @@
             content: EventContent::new(Some(&event.event_type), &event.fields, media_type, &event.data),
         }
     }
+
+    /// A digest of the `source`, for estimates only.
+    pub(crate) fn client_digest(&self) -> u64 {
+        FunctionId::named(&self.key.source).0
+    }
+
+    /// A digest of the whole identity, for estimates only: two events may have the same.
+    pub(crate) fn digest(&self) -> u64 {
+        let id = FunctionId::named(&self.key.id).0;
+        id ^ self.client_digest().rotate_left(1) ^ self.content.short_digest()
+    }
 }
--- a/crates/gateway/src/gateway/intake.rs
+++ b/crates/gateway/src/gateway/intake.rs
@@ -9,7 +9,7 @@
 use crate::deployment::FunctionSource;
 use crate::event_identity::EventIdentity;
 use crate::idempotency::{FinalOutcome, Lookup};
-use applepond::interface::{CustomerId, FunctionId, Micros};
+use applepond::interface::{CustomerId, Micros};
 use applepond_admission::{Arrival, Decision};
 use applepond_http::Fault;
 use applepond_reactor::ConnectionId;
@@ -32,7 +32,7 @@
 pub(super) struct Admitted {
     /// Digest of the event's `source`.
     pub(super) client_digest: u64,
-    /// Digest of the event's idempotency key.
+    /// Digest of the event's identity.
     pub(super) digest: u64,
     /// The event is a retry, as marked by its client or detected by admission.
     pub(super) is_retry: bool,
@@ -76,7 +76,8 @@
         }
         self.check_not_stored(now, &identity, &event)?;
         let time_left = self.time_left_of(now, limit, &event)?;
-        let admitted = self.admit(now, &event, workload, time_left, &NothingRan::for_new_request())?;
+        let arrival = self.arrival(&identity, &event, workload, time_left);
+        let admitted = self.admit(now, &event.id, &arrival, &NothingRan::for_new_request())?;
         self.counters.accepted += 1;
         if let (Some(tracker), Some(prefix)) = (&mut self.prefix_tracker, &prefix) {
             tracker.record_use(&prefix.name, prefix.size);
@@ -227,26 +228,24 @@
     pub(super) fn admit(
         &mut self,
         now: Micros,
-        event: &ReceivedEvent,
-        workload: usize,
-        time_left: Micros,
+        id: &str,
+        arrival: &Arrival,
         _: &NothingRan,
     ) -> Result<Admitted, Rc<Answer>> {
         if self.open_count() >= MAX_OPEN_REQUESTS {
             let fault = Fault::new(503, "too-many-jobs", "this router holds as many jobs as it may");
             let retry_after = Some(TOO_MANY_RETRY_AFTER);
-            return Err(Answer::problem(FinalOutcome::Rejected, &fault, Some(&event.id), retry_after));
+            return Err(Answer::problem(FinalOutcome::Rejected, &fault, Some(id), retry_after));
         }
-        let arrival = self.arrival(event, workload, time_left);
-        let decision = self.admission.decide(now, &arrival);
+        let decision = self.admission.decide(now, arrival);
         self.log_traffic_change(now);
         match decision {
-            Decision::Admitted { is_retry } => Ok(Admitted::new(&arrival, is_retry)),
+            Decision::Admitted { is_retry } => Ok(Admitted::new(arrival, is_retry)),
             Decision::Rejected { .. } if !self.deployment.storm_shedding => {
-                Ok(Admitted::new(&arrival, event.is_retry))
+                Ok(Admitted::new(arrival, arrival.is_retry))
             }
             Decision::Rejected { retry_after, reason } => {
-                Err(self.shed(now, &event.id, arrival.request_id, retry_after, reason))
+                Err(self.shed(now, id, arrival.request_id, retry_after, reason))
             }
         }
     }
@@ -255,17 +254,12 @@
     /// the client would take that for a promise that a retry elsewhere is harmless. Admission control is not
     /// asked, as it would reserve a time for the retry of an event that it rejects. At the limit of open
     /// requests the event fails.
-    pub(super) fn admit_resumed(
-        &self,
-        event: &ReceivedEvent,
-        workload: usize,
-        time_left: Micros,
-    ) -> Result<Admitted, Rc<Answer>> {
+    pub(super) fn admit_resumed(&self, id: &str, arrival: &Arrival) -> Result<Admitted, Rc<Answer>> {
         if self.open_count() >= MAX_OPEN_WITH_RESUMED {
             let fault = Fault::new(502, "too-many-jobs", "this router holds as many jobs as it may");
-            return Err(Answer::problem(FinalOutcome::Failed, &fault, Some(&event.id), None));
+            return Err(Answer::problem(FinalOutcome::Failed, &fault, Some(id), None));
         }
-        Ok(Admitted::new(&self.arrival(event, workload, time_left), event.is_retry))
+        Ok(Admitted::new(arrival, arrival.is_retry))
     }
 
     /// Number of open requests and workflows.
@@ -274,11 +268,16 @@
     }
 
     /// Describes an event to admission control.
-    fn arrival(&self, event: &ReceivedEvent, workload: usize, time_left: Micros) -> Arrival {
-        let client = FunctionId::named(&event.source).0;
+    pub(super) fn arrival(
+        &self,
+        identity: &EventIdentity,
+        event: &ReceivedEvent,
+        workload: usize,
+        time_left: Micros,
+    ) -> Arrival {
         Arrival {
-            client,
-            request_id: FunctionId::named(&event.id).0 ^ client.rotate_left(1),
+            client: identity.client_digest(),
+            request_id: identity.digest(),
             is_retry: event.is_retry,
             importance: self.deployment.startup.workloads[workload].priority_weight,
             remaining: time_left,
--- a/crates/gateway/src/gateway/request.rs
+++ b/crates/gateway/src/gateway/request.rs
@@ -23,7 +23,7 @@
     pub(super) key: IdempotencyKey,
     /// Digest of the `source` of the event that started it.
     pub(super) client_digest: u64,
-    /// Digest of its idempotency key.
+    /// Digest of the identity of that event.
     pub(super) digest: u64,
     /// Index into the deployment's workloads.
     pub(super) workload: usize,
--- a/crates/gateway/src/gateway/workflow/intake.rs
+++ b/crates/gateway/src/gateway/workflow/intake.rs
@@ -9,6 +9,7 @@
 use crate::gateway::nothing_ran::NothingRan;
 use crate::idempotency::{FinalOutcome, IdempotencyKey};
 use applepond::interface::{CustomerId, Micros, RequestId, RetrySafety};
+use applepond_admission::Arrival;
 use applepond_http::Fault;
 use applepond_http::encode::HeaderLines;
 use applepond_reactor::ConnectionId;
@@ -59,7 +60,8 @@
         let named_function = named_function.map(str::to_owned);
         let digest = plan_digest(&plan, &self.deployment.workloads);
         let resumed = self.load_stored(now, &identity, index, digest, &event)?;
-        let admitted = self.admit_workflow(now, &event, &plan, resumed.as_ref(), time_left)?;
+        let arrival = self.arrival(&identity, &event, plan.steps[0].workload, time_left);
+        let admitted = self.admit_workflow(now, &event.id, &arrival, &plan, resumed.as_ref())?;
         self.counters.accepted += 1;
         self.workflows.counters.accepted += 1;
         let request = self.next_request_id();
@@ -89,18 +91,17 @@
     fn admit_workflow(
         &mut self,
         now: Micros,
-        event: &ReceivedEvent,
+        id: &str,
+        arrival: &Arrival,
         plan: &Plan,
         stored: Option<&WorkflowRecord>,
-        time_left: Micros,
     ) -> Result<Admitted, Rc<Answer>> {
-        let workload = plan.steps[0].workload;
         let Some(nothing_ran) = NothingRan::for_workflow(stored, plan) else {
-            return self.admit_resumed(event, workload, time_left);
+            return self.admit_resumed(id, arrival);
         };
-        let admitted = self.admit(now, event, workload, time_left, &nothing_ran)?;
+        let admitted = self.admit(now, id, arrival, &nothing_ran)?;
         if stored.is_none_or(|stored| stored.steps.is_empty()) {
-            self.check_start_rate(now, &event.id, &admitted, time_left, &nothing_ran)?;
+            self.check_start_rate(now, id, arrival, &nothing_ran)?;
         }
         Ok(admitted)
     }
@@ -166,15 +167,14 @@
         &mut self,
         now: Micros,
         id: &str,
-        admitted: &Admitted,
-        time_left: Micros,
+        arrival: &Arrival,
         _: &NothingRan,
     ) -> Result<(), Rc<Answer>> {
         if self.workflows.run_limiter.admit(now) {
             return Ok(());
         }
         self.workflows.counters.rejected_for_rate += 1;
-        let wait = self.admission.schedule_retry(now, admitted.client_digest, admitted.digest, time_left);
+        let wait = self.admission.schedule_retry(now, arrival.client, arrival.request_id, arrival.remaining);
         let wait = wait.filter(|_| self.deployment.startup.attempt_policy.retry_after_allowed);
         let detail = "as many chains run as come to their end; a retry does no harm";
         let fault = Fault::new(503, "chains-full", detail);
--- a/crates/gateway/src/gateway/workflow/mod.rs
+++ b/crates/gateway/src/gateway/workflow/mod.rs
@@ -66,7 +66,7 @@
     key: IdempotencyKey,
     /// Digest of the `source` of its event; 0 if it was resumed without a client.
     client_digest: u64,
-    /// Digest of its idempotency key; 0 if it was resumed without a client.
+    /// Digest of its event's identity; 0 if it was resumed without a client.
     digest: u64,
     customer: Option<CustomerId>,
     arrived_at: Micros,
--- a/crates/gateway/tests/event_identity.rs
+++ b/crates/gateway/tests/event_identity.rs
@@ -151,6 +151,42 @@
     assert_refused(&sim, retry);
 }
 
+// Regression: another event with the id of a rejected one was counted as its retry, and used up the time that
+// was reserved for that.
+#[test]
+fn another_event_is_not_the_retry_of_a_rejected_one() {
+    let mut sim = SimulatedGateway::new(deployment(0));
+    let numbered = |change, n: u32| {
+        changed("quote", change)
+            .replace("ce-customer: huts\r\n", "")
+            .replace("ce-id: 1", &format!("ce-id: {n}"))
+    };
+    for n in 0..40 {
+        send(&mut sim, &numbered(SAME, n));
+        sim.advance(MS);
+    }
+    sim.advance(S);
+    let followed_or_not = |sim: &mut SimulatedGateway| {
+        let page = send(sim, "GET /-/state HTTP/1.1\r\nHost: a\r\n\r\n");
+        let page = sim.output(page);
+        let body = page.split("\r\n\r\n").nth(1).expect("a body");
+        let page: serde_json::Value = serde_json::from_str(body).expect("JSON");
+        let rates = ["followed-per-s", "not-kept-per-s"].map(|name| page["storm"]["advice"][name].as_f64());
+        rates.into_iter().map(|rate| rate.expect("a rate")).sum::<f64>()
+    };
+    for n in 0..40 {
+        send(&mut sim, &numbered(OTHER_DATA, n));
+        sim.advance(MS);
+    }
+    assert_eq!(followed_or_not(&mut sim), 0.0, "these are new events");
+    sim.advance(4 * S);
+    for n in 0..40 {
+        send(&mut sim, &numbered(MARKED, n));
+        sim.advance(MS);
+    }
+    assert!(followed_or_not(&mut sim) > 10.0, "these are the retries");
+}
+
 // The client of a refused event may disconnect: the open request and its client are not affected.
 #[test]
 fn a_refused_client_that_leaves_does_not_end_the_request() {
