serve: an event of a client and a chain's keyed step no longer share a key at the workers

Callers saw: nothing where ids have no slash. An event with the source of a chain and the id `ID/STEP` was sent to workers under the key of that chain's step; a worker that recognises keyed requests would answer the one with the other's result. Change: such an event is refused (409 `id-conflict`) while the chain is in progress or on record; such a chain is refused while an event with the key of one of its keyed steps is in progress or its answer kept. Ids of steps stay as they are, since a keyed step may be sent again under its id after a kill. Why it works: both sides are looked up where they start, so at one router at most one of them has the key. Measured: `an_event_with_the_key_of_a_workflows_step_is_refused` and `a_workflow_is_refused_while_an_event_has_the_key_of_its_step` failed before and pass; five ids that only look like those of steps are accepted before and after.

--- a/crates/gateway/src/gateway/intake.rs
+++ b/crates/gateway/src/gateway/intake.rs
@@ -75,6 +75,7 @@
             return known;
         }
         self.check_not_stored(now, &identity, &event)?;
+        self.check_is_no_step(now, &identity, &event)?;
         let time_left = self.time_left_of(now, limit, &event)?;
         let arrival = self.arrival(&identity, &event, workload, time_left);
         let admitted = self.admit(now, &event.id, &arrival, &NothingRan::for_new_request())?;
--- a/crates/gateway/src/gateway/workflow/intake.rs
+++ b/crates/gateway/src/gateway/workflow/intake.rs
@@ -32,7 +32,11 @@
 impl Workflows {
     /// Returns the record with this key, unless it has expired or its workflow was rejected: then a retry
     /// begins anew, and the key is free.
-    fn stored(&mut self, now: Micros, key: &IdempotencyKey) -> Result<Option<WorkflowRecord>, StorageError> {
+    pub(super) fn stored(
+        &mut self,
+        now: Micros,
+        key: &IdempotencyKey,
+    ) -> Result<Option<WorkflowRecord>, StorageError> {
         let stored = self.store.load((&key.source, &key.id))?;
         Ok(stored.filter(|stored| stored.expires_at > now && !stored.was_rejected()))
     }
@@ -59,6 +63,7 @@
         let named_function = event.attribute(&config.function_attribute).filter(|name| !name.is_empty());
         let named_function = named_function.map(str::to_owned);
         let digest = plan_digest(&plan, &self.deployment.workloads);
+        self.check_steps_are_free(now, &identity, &plan, &event)?;
         let resumed = self.load_stored(now, &identity, index, digest, &event)?;
         let arrival = self.arrival(&identity, &event, plan.steps[0].workload, time_left);
         let admitted = self.admit_workflow(now, &event.id, &arrival, &plan, resumed.as_ref())?;
--- a/crates/gateway/src/gateway/workflow/mod.rs
+++ b/crates/gateway/src/gateway/workflow/mod.rs
@@ -7,7 +7,7 @@
 //! State: the active workflows, those waiting to be written to the store, and the estimates used to admit new
 //! ones. Modules by event:
 //! - an event starts a workflow: `intake`; the instance starts: `recovery`;
-//! - a step or an undo ends: `steps`;
+//! - a step or an undo ends: `steps`; the keys of their events: `step_key`;
 //! - a turn of the event loop ends with unwritten changes, or the store's timer fires: `store`;
 //! - the run ends: `completion`.
 use super::Gateway;
@@ -28,6 +28,7 @@
 mod intake;
 mod plan_digest;
 mod recovery;
+mod step_key;
 mod steps;
 mod store;
 
--- /dev/null
+++ b/crates/gateway/src/gateway/workflow/step_key.rs
@@ -0,0 +1,71 @@
+//! Keys of the events of steps. Workers recognise duplicates of keyed requests by `source` and `id`. The key of
+//! a step is made of the key of its workflow and the step's name, so an event of a client can have the same
+//! one: it is refused while the workflow has it, and the workflow is refused while the event has it. Steps that
+//! are not keyed share no key with anything, as workers do not look at theirs.
+use crate::client::{Answer, ReceivedEvent};
+use crate::event_identity::EventIdentity;
+use crate::gateway::Gateway;
+use crate::idempotency::IdempotencyKey;
+use applepond::interface::{Micros, RetrySafety};
+use applepond_workflow::{Plan, Step};
+use std::rc::Rc;
+
+/// Separates the id of a workflow from the name of a step.
+const SEPARATOR: char = '/';
+
+/// Returns the key of a step's event.
+pub(super) fn step_key(workflow: &IdempotencyKey, step: &Step) -> IdempotencyKey {
+    let id = format!("{}{SEPARATOR}{}", workflow.id, step.name);
+    IdempotencyKey { source: workflow.source.clone(), id: Rc::from(id) }
+}
+
+/// Returns the key of the workflow of which an event with this key would be the step.
+fn workflow_key(event: &IdempotencyKey, step: &Step) -> Option<IdempotencyKey> {
+    let id = event.id.strip_suffix(step.name.as_str())?.strip_suffix(SEPARATOR)?;
+    Some(IdempotencyKey { source: event.source.clone(), id: Rc::from(id) })
+}
+
+/// The steps whose keys workers recognise.
+fn keyed_steps(plan: &Plan) -> impl Iterator<Item = &Step> {
+    plan.steps.iter().filter(|step| matches!(step.effect, RetrySafety::Keyed { .. }))
+}
+
+impl Gateway {
+    /// Refuses the event of a request if it has the key of a step of a workflow in progress or on record.
+    pub(in crate::gateway) fn check_is_no_step(
+        &mut self,
+        now: Micros,
+        identity: &EventIdentity,
+        event: &ReceivedEvent,
+    ) -> Result<(), Rc<Answer>> {
+        if !event.id.contains(SEPARATOR) {
+            return Ok(());
+        }
+        let plans = self.deployment.workflows.iter().map(|workflow| &workflow.plan);
+        let steps = plans.flat_map(|plan| keyed_steps(plan));
+        let workflows: Vec<_> = steps.filter_map(|step| workflow_key(&identity.key, step)).collect();
+        let is_step = workflows.iter().any(|key| self.is_workflow_known(now, key));
+        if is_step { Err(self.refuse_other_event(event)) } else { Ok(()) }
+    }
+
+    /// Refuses the event of a workflow if a request in progress, or one whose answer is cached, has the key of
+    /// one of its steps.
+    pub(super) fn check_steps_are_free(
+        &mut self,
+        now: Micros,
+        identity: &EventIdentity,
+        plan: &Plan,
+        event: &ReceivedEvent,
+    ) -> Result<(), Rc<Answer>> {
+        let mut keys = keyed_steps(plan).map(|step| step_key(&identity.key, step));
+        let is_in_use = keys.any(|key| self.idempotency.is_in_use(now, &key));
+        if is_in_use { Err(self.refuse_other_event(event)) } else { Ok(()) }
+    }
+
+    /// Whether a workflow with this key is in progress or on record.
+    fn is_workflow_known(&mut self, now: Micros, key: &IdempotencyKey) -> bool {
+        let request = self.idempotency.request_in_progress(key);
+        let is_active = request.is_some_and(|request| self.workflows.active.contains_key(&request));
+        is_active || matches!(self.workflows.stored(now, key), Ok(Some(_)))
+    }
+}
--- a/crates/gateway/src/gateway/workflow/steps.rs
+++ b/crates/gateway/src/gateway/workflow/steps.rs
@@ -1,17 +1,17 @@
 //! Execution of workflow steps: carries out a run's commands, starts the request of each step and reports its
 //! end to the run, and undoes steps whose effects must not last.
+use super::step_key::step_key;
 use super::{ActiveWorkflow, FinishedStep, OnStepEnd, StepEnd, UnansweredWorkflow, UnsentStep};
 use super::{result_field, step_outcome};
 use crate::gateway::Gateway;
 use crate::gateway::request::{NewRequest, RequestContent};
-use crate::idempotency::{FinalOutcome, IdempotencyKey};
+use crate::idempotency::FinalOutcome;
 use crate::request_table::AttemptId;
 use applepond::interface::{FunctionId, Micros, Outcome, RequestId, RetrySafety};
 use applepond_http::encode::HeaderLines;
 use applepond_reactor::Transport;
 use applepond_storage::record::outcome_code;
 use applepond_workflow::{Command, RunOutcome, StepId, StepStatus};
-use std::rc::Rc;
 
 /// Minimum delay before a failed undo is retried.
 const UNDO_RETRY_DELAY: Micros = 1_000_000;
@@ -160,10 +160,7 @@
     ) -> NewRequest {
         let planned = workflow.run.plan().step(step);
         let events = &self.deployment.workloads[planned.workload];
-        let key = IdempotencyKey {
-            source: workflow.key.source.clone(),
-            id: Rc::from(format!("{}/{}", workflow.key.id, planned.name)),
-        };
+        let key = step_key(&workflow.key, planned);
         let mut fields = HeaderLines::default();
         fields.field("ce-id", &key.id);
         fields.field("ce-type", events.types.first().map_or("", String::as_str));
--- a/crates/gateway/src/idempotency.rs
+++ b/crates/gateway/src/idempotency.rs
@@ -137,6 +137,17 @@
         }
     }
 
+    /// Whether a request with this key is in progress, or its answer cached.
+    pub(crate) fn is_in_use(&mut self, now: Micros, key: &IdempotencyKey) -> bool {
+        self.drop_expired(now);
+        self.in_progress.contains_key(key) || self.cached.contains_key(key)
+    }
+
+    /// Returns the request or workflow in progress with this key.
+    pub(crate) fn request_in_progress(&self, key: &IdempotencyKey) -> Option<RequestId> {
+        self.in_progress.get(key).map(|entry| entry.request)
+    }
+
     /// Records that a request or workflow of this event has started. A key in progress stays with the request
     /// that has it.
     pub(crate) fn start(&mut self, event: EventIdentity, request: RequestId) {
--- a/crates/gateway/tests/event_identity_after_restart.rs
+++ b/crates/gateway/tests/event_identity_after_restart.rs
@@ -3,7 +3,7 @@
 use applepond::interface::CustomerConfig;
 use applepond_gateway::Deployment;
 use applepond_gateway::deployment::WorkflowConfig;
-use applepond_reactor::Closed;
+use applepond_reactor::{Closed, ConnectionId};
 use applepond_storage::{WorkflowRecord, WorkflowStore};
 use applepond_workflow::{Branch, Function, Plan, Step, StepId, Target};
 use common::events::*;
@@ -192,3 +192,68 @@
     let retry = send(&mut sim, &changed("confirm", OTHER_DATA));
     assert!(sim.output(retry).ends_with("{\"for\":2}"), "{}", sim.output(retry));
 }
+
+/// An event of a client with the key of a step of the first event's workflow, and other data.
+fn event_like_step(kind: &str, id: &str) -> String {
+    changed(kind, OTHER_DATA).replacen("ce-id: 1", &format!("ce-id: {id}"), 1)
+}
+
+fn assert_id_conflict(sim: &SimulatedGateway, client: ConnectionId) {
+    let answer = sim.output(client);
+    assert!(answer.starts_with("HTTP/1.1 409 ") && answer.contains("id-conflict"), "{answer}");
+}
+
+// Regression: a keyed step has a key of its own, made of its workflow's id and its name. A worker that knows
+// it would answer an event of a client with that key with the result of the step.
+#[test]
+fn an_event_with_the_key_of_a_workflows_step_is_refused() {
+    for when in [Killed::BetweenSteps, Killed::AfterItFinished, Killed::AfterItFailed] {
+        let (mut sim, _) = killed(when);
+        let other = send(&mut sim, &event_like_step("hold", "1/beds"));
+        sim.advance(100 * MS);
+        assert_id_conflict(&sim, other);
+        assert_eq!(sim.requests(), 0, "nothing was sent for it");
+    }
+    let mut sim = SimulatedGateway::new(deployment_with_booking(1));
+    let client = send(&mut sim, &first_event("book"));
+    sim.worker_connections();
+    let other = send(&mut sim, &event_like_step("hold", "1/beds"));
+    assert_id_conflict(&sim, other);
+    respond(&mut sim);
+    respond(&mut sim);
+    assert_eq!(sim.statuses(client), [200]);
+}
+
+// The other way round: a worker would answer a step with the result of the client's event.
+#[test]
+fn a_workflow_is_refused_while_an_event_has_the_key_of_its_step() {
+    let mut sim = SimulatedGateway::new(deployment_with_booking(1));
+    let client = send(&mut sim, &event_like_step("hold", "1/beds"));
+    sim.worker_connections();
+    let while_open = send(&mut sim, &first_event("book"));
+    assert_refused(&sim, while_open);
+    respond(&mut sim);
+    assert_eq!(sim.statuses(client), [200]);
+    let after_end = send(&mut sim, &first_event("book"));
+    assert_refused(&sim, after_end);
+    assert_eq!(sim.requests(), 1);
+    sim.advance(60 * S);
+    send(&mut sim, &first_event("book"));
+    sim.worker_connections();
+    assert_eq!(sim.requests(), 2, "the key is free again");
+}
+
+// Ids that only look like those of steps, and steps whose keys workers do not look at.
+#[test_case("hold", "2/beds"; "of no workflow")]
+#[test_case("hold", "1/bedside"; "of no step")]
+#[test_case("hold", "beds"; "the name of a step alone")]
+#[test_case("hold", "/beds"; "without an id before it")]
+#[test_case("confirm", "1/confirm"; "of a step that is not keyed")]
+fn other_ids_are_free_while_a_workflow_is_open(kind: &str, id: &str) {
+    let mut sim = SimulatedGateway::new(deployment_with_booking(1));
+    send(&mut sim, &first_event("book"));
+    sim.worker_connections();
+    let other = send(&mut sim, &event_like_step(kind, id));
+    sim.worker_connections();
+    assert_eq!((sim.statuses(other), sim.requests()), (vec![], 2), "{}", sim.output(other));
+}
