--- a/crates/gateway/src/gateway/workflow/step_key.rs
+++ b/crates/gateway/src/gateway/workflow/step_key.rs
@@ -1,7 +1,7 @@
-//! Keys of the events of steps. Workers recognise duplicates of keyed requests by `source` and `id`. The key of
-//! a step is made of the key of its workflow and the step's name, so an event of a client can have the same
-//! one: it is refused while the workflow has it, and the workflow is refused while the event has it. Steps that
-//! are not keyed share no key with anything, as workers do not look at theirs.
+//! Keys of the events of steps. Workers recognise duplicates of keyed requests by `source` and `id`. The key
+//! of a step is made of the key of its workflow and the step's name, so an event of a client can have the
+//! same one: it is refused while the workflow has it, and the workflow is refused while the event has it.
+//! Steps that are not keyed need no such care, as workers do not look at their keys.
 use crate::client::{Answer, ReceivedEvent};
 use crate::event_identity::EventIdentity;
 use crate::gateway::Gateway;
@@ -48,8 +48,8 @@
         if is_step { Err(self.refuse_other_event(event)) } else { Ok(()) }
     }
 
-    /// Refuses the event of a workflow if a request in progress, or one whose answer is cached, has the key of
-    /// one of its steps.
+    /// Refuses the event of a workflow if a request in progress, or one whose answer is cached, has the key
+    /// of one of its steps.
     pub(super) fn check_steps_are_free(
         &mut self,
         now: Micros,
