node: a late answer is not taken for that of a new request with the id of an ended one

Callers saw: a request under the id of one that had ended was answered 200 with what a model server had made for that one, if both went on one connection and the answer came late or a second time. Change: a connection keeps the ids of its last 256 requests, and carries none of them again. Why it works: an answer is matched by its connection and its id, so two requests must not share both. Measured: `a_late_answer_is_not_taken_for_that_of_a_request_with_the_same_id`: 2 of 2 failed before (200 with the other answer), 2 pass; all tests of the package pass. New ids go the same ways as before.

--- a/crates/node/src/node/attempts.rs
+++ b/crates/node/src/node/attempts.rs
@@ -92,10 +92,14 @@
         let usable = record.connections.iter().copied().filter(|conn| {
             let connection = &self.connections[conn];
             let is_fresh = connection.load() > 0 || now < connection.last_used + idle_timeout;
-            // A connection that carried an earlier attempt of the request may still deliver an answer to it,
-            // even a second one, which has the same id.
-            let is_used = earlier.iter().any(|attempt| attempt.connection == Some(*conn));
-            is_fresh && !is_used && connection.load() < self.config.connection_config.max_concurrent_attempts
+            // A connection that carried an earlier attempt of the request, or an earlier request with its id,
+            // may still deliver an answer to it, even a second one, which has the same id.
+            let is_used = || {
+                let is_of_request = earlier.iter().any(|attempt| attempt.connection == Some(*conn));
+                is_of_request || connection.has_carried(attempt.request)
+            };
+            let max_attempts = self.config.connection_config.max_concurrent_attempts;
+            is_fresh && connection.load() < max_attempts && !is_used()
         });
         let has_descriptors = self.connections.len() < self.max_connections;
         let max_spread = if has_descriptors { self.max_connections / self.ready_workers } else { 0 };
@@ -192,7 +196,7 @@
         if connection.in_flight.is_empty() {
             connection.last_received = now;
         }
-        connection.in_flight.insert(attempt.request, attempt.index);
+        connection.attempt_sent(attempt);
         self.requeue_rest(conn, &bytes, taken)
     }
 
--- a/crates/node/src/worker_connection.rs
+++ b/crates/node/src/worker_connection.rs
@@ -11,6 +11,10 @@
 /// Length of the request ids sent by this router.
 const ID_LENGTH: usize = 16;
 
+/// Number of ids last sent on a connection that are not sent on it again, at 36 bytes each. An answer that is
+/// later than this many requests is not told apart.
+const MAX_RECENT_IDS: usize = 256;
+
 /// A write that waits for the kernel.
 pub(crate) enum QueuedWrite {
     /// The line that runs this attempt. No byte of it has been written, so it can be withdrawn.
@@ -27,9 +31,11 @@
     pub(crate) opened_at: Micros,
     /// Whether it accepts no new attempts and is closed once no answer is pending.
     pub(crate) draining: bool,
-    /// Attempts of which at least one byte has been sent, as attempt indices by request id. Answers carry
-    /// only the request id, so each id is used at most once per connection.
+    /// Attempts of which at least one byte has been sent, as attempt indices by request id.
     pub(crate) in_flight: BTreeMap<RequestId, usize>,
+    /// Ids of the last requests sent on the connection, oldest first. Answers carry only the request id, so a
+    /// late one would be taken for the answer to a new request with the same id.
+    recent_ids: VecDeque<RequestId>,
     pub(crate) queue: VecDeque<QueuedWrite>,
     /// Attempts whose cancellation is in `queue`. They are closed once all of it has been sent.
     pub(crate) cancelling: Vec<AttemptId>,
@@ -82,6 +88,7 @@
             opened_at: now,
             draining: false,
             in_flight: BTreeMap::new(),
+            recent_ids: VecDeque::new(),
             queue: VecDeque::new(),
             cancelling: Vec::new(),
             last_used: now,
@@ -98,6 +105,21 @@
         self.in_flight.len() + queued.count()
     }
 
+    /// Records an attempt of which the first bytes have been sent.
+    pub(crate) fn attempt_sent(&mut self, attempt: AttemptId) {
+        self.in_flight.insert(attempt.request, attempt.index);
+        if self.recent_ids.len() == MAX_RECENT_IDS {
+            self.recent_ids.pop_front();
+        }
+        self.recent_ids.push_back(attempt.request);
+    }
+
+    /// Whether an answer to a request with this id may still arrive on the connection, as one of its last
+    /// requests had this id.
+    pub(crate) fn has_carried(&self, request: RequestId) -> bool {
+        self.recent_ids.contains(&request)
+    }
+
     /// Whether an answer is pending, or a line that cancels an attempt has to be sent.
     pub(crate) fn has_open_attempts(&self) -> bool {
         !self.in_flight.is_empty() || !self.cancelling.is_empty()
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -134,6 +134,33 @@
     assert_eq!((sim.statuses(client), sim.send_count(1)), (vec![200], 1));
 }
 
+// Regression: an answer carries the id of its request alone. One to a request that had ended, late or a second
+// time, was taken for the answer to a new request with the same id on the same connection.
+#[test_case(false; "its client has left, and its answer comes late")]
+#[test_case(true; "it was answered, and its answer comes again")]
+fn a_late_answer_is_not_taken_for_that_of_a_request_with_the_same_id(was_answered: bool) {
+    let mut sim = SimulatedNode::new(1);
+    let client = sim.send_call("confirm", 1);
+    let connection = sim.connection_of(1);
+    if was_answered {
+        sim.send(connection, answer_line("OK", 1).as_bytes());
+        assert_eq!(sim.statuses(client), [200]);
+    } else {
+        sim.disconnect(client, Closed::Reset);
+    }
+    let other = sim.send_call("confirm", 1);
+    sim.worker_connections();
+    sim.send(connection, answer_line("OK", 1).as_bytes());
+    assert_eq!(sim.statuses(other), [0u16; 0], "the answer to the first request");
+    let own_connection = sim.connection_of(1);
+    assert_ne!(own_connection, connection);
+    sim.send(own_connection, answer_line("OK", 1).as_bytes());
+    assert_eq!((sim.statuses(other), sim.send_count(1)), (vec![200], 2));
+    // A request with an id of its own is still sent on the first connection.
+    sim.send_call("confirm", 2);
+    assert_eq!(sim.worker_connections().len(), 2);
+}
+
 // A silent connection with pending answers is sent a health check, and aborted if it does not answer.
 #[test_case(true, &[]; "answered: the request takes long")]
 #[test_case(false, &[502]; "not answered")]
