--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -134,8 +134,8 @@
     assert_eq!((sim.statuses(client), sim.send_count(1)), (vec![200], 1));
 }
 
-// Regression: an answer carries the id of its request alone. One to a request that had ended, late or a second
-// time, was taken for the answer to a new request with the same id on the same connection.
+// Regression: an answer carries the id of its request alone. One to a request that had ended, late or sent
+// twice, was taken for the answer to a new request with the same id on the same connection.
 #[test_case(false; "its client has left, and its answer comes late")]
 #[test_case(true; "it was answered, and its answer comes again")]
 fn a_late_answer_is_not_taken_for_that_of_a_request_with_the_same_id(was_answered: bool) {
