serve: the key of a rejected request that may have run is no other event's while workers know it

Callers saw: where all workers recognise a keyed request's repeats (`within = "everywhere"`), such a request is rejected (503) although an attempt may have run, since its retry does no harm. Another event under its source and id was then run as new, and a worker that knows the key would answer it with the first one's result. Change: the key stays with its event for the workload's window. The event itself runs again, as before; another one is refused (409). `Outcome::may_have_run` is the one place that says which ends of an attempt leave that open; `Control` and the request table use it. Why it works: for the time in which a worker can take one event for the other, the router does not send the other. Measured: `the_key_of_a_rejected_request_that_may_have_run_is_not_free` failed before (the other event was sent) and passes; four cases in the table's own tests; all tests of the root package and of the gateway pass.

--- a/crates/gateway/src/event_identity.rs
+++ b/crates/gateway/src/event_identity.rs
@@ -125,3 +125,6 @@
         id ^ self.client_digest().rotate_left(1) ^ self.content.short_digest()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/gateway/completion.rs
+++ b/crates/gateway/src/gateway/completion.rs
@@ -14,6 +14,15 @@
 use applepond_reactor::{ConnectionId, Transport};
 use std::rc::Rc;
 
+/// A request or a workflow that has ended, as far as the idempotency table needs to know it.
+pub(super) struct EndedRequest {
+    pub(super) request: RequestId,
+    pub(super) key: IdempotencyKey,
+    pub(super) retry_safety: RetrySafety,
+    /// An attempt may have been executed, whatever its clients are told.
+    pub(super) may_have_run: bool,
+}
+
 impl Gateway {
     /// Handles the rejection of a request by `Control`. The request has never run; `retry_after` is the delay
     /// suggested by `Control`.
@@ -82,35 +91,33 @@
         }
         let workload = &self.deployment.workloads[state.data.content.workload].name;
         log_end(now, state, workload, &answer);
-        let key = state.data.content.key.clone();
-        let retry_safety = state.data.retry_safety;
+        let ended = EndedRequest {
+            request,
+            key: state.data.content.key.clone(),
+            retry_safety: state.data.retry_safety,
+            may_have_run: state.may_have_run,
+        };
         let clients = std::mem::take(&mut state.data.clients);
         self.requests.remove_if_done(request);
-        self.record_end(now, request, &key, retry_safety, &answer);
+        self.record_end(now, &ended, &answer);
         self.answer_clients(now, transport, clients, &answer);
     }
 
     /// Records the end of a request or a workflow in the counters, in admission control and in the
     /// idempotency table.
-    pub(super) fn record_end(
-        &mut self,
-        now: Micros,
-        request: RequestId,
-        key: &IdempotencyKey,
-        retry_safety: RetrySafety,
-        answer: &Rc<Answer>,
-    ) {
+    pub(super) fn record_end(&mut self, now: Micros, ended: &EndedRequest, answer: &Rc<Answer>) {
         self.counters.count_end(answer.outcome);
         let is_finished = answer.outcome == FinalOutcome::Finished;
         let is_rejected = answer.outcome == FinalOutcome::Rejected;
         self.admission.request_ended(now, is_finished, is_rejected);
         let completion = Completion {
             outcome: answer.outcome,
-            retry_safety,
+            retry_safety: ended.retry_safety,
             answer: answer.clone(),
             bytes: answer.bytes(),
+            may_have_run: ended.may_have_run,
         };
-        self.idempotency.complete(now, key, request, completion);
+        self.idempotency.complete(now, &ended.key, ended.request, completion);
     }
 
     /// Answers the clients that wait for a request or a workflow. Their next requests are read after the
--- a/crates/gateway/src/gateway/workflow/completion.rs
+++ b/crates/gateway/src/gateway/workflow/completion.rs
@@ -4,6 +4,7 @@
 use super::steps::UNDO_PERIOD;
 use crate::client::Answer;
 use crate::gateway::Gateway;
+use crate::gateway::completion::EndedRequest;
 use crate::gateway::nothing_ran::NothingRan;
 use crate::idempotency::FinalOutcome;
 use applepond::interface::{Micros, RequestId, RetrySafety};
@@ -123,10 +124,15 @@
         workflow.log_end(now, last_step, &answer);
         workflow.is_answered = true;
         let clients = std::mem::take(&mut workflow.clients);
-        let key = workflow.key.clone();
-        // At-most-once regardless of the failed step's retry safety: earlier steps may have run, so the
-        // answer of a failed workflow is replayed instead of running it again.
-        self.record_end(now, request, &key, RetrySafety::AtMostOnce, &answer);
+        let ended = EndedRequest {
+            request,
+            key: workflow.key.clone(),
+            // Regardless of the failed step's retry safety: earlier steps may have run, so the answer of a
+            // failed workflow is replayed instead of running it again.
+            retry_safety: RetrySafety::AtMostOnce,
+            may_have_run: answer.outcome != FinalOutcome::Rejected,
+        };
+        self.record_end(now, &ended, &answer);
         self.answer_clients(now, transport, clients, &answer);
     }
 }
--- a/crates/gateway/src/idempotency.rs
+++ b/crates/gateway/src/idempotency.rs
@@ -64,6 +64,8 @@
     pub(crate) answer: Rc<A>,
     /// Size of the answer.
     pub(crate) bytes: usize,
+    /// An attempt may have been executed, whatever the outcome is.
+    pub(crate) may_have_run: bool,
 }
 
 /// A request or workflow in progress.
@@ -72,7 +74,7 @@
     content: EventContent,
 }
 
-/// An answer that is replayed until it expires.
+/// What is kept of a request that has ended, until it expires.
 struct CachedAnswer<A> {
     content: EventContent,
     expires_at: Micros,
@@ -80,7 +82,8 @@
     sequence: u64,
     /// Size of the answer, its key and the digest of its event.
     bytes: usize,
-    answer: Rc<A>,
+    /// The answer that is replayed; `None` if only other events are kept from the key.
+    answer: Option<Rc<A>>,
 }
 
 /// Keys in progress and cached answers of type `A`.
@@ -105,6 +108,17 @@
     }
 }
 
+/// How long workers know the key of a request that was rejected although it may have run, which is told only
+/// where a retry does no harm. Until then they would answer another event with its key with its result.
+fn reserved_time<A>(completion: &Completion<A>) -> Option<Micros> {
+    match (completion.outcome, completion.retry_safety) {
+        (FinalOutcome::Rejected, RetrySafety::Keyed { window, .. }) if completion.may_have_run => {
+            Some(window)
+        }
+        _ => None,
+    }
+}
+
 impl<A> IdempotencyTable<A> {
     /// Creates an empty table.
     pub(crate) fn new(retention: AnswerRetention) -> Self {
@@ -131,7 +145,7 @@
             (None, None) => Lookup::New,
             (Some(entry), _) if entry.content.is_same(content) => Lookup::InProgress(entry.request),
             (None, Some(cached)) if cached.content.is_same(content) => {
-                Lookup::Completed(cached.answer.clone())
+                cached.answer.clone().map_or(Lookup::New, Lookup::Completed)
             }
             _ => Lookup::OtherEvent,
         }
@@ -160,8 +174,8 @@
         self.in_progress.remove(key);
     }
 
-    /// Records the end of a request, and caches its answer if it is to be replayed. Has no effect if the key
-    /// is in progress for another request.
+    /// Records the end of a request, and caches its answer if it is to be replayed, or reserves its key if
+    /// workers know it. Has no effect if the key is in progress for another request.
     pub(crate) fn complete(
         &mut self,
         now: Micros,
@@ -170,22 +184,38 @@
         completion: Completion<A>,
     ) {
         let Some(content) = self.take_in_progress(key, request) else { return };
-        let replayed = is_replayed(completion.outcome, completion.retry_safety);
-        if !replayed || completion.bytes > self.retention.max_bytes {
+        if is_replayed(completion.outcome, completion.retry_safety) {
+            let Completion { answer, bytes, .. } = completion;
+            self.cache(now + self.retention.time, key, content, bytes, Some(answer));
+        } else if let Some(time) = reserved_time(&completion) {
+            self.cache(now + time, key, content, 0, None);
+        }
+        self.drop_expired(now);
+    }
+
+    /// Keeps an answer of this size, or the key alone, until `expires_at`. An answer that exceeds the limit
+    /// by itself is not kept.
+    fn cache(
+        &mut self,
+        expires_at: Micros,
+        key: &IdempotencyKey,
+        content: EventContent,
+        answer_bytes: usize,
+        answer: Option<Rc<A>>,
+    ) {
+        if answer_bytes > self.retention.max_bytes {
             return;
         }
         self.last_sequence += 1;
-        let expires_at = now + self.retention.time;
-        let bytes = completion.bytes + key.len() + EventContent::SIZE_BYTES;
         let sequence = self.last_sequence;
-        let cached = CachedAnswer { content, expires_at, sequence, bytes, answer: completion.answer };
+        let bytes = answer_bytes + key.len() + EventContent::SIZE_BYTES;
+        let cached = CachedAnswer { content, expires_at, sequence, bytes, answer };
         if let Some(old) = self.cached.insert(key.clone(), cached) {
             self.by_expiry.remove(&(old.expires_at, old.sequence, key.clone()));
             self.cached_bytes -= old.bytes;
         }
-        self.by_expiry.insert((expires_at, self.last_sequence, key.clone()));
+        self.by_expiry.insert((expires_at, sequence, key.clone()));
         self.cached_bytes += bytes;
-        self.drop_expired(now);
     }
 
     /// Removes the key of this request, and returns the content of its event.
--- a/crates/gateway/src/idempotency/tests.rs
+++ b/crates/gateway/src/idempotency/tests.rs
@@ -7,7 +7,8 @@
 use std::rc::Rc;
 use test_case::test_case;
 
-const KEYED: RetrySafety = RetrySafety::Keyed { scope: IdempotencyScope::Rack, window: 1 };
+const WINDOW: Micros = 5;
+const KEYED: RetrySafety = RetrySafety::Keyed { scope: IdempotencyScope::Rack, window: WINDOW };
 
 fn key(number: u32) -> IdempotencyKey {
     IdempotencyKey::new("/desk", &number.to_string())
@@ -50,13 +51,35 @@
         10,
         &key(1),
         request(1),
-        Completion { outcome, retry_safety, answer: Rc::new("answer"), bytes: 6 },
+        Completion { outcome, retry_safety, answer: Rc::new("answer"), bytes: 6, may_have_run: false },
     );
     let expected = if replayed { Lookup::Completed(Rc::new("answer")) } else { Lookup::New };
     assert_eq!(table.look_up(1009, &event(1)), expected);
     assert_eq!(table.look_up(1010, &event(1)), Lookup::New, "expired");
 }
 
+// A keyed request that was rejected although it may have run: its own event runs again, another one with its
+// key does not, as long as workers know the key.
+#[test_case(KEYED, true, Lookup::OtherEvent; "keyed, may have run")]
+#[test_case(KEYED, false, Lookup::New; "keyed, never ran")]
+#[test_case(RetrySafety::AtMostOnce, false, Lookup::New; "at-most-once, never ran")]
+#[test_case(RetrySafety::Idempotent, true, Lookup::New; "idempotent: workers know no keys")]
+fn the_key_of_a_rejected_request_is_reserved_while_workers_know_it(
+    retry_safety: RetrySafety,
+    may_have_run: bool,
+    expected: Lookup<&str>,
+) {
+    let mut table = table(1000, 10, 1000);
+    table.start(event(1), request(1));
+    let answer = Rc::new("rejected");
+    let completion =
+        Completion { outcome: FinalOutcome::Rejected, retry_safety, answer, bytes: 8, may_have_run };
+    table.complete(10, &key(1), request(1), completion);
+    assert_eq!(table.look_up(10, &event(1)), Lookup::New);
+    assert_eq!(table.look_up(10 + WINDOW - 1, &event_with(1, b"[]")), expected);
+    assert_eq!(table.look_up(10 + WINDOW, &event_with(1, b"[]")), Lookup::New);
+}
+
 // An event with the key of another one finds neither its request nor its answer, until the key is free.
 #[test]
 fn another_event_with_the_same_key_is_told_apart() {
@@ -69,6 +92,7 @@
         retry_safety: KEYED,
         answer: Rc::new("answer"),
         bytes: 6,
+        may_have_run: true,
     };
     table.complete(10, &key(1), request(1), completion);
     assert_eq!(table.look_up(1009, &other), Lookup::OtherEvent);
@@ -86,6 +110,7 @@
             retry_safety: RetrySafety::AtMostOnce,
             answer: Rc::new(()),
             bytes: 9,
+            may_have_run: true,
         };
         table.complete(u64::from(number), &key(number), request(number as u8), completion);
         assert!(table.cached_answers() <= 4);
--- a/crates/gateway/src/request_table.rs
+++ b/crates/gateway/src/request_table.rs
@@ -121,6 +121,8 @@
     pub ended: bool,
     /// One of its attempts has timed out.
     pub timed_out: bool,
+    /// One of its closed attempts may have been executed.
+    pub may_have_run: bool,
     /// Data of the protocol.
     pub data: T,
 }
@@ -205,8 +207,15 @@
 
     /// Adds a request.
     pub fn insert(&mut self, request: RequestId, arrived_at: Micros, deadline: Micros, data: T) {
-        let state =
-            RequestState { arrived_at, deadline, attempts: Vec::new(), ended: false, timed_out: false, data };
+        let state = RequestState {
+            arrived_at,
+            deadline,
+            attempts: Vec::new(),
+            ended: false,
+            timed_out: false,
+            may_have_run: false,
+            data,
+        };
         self.requests.insert(request, state);
     }
 
@@ -262,6 +271,7 @@
         let request = self.requests.get_mut(&id.request)?;
         let attempt = request.attempts.get_mut(id.index).filter(|attempt| !attempt.closed)?;
         attempt.closed = true;
+        request.may_have_run |= result.outcome.may_have_run();
         self.by_timeout.remove(&(attempt.times_out_at, id));
         let elapsed = now - attempt.sent_at;
         let result = AttemptResult { request_ended: request.ended, elapsed, ..result };
--- a/crates/gateway/tests/event_identity.rs
+++ b/crates/gateway/tests/event_identity.rs
@@ -1,10 +1,10 @@
 //! Which events are the same: an event whose content differs from that of another with its `source` and `id`
 //! is refused and gets no answer of the other; a retry of a client still joins, or its answer is replayed.
 mod common;
-use applepond::interface::CustomerConfig;
+use applepond::interface::{CustomerConfig, IdempotencyScope, RetrySafety};
 use applepond_gateway::Deployment;
 use applepond_gateway::deployment::WorkflowConfig;
-use applepond_reactor::Closed;
+use applepond_reactor::{Closed, ConnectionId};
 use applepond_workflow::{Function, Plan, Step};
 use common::events::*;
 use common::*;
@@ -151,6 +151,36 @@
     assert_refused(&sim, retry);
 }
 
+// A keyed request may be rejected although it may have run, where all workers recognise its retry by the key.
+// Regression: the key was free then, and workers would answer another event with the first one's result.
+#[test]
+fn the_key_of_a_rejected_request_that_may_have_run_is_not_free() {
+    let everywhere = RetrySafety::Keyed { scope: IdempotencyScope::Everywhere, window: 30 * S };
+    let mut deployment = deployment_with_workflow(1);
+    deployment.startup.workloads[1].retry_safety = everywhere;
+    deployment.startup.attempt_policy.max_attempts = 100;
+    let mut sim = SimulatedGateway::new(deployment);
+    let client = send(&mut sim, &changed("hold", LESS_TIME));
+    let conn = sim.worker_connections()[0];
+    sim.disconnect(conn, Closed::Reset);
+    for _ in 0..20 {
+        sim.advance(100 * MS);
+        let connections = sim.transport.connections.clone();
+        let is_open = |conn: &ConnectionId| !sim.transport.cut.contains(conn);
+        for (open, _) in connections.iter().skip(1).filter(|(conn, _)| is_open(conn)).collect::<Vec<_>>() {
+            sim.disconnect(*open, Closed::NotEstablished);
+        }
+    }
+    assert_eq!(sim.statuses(client), [503], "{}", sim.output(client));
+    let other = send(&mut sim, &changed("hold", OTHER_DATA));
+    assert_refused(&sim, other);
+    let retry = send(&mut sim, &changed("hold", MARKED));
+    sim.advance(S);
+    let conn = *sim.worker_connections().last().expect("a connection to the worker");
+    sim.receive(conn, result("{\"for\":1}").as_bytes());
+    assert!(sim.output(retry).ends_with("{\"for\":1}"), "{}", sim.output(retry));
+}
+
 // Regression: another event with the id of a rejected one was counted as its retry, and used up the time that
 // was reserved for that.
 #[test]
--- a/src/control/retry.rs
+++ b/src/control/retry.rs
@@ -73,16 +73,7 @@
 
 /// Whether a request may have been executed, judging by the outcome of its attempt.
 fn state_after_outcome(outcome: Outcome) -> AttemptState {
-    match outcome {
-        Outcome::NotLoaded | Outcome::Overloaded | Outcome::ConnectFailed | Outcome::Superseded => {
-            AttemptState::NeverRan
-        }
-        Outcome::Finished
-        | Outcome::Error
-        | Outcome::TimedOut
-        | Outcome::ConnectionLost
-        | Outcome::Cancelled => AttemptState::MayHaveRun,
-    }
+    if outcome.may_have_run() { AttemptState::MayHaveRun } else { AttemptState::NeverRan }
 }
 
 impl Control {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -287,6 +287,20 @@
     Superseded,
 }
 
+impl Outcome {
+    /// Whether the attempt may have been executed.
+    pub fn may_have_run(self) -> bool {
+        match self {
+            Outcome::NotLoaded | Outcome::Overloaded | Outcome::ConnectFailed | Outcome::Superseded => false,
+            Outcome::Finished
+            | Outcome::Error
+            | Outcome::TimedOut
+            | Outcome::ConnectionLost
+            | Outcome::Cancelled => true,
+        }
+    }
+}
+
 /// State of the function at the worker, as reported by a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LoadState {
