--- a/crates/cli/tests/known_red.rs
+++ b/crates/cli/tests/known_red.rs
@@ -7,18 +7,25 @@
 const SKIP_BOTH: &str = "--skip leaving --skip ends::late::case_1 ";
 const TESTS: &str = "leaving: test\nends::late::case_1: test\nsame: test\nsame: test\nslow: benchmark\n";
 
+const ENTRY: &str = "leaving | cargo test leaving | ends too early, 1 of 30 | #38\n";
+
 #[test_case("", Some(""); "an empty list")]
 #[test_case("\n  \n", Some(""); "blank lines")]
-#[test_case("leaving | ends too early | #38\n", Some("--skip leaving "); "one test")]
-#[test_case("leaving | a | #1\n\nends::late::case_1 | b, c | #2\n", Some(SKIP_BOTH); "two tests")]
-#[test_case("leaving | a | #1\n".repeat(4).as_str(), None; "more than three entries")]
-#[test_case("leaving\n", None; "no cause and no issue")]
-#[test_case("leaving |  | #1\n", None; "no cause")]
-#[test_case("leaving | a | soon\n", None; "no issue")]
-#[test_case("leav | a | #1\n", None; "prefix of a test name")]
-#[test_case("gone | a | #1\n", None; "no such test")]
-#[test_case("same | a | #1\n", None; "ambiguous name")]
-#[test_case("slow | a | #1\n", None; "a benchmark")]
+#[test_case(ENTRY, Some("--skip leaving "); "one test")]
+#[test_case("leaving | c | a | #1\n\nends::late::case_1 | c | b, c | #2\n", Some(SKIP_BOTH); "two tests")]
+#[test_case("review/8 | review/8/run.sh | 12 of 144 | #62\n", Some(""); "a case, which CI does not run")]
+#[test_case("drill bad-day | drill bad-day --seed 2 | rule 1 | #62\n", Some(""); "a scenario")]
+#[test_case(ENTRY.repeat(4).as_str(), None; "more than three entries")]
+#[test_case("leaving\n", None; "the name alone")]
+#[test_case("leaving | a | #1\n", None; "no command")]
+#[test_case("leaving |  | a | #1\n", None; "an empty command")]
+#[test_case("leaving | c |  | #1\n", None; "nothing seen")]
+#[test_case("leaving | c | a | soon\n", None; "no issue")]
+#[test_case("leav | c | a | #1\n", None; "prefix of a test name")]
+#[test_case("gone | c | a | #1\n", None; "no such test")]
+#[test_case("same | c | a | #1\n", None; "ambiguous name")]
+#[test_case("slow | c | a | #1\n", None; "a benchmark")]
+#[test_case("review/all | c | a | #1\n", None; "no case")]
 fn known_red_list(list: &str, expected: Option<&str>) {
     let folder = std::env::temp_dir().join(format!(
         "applepond-known-red-{}-{:?}",
