gateway: a request that is rejected while an attempt is in flight counts as one that may have run

Cause: `Control` gives a request up first and cancels its attempts then, so at its end an attempt may not be closed; the key of such a keyed request was to be kept, but only closed attempts were asked. By reading; no test showed it. Change: `RequestState::may_have_run` counts an attempt that is not closed. Measured: the regression test of the reserved key has a case without an end of its attempt (it passed before too, as that attempt timed out first); all tests of gateway and node pass.

--- a/crates/gateway/src/gateway/completion.rs
+++ b/crates/gateway/src/gateway/completion.rs
@@ -95,7 +95,7 @@
             request,
             key: state.data.content.key.clone(),
             retry_safety: state.data.retry_safety,
-            may_have_run: state.may_have_run,
+            may_have_run: state.may_have_run(),
         };
         let clients = std::mem::take(&mut state.data.clients);
         self.requests.remove_if_done(request);
--- a/crates/gateway/src/request_table.rs
+++ b/crates/gateway/src/request_table.rs
@@ -122,7 +122,7 @@
     /// One of its attempts has timed out.
     pub timed_out: bool,
     /// One of its closed attempts may have been executed.
-    pub may_have_run: bool,
+    closed_may_have_run: bool,
     /// Data of the protocol.
     pub data: T,
 }
@@ -135,6 +135,11 @@
         !self.ended && now < self.attempts[index].start_deadline
     }
 
+    /// Whether an attempt may have been executed; one that is not closed may be.
+    pub fn may_have_run(&self) -> bool {
+        self.closed_may_have_run || self.in_flight() > 0
+    }
+
     /// Returns the number of attempts that are not closed.
     pub fn in_flight(&self) -> usize {
         self.attempts.iter().filter(|attempt| !attempt.closed).count()
@@ -213,7 +218,7 @@
             attempts: Vec::new(),
             ended: false,
             timed_out: false,
-            may_have_run: false,
+            closed_may_have_run: false,
             data,
         };
         self.requests.insert(request, state);
@@ -271,7 +276,7 @@
         let request = self.requests.get_mut(&id.request)?;
         let attempt = request.attempts.get_mut(id.index).filter(|attempt| !attempt.closed)?;
         attempt.closed = true;
-        request.may_have_run |= result.outcome.may_have_run();
+        request.closed_may_have_run |= result.outcome.may_have_run();
         self.by_timeout.remove(&(attempt.times_out_at, id));
         let elapsed = now - attempt.sent_at;
         let result = AttemptResult { request_ended: request.ended, elapsed, ..result };
--- a/crates/gateway/tests/event_identity.rs
+++ b/crates/gateway/tests/event_identity.rs
@@ -153,8 +153,9 @@
 
 // A keyed request may be rejected although it may have run, where all workers recognise its retry by the key.
 // Regression: the key was free then, and workers would answer another event with the first one's result.
-#[test]
-fn the_key_of_a_rejected_request_that_may_have_run_is_not_free() {
+#[test_case(true; "its attempt has ended")]
+#[test_case(false; "its attempt is in flight")]
+fn the_key_of_a_rejected_request_that_may_have_run_is_not_free(attempt_ends: bool) {
     let everywhere = RetrySafety::Keyed { scope: IdempotencyScope::Everywhere, window: 30 * S };
     let mut deployment = deployment_with_workflow(1);
     deployment.startup.workloads[1].retry_safety = everywhere;
@@ -162,7 +163,9 @@
     let mut sim = SimulatedGateway::new(deployment);
     let client = send(&mut sim, &changed("hold", LESS_TIME));
     let conn = sim.worker_connections()[0];
-    sim.disconnect(conn, Closed::Reset);
+    if attempt_ends {
+        sim.disconnect(conn, Closed::Reset);
+    }
     for _ in 0..20 {
         sim.advance(100 * MS);
         let connections = sim.transport.connections.clone();
