serve: a chain's keyed step whose answer broke off is sent again only inside its window

Cause: a rejection by `Control` was taken for "never ran", but a keyed request that all workers recognise may be rejected although an attempt may have run. The router is the client of a step, and had no window for its own retry. Why it works: the time of the first send stays on record until an end is known, and each later send is bounded by it.

--- a/crates/gateway/src/gateway/completion.rs
+++ b/crates/gateway/src/gateway/completion.rs
@@ -84,7 +84,8 @@
         let Some(state) = self.requests.end(request) else { return };
         if let Some(on_end) = state.data.on_end.take() {
             let duration = now - state.arrived_at;
-            let end = StepEnd { answer, duration, was_loaded: state.data.was_loaded };
+            let (was_loaded, may_have_run) = (state.data.was_loaded, state.may_have_run());
+            let end = StepEnd { answer, duration, was_loaded, may_have_run };
             self.requests.remove_if_done(request);
             self.workflows.ended_steps.push_back(EndedStep { on_end, end });
             return;
--- a/crates/gateway/src/gateway/workflow/mod.rs
+++ b/crates/gateway/src/gateway/workflow/mod.rs
@@ -39,6 +39,8 @@
     pub(super) duration: Micros,
     /// The function was already loaded when the request arrived at the worker that answered.
     pub(super) was_loaded: bool,
+    /// An attempt may have been executed, whatever the answer says.
+    pub(super) may_have_run: bool,
 }
 
 /// Called when the request of a step has ended.
--- a/crates/gateway/src/gateway/workflow/steps.rs
+++ b/crates/gateway/src/gateway/workflow/steps.rs
@@ -28,16 +28,16 @@
     request: RequestId,
     step: StepId,
     function: FunctionId,
-    /// If it may have run before a restart: until when the workers recognise a duplicate.
+    /// If an earlier request of it may have run: until when it may be sent again.
     resend_until: Option<Micros>,
 }
 
 impl StartedStep {
-    /// How the step ended. One that may have run before a restart, and can no longer be sent again, still may
-    /// have run if its request was rejected.
-    fn status(&self, now: Micros, outcome: FinalOutcome) -> StepStatus {
+    /// How the step ended. `resend_until` is until when it may be sent again if an attempt may have run.
+    /// After that time it counts as one that may have run, even if its last request was rejected.
+    fn status(now: Micros, outcome: FinalOutcome, resend_until: Option<Micros>) -> StepStatus {
         match step_outcome(outcome) {
-            StepStatus::NeverRan if self.resend_until.is_some_and(|until| now + RESEND_MARGIN >= until) => {
+            StepStatus::NeverRan if resend_until.is_some_and(|until| now + RESEND_MARGIN >= until) => {
                 StepStatus::MayHaveRun
             }
             status => status,
@@ -45,6 +45,24 @@
     }
 }
 
+impl ActiveWorkflow {
+    /// Until when a keyed step that was first sent at `sent_at` may be sent again: then its workers may have
+    /// forgotten its key.
+    fn resend_until(&self, step: StepId, sent_at: Micros) -> Option<Micros> {
+        match self.run.plan().step(step).effect {
+            RetrySafety::Keyed { window, .. } => Some((sent_at + window).saturating_sub(RESEND_MARGIN)),
+            RetrySafety::Idempotent | RetrySafety::AtMostOnce => None,
+        }
+    }
+
+    /// The same for a step whose request has ended, if an attempt may have run. Its record has the time at
+    /// which it was first sent.
+    fn resend_until_after(&self, step: StepId, end: &StepEnd) -> Option<Micros> {
+        let recorded = self.stored.steps.get(&(step.0 as u32)).filter(|_| end.may_have_run)?;
+        self.resend_until(step, recorded.sent_at)
+    }
+}
+
 /// The undo of one step.
 #[derive(Clone)]
 struct Undo {
@@ -194,12 +212,7 @@
         let priority_factor =
             self.with_run(now, request, |run, step_times| run.priority_factor(now, step_times));
         let Some(workflow) = self.workflows.active.get(&request) else { return };
-        let resend_until = match (workflow.run.plan().step(step).effect, first_sent_at) {
-            (RetrySafety::Keyed { window, .. }, Some(first_sent_at)) => {
-                Some((first_sent_at + window).saturating_sub(RESEND_MARGIN))
-            }
-            _ => None,
-        };
+        let resend_until = first_sent_at.and_then(|sent_at| workflow.resend_until(step, sent_at));
         let started = StartedStep { request, step, function: FunctionId::named(&function), resend_until };
         let on_end: OnStepEnd = Box::new(move |gateway, now, transport, end| {
             gateway.step_ended(now, transport, started, &end);
@@ -224,19 +237,23 @@
         end: &StepEnd,
     ) {
         let StartedStep { request, step, function, .. } = started;
-        let outcome = started.status(now, end.answer.outcome);
         let is_finished = end.answer.outcome == FinalOutcome::Finished;
         if is_finished {
             self.workflows.times.record(now, function, end.duration, end.was_loaded);
         }
         let Some(workflow) = self.workflows.active.get_mut(&request) else { return };
         workflow.in_flight.remove(&step);
+        let resend_until = started.resend_until.or_else(|| workflow.resend_until_after(step, end));
+        let outcome = StartedStep::status(now, end.answer.outcome, resend_until);
+        if outcome == StepStatus::NeverRan && resend_until.is_some() {
+            workflow.run.step_may_have_run(step);
+        }
         workflow.retry_after = end.answer.retry_after;
         if is_finished {
             workflow.last_finished = Some(FinishedStep { step, answer: end.answer.clone() });
         }
-        // The record of a step that was sent before a restart still says that it may have run.
-        if outcome != StepStatus::NeverRan || started.resend_until.is_none() {
+        // The record of a step that may have run before still says so.
+        if outcome != StepStatus::NeverRan || resend_until.is_none() {
             self.record_step_end(now, transport, request, step, outcome, &end.answer);
         }
         let retry_after = end.answer.retry_after;
--- a/crates/gateway/tests/workflow_resend.rs
+++ b/crates/gateway/tests/workflow_resend.rs
@@ -4,7 +4,7 @@
 use applepond::interface::{IdempotencyScope, RetrySafety};
 use applepond_gateway::Deployment;
 use applepond_gateway::deployment::WorkflowConfig;
-use applepond_reactor::ConnectionId;
+use applepond_reactor::{Closed, ConnectionId};
 use applepond_workflow::{Branch, Plan, Step, StepId, Target};
 use common::{MS, S, SharedStore, SimulatedGateway, deployment, event, result, step};
 use std::sync::Arc;
@@ -119,3 +119,70 @@
     let (sim, client) = restart(&before, &store, 100 * MS);
     assert_eq!((sends(&sim, "hold"), sim.statuses(client)), (0, vec![502]));
 }
+
+/// Uses up the budget for further attempts, so that a request is given up when an attempt of it breaks off.
+fn use_up_attempt_budget(sim: &mut SimulatedGateway) {
+    for n in 0..40 {
+        sim.send_event("quote", &format!("budget-{n}"));
+        sim.worker_connections();
+        for (conn, _) in sim.transport.connections.clone() {
+            if !sim.transport.cut.contains(&conn) {
+                sim.disconnect(conn, Closed::Reset);
+            }
+        }
+        sim.advance(10 * MS);
+    }
+    sim.advance(5 * S);
+}
+
+/// A gateway that has sent the step `hold`, whose answer then breaks off after `time`. The step is rejected
+/// by `Control`, since all workers recognise its repeats.
+fn hold_that_breaks_off(deployment: Deployment, time: u64) -> (SimulatedGateway, ConnectionId) {
+    let mut deployment = Deployment { endpoint_list: None, ..deployment };
+    deployment.startup.attempt_policy.max_attempts = 100;
+    let mut sim = SimulatedGateway::new(deployment);
+    use_up_attempt_budget(&mut sim);
+    let client = sim.send_event("book", "7");
+    let conn = *sim.worker_connections().last().expect("a connection to the worker");
+    sim.receive(conn, result("{}").as_bytes());
+    sim.advance(20 * MS);
+    let conn = *sim.worker_connections().last().expect("a connection to the worker");
+    assert_eq!(sends(&sim, "hold"), 1);
+    sim.advance(time);
+    sim.disconnect(conn, Closed::Reset);
+    (sim, client)
+}
+
+/// Lets the gateway connect for as long as `time`, and returns the times at which it sent the step again.
+fn resend_times(sim: &mut SimulatedGateway, step: &str, time: u64) -> Vec<u64> {
+    let begin = sim.now;
+    let mut times = Vec::new();
+    while sim.now < begin + time {
+        let before = sends(sim, step);
+        sim.advance(10 * MS);
+        sim.worker_connections();
+        times.extend((before..sends(sim, step)).map(|_| sim.now - begin));
+    }
+    times
+}
+
+// Regression: a step whose answer broke off was taken for one that never ran when its request was rejected,
+// and sent again when the workers no longer recognised it.
+#[test]
+fn a_keyed_step_whose_answer_breaks_off_is_not_sent_again_after_its_window() {
+    let (mut sim, client) = hold_that_breaks_off(deployment_with_hold(1), 2_900 * MS);
+    assert_eq!(resend_times(&mut sim, "hold", 8 * S), Vec::<u64>::new());
+    assert_eq!(sim.statuses(client), [502], "it may have run: {}", sim.output(client));
+}
+
+// Inside its window it is sent again, and its repeat is answered.
+#[test]
+fn a_keyed_step_whose_answer_breaks_off_is_sent_again_inside_its_window() {
+    let (mut sim, client) = hold_that_breaks_off(deployment_with_hold(1), 100 * MS);
+    let times = resend_times(&mut sim, "hold", 2_500 * MS);
+    assert_eq!(times.len(), 1, "{}", sim.output(client));
+    let conn = sim.transport.connections.last().expect("a connection").0;
+    sim.receive(conn, result("{\"held\":1}").as_bytes());
+    sim.advance(100 * MS);
+    assert_eq!(sim.statuses(client), [200], "{}", sim.output(client));
+}
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -4,7 +4,7 @@
 //! record is not sent again, but ends at once with the recorded status.
 use crate::plan::{Branch, Function, Plan, Step, StepId, Target};
 use applepond::interface::Micros;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 mod ending;
@@ -27,7 +27,7 @@
 pub enum StepStatus {
     /// It succeeded and has a result.
     Finished,
-    /// It was rejected and had no effect.
+    /// It was rejected and had no effect, unless an earlier attempt had, see [`Run::step_may_have_run`].
     NeverRan,
     /// It failed and may have had an effect.
     MayHaveRun,
@@ -151,6 +151,8 @@
     states: Vec<StepState>,
     /// Steps in the order in which they were started.
     started: Vec<StepId>,
+    /// Steps of which an earlier attempt may have had an effect, though the last one had none.
+    may_have_run_before: BTreeSet<StepId>,
     /// Fields of results that the plan uses, by step and name.
     results: BTreeMap<(StepId, String), String>,
     forks: Vec<Fork>,
@@ -178,6 +180,7 @@
             started_at: now,
             deadline,
             started: Vec::new(),
+            may_have_run_before: BTreeSet::new(),
             results: BTreeMap::new(),
             forks: Vec::new(),
             last_finished: None,
@@ -280,6 +283,12 @@
         commands
     }
 
+    /// Notes that a step may have had an effect, whatever becomes of its later attempts: if the run fails, it
+    /// is undone. To be called before the end of an attempt is reported that had none.
+    pub fn step_may_have_run(&mut self, step: StepId) {
+        self.may_have_run_before.insert(step);
+    }
+
     /// Handles a step that could not be recorded before it was sent. It is not retried, as a full disk is
     /// not expected to recover in time.
     pub fn store_failed(&mut self, now: Micros, step: StepId, step_times: StepTimes<'_>) -> Vec<Command> {
--- a/crates/workflow/src/run/ending.rs
+++ b/crates/workflow/src/run/ending.rs
@@ -66,7 +66,8 @@
 
     /// Whether a step may have had an effect.
     fn may_have_run(&self, step: StepId) -> bool {
-        matches!(self.states[step.0], StepState::Ended(StepStatus::Finished | StepStatus::MayHaveRun))
+        self.may_have_run_before.contains(&step)
+            || matches!(self.states[step.0], StepState::Ended(StepStatus::Finished | StepStatus::MayHaveRun))
     }
 
     /// Undos of the steps that may have run, last step first. An undo without a known function cannot be run.
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -2,7 +2,7 @@
 mod common;
 
 use applepond::interface::RetrySafety::AtMostOnce;
-use applepond_workflow::{Command, Step, StepStatus};
+use applepond_workflow::{Command, Step, StepId, StepStatus};
 use common::*;
 use std::collections::BTreeMap;
 use test_case::test_case;
@@ -258,3 +258,24 @@
     b.begin();
     assert_eq!(b.end_step(50, 0, StepStatus::NeverRan, &[]), ["rejected at photos: StepFailed"]);
 }
+
+// A keyed step that was rejected although an attempt of it may have run is retried. Regression: if the run
+// then failed for another reason, the step was taken for one that never ran, and was not undone.
+#[test_case(true, &["failed at beds-2: NoTime", "undo by release-2"]; "an attempt may have run")]
+#[test_case(false, &["rejected at beds-2: NoTime"]; "no attempt ran")]
+fn a_step_that_may_have_run_before_is_undone(may_have_run: bool, want: &[&str]) {
+    let mut b = Harness::new(vec![
+        idempotent("price").next(&[to(1)]),
+        step("beds-2", KEYED).undone_by(2),
+        step("release-2", KEYED),
+    ]);
+    b.begin();
+    b.finish_step(50, 0);
+    if may_have_run {
+        b.run.step_may_have_run(StepId(1));
+    }
+    let waiting = b.end_step(50, 1, StepStatus::NeverRan, &[]);
+    assert!(waiting[0].starts_with("wait "), "{waiting:?}");
+    b.step_times.insert("beds-2", 9_000 * MS);
+    assert_eq!(b.retry_step(100, 1), want);
+}
