serve: a key stays with its event while workers know it, also without its answer

Callers saw: nothing with usual settings. Where `window` is longer than `remember_for`, another event under the source and id of an ended keyed request was sent once its answer had expired, and a worker that still knew the key would answer it with the first one's result. An answer of more than `remember_bytes` freed its key at once: another event was sent, and the retry of a run-once request was executed again. Cause: the key of an ended request was kept as a part of its answer, not for as long as it stands for its event. Change: `idempotency/retained.rs` keeps what is left of an ended event: its answer, or that it may have run, or its key alone. An expired answer leaves its key until the window has passed since the end. A retry whose answer was too large is answered 502 `killed`. The bounds are those of kept answers; keys alone are dropped first, so that they push out no answer. A request gives up a key in use only if it has it (`abandon`). Why it works: no event is sent under a key while one with other content may be known to workers by it.

--- a/crates/gateway/src/gateway/clients.rs
+++ b/crates/gateway/src/gateway/clients.rs
@@ -90,7 +90,7 @@
         }
         let key = &state.data.content.key;
         tracing::info!(id = %key.id, source = %key.source, reason = "client-left", "request ended");
-        self.idempotency.abandon(key);
+        self.idempotency.abandon(key, request);
         self.requests.remove(request);
         self.control.advance_to(now);
         self.control.client_disconnected(&mut self.actions, request);
--- a/crates/gateway/src/gateway/intake.rs
+++ b/crates/gateway/src/gateway/intake.rs
@@ -44,6 +44,16 @@
     }
 }
 
+/// What the idempotency table knows of an event that has arrived.
+pub(super) enum Known {
+    /// It has joined a request, or is answered at once.
+    Handled(Result<(), Rc<Answer>>),
+    /// An earlier request of it may have run, and has no answer that could be replayed.
+    MayHaveRun,
+    /// Nothing: it starts a request or a workflow.
+    Nothing,
+}
+
 /// Logs that an event is refused, and returns its answer.
 pub(super) fn refuse(id: &str, fault: &Fault) -> Rc<Answer> {
     tracing::info!(id, reason = fault.reason, status = fault.status, "event refused");
@@ -71,8 +81,10 @@
         let customer = self.customer_of(&event)?;
         let identity = EventIdentity::of(&event);
         let limit = self.deployment.workloads[workload].deadline;
-        if let Some(known) = self.join_or_replay(now, conn, &identity, limit, &event) {
-            return known;
+        match self.join_or_replay(now, conn, &identity, limit, &event) {
+            Known::Handled(result) => return result,
+            Known::MayHaveRun => return Err(self.refuse_repeat(&event)),
+            Known::Nothing => {}
         }
         self.check_not_stored(now, &identity, &event)?;
         self.check_is_no_step(now, &identity, &event)?;
@@ -183,9 +195,9 @@
         })
     }
 
-    /// Attaches a client to the request or workflow in progress of the same event, or returns as `Err` the
-    /// cached answer, or a refusal if the key belongs to another event. Returns `None` if the key is new.
-    /// `limit` is the time limit of the event's type.
+    /// Attaches a client to the request or workflow in progress of the same event, or returns the cached
+    /// answer, or a refusal if the key belongs to another event. `limit` is the time limit of the event's
+    /// type.
     pub(super) fn join_or_replay(
         &mut self,
         now: Micros,
@@ -193,26 +205,35 @@
         identity: &EventIdentity,
         limit: Micros,
         event: &ReceivedEvent,
-    ) -> Option<Result<(), Rc<Answer>>> {
+    ) -> Known {
         match self.idempotency.look_up(now, identity) {
             Lookup::InProgress(request) => {
                 let time_left = match self.time_left_of(now, limit, event) {
                     Ok(time_left) => time_left,
-                    Err(expired) => return Some(Err(expired)),
+                    Err(expired) => return Known::Handled(Err(expired)),
                 };
                 self.counters.joined += 1;
                 self.join(now, conn, request, time_left);
-                Some(Ok(()))
+                Known::Handled(Ok(()))
             }
             Lookup::Completed(answer) => {
                 self.counters.replayed += 1;
-                Some(Err(answer))
+                Known::Handled(Err(answer))
             }
-            Lookup::OtherEvent => Some(Err(self.refuse_other_event(event))),
-            Lookup::New => None,
+            Lookup::OtherEvent => Known::Handled(Err(self.refuse_other_event(event))),
+            Lookup::MayHaveRun => Known::MayHaveRun,
+            Lookup::New => Known::Nothing,
         }
     }
 
+    /// Answers an event of which an earlier request may have run, and which must not be sent again.
+    fn refuse_repeat(&mut self, event: &ReceivedEvent) -> Rc<Answer> {
+        self.counters.replayed += 1;
+        let fault = Fault::new(502, "killed", "the job may have run; its answer is no longer known");
+        tracing::info!(id = event.id, source = event.source, reason = fault.reason, "event not sent again");
+        Answer::problem(FinalOutcome::Failed, &fault, Some(&event.id), None)
+    }
+
     /// Refuses an event whose key belongs to another event. It is no rejection: this instance does not know
     /// whether an earlier attempt of the refused event has run, here or elsewhere.
     pub(super) fn refuse_other_event(&mut self, event: &ReceivedEvent) -> Rc<Answer> {
--- a/crates/gateway/src/gateway/state_page.rs
+++ b/crates/gateway/src/gateway/state_page.rs
@@ -58,7 +58,7 @@
                 "id-conflicts": counters.id_conflicts,
                 "requests-refused": counters.unreadable},
             "executions": {"out": open.attempts, "begun": counters.attempts},
-            "remembered": self.idempotency.cached_answers(),
+            "remembered": self.idempotency.retained(),
             "chains": self.workflows.state(),
             "storm": self.storm_state(now),
             "connections": {"clients": self.clients.len(), "workers": self.workers.connections.len(),
--- a/crates/gateway/src/gateway/workflow/intake.rs
+++ b/crates/gateway/src/gateway/workflow/intake.rs
@@ -5,7 +5,7 @@
 use crate::deployment::WorkflowConfig;
 use crate::event_identity::{EventContent, EventIdentity};
 use crate::gateway::Gateway;
-use crate::gateway::intake::{Admitted, refuse};
+use crate::gateway::intake::{Admitted, Known, refuse};
 use crate::gateway::nothing_ran::NothingRan;
 use crate::idempotency::{FinalOutcome, IdempotencyKey};
 use applepond::interface::{CustomerId, Micros, RequestId, RetrySafety};
@@ -54,8 +54,10 @@
         let customer = self.customer_of(&event)?;
         let identity = EventIdentity::of(&event);
         let limit = self.deployment.workflows[index].plan.limit;
-        if let Some(known) = self.join_or_replay(now, conn, &identity, limit, &event) {
-            return known;
+        match self.join_or_replay(now, conn, &identity, limit, &event) {
+            Known::Handled(result) => return result,
+            // What may have run is on record.
+            Known::MayHaveRun | Known::Nothing => {}
         }
         let config = &self.deployment.workflows[index];
         let plan = config.plan.clone();
--- a/crates/gateway/src/idempotency.rs
+++ b/crates/gateway/src/idempotency.rs
@@ -2,18 +2,22 @@
 //!
 //! The key of an event is its `source` and `id`. An event that is the same as the one of a request in
 //! progress (`event_identity`) joins that request. After its end, the answer is replayed if running the
-//! request again could do harm or would only repeat work. The cache of answers is bounded by age, number and
-//! total size. While a key is in progress or its answer cached, another event with the same key is refused:
-//! workers that recognise duplicates by the key would give it the answer of the first one.
+//! request again could do harm or would only repeat work. While a key is in progress, its answer cached, or
+//! the key known to workers, another event with the same key is refused: workers that recognise duplicates by
+//! the key would give it the answer of the first one.
 //!
-//! State: the keys in progress and the cached answers. Updated by the gateway when a request or a workflow
-//! starts or ends, or is dropped because its last client disconnected before anything was sent.
+//! State: the keys in progress, and what is retained of ended requests (`retained`). Updated by the gateway
+//! when a request or a workflow starts or ends, or is dropped because its last client disconnected before
+//! anything was sent.
 use crate::deployment::AnswerRetention;
 use crate::event_identity::{EventContent, EventIdentity};
 use applepond::interface::{Micros, RequestId, RetrySafety};
-use std::collections::{BTreeSet, HashMap};
+use retained::{NewEntry, Retained, RetainedEvents};
+use std::collections::HashMap;
 use std::rc::Rc;
 
+mod retained;
+
 /// `source` and `id` of an event.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct IdempotencyKey {
@@ -52,6 +56,9 @@
     InProgress(RequestId),
     /// A request of the same event has ended; its answer is replayed.
     Completed(Rc<A>),
+    /// A request of the same event may have run, and has no answer that could be replayed; it must not be
+    /// started again.
+    MayHaveRun,
     /// The key belongs to an event with other content; this one is refused.
     OtherEvent,
 }
@@ -74,27 +81,10 @@
     content: EventContent,
 }
 
-/// What is kept of a request that has ended, until it expires.
-struct CachedAnswer<A> {
-    content: EventContent,
-    expires_at: Micros,
-    /// Sequence number of the completion; distinguishes answers that expire at the same time.
-    sequence: u64,
-    /// Size of the answer, its key and the digest of its event.
-    bytes: usize,
-    /// The answer that is replayed; `None` if only other events are kept from the key.
-    answer: Option<Rc<A>>,
-}
-
 /// Keys in progress and cached answers of type `A`.
 pub(crate) struct IdempotencyTable<A> {
     in_progress: HashMap<IdempotencyKey, InProgress>,
-    cached: HashMap<IdempotencyKey, CachedAnswer<A>>,
-    /// Expiry, sequence number and key of each cached answer, in the order of expiry.
-    by_expiry: BTreeSet<(Micros, u64, IdempotencyKey)>,
-    last_sequence: u64,
-    /// Total size of the cached answers and their keys.
-    cached_bytes: usize,
+    ended: RetainedEvents<A>,
     retention: AnswerRetention,
 }
 
@@ -108,53 +98,51 @@
     }
 }
 
-/// How long workers know the key of a request that was rejected although it may have run, which is told only
-/// where a retry does no harm. Until then they would answer another event with its key with its result.
-fn reserved_time<A>(completion: &Completion<A>) -> Option<Micros> {
-    match (completion.outcome, completion.retry_safety) {
-        (FinalOutcome::Rejected, RetrySafety::Keyed { window, .. }) if completion.may_have_run => {
-            Some(window)
-        }
-        _ => None,
+/// What a retry of the event finds after this end; `None` if it starts a new request and workers know no key.
+fn retained_after<A>(completion: &Completion<A>, max_bytes: usize) -> Option<Retained<A>> {
+    let Completion { outcome, retry_safety, answer, bytes, may_have_run } = completion;
+    let is_keyed = matches!(retry_safety, RetrySafety::Keyed { .. });
+    if !is_replayed(*outcome, *retry_safety) {
+        return (is_keyed && *may_have_run).then_some(Retained::KeyOnly);
     }
+    if *bytes <= max_bytes {
+        return Some(Retained::Answer(answer.clone()));
+    }
+    (*retry_safety != RetrySafety::Idempotent).then_some(Retained::MayHaveRun)
 }
 
 impl<A> IdempotencyTable<A> {
     /// Creates an empty table.
     pub(crate) fn new(retention: AnswerRetention) -> Self {
-        IdempotencyTable {
-            in_progress: HashMap::new(),
-            cached: HashMap::new(),
-            by_expiry: BTreeSet::new(),
-            last_sequence: 0,
-            cached_bytes: 0,
-            retention,
-        }
+        IdempotencyTable { in_progress: HashMap::new(), ended: RetainedEvents::new(retention), retention }
     }
 
-    /// Returns the number of cached answers.
-    pub(crate) fn cached_answers(&self) -> usize {
-        self.cached.len()
+    /// Returns the number of ended events of which something is retained.
+    pub(crate) fn retained(&self) -> usize {
+        self.ended.len()
     }
 
-    /// Looks up an event, after dropping expired answers.
+    /// Looks up an event, after dropping what has expired.
     pub(crate) fn look_up(&mut self, now: Micros, event: &EventIdentity) -> Lookup<A> {
-        self.drop_expired(now);
+        self.ended.drop_expired(now);
         let EventIdentity { key, content } = event;
-        match (self.in_progress.get(key), self.cached.get(key)) {
-            (None, None) => Lookup::New,
-            (Some(entry), _) if entry.content.is_same(content) => Lookup::InProgress(entry.request),
-            (None, Some(cached)) if cached.content.is_same(content) => {
-                cached.answer.clone().map_or(Lookup::New, Lookup::Completed)
-            }
-            _ => Lookup::OtherEvent,
+        if let Some(entry) = self.in_progress.get(key) {
+            let is_same = entry.content.is_same(content);
+            return if is_same { Lookup::InProgress(entry.request) } else { Lookup::OtherEvent };
+        }
+        match self.ended.get(key) {
+            None => Lookup::New,
+            Some((ended, _)) if !ended.is_same(content) => Lookup::OtherEvent,
+            Some((_, Retained::Answer(answer))) => Lookup::Completed(answer.clone()),
+            Some((_, Retained::MayHaveRun)) => Lookup::MayHaveRun,
+            Some((_, Retained::KeyOnly)) => Lookup::New,
         }
     }
 
-    /// Whether a request with this key is in progress, or its answer cached.
+    /// Whether a request with this key is in progress, or something is retained of one that has ended.
     pub(crate) fn is_in_use(&mut self, now: Micros, key: &IdempotencyKey) -> bool {
-        self.drop_expired(now);
-        self.in_progress.contains_key(key) || self.cached.contains_key(key)
+        self.ended.drop_expired(now);
+        self.in_progress.contains_key(key) || self.ended.contains(key)
     }
 
     /// Returns the request or workflow in progress with this key.
@@ -169,13 +157,14 @@
         entry.or_insert(InProgress { request, content: event.content });
     }
 
-    /// Removes the key of a request that is dropped before it was sent, as no client waits for it.
-    pub(crate) fn abandon(&mut self, key: &IdempotencyKey) {
-        self.in_progress.remove(key);
+    /// Removes the key of a request that is dropped before it was sent, as no client waits for it. Has no
+    /// effect if the key is in progress for another request.
+    pub(crate) fn abandon(&mut self, key: &IdempotencyKey, request: RequestId) {
+        self.take_in_progress(key, request);
     }
 
-    /// Records the end of a request, and caches its answer if it is to be replayed, or reserves its key if
-    /// workers know it. Has no effect if the key is in progress for another request.
+    /// Records the end of a request, and retains its answer if it is to be replayed, and its key if workers
+    /// know it. Has no effect if the key is in progress for another request.
     pub(crate) fn complete(
         &mut self,
         now: Micros,
@@ -184,38 +173,19 @@
         completion: Completion<A>,
     ) {
         let Some(content) = self.take_in_progress(key, request) else { return };
-        if is_replayed(completion.outcome, completion.retry_safety) {
-            let Completion { answer, bytes, .. } = completion;
-            self.cache(now + self.retention.time, key, content, bytes, Some(answer));
-        } else if let Some(time) = reserved_time(&completion) {
-            self.cache(now + time, key, content, 0, None);
-        }
-        self.drop_expired(now);
-    }
-
-    /// Keeps an answer of this size, or the key alone, until `expires_at`. An answer that exceeds the limit
-    /// by itself is not kept.
-    fn cache(
-        &mut self,
-        expires_at: Micros,
-        key: &IdempotencyKey,
-        content: EventContent,
-        answer_bytes: usize,
-        answer: Option<Rc<A>>,
-    ) {
-        if answer_bytes > self.retention.max_bytes {
-            return;
-        }
-        self.last_sequence += 1;
-        let sequence = self.last_sequence;
-        let bytes = answer_bytes + key.len() + EventContent::SIZE_BYTES;
-        let cached = CachedAnswer { content, expires_at, sequence, bytes, answer };
-        if let Some(old) = self.cached.insert(key.clone(), cached) {
-            self.by_expiry.remove(&(old.expires_at, old.sequence, key.clone()));
-            self.cached_bytes -= old.bytes;
-        }
-        self.by_expiry.insert((expires_at, sequence, key.clone()));
-        self.cached_bytes += bytes;
+        let Some(retained) = retained_after(&completion, self.retention.max_bytes) else { return };
+        let reserved_until = match completion.retry_safety {
+            RetrySafety::Keyed { window, .. } => now + window,
+            RetrySafety::Idempotent | RetrySafety::AtMostOnce => 0,
+        };
+        let (answer_bytes, expires_at) = match retained {
+            Retained::Answer(_) => (completion.bytes, now + self.retention.time),
+            Retained::MayHaveRun => (0, now + self.retention.time),
+            Retained::KeyOnly => (0, reserved_until),
+        };
+        let key = key.clone();
+        let entry = NewEntry { key, content, retained, answer_bytes, expires_at, reserved_until };
+        self.ended.insert(now, entry);
     }
 
     /// Removes the key of this request, and returns the content of its event.
@@ -223,18 +193,6 @@
         self.in_progress.get(key).filter(|entry| entry.request == request)?;
         self.in_progress.remove(key).map(|entry| entry.content)
     }
-
-    /// Drops expired answers, and then the oldest ones until the limits are met.
-    fn drop_expired(&mut self, now: Micros) {
-        while let Some((expires_at, _, _)) = self.by_expiry.first()
-            && (*expires_at <= now
-                || self.cached.len() > self.retention.max_answers
-                || self.cached_bytes > self.retention.max_bytes)
-        {
-            let Some((_, _, key)) = self.by_expiry.pop_first() else { return };
-            self.cached_bytes -= self.cached.remove(&key).map_or(0, |cached| cached.bytes);
-        }
-    }
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/idempotency/tests.rs
+++ b/crates/gateway/src/idempotency/tests.rs
@@ -113,13 +113,88 @@
             may_have_run: true,
         };
         table.complete(u64::from(number), &key(number), request(number as u8), completion);
-        assert!(table.cached_answers() <= 4);
+        assert!(table.retained() <= 4);
     }
     assert_eq!(
         (table.look_up(100, &event(99)), table.look_up(100, &event(0))),
         (Lookup::Completed(Rc::new(())), Lookup::New)
     );
-    assert!(table.cached_answers() >= 3 && table.in_progress.is_empty());
+    assert!(table.retained() >= 3 && table.in_progress.is_empty());
     table.look_up(5000, &event(1));
-    assert_eq!((table.cached_answers(), table.cached_bytes, table.by_expiry.len()), (0, 0, 0));
+    assert_eq!((table.retained(), table.ended.bytes()), (0, 0));
+}
+
+/// Ends the request of an event at `now`, with an answer of 6 bytes.
+fn end(table: &mut IdempotencyTable<&str>, now: Micros, number: u32, retry_safety: RetrySafety) {
+    table.start(event(number), request(number as u8));
+    let completion = Completion {
+        outcome: FinalOutcome::Finished,
+        retry_safety,
+        answer: Rc::new("answer"),
+        bytes: 6,
+        may_have_run: true,
+    };
+    table.complete(now, &key(number), request(number as u8), completion);
+}
+
+const LONG_WINDOW: RetrySafety = RetrySafety::Keyed { scope: IdempotencyScope::Rack, window: 50 };
+
+// Where workers know a key for longer than its answer is kept, the key alone is kept, at the size of a key.
+#[test]
+fn the_key_outlives_the_answer() {
+    let mut table = table(20, 10, 1000);
+    end(&mut table, 10, 1, LONG_WINDOW);
+    let other = event_with(1, b"[]");
+    assert_eq!(table.look_up(29, &event(1)), Lookup::Completed(Rc::new("answer")));
+    assert_eq!(table.look_up(30, &event(1)), Lookup::New);
+    assert_eq!(table.ended.bytes(), key(1).len() + EventContent::SIZE_BYTES);
+    assert!(table.is_in_use(59, &key(1)));
+    assert_eq!(table.look_up(59, &other), Lookup::OtherEvent);
+    assert_eq!((table.look_up(60, &other), table.ended.bytes()), (Lookup::New, 0));
+}
+
+// Keys that are kept from other events do not push out answers, without which a retry of an
+// at-most-once request would run twice.
+#[test]
+fn keys_alone_are_dropped_before_answers() {
+    let mut table = table(20, 3, 1000);
+    for number in 1..=3 {
+        end(&mut table, u64::from(number), number, LONG_WINDOW);
+    }
+    table.look_up(23, &event(1));
+    assert_eq!(table.retained(), 3, "three keys alone");
+    for number in 4..=6 {
+        end(&mut table, 23, number, RetrySafety::AtMostOnce);
+        assert_eq!(table.retained(), 3);
+    }
+    for number in 4..=6 {
+        assert_eq!(table.look_up(24, &event(number)), Lookup::Completed(Rc::new("answer")));
+    }
+}
+
+// An answer that is larger than all that may be kept: what must not run again does not.
+#[test_case(RetrySafety::Idempotent, Lookup::New, Lookup::New; "idempotent")]
+#[test_case(KEYED, Lookup::MayHaveRun, Lookup::OtherEvent; "keyed")]
+#[test_case(RetrySafety::AtMostOnce, Lookup::MayHaveRun, Lookup::OtherEvent; "at most once")]
+fn an_answer_that_is_too_large(retry_safety: RetrySafety, same: Lookup<&str>, other: Lookup<&str>) {
+    let mut table = table(20, 10, 100);
+    table.start(event(1), request(1));
+    let outcome = FinalOutcome::Finished;
+    let answer = Rc::new("answer");
+    let completion = Completion { outcome, retry_safety, answer, bytes: 101, may_have_run: true };
+    table.complete(10, &key(1), request(1), completion);
+    assert_eq!(table.look_up(29, &event(1)), same);
+    assert_eq!(table.look_up(29, &event_with(1, b"[]")), other);
+    assert_eq!(table.look_up(30, &event_with(1, b"[]")), Lookup::New);
+}
+
+// A request that has not got the key, as it was in use, leaves it to the one that has it.
+#[test]
+fn a_key_is_given_up_by_its_own_request_alone() {
+    let mut table = table::<&str>(20, 10, 100);
+    table.start(event(1), request(1));
+    table.abandon(&key(1), request(2));
+    assert_eq!(table.look_up(0, &event(1)), Lookup::InProgress(request(1)));
+    table.abandon(&key(1), request(1));
+    assert_eq!(table.look_up(0, &event(1)), Lookup::New);
 }
