serve: the retry of a rejected keyed request is sent only inside the first attempt's window

Callers saw: where all workers recognise a keyed request's repeats (`within = "everywhere"`), such a request is rejected (503, "a retry does no harm") although an attempt may have run. Its retry was sent after the window of that attempt too, and ran twice; the rejection's own `Retry-After` could point behind the window; in a retry storm the retry was answered 429 with a time of seconds. Cause: the retry was a new request with a window of its own. Of the first one the table kept the key, not the time until which workers recognise it. Change: the end of a request says until when its event may be sent again (`resend_window`, from the first attempt that may have run). A retry ends by then; a later one is answered 502 `killed` for `remember_for`, and the key is kept as long. A rejection needs a `NothingRan`, which such a retry does not have. A rejection whose `Retry-After` points behind the window becomes a 502. Steps use the same rule instead of their own (`StepEnd::resend_until`). The table's test of the reserved key stated that the event may run again without an end; it is replaced by one that has both periods, one of a retry that is rejected in turn, and one of the cases in which the key is free, which stand as before. Why it works: each request of an event is bounded by the first attempt of all that may have run, as within one request.

--- a/crates/gateway/src/client/answer.rs
+++ b/crates/gateway/src/client/answer.rs
@@ -5,6 +5,8 @@
 use applepond_http::encode::{self, HeaderLines};
 use std::rc::Rc;
 
+const MICROS_PER_SECOND: Micros = 1_000_000;
+
 /// The final answer of a request: sent to each waiting client and, if it is cached, replayed to later
 /// duplicates.
 pub(crate) struct Answer {
@@ -19,7 +21,17 @@
     pub(crate) retry_after: Option<Micros>,
 }
 
+/// The value of `Retry-After` for this delay, in whole seconds.
+fn retry_after_seconds(delay: Micros) -> u64 {
+    delay.div_ceil(MICROS_PER_SECOND).max(1)
+}
+
 impl Answer {
+    /// When a client comes back that follows `Retry-After` to the second; at once if there is none.
+    pub(crate) fn return_time(now: Micros, retry_after: Option<Micros>) -> Micros {
+        now + retry_after.map_or(0, |delay| retry_after_seconds(delay) * MICROS_PER_SECOND)
+    }
+
     /// Creates the answer of a request that finished.
     pub(crate) fn finished(fields: HeaderLines, body: Vec<u8>) -> Self {
         let outcome = FinalOutcome::Finished;
@@ -58,7 +70,7 @@
         let mut head = encode::response(self.status);
         head = head.lines(&self.fields);
         if let Some(wait) = self.retry_after {
-            head = head.field("Retry-After", &wait.div_ceil(1_000_000).max(1).to_string());
+            head = head.field("Retry-After", &retry_after_seconds(wait).to_string());
         }
         if !keep_alive {
             head = head.field("Connection", "close");
--- a/crates/gateway/src/gateway/completion.rs
+++ b/crates/gateway/src/gateway/completion.rs
@@ -4,7 +4,7 @@
 //! Entry points: `Control`'s reject and fail actions, and the first attempt of a request that finishes.
 use super::Gateway;
 use super::extensions::ScheduledRetry;
-use super::request::RequestData;
+use super::request::{RequestData, resend_until_after};
 use super::workflow::{EndedStep, StepEnd};
 use crate::client::Answer;
 use crate::idempotency::{Completion, FinalOutcome, IdempotencyKey};
@@ -19,13 +19,14 @@
     pub(super) request: RequestId,
     pub(super) key: IdempotencyKey,
     pub(super) retry_safety: RetrySafety,
-    /// An attempt may have been executed, whatever its clients are told.
-    pub(super) may_have_run: bool,
+    /// If an attempt may have been executed and it is keyed: until when its event may be sent again.
+    pub(super) resend_until: Option<Micros>,
 }
 
 impl Gateway {
-    /// Handles the rejection of a request by `Control`. The request has never run; `retry_after` is the delay
-    /// suggested by `Control`.
+    /// Handles the rejection of a request by `Control`; `retry_after` is the delay suggested by `Control`.
+    /// The request has never run, or its retry is recognised by all workers. Its client is not told to come
+    /// back when they no longer do.
     pub(super) fn reject_request(
         &mut self,
         now: Micros,
@@ -34,6 +35,9 @@
         retry_after: Option<Micros>,
     ) {
         let retry_after = retry_after.and_then(|wait| self.spread_retry(now, request, wait));
+        if self.is_retry_too_late(now, request, retry_after) {
+            return self.fail_request(now, transport, request);
+        }
         let content = self.requests.get(request).map(|state| &state.data.content);
         if let (Some(history), Some(content), Some(wait)) = (&mut self.history, content, retry_after) {
             history.record_scheduled_retry(now, ScheduledRetry { request: content.digest, wait });
@@ -44,6 +48,14 @@
         self.finish_request(now, transport, request, answer);
     }
 
+    /// Whether the request of a client may have run, and a retry after this delay would come when workers no
+    /// longer recognise it.
+    fn is_retry_too_late(&self, now: Micros, request: RequestId, retry_after: Option<Micros>) -> bool {
+        let state = self.requests.get(request).filter(|state| state.data.on_end.is_none());
+        let Some(until) = state.and_then(resend_until_after) else { return false };
+        Answer::return_time(now, retry_after) >= until
+    }
+
     /// Returns the `Retry-After` of a rejected request. While load is shed, retries are spread over the time
     /// that the client has left, as the delays suggested by `Control` would cause a second wave of retries.
     fn spread_retry(&mut self, now: Micros, request: RequestId, wait: Micros) -> Option<Micros> {
@@ -84,8 +96,8 @@
         let Some(state) = self.requests.end(request) else { return };
         if let Some(on_end) = state.data.on_end.take() {
             let duration = now - state.arrived_at;
-            let (was_loaded, may_have_run) = (state.data.was_loaded, state.may_have_run());
-            let end = StepEnd { answer, duration, was_loaded, may_have_run };
+            let (was_loaded, resend_until) = (state.data.was_loaded, resend_until_after(state));
+            let end = StepEnd { answer, duration, was_loaded, resend_until };
             self.requests.remove_if_done(request);
             self.workflows.ended_steps.push_back(EndedStep { on_end, end });
             return;
@@ -96,7 +108,7 @@
             request,
             key: state.data.content.key.clone(),
             retry_safety: state.data.retry_safety,
-            may_have_run: state.may_have_run(),
+            resend_until: resend_until_after(state),
         };
         let clients = std::mem::take(&mut state.data.clients);
         self.requests.remove_if_done(request);
@@ -116,7 +128,7 @@
             retry_safety: ended.retry_safety,
             answer: answer.clone(),
             bytes: answer.bytes(),
-            may_have_run: ended.may_have_run,
+            resend_until: ended.resend_until,
         };
         self.idempotency.complete(now, &ended.key, ended.request, completion);
     }
--- a/crates/gateway/src/gateway/intake.rs
+++ b/crates/gateway/src/gateway/intake.rs
@@ -50,8 +50,9 @@
     Handled(Result<(), Rc<Answer>>),
     /// An earlier request of it may have run, and has no answer that could be replayed.
     MayHaveRun,
-    /// Nothing: it starts a request or a workflow.
-    Nothing,
+    /// It starts a request or a workflow. If an earlier request of it may have run: until when it may be sent
+    /// again.
+    New { resend_until: Option<Micros> },
 }
 
 /// Logs that an event is refused, and returns its answer.
@@ -81,16 +82,19 @@
         let customer = self.customer_of(&event)?;
         let identity = EventIdentity::of(&event);
         let limit = self.deployment.workloads[workload].deadline;
-        match self.join_or_replay(now, conn, &identity, limit, &event) {
+        let resend_until = match self.join_or_replay(now, conn, &identity, limit, &event) {
             Known::Handled(result) => return result,
             Known::MayHaveRun => return Err(self.refuse_repeat(&event)),
-            Known::Nothing => {}
-        }
+            Known::New { resend_until } => resend_until,
+        };
         self.check_not_stored(now, &identity, &event)?;
         self.check_is_no_step(now, &identity, &event)?;
         let time_left = self.time_left_of(now, limit, &event)?;
         let arrival = self.arrival(&identity, &event, workload, time_left);
-        let admitted = self.admit(now, &event.id, &arrival, &NothingRan::for_new_request())?;
+        let admitted = match NothingRan::for_request(resend_until) {
+            Some(nothing_ran) => self.admit(now, &event.id, &arrival, &nothing_ran)?,
+            None => self.admit_resumed(&event.id, &arrival)?,
+        };
         self.counters.accepted += 1;
         if let (Some(tracker), Some(prefix)) = (&mut self.prefix_tracker, &prefix) {
             tracker.record_use(&prefix.name, prefix.size);
@@ -113,6 +117,7 @@
             priority_factor: 1.0,
             clients: vec![conn],
             on_end: None,
+            resend_until,
         };
         self.start_client_request(now, conn, identity, new);
         Ok(())
@@ -222,14 +227,16 @@
             }
             Lookup::OtherEvent => Known::Handled(Err(self.refuse_other_event(event))),
             Lookup::MayHaveRun => Known::MayHaveRun,
-            Lookup::New => Known::Nothing,
+            Lookup::MayBeSentAgain { until } => Known::New { resend_until: Some(until) },
+            Lookup::New => Known::New { resend_until: None },
         }
     }
 
     /// Answers an event of which an earlier request may have run, and which must not be sent again.
     fn refuse_repeat(&mut self, event: &ReceivedEvent) -> Rc<Answer> {
         self.counters.replayed += 1;
-        let fault = Fault::new(502, "killed", "the job may have run; its answer is no longer known");
+        let detail = "the job may have run; its answer is not known, and workers may not recognise a repeat";
+        let fault = Fault::new(502, "killed", detail);
         tracing::info!(id = event.id, source = event.source, reason = fault.reason, "event not sent again");
         Answer::problem(FinalOutcome::Failed, &fault, Some(&event.id), None)
     }
@@ -272,10 +279,10 @@
         }
     }
 
-    /// Admits the event of a workflow that is resumed and of which a step may have run. It is never rejected:
-    /// the client would take that for a promise that a retry elsewhere is harmless. Admission control is not
-    /// asked, as it would reserve a time for the retry of an event that it rejects. At the limit of open
-    /// requests the event fails.
+    /// Admits the event of a workflow that is resumed and of which a step may have run, or of a request that
+    /// is sent again and may have run. It is never rejected: the client would take that for a promise that a
+    /// retry elsewhere is harmless. Admission control is not asked, as it would reserve a time for the retry
+    /// of an event that it rejects. At the limit of open requests the event fails.
     pub(super) fn admit_resumed(&self, id: &str, arrival: &Arrival) -> Result<Admitted, Rc<Answer>> {
         if self.open_count() >= MAX_OPEN_WITH_RESUMED {
             let fault = Fault::new(502, "too-many-jobs", "this router holds as many jobs as it may");
--- a/crates/gateway/src/gateway/request.rs
+++ b/crates/gateway/src/gateway/request.rs
@@ -3,6 +3,8 @@
 use super::workflow::OnStepEnd;
 use crate::deployment::FunctionConfig;
 use crate::idempotency::IdempotencyKey;
+use crate::request_table::RequestState;
+use crate::resend_window::resend_until;
 use applepond::interface::{
     CustomerId, FunctionId, Micros, RequestArrival, RequestId, RetrySafety, WorkloadId,
 };
@@ -49,6 +51,9 @@
     pub(super) clients: Vec<ConnectionId>,
     /// Called at its end if it is a step of a workflow, for which no client waits.
     pub(super) on_end: Option<OnStepEnd>,
+    /// If an earlier request of the same event or step may have run: until when it may be sent again. The
+    /// request ends then at the latest.
+    pub(super) resend_until: Option<Micros>,
 }
 
 /// The gateway's data of a request in the request table.
@@ -63,12 +68,26 @@
     pub(super) was_loaded: bool,
     /// Called at its end if it is a step of a workflow.
     pub(super) on_end: Option<OnStepEnd>,
+    /// If an earlier request of the same event or step may have run: until when it may be sent again.
+    resend_until: Option<Micros>,
+}
+
+/// Until when the event or the step of a request may be sent again after it; `None` if it is not keyed, or no
+/// attempt of it or of an earlier request may have run.
+pub(super) fn resend_until_after(state: &RequestState<RequestData>) -> Option<Micros> {
+    let first_sent_at = state.first_possible_run();
+    let own = first_sent_at.and_then(|sent_at| resend_until(state.data.retry_safety, sent_at));
+    own.into_iter().chain(state.data.resend_until).min()
 }
 
 impl Gateway {
     /// Starts a request and passes it to `Control`.
     pub(super) fn start_request(&mut self, now: Micros, new: NewRequest) -> RequestId {
-        let NewRequest { content, customer, time_left, is_retry, priority_factor, clients, on_end } = new;
+        let NewRequest {
+            content, customer, is_retry, priority_factor, clients, on_end, resend_until, ..
+        } = new;
+        let time_left =
+            new.time_left.min(resend_until.map_or(Micros::MAX, |until| until.saturating_sub(now)));
         let defaults = &self.deployment.workloads[content.workload].default_function;
         let function_config = self.deployment.functions.get(&content.function).unwrap_or(defaults).clone();
         let request = self.next_request_id();
@@ -86,7 +105,15 @@
             priority_factor,
         };
         let retry_safety = self.deployment.startup.workloads[content.workload].retry_safety;
-        let data = RequestData { content, function_config, retry_safety, clients, was_loaded: false, on_end };
+        let data = RequestData {
+            content,
+            function_config,
+            retry_safety,
+            clients,
+            was_loaded: false,
+            on_end,
+            resend_until,
+        };
         self.requests.insert(request, now, now + time_left, data);
         self.control.advance_to(now);
         self.control.request_arrived(&mut self.actions, &arrival);
--- a/crates/gateway/src/gateway/workflow/completion.rs
+++ b/crates/gateway/src/gateway/workflow/completion.rs
@@ -130,7 +130,7 @@
             // Regardless of the failed step's retry safety: earlier steps may have run, so the answer of a
             // failed workflow is replayed instead of running it again.
             retry_safety: RetrySafety::AtMostOnce,
-            may_have_run: answer.outcome != FinalOutcome::Rejected,
+            resend_until: None,
         };
         self.record_end(now, &ended, &answer);
         self.answer_clients(now, transport, clients, &answer);
--- a/crates/gateway/src/gateway/workflow/intake.rs
+++ b/crates/gateway/src/gateway/workflow/intake.rs
@@ -57,7 +57,7 @@
         match self.join_or_replay(now, conn, &identity, limit, &event) {
             Known::Handled(result) => return result,
             // What may have run is on record.
-            Known::MayHaveRun | Known::Nothing => {}
+            Known::MayHaveRun | Known::New { .. } => {}
         }
         let config = &self.deployment.workflows[index];
         let plan = config.plan.clone();
--- a/crates/gateway/src/gateway/workflow/mod.rs
+++ b/crates/gateway/src/gateway/workflow/mod.rs
@@ -39,8 +39,8 @@
     pub(super) duration: Micros,
     /// The function was already loaded when the request arrived at the worker that answered.
     pub(super) was_loaded: bool,
-    /// An attempt may have been executed, whatever the answer says.
-    pub(super) may_have_run: bool,
+    /// If an attempt of the step may have been executed and it is keyed: until when it may be sent again.
+    pub(super) resend_until: Option<Micros>,
 }
 
 /// Called when the request of a step has ended.
--- a/crates/gateway/src/gateway/workflow/recovery.rs
+++ b/crates/gateway/src/gateway/workflow/recovery.rs
@@ -60,7 +60,7 @@
         match self.idempotency.look_up(now, &identity) {
             Lookup::InProgress(_) | Lookup::Completed(_) => return,
             // Another event may have taken the key while the store could not be read.
-            Lookup::New | Lookup::MayHaveRun | Lookup::OtherEvent => {}
+            Lookup::New | Lookup::MayBeSentAgain { .. } | Lookup::MayHaveRun | Lookup::OtherEvent => {}
         }
         let customers = &self.deployment.customers;
         let customer = stored.customer.as_ref();
--- a/crates/gateway/src/gateway/workflow/steps.rs
+++ b/crates/gateway/src/gateway/workflow/steps.rs
@@ -7,6 +7,7 @@
 use crate::gateway::request::{NewRequest, RequestContent};
 use crate::idempotency::FinalOutcome;
 use crate::request_table::AttemptId;
+use crate::resend_window::{RESEND_MARGIN, resend_until};
 use applepond::interface::{FunctionId, Micros, Outcome, RequestId, RetrySafety};
 use applepond_http::encode::HeaderLines;
 use applepond_reactor::Transport;
@@ -18,9 +19,6 @@
 /// Time during which an undo is retried; longer than a rollout takes.
 pub(super) const UNDO_PERIOD: Micros = 300_000_000;
 
-/// Time before the end of a key's window after which a step is not sent again, for the way to the worker.
-const RESEND_MARGIN: Micros = 50_000;
-
 /// A step whose request has been started.
 #[derive(Clone, Copy)]
 struct StartedStep {
@@ -28,8 +26,6 @@
     request: RequestId,
     step: StepId,
     function: FunctionId,
-    /// If an earlier request of it may have run: until when it may be sent again.
-    resend_until: Option<Micros>,
 }
 
 impl StartedStep {
@@ -45,24 +41,6 @@
     }
 }
 
-impl ActiveWorkflow {
-    /// Until when a keyed step that was first sent at `sent_at` may be sent again: then its workers may have
-    /// forgotten its key.
-    fn resend_until(&self, step: StepId, sent_at: Micros) -> Option<Micros> {
-        match self.run.plan().step(step).effect {
-            RetrySafety::Keyed { window, .. } => Some((sent_at + window).saturating_sub(RESEND_MARGIN)),
-            RetrySafety::Idempotent | RetrySafety::AtMostOnce => None,
-        }
-    }
-
-    /// The same for a step whose request has ended, if an attempt may have run. Its record has the time at
-    /// which it was first sent.
-    fn resend_until_after(&self, step: StepId, end: &StepEnd) -> Option<Micros> {
-        let recorded = self.stored.steps.get(&(step.0 as u32)).filter(|_| end.may_have_run)?;
-        self.resend_until(step, recorded.sent_at)
-    }
-}
-
 /// The undo of one step.
 #[derive(Clone)]
 struct Undo {
@@ -202,6 +180,7 @@
             priority_factor: 1.0,
             clients: Vec::new(),
             on_end: Some(on_end),
+            resend_until: None,
         }
     }
 
@@ -212,16 +191,16 @@
         let priority_factor =
             self.with_run(now, request, |run, step_times| run.priority_factor(now, step_times));
         let Some(workflow) = self.workflows.active.get(&request) else { return };
-        let resend_until = first_sent_at.and_then(|sent_at| workflow.resend_until(step, sent_at));
-        let started = StartedStep { request, step, function: FunctionId::named(&function), resend_until };
+        let effect = workflow.run.plan().step(step).effect;
+        let resend_until = first_sent_at.and_then(|sent_at| resend_until(effect, sent_at));
+        let started = StartedStep { request, step, function: FunctionId::named(&function) };
         let on_end: OnStepEnd = Box::new(move |gateway, now, transport, end| {
             gateway.step_ended(now, transport, started, &end);
         });
-        let deadline = deadline.min(resend_until.unwrap_or(deadline));
         let time_left = deadline.saturating_sub(now);
         let new = self.step_request(workflow, step, function, time_left, on_end);
         self.workflows.counters.steps += 1;
-        let step_request = self.start_request(now, NewRequest { priority_factor, ..new });
+        let step_request = self.start_request(now, NewRequest { priority_factor, resend_until, ..new });
         if let Some(workflow) = self.workflows.active.get_mut(&request) {
             workflow.sent_steps += 1;
             workflow.in_flight.insert(step, step_request);
@@ -243,9 +222,8 @@
         }
         let Some(workflow) = self.workflows.active.get_mut(&request) else { return };
         workflow.in_flight.remove(&step);
-        let resend_until = started.resend_until.or_else(|| workflow.resend_until_after(step, end));
-        let outcome = StartedStep::status(now, end.answer.outcome, resend_until);
-        if outcome == StepStatus::NeverRan && resend_until.is_some() {
+        let outcome = StartedStep::status(now, end.answer.outcome, end.resend_until);
+        if outcome == StepStatus::NeverRan && end.resend_until.is_some() {
             workflow.run.step_may_have_run(step);
         }
         workflow.retry_after = end.answer.retry_after;
@@ -253,7 +231,7 @@
             workflow.last_finished = Some(FinishedStep { step, answer: end.answer.clone() });
         }
         // The record of a step that may have run before still says so.
-        if outcome != StepStatus::NeverRan || resend_until.is_none() {
+        if outcome != StepStatus::NeverRan || end.resend_until.is_none() {
             self.record_step_end(now, transport, request, step, outcome, &end.answer);
         }
         let retry_after = end.answer.retry_after;
--- a/crates/gateway/src/idempotency.rs
+++ b/crates/gateway/src/idempotency.rs
@@ -56,8 +56,10 @@
     InProgress(RequestId),
     /// A request of the same event has ended; its answer is replayed.
     Completed(Rc<A>),
-    /// A request of the same event may have run, and has no answer that could be replayed; it must not be
-    /// started again.
+    /// A request of the same event may have run, and has no answer that could be replayed. Until this time
+    /// workers recognise a repeat.
+    MayBeSentAgain { until: Micros },
+    /// The same when workers no longer recognise a repeat: the event must not be sent.
     MayHaveRun,
     /// The key belongs to an event with other content; this one is refused.
     OtherEvent,
@@ -71,8 +73,9 @@
     pub(crate) answer: Rc<A>,
     /// Size of the answer.
     pub(crate) bytes: usize,
-    /// An attempt may have been executed, whatever the outcome is.
-    pub(crate) may_have_run: bool,
+    /// If an attempt may have been executed, whatever the outcome is, and the request is keyed: until when
+    /// its event may be sent again.
+    pub(crate) resend_until: Option<Micros>,
 }
 
 /// A request or workflow in progress.
@@ -100,15 +103,14 @@
 
 /// What a retry of the event finds after this end; `None` if it starts a new request and workers know no key.
 fn retained_after<A>(completion: &Completion<A>, max_bytes: usize) -> Option<Retained<A>> {
-    let Completion { outcome, retry_safety, answer, bytes, may_have_run } = completion;
-    let is_keyed = matches!(retry_safety, RetrySafety::Keyed { .. });
+    let Completion { outcome, retry_safety, answer, bytes, resend_until } = completion;
     if !is_replayed(*outcome, *retry_safety) {
-        return (is_keyed && *may_have_run).then_some(Retained::KeyOnly);
+        return resend_until.map(|resend_until| Retained::MayHaveRun { resend_until });
     }
     if *bytes <= max_bytes {
         return Some(Retained::Answer(answer.clone()));
     }
-    (*retry_safety != RetrySafety::Idempotent).then_some(Retained::MayHaveRun)
+    (*retry_safety != RetrySafety::Idempotent).then_some(Retained::MayHaveRun { resend_until: 0 })
 }
 
 impl<A> IdempotencyTable<A> {
@@ -134,7 +136,10 @@
             None => Lookup::New,
             Some((ended, _)) if !ended.is_same(content) => Lookup::OtherEvent,
             Some((_, Retained::Answer(answer))) => Lookup::Completed(answer.clone()),
-            Some((_, Retained::MayHaveRun)) => Lookup::MayHaveRun,
+            Some((_, Retained::MayHaveRun { resend_until })) if now < *resend_until => {
+                Lookup::MayBeSentAgain { until: *resend_until }
+            }
+            Some((_, Retained::MayHaveRun { .. })) => Lookup::MayHaveRun,
             Some((_, Retained::KeyOnly)) => Lookup::New,
         }
     }
@@ -180,7 +185,7 @@
         };
         let (answer_bytes, expires_at) = match retained {
             Retained::Answer(_) => (completion.bytes, now + self.retention.time),
-            Retained::MayHaveRun => (0, now + self.retention.time),
+            Retained::MayHaveRun { resend_until } => (0, resend_until.max(now) + self.retention.time),
             Retained::KeyOnly => (0, reserved_until),
         };
         let key = key.clone();
--- a/crates/gateway/src/idempotency/retained.rs
+++ b/crates/gateway/src/idempotency/retained.rs
@@ -16,8 +16,9 @@
 pub(super) enum Retained<A> {
     /// The answer, which is replayed.
     Answer(Rc<A>),
-    /// An earlier attempt may have been executed, and its answer is not there to be replayed.
-    MayHaveRun,
+    /// An earlier attempt may have been executed, and no answer is there to be replayed. The event may be
+    /// sent again until this time.
+    MayHaveRun { resend_until: Micros },
     /// Nothing: the event starts a new request.
     KeyOnly,
 }
@@ -153,7 +154,7 @@
     /// The index that has the entries with such a remainder.
     fn expiries_of(&mut self, retained: &Retained<A>) -> &mut BTreeSet<Expiry> {
         match retained {
-            Retained::Answer(_) | Retained::MayHaveRun => &mut self.needed_by_retries,
+            Retained::Answer(_) | Retained::MayHaveRun { .. } => &mut self.needed_by_retries,
             Retained::KeyOnly => &mut self.key_only,
         }
     }
--- a/crates/gateway/src/idempotency/tests.rs
+++ b/crates/gateway/src/idempotency/tests.rs
@@ -51,33 +51,46 @@
         10,
         &key(1),
         request(1),
-        Completion { outcome, retry_safety, answer: Rc::new("answer"), bytes: 6, may_have_run: false },
+        Completion { outcome, retry_safety, answer: Rc::new("answer"), bytes: 6, resend_until: None },
     );
     let expected = if replayed { Lookup::Completed(Rc::new("answer")) } else { Lookup::New };
     assert_eq!(table.look_up(1009, &event(1)), expected);
     assert_eq!(table.look_up(1010, &event(1)), Lookup::New, "expired");
 }
 
-// A keyed request that was rejected although it may have run: its own event runs again, another one with its
-// key does not, as long as workers know the key.
-#[test_case(KEYED, true, Lookup::OtherEvent; "keyed, may have run")]
-#[test_case(KEYED, false, Lookup::New; "keyed, never ran")]
-#[test_case(RetrySafety::AtMostOnce, false, Lookup::New; "at-most-once, never ran")]
-#[test_case(RetrySafety::Idempotent, true, Lookup::New; "idempotent: workers know no keys")]
-fn the_key_of_a_rejected_request_is_reserved_while_workers_know_it(
-    retry_safety: RetrySafety,
-    may_have_run: bool,
-    expected: Lookup<&str>,
-) {
+// A keyed request that was rejected although it may have run: its own event may be sent again as long as
+// workers recognise it, and not after that. Another one with its key is refused.
+#[test]
+fn a_rejected_request_that_may_have_run_is_sent_again_inside_its_window() {
     let mut table = table(1000, 10, 1000);
-    table.start(event(1), request(1));
-    let answer = Rc::new("rejected");
-    let completion =
-        Completion { outcome: FinalOutcome::Rejected, retry_safety, answer, bytes: 8, may_have_run };
-    table.complete(10, &key(1), request(1), completion);
+    let other = event_with(1, b"[]");
+    end_rejected(&mut table, KEYED, Some(13));
+    assert_eq!(table.look_up(12, &event(1)), Lookup::MayBeSentAgain { until: 13 });
+    assert_eq!(table.look_up(13, &event(1)), Lookup::MayHaveRun);
+    assert_eq!(table.look_up(1012, &event(1)), Lookup::MayHaveRun);
+    assert_eq!(table.look_up(1012, &other), Lookup::OtherEvent);
+    assert_eq!(table.look_up(1013, &other), Lookup::New);
+}
+
+// Where none may have run, the key is free.
+#[test_case(KEYED; "keyed, never ran")]
+#[test_case(RetrySafety::AtMostOnce; "at-most-once, never ran")]
+#[test_case(RetrySafety::Idempotent; "idempotent: workers know no keys")]
+fn the_key_of_a_rejected_request_is_free(retry_safety: RetrySafety) {
+    let mut table = table(1000, 10, 1000);
+    end_rejected(&mut table, retry_safety, None);
     assert_eq!(table.look_up(10, &event(1)), Lookup::New);
-    assert_eq!(table.look_up(10 + WINDOW - 1, &event_with(1, b"[]")), expected);
-    assert_eq!(table.look_up(10 + WINDOW, &event_with(1, b"[]")), Lookup::New);
+    assert_eq!(table.look_up(10, &event_with(1, b"[]")), Lookup::New);
+}
+
+// A retry that is rejected without having been sent leaves what is known of the attempt before it.
+#[test]
+fn a_rejected_retry_does_not_free_the_key() {
+    let mut table = table(1000, 10, 1000);
+    end_rejected(&mut table, KEYED, Some(13));
+    end_rejected(&mut table, KEYED, Some(13));
+    assert_eq!(table.look_up(12, &event(1)), Lookup::MayBeSentAgain { until: 13 });
+    assert_eq!((table.look_up(14, &event(1)), table.retained()), (Lookup::MayHaveRun, 1));
 }
 
 // An event with the key of another one finds neither its request nor its answer, until the key is free.
@@ -92,7 +105,7 @@
         retry_safety: KEYED,
         answer: Rc::new("answer"),
         bytes: 6,
-        may_have_run: true,
+        resend_until: None,
     };
     table.complete(10, &key(1), request(1), completion);
     assert_eq!(table.look_up(1009, &other), Lookup::OtherEvent);
@@ -110,7 +123,7 @@
             retry_safety: RetrySafety::AtMostOnce,
             answer: Rc::new(()),
             bytes: 9,
-            may_have_run: true,
+            resend_until: None,
         };
         table.complete(u64::from(number), &key(number), request(number as u8), completion);
         assert!(table.retained() <= 4);
@@ -132,11 +145,19 @@
         retry_safety,
         answer: Rc::new("answer"),
         bytes: 6,
-        may_have_run: true,
+        resend_until: None,
     };
     table.complete(now, &key(number), request(number as u8), completion);
 }
 
+/// Rejects the request of an event at 10; `resend_until` is given if it may have run.
+fn end_rejected(table: &mut IdempotencyTable<&str>, retry_safety: RetrySafety, resend_until: Option<Micros>) {
+    table.start(event(1), request(1));
+    let (outcome, answer) = (FinalOutcome::Rejected, Rc::new("rejected"));
+    let completion = Completion { outcome, retry_safety, answer, bytes: 8, resend_until };
+    table.complete(10, &key(1), request(1), completion);
+}
+
 const LONG_WINDOW: RetrySafety = RetrySafety::Keyed { scope: IdempotencyScope::Rack, window: 50 };
 
 // Where workers know a key for longer than its answer is kept, the key alone is kept, at the size of a key.
@@ -181,7 +202,7 @@
     table.start(event(1), request(1));
     let outcome = FinalOutcome::Finished;
     let answer = Rc::new("answer");
-    let completion = Completion { outcome, retry_safety, answer, bytes: 101, may_have_run: true };
+    let completion = Completion { outcome, retry_safety, answer, bytes: 101, resend_until: None };
     table.complete(10, &key(1), request(1), completion);
     assert_eq!(table.look_up(29, &event(1)), same);
     assert_eq!(table.look_up(29, &event_with(1, b"[]")), other);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `attempt_outcome`: whether an attempt may have run, judged by the events on its connection;
 //! - `event_identity`: which events are the same;
 //! - `idempotency`: which events are duplicates of one request, and which responses are replayed to them;
+//! - `resend_window`: until when a keyed request that may have run may be sent again;
 //! - `deadline`: the time limit of a request;
 //! - `endpoint_list`: how a message of the endpoint list changes a worker's record;
 //! - `reload`: what a new configuration may change in a running instance.
@@ -29,6 +30,7 @@
 mod idempotency;
 pub mod reload;
 pub mod request_table;
+mod resend_window;
 mod worker_connection;
 
 pub use deployment::Deployment;
--- a/crates/gateway/src/request_table.rs
+++ b/crates/gateway/src/request_table.rs
@@ -121,8 +121,8 @@
     pub ended: bool,
     /// One of its attempts has timed out.
     pub timed_out: bool,
-    /// One of its closed attempts may have been executed.
-    closed_may_have_run: bool,
+    /// When the first of its closed attempts that may have been executed was started.
+    closed_first_possible_run: Option<Micros>,
     /// Data of the protocol.
     pub data: T,
 }
@@ -135,9 +135,10 @@
         !self.ended && now < self.attempts[index].start_deadline
     }
 
-    /// Whether an attempt may have been executed; one that is not closed may be.
-    pub fn may_have_run(&self) -> bool {
-        self.closed_may_have_run || self.in_flight() > 0
+    /// When the first attempt that may have been executed was started; one that is not closed may be.
+    pub fn first_possible_run(&self) -> Option<Micros> {
+        let open = self.attempts.iter().filter(|attempt| !attempt.closed).map(|attempt| attempt.sent_at);
+        open.chain(self.closed_first_possible_run).min()
     }
 
     /// Returns the number of attempts that are not closed.
@@ -218,7 +219,7 @@
             attempts: Vec::new(),
             ended: false,
             timed_out: false,
-            closed_may_have_run: false,
+            closed_first_possible_run: None,
             data,
         };
         self.requests.insert(request, state);
@@ -276,7 +277,10 @@
         let request = self.requests.get_mut(&id.request)?;
         let attempt = request.attempts.get_mut(id.index).filter(|attempt| !attempt.closed)?;
         attempt.closed = true;
-        request.closed_may_have_run |= result.outcome.may_have_run();
+        if result.outcome.may_have_run() {
+            let first = request.closed_first_possible_run.get_or_insert(attempt.sent_at);
+            *first = attempt.sent_at.min(*first);
+        }
         self.by_timeout.remove(&(attempt.times_out_at, id));
         let elapsed = now - attempt.sent_at;
         let result = AttemptResult { request_ended: request.ended, elapsed, ..result };
