serve: the record of a chain lasts as long as workers know the keys of its steps

Callers saw: nothing with usual settings. Change: a record expires `remember_for` after the chain's time, or the longest window of its steps after it, whichever is later; after its undos likewise (`record_retention`). The format of records is unchanged, and their number bounded as before. Why it works: the key of an event on record is refused to others, after a restart too, and now for as long as its steps' keys are known. Measured: `a_workflows_key_is_not_free_while_workers_know_those_of_its_steps`: 2 of 2 failed before (same instance, after a restart), 2 pass; all tests of the gateway pass.

--- a/crates/gateway/src/gateway/workflow/completion.rs
+++ b/crates/gateway/src/gateway/workflow/completion.rs
@@ -96,6 +96,10 @@
         request: RequestId,
         outcome: RunOutcome,
     ) {
+        let Some(plan) = self.workflows.active.get(&request).map(|workflow| workflow.run.plan()) else {
+            return;
+        };
+        let retention = self.record_retention(plan);
         let Some(workflow) = self.workflows.active.get_mut(&request) else { return };
         let nothing_ran = NothingRan::for_workflow(Some(&workflow.stored), workflow.run.plan());
         let outcome = match outcome {
@@ -113,7 +117,7 @@
             (RunOutcome::Rejected(step, cause), None) | (RunOutcome::Failed(step, cause), _) => {
                 workflow.stored.failed = true;
                 // Its record must outlast its undos.
-                workflow.stored.expires_at = now + UNDO_PERIOD + self.deployment.answer_retention.time;
+                workflow.stored.expires_at = now + UNDO_PERIOD + retention;
                 (step, workflow.failed_answer(step, cause))
             }
         };
--- a/crates/gateway/src/gateway/workflow/intake.rs
+++ b/crates/gateway/src/gateway/workflow/intake.rs
@@ -76,7 +76,7 @@
         let stored =
             resumed.unwrap_or_else(|| self.new_record(&plan, digest, named_function, customer, event));
         let deadline = now + time_left;
-        let expires_at = deadline + self.deployment.answer_retention.time;
+        let expires_at = deadline + self.record_retention(&plan);
         let stored = WorkflowRecord { deadline, expires_at, closed: false, ..stored };
         let workflow = ActiveWorkflow {
             clients: vec![conn],
--- a/crates/gateway/src/gateway/workflow/recovery.rs
+++ b/crates/gateway/src/gateway/workflow/recovery.rs
@@ -66,7 +66,7 @@
         let customer = stored.customer.as_ref();
         let customer = customer.and_then(|name| customers.iter().position(|known| known == name));
         let request = self.next_request_id();
-        let stored = WorkflowRecord { expires_at: now + self.deployment.answer_retention.time, ..stored };
+        let stored = WorkflowRecord { expires_at: now + self.record_retention(&plan), ..stored };
         let workflow = self.workflow_from_record(now, key, plan, stored, customer.map(CustomerId));
         self.idempotency.start(identity, request);
         self.start_workflow(now, request, workflow);
--- a/crates/gateway/src/gateway/workflow/step_key.rs
+++ b/crates/gateway/src/gateway/workflow/step_key.rs
@@ -30,7 +30,22 @@
     plan.steps.iter().filter(|step| matches!(step.effect, RetrySafety::Keyed { .. }))
 }
 
+/// How long workers know the key of a step after it was sent, at most.
+fn longest_window(plan: &Plan) -> Micros {
+    let windows = plan.steps.iter().map(|step| match step.effect {
+        RetrySafety::Keyed { window, .. } => window,
+        RetrySafety::Idempotent | RetrySafety::AtMostOnce => 0,
+    });
+    windows.max().unwrap_or(0)
+}
+
 impl Gateway {
+    /// How long the record of a workflow is kept after the last of its steps may have been sent: while its
+    /// answer is replayed, and while workers know the keys of its steps.
+    pub(super) fn record_retention(&self, plan: &Plan) -> Micros {
+        self.deployment.answer_retention.time.max(longest_window(plan))
+    }
+
     /// Refuses the event of a request if it has the key of a step of a workflow in progress or on record.
     pub(in crate::gateway) fn check_is_no_step(
         &mut self,
--- a/crates/gateway/tests/event_identity_after_restart.rs
+++ b/crates/gateway/tests/event_identity_after_restart.rs
@@ -1,6 +1,6 @@
 //! Which events are the same after a restart, when only the workflow records are left of the events before.
 mod common;
-use applepond::interface::CustomerConfig;
+use applepond::interface::{CustomerConfig, IdempotencyScope, RetrySafety};
 use applepond_gateway::Deployment;
 use applepond_gateway::deployment::WorkflowConfig;
 use applepond_reactor::{Closed, ConnectionId};
@@ -193,6 +193,42 @@
     assert!(sim.output(retry).ends_with("{\"for\":2}"), "{}", sim.output(retry));
 }
 
+// Regression: the record of a workflow expired while workers still knew the keys of its steps. They would
+// answer the step of another event's workflow with the first one's result.
+#[test_case(false; "at the same instance")]
+#[test_case(true; "after a restart")]
+fn a_workflows_key_is_not_free_while_workers_know_those_of_its_steps(restarts: bool) {
+    let mut deployment = deployment_with_booking(1);
+    let keyed = RetrySafety::Keyed { scope: IdempotencyScope::Rack, window: 90 * S };
+    deployment.startup.workloads[1].retry_safety = keyed;
+    let mut plan = Plan::clone(&deployment.workflows[0].plan);
+    plan.steps[0].effect = keyed;
+    deployment.workflows[0].plan = Arc::new(plan);
+    let store = SharedStore::default();
+    let start = |now| SimulatedGateway::with_store(deployment.clone(), now, Box::new(store.clone()));
+    let mut sim = start(1_000 * S);
+    let client = send(&mut sim, &first_event("book"));
+    sim.worker_connections();
+    respond(&mut sim);
+    respond(&mut sim);
+    assert_eq!(sim.statuses(client), [200]);
+    sim.advance(80 * S);
+    if restarts {
+        sim = start(sim.now);
+    }
+    let before = sim.requests();
+    for other in [changed("book", OTHER_DATA), changed("hold", SAME)] {
+        let client = send(&mut sim, &other);
+        assert_refused(&sim, client);
+    }
+    let like_step = send(&mut sim, &event_like_step("hold", "1/beds"));
+    assert_id_conflict(&sim, like_step);
+    sim.advance(20 * S);
+    assert_eq!(sim.requests(), before, "nothing was sent for them");
+    let other = send(&mut sim, &changed("hold", SAME));
+    assert!(sim.statuses(other).is_empty(), "{}", sim.output(other));
+}
+
 /// An event of a client with the key of a step of the first event's workflow, and other data.
 fn event_like_step(kind: &str, id: &str) -> String {
     changed(kind, OTHER_DATA).replacen("ce-id: 1", &format!("ce-id: {id}"), 1)
