--- a/crates/gateway/src/gateway/intake.rs
+++ b/crates/gateway/src/gateway/intake.rs
@@ -44,6 +44,32 @@
     }
 }
 
+/// What the event of a single request names.
+struct RequestTarget {
+    /// Index into the deployment's workloads.
+    workload: usize,
+    function: String,
+    customer: Option<CustomerId>,
+    prefix: Option<PromptPrefix>,
+}
+
+impl RequestTarget {
+    /// The content of the request, as sent to workers.
+    fn content(self, identity: &EventIdentity, admitted: &Admitted, event: ReceivedEvent) -> RequestContent {
+        RequestContent {
+            key: identity.key.clone(),
+            client_digest: admitted.client_digest,
+            digest: admitted.digest,
+            workload: self.workload,
+            function: self.function,
+            fields: event.fields,
+            media_type: event.media_type,
+            data: Rc::new(event.data),
+            prefix: self.prefix,
+        }
+    }
+}
+
 /// What the idempotency table knows of an event that has arrived.
 pub(super) enum Known {
     /// It has joined a request, or is answered at once.
@@ -62,26 +88,32 @@
 }
 
 impl Gateway {
-    /// Processes one event. The order of the checks is part of the interface: it determines which error is
-    /// returned for an event that fails several of them. The function is long because it fills in the request
-    /// field by field.
+    /// Processes one event: it starts or joins a workflow or a request. An `Err` is an answer to be sent at
+    /// once.
     pub(super) fn accept_event(
         &mut self,
         now: Micros,
         conn: ConnectionId,
         event: ReceivedEvent,
     ) -> Result<(), Rc<Answer>> {
-        let workflows = &self.deployment.workflows;
-        if let Some(index) = workflows.iter().position(|workflow| workflow.types.contains(&event.event_type))
-        {
-            return self.accept_workflow(now, conn, index, event);
+        let mut workflows = self.deployment.workflows.iter();
+        match workflows.position(|workflow| workflow.types.contains(&event.event_type)) {
+            Some(index) => self.accept_workflow(now, conn, index, event),
+            None => self.accept_request(now, conn, event),
         }
-        let workload = self.workload_of(&event)?;
-        let function = self.function_of(workload, &event)?;
-        let prefix = self.prefix_of(workload, &event);
-        let customer = self.customer_of(&event)?;
+    }
+
+    /// Processes the event of a single request. The order of the checks is part of the interface: it
+    /// determines which error is returned for an event that fails several of them.
+    fn accept_request(
+        &mut self,
+        now: Micros,
+        conn: ConnectionId,
+        event: ReceivedEvent,
+    ) -> Result<(), Rc<Answer>> {
+        let target = self.target_of(&event)?;
         let identity = EventIdentity::of(&event);
-        let limit = self.deployment.workloads[workload].deadline;
+        let limit = self.deployment.workloads[target.workload].deadline;
         let resend_until = match self.join_or_replay(now, conn, &identity, limit, &event) {
             Known::Handled(result) => return result,
             Known::MayHaveRun => return Err(self.refuse_repeat(&event)),
@@ -90,39 +122,38 @@
         self.check_not_stored(now, &identity, &event)?;
         self.check_is_no_step(now, &identity, &event)?;
         let time_left = self.time_left_of(now, limit, &event)?;
-        let arrival = self.arrival(&identity, &event, workload, time_left);
+        let arrival = self.arrival(&identity, &event, target.workload, time_left);
         let admitted = match NothingRan::for_request(resend_until) {
             Some(nothing_ran) => self.admit(now, &event.id, &arrival, &nothing_ran)?,
             None => self.admit_resumed(&event.id, &arrival)?,
         };
         self.counters.accepted += 1;
-        if let (Some(tracker), Some(prefix)) = (&mut self.prefix_tracker, &prefix) {
+        if let (Some(tracker), Some(prefix)) = (&mut self.prefix_tracker, &target.prefix) {
             tracker.record_use(&prefix.name, prefix.size);
         }
         let new = NewRequest {
-            content: RequestContent {
-                key: identity.key.clone(),
-                client_digest: admitted.client_digest,
-                digest: admitted.digest,
-                workload,
-                function,
-                fields: event.fields,
-                media_type: event.media_type,
-                data: Rc::new(event.data),
-                prefix,
-            },
-            customer,
+            customer: target.customer,
             time_left,
             is_retry: admitted.is_retry,
             priority_factor: 1.0,
             clients: vec![conn],
             on_end: None,
             resend_until,
+            content: target.content(&identity, &admitted, event),
         };
         self.start_client_request(now, conn, identity, new);
         Ok(())
     }
 
+    /// Returns what the event of a single request names, or an error answer if something is missing or
+    /// unknown.
+    fn target_of(&self, event: &ReceivedEvent) -> Result<RequestTarget, Rc<Answer>> {
+        let workload = self.workload_of(event)?;
+        let function = self.function_of(workload, event)?;
+        let customer = self.customer_of(event)?;
+        Ok(RequestTarget { workload, function, customer, prefix: self.prefix_of(workload, event) })
+    }
+
     /// Starts a request on behalf of a client that waits for its answer.
     fn start_client_request(
         &mut self,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -117,6 +117,13 @@
     }
 }
 
+/// A deployment with one worker. Duplicates of `hold` are recognised in this scope and for this time.
+pub fn deployment_with_keyed_hold(scope: IdempotencyScope, window: Micros) -> Deployment {
+    let mut deployment = deployment(1);
+    deployment.startup.workloads[1].retry_safety = RetrySafety::Keyed { scope, window };
+    deployment
+}
+
 impl SimulatedGateway {
     pub fn new(deployment: Deployment) -> Self {
         Self::with_store(deployment, 1_000 * S, Box::new(MemoryStore::default()))
@@ -182,6 +189,11 @@
         all
     }
 
+    /// Establishes all pending connections to workers, and returns the one that was opened last.
+    pub fn newest_connection(&mut self) -> ConnectionId {
+        *self.worker_connections().last().expect("a connection to a worker")
+    }
+
     /// Closes a connection from the peer's side.
     pub fn disconnect(&mut self, conn: ConnectionId, reason: Closed) {
         let sent = self.transport.sent(conn);
--- a/crates/gateway/tests/event_identity.rs
+++ b/crates/gateway/tests/event_identity.rs
@@ -1,7 +1,7 @@
 //! Which events are the same: an event whose content differs from that of another with its `source` and `id`
 //! is refused and gets no answer of the other; a retry of a client still joins, or its answer is replayed.
 mod common;
-use applepond::interface::{CustomerConfig, IdempotencyScope, RetrySafety};
+use applepond::interface::{CustomerConfig, IdempotencyScope};
 use applepond_gateway::Deployment;
 use applepond_gateway::deployment::WorkflowConfig;
 use applepond_reactor::{Closed, ConnectionId};
@@ -156,9 +156,7 @@
 #[test_case(true; "its attempt has ended")]
 #[test_case(false; "its attempt is in flight")]
 fn the_key_of_a_rejected_request_that_may_have_run_is_not_free(attempt_ends: bool) {
-    let everywhere = RetrySafety::Keyed { scope: IdempotencyScope::Everywhere, window: 30 * S };
-    let mut deployment = deployment_with_workflow(1);
-    deployment.startup.workloads[1].retry_safety = everywhere;
+    let mut deployment = deployment_with_keyed_hold(IdempotencyScope::Everywhere, 30 * S);
     deployment.startup.attempt_policy.max_attempts = 100;
     let mut sim = SimulatedGateway::new(deployment);
     let client = send(&mut sim, &changed("hold", LESS_TIME));
@@ -179,7 +177,7 @@
     assert_refused(&sim, other);
     let retry = send(&mut sim, &changed("hold", MARKED));
     sim.advance(S);
-    let conn = *sim.worker_connections().last().expect("a connection to the worker");
+    let conn = sim.newest_connection();
     sim.receive(conn, result("{\"for\":1}").as_bytes());
     assert!(sim.output(retry).ends_with("{\"for\":1}"), "{}", sim.output(retry));
 }
--- a/crates/gateway/tests/keyed_retries.rs
+++ b/crates/gateway/tests/keyed_retries.rs
@@ -1,7 +1,7 @@
 //! Keyed requests that were rejected although they may have run: what may have run is sent again only as long
 //! as workers recognise it, and nobody is told otherwise.
 mod common;
-use applepond::interface::{IdempotencyScope, Micros, RetrySafety};
+use applepond::interface::{IdempotencyScope, Micros};
 use applepond_gateway::Deployment;
 use applepond_reactor::{Closed, ConnectionId};
 use common::events::*;
@@ -9,18 +9,11 @@
 
 /// A deployment whose workload `hold` is recognised by all workers for `window`.
 fn deployment_with_window(window: Micros) -> Deployment {
-    let mut deployment = deployment(1);
-    let retry_safety = RetrySafety::Keyed { scope: IdempotencyScope::Everywhere, window };
-    deployment.startup.workloads[1].retry_safety = retry_safety;
+    let mut deployment = deployment_with_keyed_hold(IdempotencyScope::Everywhere, window);
     deployment.startup.attempt_policy.max_attempts = 100;
     deployment
 }
 
-/// The connection to the worker that was opened last, established.
-fn newest_connection(sim: &mut SimulatedGateway) -> ConnectionId {
-    *sim.worker_connections().last().expect("a connection to the worker")
-}
-
 /// Advances the clock while the worker accepts no connection.
 fn advance_unreachable(sim: &mut SimulatedGateway, time: Micros) {
     let until = sim.now + time;
@@ -39,7 +32,7 @@
 /// Sends the keyed event with 2 s of time. Its first attempt breaks off, and then no worker is reachable.
 fn send_and_break_off(sim: &mut SimulatedGateway) -> ConnectionId {
     let client = send(sim, &changed("hold", LESS_TIME));
-    let conn = newest_connection(sim);
+    let conn = sim.newest_connection();
     sim.disconnect(conn, Closed::Reset);
     assert_eq!(sim.requests(), 1);
     client
@@ -56,7 +49,7 @@
     sim.advance(2 * S);
     let retry = send(&mut sim, &changed("hold", MARKED));
     sim.advance(100 * MS);
-    newest_connection(&mut sim);
+    sim.newest_connection();
     assert_eq!(sim.requests(), 1, "the repeat would run");
     assert_eq!(sim.statuses(retry), [502], "{}", sim.output(retry));
     assert!(!sim.output(retry).contains("no harm"), "{}", sim.output(retry));
@@ -78,7 +71,7 @@
     let retry = send(&mut sim, &changed("hold", MARKED));
     assert_eq!(sim.transport.connections.len(), opened + 1, "a connection for the retry");
     sim.advance(150 * MS);
-    newest_connection(&mut sim);
+    sim.newest_connection();
     sim.advance(S);
     assert_eq!(sim.requests(), 1, "the repeat would run");
     let answer = sim.output(retry);
@@ -103,7 +96,7 @@
     let retry = send(&mut sim, &changed("hold", MARKED));
     for _ in 0..20 {
         sim.advance(50 * MS);
-        newest_connection(&mut sim);
+        sim.newest_connection();
     }
     let sent = sim.transport.connections.iter().filter(|(conn, _)| {
         let output = sim.output(*conn);
--- a/crates/gateway/tests/keys_known_to_workers.rs
+++ b/crates/gateway/tests/keys_known_to_workers.rs
@@ -1,8 +1,8 @@
 //! Keyed requests after their end: as long as workers recognise a key, no other event is sent under it.
 mod common;
-use applepond::interface::{IdempotencyScope, Micros, RetrySafety};
+use applepond::interface::{IdempotencyScope, Micros};
 use applepond_gateway::Deployment;
-use applepond_reactor::{Closed, ConnectionId};
+use applepond_reactor::Closed;
 use common::events::*;
 use common::*;
 use test_case::test_case;
@@ -10,18 +10,11 @@
 /// A deployment whose workload `hold` is recognised for `window`, with one attempt a request. Answers are
 /// kept for 60 s.
 fn deployment_with_window(window: Micros) -> Deployment {
-    let mut deployment = deployment(1);
-    let retry_safety = RetrySafety::Keyed { scope: IdempotencyScope::Rack, window };
-    deployment.startup.workloads[1].retry_safety = retry_safety;
+    let mut deployment = deployment_with_keyed_hold(IdempotencyScope::Rack, window);
     deployment.startup.attempt_policy.max_attempts = 1;
     deployment
 }
 
-/// The connection to the worker that was opened last, established.
-fn newest_connection(sim: &mut SimulatedGateway) -> ConnectionId {
-    *sim.worker_connections().last().expect("a connection to the worker")
-}
-
 // Regression: once the answer to a keyed request had expired, another event with its key was sent, and
 // workers that still recognised the key would answer it with the first one's result.
 #[test_case(true, 200; "it finished")]
@@ -29,7 +22,7 @@
 fn the_key_of_an_expired_answer_is_not_free_while_workers_know_it(finishes: bool, status: u16) {
     let mut sim = SimulatedGateway::new(deployment_with_window(90 * S));
     let client = send(&mut sim, &first_event("hold"));
-    let conn = newest_connection(&mut sim);
+    let conn = sim.newest_connection();
     if finishes {
         sim.receive(conn, result("{\"for\":1}").as_bytes());
     } else {
@@ -42,7 +35,7 @@
     assert_eq!(sim.requests(), 1, "nothing was sent for it");
     sim.advance(30 * S);
     let other = send(&mut sim, &changed("hold", OTHER_DATA));
-    newest_connection(&mut sim);
+    sim.newest_connection();
     assert_eq!((sim.requests(), sim.statuses(other).len()), (2, 0), "the key is free again");
 }
 
@@ -51,11 +44,11 @@
 fn a_retry_after_its_answer_has_expired_is_sent() {
     let mut sim = SimulatedGateway::new(deployment_with_window(90 * S));
     send(&mut sim, &first_event("hold"));
-    let conn = newest_connection(&mut sim);
+    let conn = sim.newest_connection();
     sim.receive(conn, result("{\"for\":1}").as_bytes());
     sim.advance(61 * S);
     let retry = send(&mut sim, &changed("hold", MARKED));
-    let conn = newest_connection(&mut sim);
+    let conn = sim.newest_connection();
     assert_eq!(sim.requests(), 2);
     sim.receive(conn, result("{\"for\":1}").as_bytes());
     assert_eq!(sim.statuses(retry), [200]);
@@ -70,7 +63,7 @@
     deployment.answer_retention.max_bytes = 500;
     let mut sim = SimulatedGateway::new(deployment);
     let client = send(&mut sim, &first_event(kind));
-    let conn = newest_connection(&mut sim);
+    let conn = sim.newest_connection();
     sim.receive(conn, result(&format!("\"{}\"", "a".repeat(600))).as_bytes());
     assert_eq!(sim.statuses(client), [200]);
     let other = send(&mut sim, &changed(kind, OTHER_DATA));
--- a/crates/gateway/tests/workflow_resend.rs
+++ b/crates/gateway/tests/workflow_resend.rs
@@ -38,7 +38,7 @@
     let store = SharedStore::default();
     let mut sim = SimulatedGateway::with_store(deployment_with_hold(1), 1_000 * S, Box::new(store.clone()));
     sim.send_event("book", "7");
-    let conn = *sim.worker_connections().last().expect("a connection to the worker");
+    let conn = sim.newest_connection();
     assert_eq!(sends(&sim, "price"), 1);
     sim.receive(conn, result("{}").as_bytes());
     sim.advance(20 * MS);
@@ -143,10 +143,10 @@
     let mut sim = SimulatedGateway::new(deployment);
     use_up_attempt_budget(&mut sim);
     let client = sim.send_event("book", "7");
-    let conn = *sim.worker_connections().last().expect("a connection to the worker");
+    let conn = sim.newest_connection();
     sim.receive(conn, result("{}").as_bytes());
     sim.advance(20 * MS);
-    let conn = *sim.worker_connections().last().expect("a connection to the worker");
+    let conn = sim.newest_connection();
     assert_eq!(sends(&sim, "hold"), 1);
     sim.advance(time);
     sim.disconnect(conn, Closed::Reset);
