serve: an id like that of a chain's step is refused only where workers could take one for the other

Callers saw: 409 `id-conflict` for events that share no `source` and `id` with another: a chain while another chain had the id of one of its steps, or a run-once or restartable request had; such a request while the chain was open or on record. Change: a chain asks for keyed requests that are open, or ended while workers know their key; a request is asked about only if it is keyed itself. Why it works: workers recognise keyed requests alone, by the key that they were sent; those are what is still refused. Measured: `ids_like_those_of_steps_are_free_where_workers_do_not_see_them`: 5 of 6 failed before, 6 pass; the tests of what is refused pass as before.

--- a/crates/gateway/src/gateway/intake.rs
+++ b/crates/gateway/src/gateway/intake.rs
@@ -120,7 +120,7 @@
             Known::New { resend_until } => resend_until,
         };
         self.check_not_stored(now, &identity, &event)?;
-        self.check_is_no_step(now, &identity, &event)?;
+        self.check_is_no_step(now, &identity, target.workload, &event)?;
         let time_left = self.time_left_of(now, limit, &event)?;
         let arrival = self.arrival(&identity, &event, target.workload, time_left);
         let admitted = match NothingRan::for_request(resend_until) {
--- a/crates/gateway/src/gateway/workflow/step_key.rs
+++ b/crates/gateway/src/gateway/workflow/step_key.rs
@@ -1,7 +1,8 @@
 //! Keys of the events of steps. Workers recognise duplicates of keyed requests by `source` and `id`. The key
 //! of a step is made of the key of its workflow and the step's name, so an event of a client can have the
 //! same one: it is refused while the workflow has it, and the workflow is refused while the event has it.
-//! Steps that are not keyed need no such care, as workers do not look at their keys.
+//! Steps and requests that are not keyed need no such care, as workers do not look at their keys; neither do
+//! the keys of workflows themselves, as workers do not see them.
 use crate::client::{Answer, ReceivedEvent};
 use crate::event_identity::EventIdentity;
 use crate::gateway::Gateway;
@@ -25,9 +26,14 @@
     Some(IdempotencyKey { source: event.source.clone(), id: Rc::from(id) })
 }
 
+/// Whether workers recognise the key of such a request or step.
+fn is_keyed(retry_safety: RetrySafety) -> bool {
+    matches!(retry_safety, RetrySafety::Keyed { .. })
+}
+
 /// The steps whose keys workers recognise.
 fn keyed_steps(plan: &Plan) -> impl Iterator<Item = &Step> {
-    plan.steps.iter().filter(|step| matches!(step.effect, RetrySafety::Keyed { .. }))
+    plan.steps.iter().filter(|step| is_keyed(step.effect))
 }
 
 /// How long workers know the key of a step after it was sent, at most.
@@ -46,14 +52,17 @@
         self.deployment.answer_retention.time.max(longest_window(plan))
     }
 
-    /// Refuses the event of a request if it has the key of a step of a workflow in progress or on record.
+    /// Refuses the event of a keyed request if it has the key of a step of a workflow in progress or on
+    /// record.
     pub(in crate::gateway) fn check_is_no_step(
         &mut self,
         now: Micros,
         identity: &EventIdentity,
+        workload: usize,
         event: &ReceivedEvent,
     ) -> Result<(), Rc<Answer>> {
-        if !event.id.contains(SEPARATOR) {
+        let retry_safety = self.deployment.startup.workloads[workload].retry_safety;
+        if !event.id.contains(SEPARATOR) || !is_keyed(retry_safety) {
             return Ok(());
         }
         let plans = self.deployment.workflows.iter().map(|workflow| &workflow.plan);
@@ -63,8 +72,7 @@
         if is_step { Err(self.refuse_other_event(event)) } else { Ok(()) }
     }
 
-    /// Refuses the event of a workflow if a request in progress, or one whose answer is cached, has the key
-    /// of one of its steps.
+    /// Refuses the event of a workflow if workers may know the key of one of its steps from a request.
     pub(super) fn check_steps_are_free(
         &mut self,
         now: Micros,
@@ -73,8 +81,16 @@
         event: &ReceivedEvent,
     ) -> Result<(), Rc<Answer>> {
         let mut keys = keyed_steps(plan).map(|step| step_key(&identity.key, step));
-        let is_in_use = keys.any(|key| self.idempotency.is_in_use(now, &key));
-        if is_in_use { Err(self.refuse_other_event(event)) } else { Ok(()) }
+        let is_known = keys.any(|key| self.is_key_of_request(now, &key));
+        if is_known { Err(self.refuse_other_event(event)) } else { Ok(()) }
+    }
+
+    /// Whether workers may know this key from a request of a client, in progress or ended.
+    fn is_key_of_request(&self, now: Micros, key: &IdempotencyKey) -> bool {
+        let request = self.idempotency.request_in_progress(key);
+        let state = request.and_then(|request| self.requests.get(request));
+        let is_open = state.is_some_and(|state| is_keyed(state.data.retry_safety));
+        is_open || self.idempotency.is_known_to_workers(now, key)
     }
 
     /// Whether a workflow with this key is in progress or on record.
--- a/crates/gateway/src/idempotency.rs
+++ b/crates/gateway/src/idempotency.rs
@@ -144,10 +144,9 @@
         }
     }
 
-    /// Whether a request with this key is in progress, or something is retained of one that has ended.
-    pub(crate) fn is_in_use(&mut self, now: Micros, key: &IdempotencyKey) -> bool {
-        self.ended.drop_expired(now);
-        self.in_progress.contains_key(key) || self.ended.contains(key)
+    /// Whether workers may know this key from a request that has ended.
+    pub(crate) fn is_known_to_workers(&self, now: Micros, key: &IdempotencyKey) -> bool {
+        self.ended.reserved_until(key).is_some_and(|until| now < until)
     }
 
     /// Returns the request or workflow in progress with this key.
--- a/crates/gateway/src/idempotency/retained.rs
+++ b/crates/gateway/src/idempotency/retained.rs
@@ -92,9 +92,9 @@
         self.entries.get(key).map(|entry| (&entry.content, &entry.retained))
     }
 
-    /// Whether an entry has this key.
-    pub(super) fn contains(&self, key: &IdempotencyKey) -> bool {
-        self.entries.contains_key(key)
+    /// Until when workers recognise this key, as far as an entry has it.
+    pub(super) fn reserved_until(&self, key: &IdempotencyKey) -> Option<Micros> {
+        self.entries.get(key).map(|entry| entry.reserved_until)
     }
 
     /// Adds an entry in place of an earlier one with its key, and drops what the limits then do not allow.
