--- a/crates/gateway/tests/request_table.rs
+++ b/crates/gateway/tests/request_table.rs
@@ -33,7 +33,7 @@
 #[test_case(&[(200, Some(Outcome::Overloaded))], None; "rejected by the worker")]
 #[test_case(&[(200, Some(Outcome::Cancelled))], Some(200); "cancelled")]
 #[test_case(&[(200, Some(Outcome::ConnectFailed)), (300, None)], Some(300); "the second is in flight")]
-#[test_case(&[(200, Some(Outcome::TimedOut)), (300, Some(Outcome::ConnectionLost))], Some(200); "both may have")]
+#[test_case(&[(200, Some(Outcome::TimedOut)), (300, Some(Outcome::ConnectionLost))], Some(200); "both may")]
 #[test_case(&[(200, None), (300, Some(Outcome::ConnectionLost))], Some(200); "the first is in flight")]
 #[test_case(&[(200, Some(Outcome::Superseded)), (300, Some(Outcome::Error))], Some(300); "the second failed")]
 fn the_first_attempt_that_may_have_run(attempts: &[(Micros, Option<Outcome>)], first: Option<Micros>) {
