serve: a keyed undo that may have run is repeated only while its workers recognise it

After a kill an undo in flight was sent again as well. Cause: an undo was a request to be repeated until it succeeds; its window and group were not kept, and it was not on record before it was sent. Evidence: one undo that is not answered is sent 60 times in 300 s with a window of 3 s. Change: a module of its own (`undos.rs`). A keyed undo is stored before it is sent; one that may have run is sent as a new request only if all workers recognise it, bounded by the window of the first (`resend_window`), and is otherwise given up, logged and counted on the state page. Idempotent undos and those that never ran are tried for five minutes as before. Why it works: the first send is on record until an end is known, and each later one is bounded by it, as for steps.

--- a/crates/gateway/src/gateway/workflow/completion.rs
+++ b/crates/gateway/src/gateway/workflow/completion.rs
@@ -1,7 +1,7 @@
 //! The end of a workflow: the only place where its answer is sent to the waiting clients, stored in the
 //! idempotency table, and logged.
 use super::ActiveWorkflow;
-use super::steps::UNDO_PERIOD;
+use super::undos::UNDO_PERIOD;
 use crate::client::Answer;
 use crate::gateway::Gateway;
 use crate::gateway::completion::EndedRequest;
--- a/crates/gateway/src/gateway/workflow/mod.rs
+++ b/crates/gateway/src/gateway/workflow/mod.rs
@@ -7,7 +7,7 @@
 //! State: the active workflows, those waiting to be written to the store, and the estimates used to admit new
 //! ones. Modules by event:
 //! - an event starts a workflow: `intake`; the instance starts: `recovery`;
-//! - a step or an undo ends: `steps`; the keys of their events: `step_key`;
+//! - a step ends: `steps`; an undo ends: `undos`; the keys of their events: `step_key`;
 //! - a turn of the event loop ends with unwritten changes, or the store's timer fires: `store`;
 //! - the run ends: `completion`.
 use super::Gateway;
@@ -31,6 +31,7 @@
 mod step_key;
 mod steps;
 mod store;
+mod undos;
 
 /// How the request of a step ended.
 pub(super) struct StepEnd {
@@ -128,15 +129,22 @@
     }
 }
 
+/// What a step that must be stored before it is sent is needed for.
+enum StepPurpose {
+    /// The run goes on from its result. The answer of its request is due at this time.
+    Run { deadline: Micros },
+    /// It undoes another step, and is tried again until this time.
+    Undo { give_up_at: Micros },
+}
+
 /// A step that is not idempotent and must be stored before it is sent.
 struct UnsentStep {
     request: RequestId,
     step: StepId,
     function: String,
-    /// When its request's answer is due.
-    deadline: Micros,
-    /// When it was first sent, if that was before a restart and it may have run. It is sent again as long as
-    /// the workers recognise a duplicate.
+    purpose: StepPurpose,
+    /// When it was first sent, if it may have run. It is sent again as long as the workers recognise a
+    /// duplicate.
     first_sent_at: Option<Micros>,
 }
 
@@ -159,6 +167,8 @@
     rejected_for_rate: u64,
     steps: u64,
     undos: u64,
+    /// Undos that were not seen to finish, and are not tried again.
+    undos_given_up: u64,
     /// Resumed from the store with steps that may have run.
     recorded_steps: u64,
     writes: u64,
@@ -237,6 +247,7 @@
             "finished": counters.finished, "pushed-back": counters.rejected, "failed": counters.failed,
             "refused-for-time": counters.rejected_for_time, "held-back": counters.rejected_for_rate,
             "allowed-per-s": self.run_limiter.allowed(), "steps": counters.steps, "undos": counters.undos,
+            "undos-given-up": counters.undos_given_up,
             "functions-known": self.times.function_count(),
             "record": {"resumed": counters.recorded_steps, "writes": counters.writes,
                 "not-written": counters.failed_writes}})
--- a/crates/gateway/src/gateway/workflow/steps.rs
+++ b/crates/gateway/src/gateway/workflow/steps.rs
@@ -1,7 +1,7 @@
 //! Execution of workflow steps: carries out a run's commands, starts the request of each step and reports its
-//! end to the run, and undoes steps whose effects must not last.
+//! end to the run.
 use super::step_key::step_key;
-use super::{ActiveWorkflow, FinishedStep, OnStepEnd, StepEnd, UnansweredWorkflow, UnsentStep};
+use super::{ActiveWorkflow, FinishedStep, OnStepEnd, StepEnd, StepPurpose, UnansweredWorkflow, UnsentStep};
 use super::{result_field, step_outcome};
 use crate::gateway::Gateway;
 use crate::gateway::request::{NewRequest, RequestContent};
@@ -11,14 +11,8 @@
 use applepond::interface::{FunctionId, Micros, Outcome, RequestId, RetrySafety};
 use applepond_http::encode::HeaderLines;
 use applepond_reactor::Transport;
-use applepond_storage::record::outcome_code;
 use applepond_workflow::{Command, RunOutcome, StepId, StepStatus};
 
-/// Minimum delay before a failed undo is retried.
-const UNDO_RETRY_DELAY: Micros = 1_000_000;
-/// Time during which an undo is retried; longer than a rollout takes.
-pub(super) const UNDO_PERIOD: Micros = 300_000_000;
-
 /// A step whose request has been started.
 #[derive(Clone, Copy)]
 struct StartedStep {
@@ -41,17 +35,6 @@
     }
 }
 
-/// The undo of one step.
-#[derive(Clone)]
-struct Undo {
-    request: RequestId,
-    /// The step of the plan that performs the undo.
-    step: StepId,
-    function: String,
-    /// When it is no longer retried.
-    give_up_at: Micros,
-}
-
 impl Gateway {
     /// Executes the commands of a workflow's run in order. Then, if the workflow is done, marks its record as
     /// closed if it is stored, and otherwise drops the workflow.
@@ -70,7 +53,9 @@
                 Command::Wait { step, until } => self.wait_for_step(now, transport, request, step, until),
                 Command::Cancel(step) => self.cancel_step(now, transport, request, step),
                 Command::End(outcome) => self.end_or_queue_workflow(now, transport, request, outcome),
-                Command::Undo { step, function } => self.begin_undo(now, request, step, function),
+                Command::Undo { step, function } => {
+                    self.begin_undo(now, transport, request, step, function);
+                }
             }
         }
         let workflow = self.workflows.active.get_mut(&request);
@@ -94,9 +79,10 @@
         deadline: Micros,
     ) {
         let workflow = self.workflows.active.get(&request);
-        let unsent = UnsentStep { request, step, function, deadline, first_sent_at: None };
+        let purpose = StepPurpose::Run { deadline };
+        let unsent = UnsentStep { request, step, function, purpose, first_sent_at: None };
         match workflow.map(|workflow| workflow.run.plan().step(step).effect) {
-            Some(RetrySafety::Idempotent) | None => self.begin_step(now, unsent),
+            Some(RetrySafety::Idempotent) | None => self.begin_step(now, unsent, deadline),
             _ => self.workflows.unsent.push(unsent),
         }
     }
@@ -146,7 +132,7 @@
     }
 
     /// Returns the request of a step, with its own key and the workflow's header fields and data.
-    fn step_request(
+    pub(super) fn step_request(
         &self,
         workflow: &ActiveWorkflow,
         step: StepId,
@@ -186,8 +172,8 @@
 
     /// Starts the request of a step. The request of a step that is sent again after a restart ends before the
     /// workers may have forgotten its key.
-    pub(super) fn begin_step(&mut self, now: Micros, unsent: UnsentStep) {
-        let UnsentStep { request, step, function, deadline, first_sent_at } = unsent;
+    pub(super) fn begin_step(&mut self, now: Micros, unsent: UnsentStep, deadline: Micros) {
+        let UnsentStep { request, step, function, first_sent_at, .. } = unsent;
         let priority_factor =
             self.with_run(now, request, |run, step_times| run.priority_factor(now, step_times));
         let Some(workflow) = self.workflows.active.get(&request) else { return };
@@ -259,52 +245,4 @@
             self.end_attempt(now, transport, AttemptId { request, index }, Outcome::Cancelled);
         }
     }
-
-    /// Starts to undo a step, unless its record shows that the undo has finished already.
-    fn begin_undo(&mut self, now: Micros, request: RequestId, step: StepId, function: String) {
-        let Some(workflow) = self.workflows.active.get_mut(&request) else { return };
-        let stored = workflow.stored.steps.get(&(step.0 as u32));
-        let end = stored.and_then(|stored| stored.outcome.as_ref());
-        if end.is_some_and(|end| end.code == outcome_code(StepStatus::Finished)) {
-            return;
-        }
-        workflow.pending_undos += 1;
-        self.try_undo(now, Undo { request, step, function, give_up_at: now + UNDO_PERIOD });
-    }
-
-    /// Starts the request of an undo.
-    fn try_undo(&mut self, now: Micros, undo: Undo) {
-        let Some(workflow) = self.workflows.active.get(&undo.request) else { return };
-        let workload = workflow.run.plan().step(undo.step).workload;
-        let time_left = self.deployment.workloads[workload].deadline;
-        let (step, function) = (undo.step, undo.function.clone());
-        let on_end: OnStepEnd = Box::new(move |gateway, now, transport, end| {
-            gateway.undo_ended(now, transport, undo, &end);
-        });
-        self.workflows.counters.undos += 1;
-        let new = self.step_request(workflow, step, function, time_left, on_end);
-        self.start_request(now, new);
-    }
-
-    /// Handles the end of an undo's request; an undo that did not finish is retried until it is given up.
-    fn undo_ended(&mut self, now: Micros, transport: &mut dyn Transport, undo: Undo, end: &StepEnd) {
-        let Undo { request, step, give_up_at, .. } = undo;
-        let is_finished = end.answer.outcome == FinalOutcome::Finished;
-        if !is_finished && now < give_up_at {
-            let wait = end.answer.retry_after.unwrap_or(UNDO_RETRY_DELAY).max(UNDO_RETRY_DELAY);
-            let retry = move |gateway: &mut Gateway, now, _: &mut dyn Transport| gateway.try_undo(now, undo);
-            self.schedule(now, transport, wait, Box::new(retry));
-            return;
-        }
-        if let Some(workflow) = self.workflows.active.get_mut(&request) {
-            if !is_finished {
-                let (id, name) = (&workflow.key.id, &workflow.run.plan().step(step).name);
-                tracing::error!(%id, step = %name, reason = "undo-given-up", "undo of a step given up");
-            }
-            workflow.pending_undos -= 1;
-        }
-        let outcome = step_outcome(end.answer.outcome);
-        self.record_step_end(now, transport, request, step, outcome, &end.answer);
-        self.run_commands(now, transport, request, Vec::new());
-    }
 }
--- a/crates/gateway/src/gateway/workflow/store.rs
+++ b/crates/gateway/src/gateway/workflow/store.rs
@@ -1,7 +1,8 @@
 //! Writes to the workflow store. Records that must be on disk before a step is sent or a workflow is answered
 //! are written at the end of a turn of the event loop, in one transaction for all workflows; the ends of
 //! steps are written after a short delay.
-use super::result_field;
+use super::undos::Undo;
+use super::{StepPurpose, UnsentStep, result_field};
 use crate::client::Answer;
 use crate::gateway::Gateway;
 use applepond::interface::{Micros, RequestId};
@@ -9,7 +10,7 @@
 use applepond_storage::record::{MAX_STORED_RESPONSE_BYTES, outcome_code};
 use applepond_storage::{StepOutcome, StepRecord, StoredResponse};
 use applepond_workflow::{StepId, StepStatus};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Delay of the write of ended steps; an earlier write includes them.
 const WRITE_DELAY: Micros = 20_000;
@@ -51,7 +52,7 @@
         for pending in unsent {
             let (request, step) = (pending.request, pending.step);
             if is_written {
-                self.begin_step(now, pending);
+                self.send_written(now, pending);
                 continue;
             }
             // A step that was sent before a restart stays on record.
@@ -59,6 +60,11 @@
             if let Some(workflow) = workflow.filter(|_| pending.first_sent_at.is_none()) {
                 workflow.stored.steps.remove(&(step.0 as u32));
             }
+            if let StepPurpose::Undo { give_up_at } = pending.purpose {
+                let undo = Undo::new(pending, give_up_at);
+                self.undo_not_stored(now, transport, undo, WRITE_RETRY_DELAY);
+                continue;
+            }
             let commands =
                 self.with_run(now, request, |run, step_times| run.store_failed(now, step, step_times));
             self.run_commands(now, transport, request, commands);
@@ -66,6 +72,17 @@
         true
     }
 
+    /// Sends a step that has been written to the store.
+    fn send_written(&mut self, now: Micros, step: UnsentStep) {
+        match step.purpose {
+            StepPurpose::Run { deadline } => self.begin_step(now, step, deadline),
+            StepPurpose::Undo { give_up_at } => {
+                let first_sent_at = step.first_sent_at;
+                self.send_undo(now, Undo::new(step, give_up_at), first_sent_at);
+            }
+        }
+    }
+
     /// Writes the given workflows and all others with unwritten changes. Returns whether the write succeeded.
     fn write_workflows(
         &mut self,
@@ -101,7 +118,7 @@
         outcome: StepStatus,
         answer: &Answer,
     ) {
-        let Some(workflow) = self.workflows.active.get_mut(&request) else { return };
+        let Some(workflow) = self.workflows.active.get(&request) else { return };
         let fields = workflow.run.requested_fields(step).into_iter();
         let fields = fields.filter_map(|name| Some((name.to_owned(), result_field(&answer.body, name)?)));
         let fits = outcome == StepStatus::Finished && answer.body.len() <= MAX_STORED_RESPONSE_BYTES;
@@ -110,6 +127,31 @@
             body: answer.body.clone(),
         });
         let end = StepOutcome { code: outcome_code(outcome), fields: fields.collect(), response };
+        self.record_outcome(now, transport, request, step, end);
+    }
+
+    /// Adds the end of a step without a result to its workflow's record and schedules a write.
+    pub(super) fn record_step_status(
+        &mut self,
+        now: Micros,
+        transport: &mut dyn Transport,
+        request: RequestId,
+        step: StepId,
+        status: StepStatus,
+    ) {
+        let end = StepOutcome { code: outcome_code(status), fields: BTreeMap::new(), response: None };
+        self.record_outcome(now, transport, request, step, end);
+    }
+
+    fn record_outcome(
+        &mut self,
+        now: Micros,
+        transport: &mut dyn Transport,
+        request: RequestId,
+        step: StepId,
+        end: StepOutcome,
+    ) {
+        let Some(workflow) = self.workflows.active.get_mut(&request) else { return };
         workflow.stored.steps.entry(step.0 as u32).or_default().outcome = Some(end);
         self.mark_unwritten(now, transport, request);
     }
--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -125,10 +125,10 @@
     }
 }
 
-/// Whether a step that was sent, and whose outcome is unknown, may be sent again. An idempotency key with a
-/// narrower scope than everywhere does not help: after a crash it is unknown which rack or zone received the
-/// first attempt.
-fn may_send_again(safety: RetrySafety, sent_at: Micros, now: Micros) -> bool {
+/// Whether a step or an undo that was sent, and whose outcome is unknown, may be sent again. An idempotency
+/// key with a narrower scope than everywhere does not help: after a crash it is unknown which rack or zone
+/// received the first attempt.
+pub fn may_send_again(safety: RetrySafety, sent_at: Micros, now: Micros) -> bool {
     match safety {
         RetrySafety::Idempotent => true,
         RetrySafety::Keyed { scope: IdempotencyScope::Everywhere, window } => now < sent_at + window,
