workflow: an arm on record that is no longer needed counts as one that may have run

Cause: `arm_ended` took each arm that was not begun for one that is skipped, and `replay_unreached_steps` passed over skipped ones; an arm that may be sent again is not among the recorded steps. Evidence: the regression test, by the run's commands. Change: an arm that is left is looked up in the record; steps that were sent before the kill and may be sent again are noted as ones that may have run (`steps_to_send_again`), and a failing run undoes them too. Why it works: what the record says was sent is counted where the run fails, whether the run has reached it again or not.

--- a/crates/gateway/src/gateway/workflow/intake.rs
+++ b/crates/gateway/src/gateway/workflow/intake.rs
@@ -14,7 +14,7 @@
 use applepond_http::encode::HeaderLines;
 use applepond_reactor::ConnectionId;
 use applepond_storage::record::MAX_STORED_RESPONSE_BYTES;
-use applepond_storage::{StorageError, WorkflowRecord, recorded_steps};
+use applepond_storage::{StorageError, WorkflowRecord, recorded_steps, steps_to_send_again};
 use applepond_workflow::{Plan, Run};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -220,6 +220,8 @@
         customer: Option<CustomerId>,
     ) -> ActiveWorkflow {
         let known_steps = recorded_steps(&stored, &plan, now);
+        let mut run = Run::new(now, plan.clone(), stored.function.clone(), stored.deadline, known_steps);
+        steps_to_send_again(&stored, &plan, now).for_each(|step| run.step_may_have_run(step));
         self.workflows.counters.recorded_steps += u64::from(!stored.steps.is_empty());
         ActiveWorkflow {
             key,
@@ -230,7 +232,7 @@
             is_retry: false,
             last_finished: None,
             retry_after: None,
-            run: Run::new(now, plan, stored.function.clone(), stored.deadline, known_steps),
+            run,
             clients: Vec::new(),
             in_flight: BTreeMap::new(),
             fields: HeaderLines::from_bytes(stored.header_lines.clone()),
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -23,7 +23,9 @@
 pub use disk_store::DiskStore;
 pub use error::StorageError;
 pub use memory_store::MemoryStore;
-pub use record::{StepOutcome, StepRecord, StoredResponse, WorkflowRecord, recorded_steps};
+pub use record::{
+    StepOutcome, StepRecord, StoredResponse, WorkflowRecord, recorded_steps, steps_to_send_again,
+};
 pub use snapshot_file::SnapshotFile;
 pub use store::{WorkflowKey, WorkflowStore};
 
--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -155,5 +155,18 @@
     recorded
 }
 
+/// The steps that a resumed workflow may send again although they may have run.
+pub fn steps_to_send_again<'a>(
+    record: &'a WorkflowRecord,
+    plan: &'a Plan,
+    now: Micros,
+) -> impl Iterator<Item = StepId> + 'a {
+    record.steps.iter().filter_map(move |(index, step)| {
+        let planned = plan.steps.get(*index as usize)?;
+        let may_be_sent = step.outcome.is_none() && may_send_again(planned.effect, step.sent_at, now);
+        may_be_sent.then_some(StepId(*index as usize))
+    })
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -284,7 +284,8 @@
     }
 
     /// Notes that a step may have had an effect, whatever becomes of its later attempts: if the run fails, it
-    /// is undone. To be called before the end of an attempt is reported that had none.
+    /// is undone. To be called before the end of an attempt is reported that had none, and for steps of an
+    /// interrupted run that may have run and may be sent again.
     pub fn step_may_have_run(&mut self, step: StepId) {
         self.may_have_run_before.insert(step);
     }
@@ -473,12 +474,7 @@
         let join = fork.join;
         self.forks.remove(index);
         for arm in open {
-            let in_flight = self.states[arm.0] == StepState::InFlight;
-            if in_flight {
-                commands.push(Command::Cancel(arm));
-            }
-            self.states[arm.0] =
-                if in_flight { StepState::Ended(StepStatus::MayHaveRun) } else { StepState::Skipped };
+            self.leave_arm(arm, commands);
         }
         match join {
             Some(join) => self.start_step(context, join, commands),
@@ -486,6 +482,16 @@
         }
     }
 
+    /// Ends an arm that is no longer needed. It may have run if it is in flight or on record.
+    fn leave_arm(&mut self, arm: StepId, commands: &mut Vec<Command>) {
+        if self.states[arm.0] == StepState::InFlight {
+            commands.push(Command::Cancel(arm));
+            self.states[arm.0] = StepState::Ended(StepStatus::MayHaveRun);
+        } else if !self.take_over_recorded(arm) {
+            self.states[arm.0] = StepState::Skipped;
+        }
+    }
+
     /// Handles the failure of a required arm: an `All` fork fails, a `First` fork only with its last arm.
     fn arm_failed(&mut self, index: usize, step: StepId, reason: FailureReason, commands: &mut Vec<Command>) {
         let fork = &self.forks[index];
--- a/crates/workflow/src/run/ending.rs
+++ b/crates/workflow/src/run/ending.rs
@@ -51,19 +51,29 @@
         commands.extend(self.undos());
     }
 
-    /// Takes over the recorded steps that the run has not reached again, so that their effects count and are
-    /// undone.
+    /// Takes over the steps of an interrupted run that this one has not reached again, so that their effects
+    /// count and are undone.
     fn replay_unreached_steps(&mut self) {
-        for (step, (status, fields)) in std::mem::take(&mut self.recorded) {
-            if self.states[step.0] != StepState::NotBegun {
-                continue;
+        let recorded: Vec<StepId> = self.recorded.keys().copied().collect();
+        for step in recorded {
+            self.take_over_recorded(step);
+        }
+        for step in &self.may_have_run_before {
+            if !self.started.contains(step) {
+                self.started.push(*step);
             }
-            self.states[step.0] = StepState::Ended(status);
-            self.started.push(step);
-            self.results.extend(fields.into_iter().map(|(name, value)| ((step, name), value)));
         }
     }
 
+    /// Takes over the recorded end of a step that is not started again. Returns whether it is on record.
+    pub(super) fn take_over_recorded(&mut self, step: StepId) -> bool {
+        let Some((status, fields)) = self.recorded.remove(&step) else { return false };
+        self.states[step.0] = StepState::Ended(status);
+        self.started.push(step);
+        self.results.extend(fields.into_iter().map(|(name, value)| ((step, name), value)));
+        true
+    }
+
     /// Whether a step may have had an effect.
     fn may_have_run(&self, step: StepId) -> bool {
         self.may_have_run_before.contains(&step)
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -279,3 +279,34 @@
     b.step_times.insert("beds-2", 9_000 * MS);
     assert_eq!(b.retry_step(100, 1), want);
 }
+
+/// Two arms that hold beds, of which the first one to finish is enough, and a confirmation.
+fn booking_with_two_arms() -> Vec<Step> {
+    vec![
+        idempotent("price").next(&[first(&[1, 2], Some(3))]),
+        step("beds", KEYED).undone_by(4),
+        step("beds-2", KEYED).undone_by(5),
+        step("confirm", AtMostOnce),
+        step("release", KEYED),
+        step("release-2", KEYED),
+    ]
+}
+
+// Regression: when a run was resumed after its first arm had finished, the other arm, on record as well, was
+// taken for one that was skipped, and was not undone when the run failed.
+#[test_case(Some(StepStatus::Finished); "it finished")]
+#[test_case(Some(StepStatus::MayHaveRun); "it may have run")]
+#[test_case(None; "it may have run, and could be sent again")]
+fn an_arm_on_record_that_is_no_longer_needed_is_undone(other: Option<StepStatus>) {
+    let mut recorded = BTreeMap::from([
+        (id(0), (StepStatus::Finished, BTreeMap::new())),
+        (id(1), (StepStatus::Finished, BTreeMap::new())),
+        (id(3), (StepStatus::MayHaveRun, BTreeMap::new())),
+    ]);
+    recorded.extend(other.map(|status| (id(2), (status, BTreeMap::new()))));
+    let mut b = Harness::resumed(booking_with_two_arms(), recorded);
+    if other.is_none() {
+        b.run.step_may_have_run(id(2));
+    }
+    assert_eq!(b.begin(), ["failed at confirm: StepFailed", "undo by release-2", "undo by release"]);
+}
