workflow: a run that finishes undoes what it left behind and may have run

Cause: undos were ordered where a run fails, and nowhere else. Evidence: the regression tests, by the run's commands and by what the router sends. Change: a run that finishes undoes the steps that may have run and from whose results it did not go on; not optional ones. The record of such a chain is closed after its undos, so that they go on after a kill, and outlasts them.

--- a/crates/gateway/src/gateway/workflow/completion.rs
+++ b/crates/gateway/src/gateway/workflow/completion.rs
@@ -1,7 +1,6 @@
 //! The end of a workflow: the only place where its answer is sent to the waiting clients, stored in the
 //! idempotency table, and logged.
 use super::ActiveWorkflow;
-use super::undos::UNDO_PERIOD;
 use crate::client::Answer;
 use crate::gateway::Gateway;
 use crate::gateway::completion::EndedRequest;
@@ -96,10 +95,7 @@
         request: RequestId,
         outcome: RunOutcome,
     ) {
-        let Some(plan) = self.workflows.active.get(&request).map(|workflow| workflow.run.plan()) else {
-            return;
-        };
-        let retention = self.record_retention(plan);
+        let retention = self.undo_retention(request);
         let Some(workflow) = self.workflows.active.get_mut(&request) else { return };
         let nothing_ran = NothingRan::for_workflow(Some(&workflow.stored), workflow.run.plan());
         let outcome = match outcome {
@@ -117,7 +113,7 @@
             (RunOutcome::Rejected(step, cause), None) | (RunOutcome::Failed(step, cause), _) => {
                 workflow.stored.failed = true;
                 // Its record must outlast its undos.
-                workflow.stored.expires_at = now + UNDO_PERIOD + retention;
+                workflow.stored.expires_at = now + retention;
                 (step, workflow.failed_answer(step, cause))
             }
         };
--- a/crates/gateway/src/gateway/workflow/steps.rs
+++ b/crates/gateway/src/gateway/workflow/steps.rs
@@ -45,6 +45,7 @@
         request: RequestId,
         commands: Vec<Command>,
     ) {
+        let has_undos = commands.iter().any(|command| matches!(command, Command::Undo { .. }));
         for command in commands {
             match command {
                 Command::Begin { step, function, until } => {
@@ -52,7 +53,9 @@
                 }
                 Command::Wait { step, until } => self.wait_for_step(now, transport, request, step, until),
                 Command::Cancel(step) => self.cancel_step(now, transport, request, step),
-                Command::End(outcome) => self.end_or_queue_workflow(now, transport, request, outcome),
+                Command::End(outcome) => {
+                    self.end_or_queue_workflow(now, transport, request, outcome, has_undos);
+                }
                 Command::Undo { step, function } => {
                     self.begin_undo(now, transport, request, step, function);
                 }
@@ -114,17 +117,24 @@
     }
 
     /// Ends a workflow, at once or after the next write. A stored workflow that has finished is first written
-    /// as closed: once its client knows that it finished, it must not be undone, even after a restart.
+    /// as closed: once its client knows that it finished, it must not be undone, even after a restart. If
+    /// undos of steps that it left follow, it is closed after them; the ends of its steps, which are written
+    /// now, have it finish again after a restart.
     fn end_or_queue_workflow(
         &mut self,
         now: Micros,
         transport: &mut dyn Transport,
         request: RequestId,
         outcome: RunOutcome,
+        has_undos: bool,
     ) {
+        let retention = self.undo_retention(request);
         match self.workflows.active.get_mut(&request) {
             Some(workflow) if workflow.is_stored && matches!(outcome, RunOutcome::Finished(_)) => {
-                workflow.stored.closed = true;
+                if has_undos {
+                    workflow.stored.expires_at = now + retention;
+                }
+                workflow.stored.closed = !has_undos;
                 self.workflows.unanswered.push(UnansweredWorkflow { request, outcome });
             }
             _ => self.end_workflow(now, transport, request, outcome),
--- a/crates/gateway/src/gateway/workflow/undos.rs
+++ b/crates/gateway/src/gateway/workflow/undos.rs
@@ -14,7 +14,7 @@
 /// Minimum delay before a failed undo is retried.
 const UNDO_RETRY_DELAY: Micros = 1_000_000;
 /// Time during which an undo is retried; longer than a rollout takes.
-pub(super) const UNDO_PERIOD: Micros = 300_000_000;
+const UNDO_PERIOD: Micros = 300_000_000;
 
 /// The undo of one step.
 #[derive(Clone)]
@@ -72,6 +72,12 @@
 }
 
 impl Gateway {
+    /// How long the record of a workflow is kept whose steps are now undone. It must outlast the undos.
+    pub(super) fn undo_retention(&self, request: RequestId) -> Micros {
+        let workflow = self.workflows.active.get(&request);
+        UNDO_PERIOD + workflow.map_or(0, |workflow| self.record_retention(workflow.run.plan()))
+    }
+
     /// Starts to undo a step, unless its record shows that the undo has ended already.
     pub(super) fn begin_undo(
         &mut self,
--- a/crates/gateway/tests/undos.rs
+++ b/crates/gateway/tests/undos.rs
@@ -191,6 +191,71 @@
     assert_eq!(booking.undo_times(10 * S).len(), 0, "it has ended, and is on record");
 }
 
+/// A deployment in which `book` holds beds at two huts, keeps those that are held first, and confirms.
+fn deployment_with_two_huts() -> Deployment {
+    let mut deployment = deployment(2);
+    let fork = Branch { test: None, target: Target::First(vec![StepId(1), StepId(2)], Some(StepId(3))) };
+    let steps = vec![
+        Step { next: vec![fork], ..step("price", 0) },
+        Step { undo: Some(StepId(4)), ..step("beds", 1) },
+        Step { undo: Some(StepId(5)), ..step("second", 1) },
+        step("confirm", 2),
+        step("release", 1),
+        step("release-second", 1),
+    ];
+    let plan = Plan { name: "book".into(), limit: 4 * S, steps };
+    assert_eq!(plan.check(), Vec::new());
+    deployment.workflows = vec![WorkflowConfig {
+        types: vec!["book".into()],
+        function_attribute: "subject".into(),
+        plan: Arc::new(plan),
+    }];
+    deployment
+}
+
+/// Answers the request of this step, and lets the router connect for its next ones.
+fn answer_step(sim: &mut SimulatedGateway, step: &str) {
+    let all = sim.worker_connections();
+    let field = format!("ce-id: 1/{step}\r\n");
+    let conn = all.into_iter().find(|conn| sim.output(*conn).contains(&field)).expect("it was sent");
+    sim.receive(conn, result(&format!("{{\"for\":\"{step}\"}}")).as_bytes());
+    for _ in 0..4 {
+        sim.worker_connections();
+        sim.advance(20 * MS);
+    }
+}
+
+/// The number of requests of this step that were sent.
+fn sends(sim: &SimulatedGateway, step: &str) -> usize {
+    let field = format!("ce-id: 1/{step}\r\n");
+    sim.transport.connections.iter().map(|(conn, _)| sim.output(*conn).matches(&field).count()).sum()
+}
+
+// Regression: two arms of a fork were executed, of which the first one was enough; the beds of the second one
+// were never released when the workflow finished. A kill after the answer changes nothing of it.
+#[test_case(false; "no kill")]
+#[test_case(true; "a kill after the answer")]
+fn the_arm_that_was_not_needed_is_undone_when_its_workflow_finishes(kill: bool) {
+    let store = SharedStore::default();
+    let start = |now| SimulatedGateway::with_store(deployment_with_two_huts(), now, Box::new(store.clone()));
+    let mut sim = start(1_000 * S);
+    let client = sim.send_event("book", "1");
+    answer_step(&mut sim, "price");
+    assert_eq!((sends(&sim, "beds"), sends(&sim, "second")), (1, 1));
+    answer_step(&mut sim, "beds");
+    answer_step(&mut sim, "confirm");
+    assert!(sim.output(client).ends_with("{\"for\":\"confirm\"}"), "{}", sim.output(client));
+    assert_eq!((sends(&sim, "release"), sends(&sim, "release-second")), (0, 1));
+    if !kill {
+        answer_step(&mut sim, "release-second");
+    }
+    sim = start(sim.now + S);
+    let retry = sim.send_event("book", "1");
+    sim.advance(10 * S);
+    assert!(sim.output(retry).ends_with("{\"for\":\"confirm\"}"), "{}", sim.output(retry));
+    assert_eq!(sim.requests(), 0, "it has finished, and its undo may have run");
+}
+
 // What may have run is on record before it is sent.
 #[test]
 fn a_keyed_undo_is_stored_before_it_is_sent() {
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -49,7 +49,8 @@
 /// How a workflow run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunOutcome {
-    /// The result of this step is the response.
+    /// The result of this step is the response. Steps that have an undo and from whose results the run did
+    /// not go on are undone if they may have run.
     Finished(StepId),
     /// Rejected at this step: no step can have had a lasting effect, so a retry is safe.
     Rejected(StepId, FailureReason),
@@ -80,7 +81,7 @@
     Cancel(StepId),
     /// The run has ended: respond to the client.
     End(RunOutcome),
-    /// After the end: run this undo, with retries, until it has finished.
+    /// After the end, also of a run that finished: run this undo, with retries, until it has finished.
     Undo {
         /// The step that undoes another one.
         step: StepId,
@@ -153,6 +154,8 @@
     started: Vec<StepId>,
     /// Steps of which an earlier attempt may have had an effect, though the last one had none.
     may_have_run_before: BTreeSet<StepId>,
+    /// Arms of forks of which another arm was enough. The run does not go on from their results.
+    superseded: BTreeSet<StepId>,
     /// Fields of results that the plan uses, by step and name.
     results: BTreeMap<(StepId, String), String>,
     forks: Vec<Fork>,
@@ -181,6 +184,7 @@
             deadline,
             started: Vec::new(),
             may_have_run_before: BTreeSet::new(),
+            superseded: BTreeSet::new(),
             results: BTreeMap::new(),
             forks: Vec::new(),
             last_finished: None,
@@ -471,7 +475,10 @@
         if fork.first && !fork.arms.iter().any(|arm| self.has_finished(*arm)) {
             return self.fail(step, FailureReason::StepFailed, commands);
         }
-        let join = fork.join;
+        let (join, arms) = (fork.join, fork.arms.clone());
+        if fork.first {
+            self.superseded.extend(arms.into_iter().filter(|arm| *arm != step));
+        }
         self.forks.remove(index);
         for arm in open {
             self.leave_arm(arm, commands);
--- a/crates/workflow/src/run/ending.rs
+++ b/crates/workflow/src/run/ending.rs
@@ -14,9 +14,17 @@
             self.cancel_open_steps(commands);
             self.outcome = Some(RunOutcome::Finished(step));
             commands.push(Command::End(RunOutcome::Finished(step)));
+            self.count_earlier_attempts();
+            commands.extend(self.undos(|step| self.was_left(step)));
         }
     }
 
+    /// Whether the run did not go on from the result of a step: another arm of its fork was enough, or it
+    /// failed and the plan went another way. Of an optional step both are the plan's way.
+    fn was_left(&self, step: StepId) -> bool {
+        self.superseded.contains(&step) || !self.has_finished(step) && !self.plan.step(step).optional
+    }
+
     /// Cancels the steps in flight. They may have run.
     fn cancel_open_steps(&mut self, commands: &mut Vec<Command>) {
         for (index, state) in self.states.iter_mut().enumerate() {
@@ -48,7 +56,7 @@
         };
         self.outcome = Some(outcome);
         commands.push(Command::End(outcome));
-        commands.extend(self.undos());
+        commands.extend(self.undos(|_| true));
     }
 
     /// Takes over the steps of an interrupted run that this one has not reached again, so that their effects
@@ -58,6 +66,12 @@
         for step in recorded {
             self.take_over_recorded(step);
         }
+        self.count_earlier_attempts();
+    }
+
+    /// Counts the steps as started that were not started again, though an earlier attempt of them may have
+    /// run.
+    fn count_earlier_attempts(&mut self) {
         for step in &self.may_have_run_before {
             if !self.started.contains(step) {
                 self.started.push(*step);
@@ -80,12 +94,14 @@
             || matches!(self.states[step.0], StepState::Ended(StepStatus::Finished | StepStatus::MayHaveRun))
     }
 
-    /// Undos of the steps that may have run, last step first. An undo without a known function cannot be run.
-    fn undos(&self) -> Vec<Command> {
+    /// Undos of those of these steps that may have run, last step first. An undo without a known function
+    /// cannot be run.
+    fn undos(&self, is_undone: impl Fn(StepId) -> bool) -> Vec<Command> {
         let undo = |step: &StepId| {
             let step = self.plan.step(*step).undo?;
             self.function(step).map(|function| Command::Undo { step, function })
         };
-        self.started.iter().rev().filter(|step| self.may_have_run(**step)).filter_map(undo).collect()
+        let steps = self.started.iter().rev();
+        steps.filter(|step| self.may_have_run(**step) && is_undone(**step)).filter_map(undo).collect()
     }
 }
--- a/crates/workflow/tests/runs.rs
+++ b/crates/workflow/tests/runs.rs
@@ -310,3 +310,63 @@
     }
     assert_eq!(b.begin(), ["failed at confirm: StepFailed", "undo by release-2", "undo by release"]);
 }
+
+// Regression: of two arms that were both executed, the one that was not needed kept its beds when the run
+// finished.
+#[test_case(&[("finish", 1)], &["cancel beds-2", "begin confirm"]; "the other one is in flight")]
+#[test_case(&[("break", 2), ("finish", 1)], &["begin confirm"]; "the other one broke off")]
+fn an_arm_that_was_not_needed_is_undone(ends: &[(&str, usize)], want: &[&str]) {
+    let mut b = Harness::new(booking_with_two_arms());
+    b.begin();
+    assert_eq!(b.finish_step(50, 0), ["begin beds", "begin beds-2"]);
+    let mut commands = Vec::new();
+    for (end, arm) in ends {
+        let status = if *end == "finish" { StepStatus::Finished } else { StepStatus::MayHaveRun };
+        commands = b.end_step(50, *arm, status, &[]);
+    }
+    assert_eq!(commands, want);
+    assert_eq!(b.finish_step(50, 3), ["finished by confirm", "undo by release-2"]);
+}
+
+// The same after a kill: the other arm is on record, or may be sent again.
+#[test_case(Some(StepStatus::Finished); "it finished")]
+#[test_case(Some(StepStatus::MayHaveRun); "it may have run")]
+#[test_case(None; "it may have run, and could be sent again")]
+fn an_arm_on_record_that_was_not_needed_is_undone(other: Option<StepStatus>) {
+    let mut recorded = BTreeMap::from([
+        (id(0), (StepStatus::Finished, BTreeMap::new())),
+        (id(1), (StepStatus::Finished, BTreeMap::new())),
+    ]);
+    recorded.extend(other.map(|status| (id(2), (status, BTreeMap::new()))));
+    let mut b = Harness::resumed(booking_with_two_arms(), recorded);
+    if other.is_none() {
+        b.run.step_may_have_run(id(2));
+    }
+    assert_eq!(b.begin(), ["begin confirm"]);
+    assert_eq!(b.finish_step(50, 3), ["finished by confirm", "undo by release-2"]);
+}
+
+// An arm that never ran is not undone, nor is what the run went on from.
+#[test]
+fn an_arm_that_never_ran_is_not_undone() {
+    let mut b = Harness::new(booking_with_two_arms());
+    b.begin();
+    b.finish_step(50, 0);
+    assert_eq!(b.end_step(3_700, 2, StepStatus::NeverRan, &[]), ["wait 30 ms for beds-2"]);
+    assert_eq!(b.finish_step(10, 1), ["begin confirm"]);
+    assert_eq!(b.finish_step(50, 3), ["finished by confirm"]);
+}
+
+// A step that may have run and whose `else` branch was taken is undone too.
+#[test]
+fn a_step_that_was_replaced_by_its_else_branch_is_undone() {
+    let mut b = Harness::new(vec![
+        step("beds", KEYED).or_else(&[to(1)]).undone_by(2),
+        step("beds-2", KEYED).undone_by(3),
+        step("release", KEYED),
+        step("release-2", KEYED),
+    ]);
+    b.begin();
+    assert_eq!(b.end_step(50, 0, StepStatus::MayHaveRun, &[]), ["begin beds-2"]);
+    assert_eq!(b.finish_step(50, 1), ["finished by beds-2", "undo by release"]);
+}
