serve: the key of a chain on record is in use after a reload that removes all chains

Callers saw: after a kill and a reload without chains, a request's event under the source and id of a chain on record was run, whatever the record says. Cause: requests looked for a record only where chains are configured. Evidence: by reading, then by the test. Change: they look wherever a record file is configured. Why it works: the file is there for as long as the process is, whatever the settings say of chains. Measured: `another_event_of_a_recorded_workflow_is_refused_after_a_reload_without_workflows` failed before (sent), passes.

--- a/crates/gateway/src/gateway/workflow/intake.rs
+++ b/crates/gateway/src/gateway/workflow/intake.rs
@@ -157,7 +157,8 @@
         identity: &EventIdentity,
         event: &ReceivedEvent,
     ) -> Result<(), Rc<Answer>> {
-        if self.deployment.workflows.is_empty() {
+        // A reload may have removed the workflows whose records are there.
+        if self.deployment.workflows.is_empty() && self.deployment.workflow_store.is_none() {
             return Ok(());
         }
         // If the store cannot be read, only the retries of workflows are refused.
--- a/crates/gateway/tests/event_identity_after_restart.rs
+++ b/crates/gateway/tests/event_identity_after_restart.rs
@@ -129,6 +129,28 @@
     assert_eq!(sim.statuses(resumed), [502], "a step may have run: {}", sim.output(resumed));
 }
 
+// Regression: when a reload had removed all workflows, a request's event was run under the key of one on
+// record.
+#[test]
+fn another_event_of_a_recorded_workflow_is_refused_after_a_reload_without_workflows() {
+    let store = SharedStore::default();
+    let stored = |deployment| Deployment { workflow_store: Some("record".into()), ..deployment };
+    let first = stored(deployment_with_booking(1));
+    let mut sim = SimulatedGateway::with_store(first, 1_000 * S, Box::new(store.clone()));
+    let client = send(&mut sim, &first_event("book"));
+    sim.worker_connections();
+    respond(&mut sim);
+    respond(&mut sim);
+    assert_eq!(sim.statuses(client), [200]);
+    let mut sim =
+        SimulatedGateway::with_store(stored(deployment_with_booking(1)), sim.now + MS, Box::new(store));
+    sim.reload(stored(Deployment { workflows: Vec::new(), ..deployment_with_booking(1) }));
+    let other = send(&mut sim, &changed("quote", OTHER_DATA));
+    assert_refused(&sim, other);
+    sim.worker_connections();
+    assert_eq!(sim.requests(), 0, "nothing was sent for it");
+}
+
 // A workflow that was rejected keeps a record without steps. Another event starts its own workflow.
 #[test]
 fn the_id_of_a_rejected_workflow_is_free() {
