serve: a workload that a reload leaves out keeps the type of the events of steps

Cause: the type of a step's event was read from the list of accepted types, which is emptied for such a workload. Evidence: one chain traced: the step before the reload has its type, the one after it none. Change: `WorkloadEvents::step_type`, the first of the types, which such a workload keeps. Why it works: workflows go on by index, plan and settings of old; the type was the one thing that was taken from them.

--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -46,6 +46,9 @@
     /// Values of the event attribute `type` that belong to this workload. Empty for a workload removed by a
     /// reload: it accepts no new requests.
     pub types: Vec<String>,
+    /// Type of the events of workflow steps that this workload runs: the first of its types. A workload
+    /// removed by a reload keeps it, as workflows in progress go on by the plan with which they began.
+    pub step_type: String,
     /// Source of the function's name.
     pub function_source: FunctionSource,
     /// The attributes of the prompt prefix, if the workload's requests have one.
--- a/crates/gateway/src/gateway/workflow/steps.rs
+++ b/crates/gateway/src/gateway/workflow/steps.rs
@@ -155,7 +155,7 @@
         let key = step_key(&workflow.key, planned);
         let mut fields = HeaderLines::default();
         fields.field("ce-id", &key.id);
-        fields.field("ce-type", events.types.first().map_or("", String::as_str));
+        fields.field("ce-type", &events.step_type);
         fields.append(&workflow.fields);
         let content = RequestContent {
             key,
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -2,8 +2,8 @@
 //! maps the indices of the new configuration to those of the old one.
 //!
 //! Requests in flight refer to workloads, customers and zones by index, so an entry never moves. An entry
-//! that the new configuration omits remains, without event types (workloads) or with a quota of zero
-//! (customers), and is reused if a later configuration names it again.
+//! that the new configuration omits remains, without event types for clients (workloads) or with a quota of
+//! zero (customers), and is reused if a later configuration names it again.
 use crate::deployment::{Deployment, FleetConfig, WorkloadEvents};
 use applepond::interface::{CustomerConfig, WorkloadConfig};
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -83,6 +83,7 @@
             .map(|(name, _)| WorkloadEvents {
                 name: name.to_string(),
                 types: vec![name.to_string()],
+                step_type: name.to_string(),
                 function_source: FunctionSource::Attribute("subject".into()),
                 prefix_attributes: Some(PrefixAttributes {
                     name: "opening".into(),
--- a/crates/gateway/tests/reload.rs
+++ b/crates/gateway/tests/reload.rs
@@ -2,10 +2,12 @@
 mod common;
 use applepond::interface::{CustomerConfig, RetrySafety, WorkloadConfig};
 use applepond_gateway::Deployment;
-use applepond_gateway::deployment::StaticWorker;
+use applepond_gateway::deployment::{StaticWorker, WorkflowConfig};
 use applepond_gateway::reload::merge;
 use applepond_reactor::{Closed, ConnectionId};
+use applepond_workflow::{Branch, Plan, Step, StepId, Target};
 use common::*;
+use std::sync::Arc;
 use test_case::test_case;
 
 /// Different settings: no hedging, shared timeouts, another customer, and only the third workload, as an
@@ -172,3 +174,61 @@
     assert_eq!(sim.transport.connections.last().map(|(_, to)| *to), Some(address));
     assert!(sim.transport.cut.contains(&connection), "the idle connection to the omitted worker");
 }
+
+/// A deployment in which `book` gets a price, holds beds, which `release` undoes, and confirms.
+fn deployment_with_booking() -> Deployment {
+    let to = |n: usize| vec![Branch { test: None, target: Target::One(StepId(n)) }];
+    let steps = vec![
+        Step { next: to(1), ..step("price", 0) },
+        Step { next: to(2), undo: Some(StepId(3)), ..step("beds", 1) },
+        step("confirm", 2),
+        step("release", 1),
+    ];
+    let plan = Plan { name: "book".into(), limit: 4 * S, steps };
+    assert_eq!(plan.check(), Vec::new());
+    let workflow = WorkflowConfig {
+        types: vec!["book".into()],
+        function_attribute: "subject".into(),
+        plan: Arc::new(plan),
+    };
+    Deployment { workflows: vec![workflow], ..deployment(1) }
+}
+
+/// Has the worker answer the request that was sent last, and lets the router send the next one. Returns the
+/// type of the event that was answered.
+fn answer_step(sim: &mut SimulatedGateway) -> String {
+    let conn = latest_connection(sim);
+    let sent = sim.output(conn);
+    let request = sent.split("POST /run").last().unwrap_or_default();
+    let event_type = request.lines().find_map(|line| line.strip_prefix("ce-type: ")).unwrap_or_default();
+    sim.receive(conn, result("{}").as_bytes());
+    sim.advance(30 * MS);
+    event_type.to_owned()
+}
+
+// Regression: a reload that omitted a workflow's workloads sent its further steps and undos with an empty
+// type, which workers refuse.
+#[test_case(true; "it finishes")]
+#[test_case(false; "it fails and is undone")]
+fn a_workflow_goes_on_after_a_reload_that_omits_its_workloads(confirms: bool) {
+    let mut sim = SimulatedGateway::new(deployment_with_booking());
+    let client = sim.send_event("book", "1");
+    assert_eq!(answer_step(&mut sim), "quote");
+    let mut without = deployment(1);
+    without.workloads.truncate(1);
+    without.startup.workloads.truncate(1);
+    sim.reload(without);
+    assert_eq!(answer_step(&mut sim), "hold");
+    if confirms {
+        assert_eq!(answer_step(&mut sim), "confirm");
+        assert_eq!(sim.statuses(client), [200]);
+    } else {
+        let conn = latest_connection(&mut sim);
+        sim.disconnect(conn, Closed::Reset);
+        sim.advance(30 * MS);
+        assert_eq!(sim.statuses(client), [502]);
+        assert_eq!(answer_step(&mut sim), "hold", "the undo");
+    }
+    let refused = sim.send_event("book", "2");
+    assert_eq!(sim.statuses(refused), [422], "no new one is started");
+}
--- a/crates/settings/src/workload.rs
+++ b/crates/settings/src/workload.rs
@@ -30,6 +30,7 @@
     let function_source = function_source(section);
     let prefix_attributes = prefix_attributes(section);
     let default_function = function(section);
+    let types = types?;
     Some(Workload {
         config: WorkloadConfig {
             retry_safety: retry_safety?,
@@ -39,7 +40,8 @@
         },
         events: WorkloadEvents {
             name: name.to_owned(),
-            types: types?,
+            step_type: types.first().cloned().unwrap_or_default(),
+            types,
             function_source: function_source?,
             prefix_attributes,
             deadline: time_limit?,
