reactor: what is found after an interrupted wait came at the earliest when the wait began

Cause: a stopped and continued process has its epoll_wait ended by EINTR, which was taken for a poll that had looked at the sockets; the poll after it dated what had come to itself. Evidence: with a stop of 700 ms the model server is told 1,990 of 2,000 ms. Change: an interrupted wait is completed by a poll without a wait, and the events are dated to the begin of the wait. Why it works: what had come before the wait began would have ended it at once, so nothing that is found then is older.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -6,9 +6,13 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
+/// Maximum time to wait for something that is to come.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
 struct NodeProcess(Child);
 
 impl Drop for NodeProcess {
@@ -225,6 +229,60 @@
     std::fs::remove_file(&file).expect("written above");
 }
 
+/// Runs a model server that responds with OK to each request, and passes on the budget that it was told.
+fn spawn_budget_server(server: TcpListener) -> Receiver<u64> {
+    let (budgets, received) = channel();
+    std::thread::spawn(move || {
+        let mut stream = server.accept().expect("a connection").0;
+        let lines = BufReader::new(stream.try_clone().expect("a descriptor")).lines();
+        for line in lines.map_while(Result::ok) {
+            let line: Value = serde_json::from_str(&line).expect("a line of JSON");
+            let response = json!({"verb": "OK", "rid": line["rid"], "attrs": {"detail": "hit"},
+                "content": "b2s="});
+            if line["verb"] == "DO" {
+                let budget = line["attrs"]["budget"].as_u64().expect("a budget");
+                let is_received = budgets.send(budget).is_ok();
+                if !is_received || writeln!(stream, "{response}").is_err() {
+                    return;
+                }
+            }
+        }
+    });
+    received
+}
+
+// Regression: the kernel interrupts the wait of a process that is stopped and continued. A request that had
+// come meanwhile was taken for one that came afterwards, and had all of its time anew.
+#[test]
+fn the_time_of_a_request_counts_while_the_process_is_stopped() {
+    use rustix::process::{Pid, Signal, kill_process};
+    const BUDGET_MS: u64 = 2000;
+    const STOPPED_MS: u64 = 700;
+    let server = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = free_address();
+    let file = settings_with_server(at, server.local_addr().expect("bound"));
+    let budgets = spawn_budget_server(server);
+    let (node, file) = start_node("stopped", &file.to_string(), Stdio::null());
+    wait_until_ready(at);
+    assert_eq!(response_status(at, &request(0)).as_deref(), Some("200"));
+    let budget = budgets.recv_timeout(READ_TIMEOUT).expect("a request");
+    assert!(budget > BUDGET_MS - STOPPED_MS, "{budget} ms without a stop");
+    let pid = Pid::from_child(&node.0);
+    for n in 1..=3 {
+        let mut client = TcpStream::connect(at).expect("node listens");
+        client.set_read_timeout(Some(READ_TIMEOUT)).expect("a time");
+        assert!(health_check(at).is_some(), "it has accepted the client");
+        kill_process(pid, Signal::STOP).expect("node runs");
+        client.write_all(request(n).as_bytes()).expect("the kernel takes it");
+        let early = budgets.recv_timeout(Duration::from_millis(STOPPED_MS));
+        assert!(early.is_err(), "nothing is sent while it is stopped");
+        kill_process(pid, Signal::CONT).expect("node runs");
+        let budget = budgets.recv_timeout(READ_TIMEOUT).expect("a request");
+        assert!(budget <= BUDGET_MS - STOPPED_MS, "{budget} ms left after {STOPPED_MS} of {BUDGET_MS}");
+    }
+    std::fs::remove_file(&file).expect("written above");
+}
+
 // Repeated signals of several kinds are all handled, and the process shuts down cleanly once. It has no
 // endpoint list, and its name service does not respond.
 #[test]
--- a/crates/reactor/src/reactor.rs
+++ b/crates/reactor/src/reactor.rs
@@ -44,15 +44,18 @@
     /// When its wait was to time out.
     due: Micros,
     ended: Micros,
+    /// Whether a signal ended the wait. The kernel does that to a process that is stopped and continued.
+    interrupted: bool,
 }
 
 impl PollTimes {
     /// The earliest time at which the events of the poll may have occurred. If the process was late to enter
-    /// the poll, or late to return from it, that is the time before the delay.
+    /// the poll, or late to return from it, that is the time before the delay. If the wait was interrupted,
+    /// the process may have been stopped at any time of it.
     fn earliest_arrival(&self) -> Micros {
         if self.entered > self.previous.saturating_add(STALE_POLL) {
             self.previous
-        } else if self.ended > self.due.saturating_add(STALE_POLL) {
+        } else if self.interrupted || self.ended > self.due.saturating_add(STALE_POLL) {
             self.entered
         } else {
             self.ended
@@ -217,20 +220,33 @@
     fn wait_for_events(&mut self, wait: Duration) -> io::Result<()> {
         let (previous, entered) = (self.last_poll, self.sockets.now());
         let due = entered.saturating_add(wait.as_micros() as Micros);
-        let wait = Timespec { tv_sec: wait.as_secs() as i64, tv_nsec: i64::from(wait.subsec_nanos()) };
-        self.events.clear();
-        let spare = rustix::buffer::spare_capacity(&mut self.events);
-        match epoll::wait(&self.sockets.epoll, spare, Some(&wait)) {
-            Ok(_) | Err(Errno::INTR) => {}
-            Err(error) => return Err(error.into()),
+        let interrupted = !self.take_events(wait)?;
+        if interrupted {
+            // An interrupted wait reports no events, whatever came during a stop. Without a wait, a poll is
+            // not interrupted.
+            self.take_events(Duration::ZERO)?;
         }
         let ended = self.sockets.now();
         self.last_poll = ended;
         self.sockets.poll_round += 1;
-        self.sockets.earliest_arrival = PollTimes { previous, entered, due, ended }.earliest_arrival();
+        let times = PollTimes { previous, entered, due, ended, interrupted };
+        self.sockets.earliest_arrival = times.earliest_arrival();
         Ok(())
     }
 
+    /// Waits for events, at most `wait`, and fills `events` with them. Returns false if a signal interrupted
+    /// the wait.
+    fn take_events(&mut self, wait: Duration) -> io::Result<bool> {
+        let wait = Timespec { tv_sec: wait.as_secs() as i64, tv_nsec: i64::from(wait.subsec_nanos()) };
+        self.events.clear();
+        let spare = rustix::buffer::spare_capacity(&mut self.events);
+        match epoll::wait(&self.sockets.epoll, spare, Some(&wait)) {
+            Ok(_) => Ok(true),
+            Err(Errno::INTR) => Ok(false),
+            Err(error) => Err(error.into()),
+        }
+    }
+
     fn handle_event(&mut self, data: u64, flags: epoll::EventFlags) {
         if self.sockets.listeners.contains_key(&data) {
             return self.accept(Listener(data));
