--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -6,16 +6,18 @@
 };
 use applepond_fakes::simulated_transport::SimulatedTransport;
 use applepond_gateway::deployment::{
-    AnswerRetention, FunctionConfig, FunctionSource, PrefixAttributes, StaticWorker, WorkloadEvents,
+    AnswerRetention, FunctionConfig, FunctionSource, PrefixAttributes, StaticWorker, WorkflowConfig,
+    WorkloadEvents,
 };
 use applepond_gateway::{Deployment, Gateway};
 use applepond_reactor::{Closed, ConnectionId, Listener, Machine, Transport};
 use applepond_storage::{MemoryStore, WorkflowKey, WorkflowRecord, WorkflowStore};
-use applepond_workflow::{Function, Step};
+use applepond_workflow::{Function, Plan, Step};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 pub mod events;
@@ -291,6 +293,17 @@
     }
 }
 
+/// The workflow `book`, which events of these types start, with a time limit of 4 s.
+pub fn booking_workflow(types: &[&str], steps: Vec<Step>) -> WorkflowConfig {
+    let plan = Plan { name: "book".into(), limit: 4 * S, steps };
+    assert_eq!(plan.check(), Vec::new());
+    WorkflowConfig {
+        types: types.iter().map(|event_type| (*event_type).to_owned()).collect(),
+        function_attribute: "subject".into(),
+        plan: Arc::new(plan),
+    }
+}
+
 /// A required step without successors, of a function of its own, by the index of its workload.
 pub fn step(name: &str, workload: usize) -> Step {
     Step {
--- a/crates/gateway/tests/event_identity.rs
+++ b/crates/gateway/tests/event_identity.rs
@@ -3,23 +3,17 @@
 mod common;
 use applepond::interface::{CustomerConfig, IdempotencyScope};
 use applepond_gateway::Deployment;
-use applepond_gateway::deployment::WorkflowConfig;
 use applepond_reactor::{Closed, ConnectionId};
-use applepond_workflow::{Function, Plan, Step};
+use applepond_workflow::{Function, Step};
 use common::events::*;
 use common::*;
-use std::sync::Arc;
 use test_case::test_case;
 
 /// A deployment with a second customer, in which events of type `book` start a workflow of one at-most-once
 /// step.
 fn deployment_with_workflow(workers: u16) -> Deployment {
     let step = Step { function: Function::OfEvent, ..step("confirm", 2) };
-    let workflow = WorkflowConfig {
-        types: vec!["book".into(), "rebook".into()],
-        function_attribute: "subject".into(),
-        plan: Arc::new(Plan { name: "book".into(), limit: 4 * S, steps: vec![step] }),
-    };
+    let workflow = booking_workflow(&["book", "rebook"], vec![step]);
     let mut deployment = Deployment { workflows: vec![workflow], ..deployment(workers) };
     deployment.customers.push("inns".into());
     deployment.startup.customers.push(CustomerConfig { requests_per_second: 1000.0 });
--- a/crates/gateway/tests/event_identity_after_restart.rs
+++ b/crates/gateway/tests/event_identity_after_restart.rs
@@ -2,7 +2,6 @@
 mod common;
 use applepond::interface::{CustomerConfig, IdempotencyScope, RetrySafety};
 use applepond_gateway::Deployment;
-use applepond_gateway::deployment::WorkflowConfig;
 use applepond_reactor::{Closed, ConnectionId};
 use applepond_storage::{WorkflowRecord, WorkflowStore};
 use applepond_workflow::{Branch, Function, Plan, Step, StepId, Target};
@@ -17,14 +16,8 @@
     let next = Branch { test: None, target: Target::One(StepId(1)) };
     let beds =
         Step { next: vec![next], undo: Some(StepId(2)), function: Function::OfEvent, ..step("beds", 1) };
-    let plan =
-        Plan { name: "book".into(), limit: 4 * S, steps: vec![beds, step("confirm", 2), step("release", 1)] };
-    assert_eq!(plan.check(), Vec::new());
-    let workflow = WorkflowConfig {
-        types: vec!["book".into(), "rebook".into()],
-        function_attribute: "subject".into(),
-        plan: Arc::new(plan),
-    };
+    let steps = vec![beds, step("confirm", 2), step("release", 1)];
+    let workflow = booking_workflow(&["book", "rebook"], steps);
     let mut deployment = Deployment { workflows: vec![workflow], ..deployment(workers) };
     deployment.customers.push("inns".into());
     deployment.startup.customers.push(CustomerConfig { requests_per_second: 1000.0 });
--- a/crates/gateway/tests/event_identity_model/history.rs
+++ b/crates/gateway/tests/event_identity_model/history.rs
@@ -1,13 +1,13 @@
 //! A history of events at a router that is killed now and then, and the checks of what clients are told.
-use crate::common::{MS, S, SharedStore, SimulatedGateway, deployment_with_keyed_hold, event, step};
+use crate::common::{
+    MS, S, SharedStore, SimulatedGateway, booking_workflow, deployment_with_keyed_hold, event, step,
+};
 use crate::worker::{Fate, Received, WINDOW, Worker, is_step};
 use applepond::interface::{IdempotencyScope, Micros};
 use applepond_gateway::Deployment;
-use applepond_gateway::deployment::WorkflowConfig;
 use applepond_reactor::{Closed, ConnectionId};
-use applepond_workflow::{Branch, Function, Plan, Step, StepId, Target};
+use applepond_workflow::{Branch, Function, Step, StepId, Target};
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 /// The type of an event. `book` and `rebook` start the same workflow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -119,13 +119,8 @@
     let beds = Step { next: vec![next], function: Function::OfEvent, effect, ..step("beds", 1) };
     let beds = Step { undo: Some(StepId(2)), ..beds };
     let release = Step { function: Function::OfEvent, effect, ..step("release", 1) };
-    let plan = Plan { name: "book".into(), limit: 4 * S, steps: vec![beds, step("confirm", 2), release] };
-    assert_eq!(plan.check(), Vec::new());
-    deployment.workflows = vec![WorkflowConfig {
-        types: vec!["book".into(), "rebook".into()],
-        function_attribute: "subject".into(),
-        plan: Arc::new(plan),
-    }];
+    let steps = vec![beds, step("confirm", 2), release];
+    deployment.workflows = vec![booking_workflow(&["book", "rebook"], steps)];
     deployment
 }
 
--- a/crates/gateway/tests/reload.rs
+++ b/crates/gateway/tests/reload.rs
@@ -2,12 +2,11 @@
 mod common;
 use applepond::interface::{CustomerConfig, RetrySafety, WorkloadConfig};
 use applepond_gateway::Deployment;
-use applepond_gateway::deployment::{StaticWorker, WorkflowConfig};
+use applepond_gateway::deployment::StaticWorker;
 use applepond_gateway::reload::merge;
 use applepond_reactor::{Closed, ConnectionId};
-use applepond_workflow::{Branch, Plan, Step, StepId, Target};
+use applepond_workflow::{Branch, Step, StepId, Target};
 use common::*;
-use std::sync::Arc;
 use test_case::test_case;
 
 /// Different settings: no hedging, shared timeouts, another customer, and only the third workload, as an
@@ -184,14 +183,7 @@
         step("confirm", 2),
         step("release", 1),
     ];
-    let plan = Plan { name: "book".into(), limit: 4 * S, steps };
-    assert_eq!(plan.check(), Vec::new());
-    let workflow = WorkflowConfig {
-        types: vec!["book".into()],
-        function_attribute: "subject".into(),
-        plan: Arc::new(plan),
-    };
-    Deployment { workflows: vec![workflow], ..deployment(1) }
+    Deployment { workflows: vec![booking_workflow(&["book"], steps)], ..deployment(1) }
 }
 
 /// Has the worker answer the request that was sent last, and lets the router send the next one. Returns the
--- a/crates/gateway/tests/undos.rs
+++ b/crates/gateway/tests/undos.rs
@@ -2,12 +2,10 @@
 mod common;
 use applepond::interface::{IdempotencyScope, Micros, RetrySafety};
 use applepond_gateway::Deployment;
-use applepond_gateway::deployment::WorkflowConfig;
 use applepond_reactor::{Closed, ConnectionId};
 use applepond_storage::WorkflowStore;
-use applepond_workflow::{Branch, Function, Plan, Step, StepId, Target};
+use applepond_workflow::{Branch, Function, Step, StepId, Target};
 use common::*;
-use std::sync::Arc;
 use test_case::test_case;
 
 /// Index of the undo in the plan.
@@ -27,14 +25,8 @@
     let release_step = Step { effect: release, function: Function::OfEvent, ..step("release", workload) };
     deployment.startup.workloads[workload].retry_safety = release;
     let beds = Step { effect: deployment.startup.workloads[1].retry_safety, ..beds };
-    let plan =
-        Plan { name: "book".into(), limit: 4 * S, steps: vec![beds, step("confirm", 2), release_step] };
-    assert_eq!(plan.check(), Vec::new());
-    deployment.workflows = vec![WorkflowConfig {
-        types: vec!["book".into()],
-        function_attribute: "subject".into(),
-        plan: Arc::new(plan),
-    }];
+    let steps = vec![beds, step("confirm", 2), release_step];
+    deployment.workflows = vec![booking_workflow(&["book"], steps)];
     deployment
 }
 
@@ -203,13 +195,7 @@
         step("release", 1),
         step("release-second", 1),
     ];
-    let plan = Plan { name: "book".into(), limit: 4 * S, steps };
-    assert_eq!(plan.check(), Vec::new());
-    deployment.workflows = vec![WorkflowConfig {
-        types: vec!["book".into()],
-        function_attribute: "subject".into(),
-        plan: Arc::new(plan),
-    }];
+    deployment.workflows = vec![booking_workflow(&["book"], steps)];
     deployment
 }
 
