gateway: what is retained of an ended event leaves its index once

Change: what is popped from the index is only taken out of the table; a replaced entry is removed where it is replaced. All tests of the package pass.

--- a/crates/gateway/src/idempotency/retained.rs
+++ b/crates/gateway/src/idempotency/retained.rs
@@ -100,7 +100,6 @@
     /// Adds an entry in place of an earlier one with its key, and drops what the limits then do not allow.
     pub(super) fn insert(&mut self, now: Micros, new: NewEntry<A>) {
         let NewEntry { key, content, retained, answer_bytes, expires_at, reserved_until } = new;
-        self.remove(&key);
         let bytes = answer_bytes + key.len() + EventContent::SIZE_BYTES;
         self.add(key, Entry { content, retained, expires_at, reserved_until, sequence: 0, bytes });
         self.drop_expired(now);
@@ -108,16 +107,16 @@
 
     /// Drops what has expired, and then the entries that expire first until the limits are met.
     pub(super) fn drop_expired(&mut self, now: Micros) {
-        while let Some(key) = first_expired(&self.needed_by_retries, now) {
-            self.reduce_to_key(now, &key);
+        while let Some(key) = pop_expired(&mut self.needed_by_retries, now) {
+            self.reduce_to_key(now, key);
         }
-        while let Some(key) = first_expired(&self.key_only, now) {
-            self.remove(&key);
+        while let Some(key) = pop_expired(&mut self.key_only, now) {
+            self.forget(&key);
         }
         while self.exceeds_limits() {
-            let first = self.key_only.first().or_else(|| self.needed_by_retries.first());
-            let Some((_, _, key)) = first.cloned() else { return };
-            self.remove(&key);
+            let first = self.key_only.pop_first().or_else(|| self.needed_by_retries.pop_first());
+            let Some((_, _, key)) = first else { return };
+            self.forget(&key);
         }
     }
 
@@ -126,28 +125,30 @@
     }
 
     /// Keeps the key alone of an expired entry, as long as workers recognise it.
-    fn reduce_to_key(&mut self, now: Micros, key: &IdempotencyKey) {
-        let Some(entry) = self.remove(key).filter(|entry| entry.reserved_until > now) else { return };
+    fn reduce_to_key(&mut self, now: Micros, key: IdempotencyKey) {
+        let Some(entry) = self.forget(&key).filter(|entry| entry.reserved_until > now) else { return };
         let bytes = key.len() + EventContent::SIZE_BYTES;
         let expires_at = entry.reserved_until;
-        self.add(key.clone(), Entry { retained: Retained::KeyOnly, expires_at, bytes, ..entry });
+        self.add(key, Entry { retained: Retained::KeyOnly, expires_at, bytes, ..entry });
     }
 
-    /// Adds an entry whose key is not in use, with the next sequence number.
+    /// Adds an entry with the next sequence number, in place of an earlier one with its key.
     fn add(&mut self, key: IdempotencyKey, entry: Entry<A>) {
         self.last_sequence += 1;
         let entry = Entry { sequence: self.last_sequence, ..entry };
         self.bytes += entry.bytes;
         let expiry = (entry.expires_at, entry.sequence, key.clone());
         self.expiries_of(&entry.retained).insert(expiry);
-        self.entries.insert(key, entry);
+        if let Some(old) = self.entries.insert(key.clone(), entry) {
+            self.bytes -= old.bytes;
+            self.expiries_of(&old.retained).remove(&(old.expires_at, old.sequence, key));
+        }
     }
 
-    fn remove(&mut self, key: &IdempotencyKey) -> Option<Entry<A>> {
+    /// Removes an entry that is in no index any more.
+    fn forget(&mut self, key: &IdempotencyKey) -> Option<Entry<A>> {
         let entry = self.entries.remove(key)?;
         self.bytes -= entry.bytes;
-        let expiry = (entry.expires_at, entry.sequence, key.clone());
-        self.expiries_of(&entry.retained).remove(&expiry);
         Some(entry)
     }
 
@@ -160,7 +161,8 @@
     }
 }
 
-/// Returns the key of the entry that expired first, if any has expired.
-fn first_expired(expiries: &BTreeSet<Expiry>, now: Micros) -> Option<IdempotencyKey> {
-    expiries.first().filter(|(expires_at, _, _)| *expires_at <= now).map(|(_, _, key)| key.clone())
+/// Removes and returns the key of the entry that expired first, if any has expired.
+fn pop_expired(expiries: &mut BTreeSet<Expiry>, now: Micros) -> Option<IdempotencyKey> {
+    expiries.first().filter(|(expires_at, _, _)| *expires_at <= now)?;
+    expiries.pop_first().map(|(_, _, key)| key)
 }
